workspace: crates, shared types and messages between processes

Cause: parts built side by side need fixed boundaries first. Change: fw-base (ids, error table, digests, chat messages), fw-wire (tarpc services, answers read by offset), fw-http (pooled client); the other crates stand empty.

--- /dev/null
+++ b/foxtailweir-side/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder until the command line lands.
+
+fn main() {}
--- /dev/null
+++ b/fw-base/src/error.rs
@@ -0,0 +1,183 @@
+//! The closed list of error kinds, and the one table from kind to answer.
+//!
+//! Every refusal and failure that leaves a process carries a [`Kind`]; status, truth of "not run",
+//! advice to retry and counter label all come from [`Kind::row`]. No answer is made elsewhere.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+/// Whether the call reached an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Ran {
+    /// No byte of the call could have reached an upstream, or the upstream's side says so.
+    No,
+    /// It may have run; whoever sends it again risks running it twice.
+    Maybe,
+    /// It ran.
+    Yes,
+}
+
+/// What one kind of error means to the caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Row {
+    /// HTTP status of the answer.
+    pub status: u16,
+    /// Whether the call ran.
+    pub ran: Ran,
+    /// Whether the same call may succeed later.
+    pub retry: bool,
+    /// Value of the `kind` label on counters, and of `kind` in the JSON answer.
+    pub label: &'static str,
+}
+
+macro_rules! kinds {
+    ($($(#[$doc:meta])* $kind:ident => $status:literal, $ran:ident, $retry:literal, $label:literal;)*) => {
+        /// Every kind of error that a caller, operator or peer process can be told of.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+        #[serde(rename_all = "snake_case")]
+        pub enum Kind {
+            $($(#[$doc])* $kind,)*
+        }
+
+        impl Kind {
+            /// All kinds, in the order of the table.
+            pub const ALL: &'static [Self] = &[$(Self::$kind,)*];
+
+            /// The table from kind to answer.
+            pub const fn row(self) -> Row {
+                match self {
+                    $(Self::$kind => Row {
+                        status: $status,
+                        ran: Ran::$ran,
+                        retry: $retry,
+                        label: $label,
+                    },)*
+                }
+            }
+        }
+    };
+}
+
+kinds! {
+    /// The request is malformed; the message names the field.
+    BadRequest => 400, No, false, "bad_request";
+    /// The body exceeds the configured size.
+    BodyTooLarge => 413, No, false, "body_too_large";
+    /// The caller's key belongs to no team.
+    Unauthorized => 401, No, false, "unauthorized";
+    /// No service serves the model.
+    UnknownModel => 404, No, false, "unknown_model";
+    /// No route covers the path.
+    UnknownRoute => 404, No, false, "unknown_route";
+    /// No such program.
+    UnknownProgram => 404, No, false, "unknown_program";
+    /// No such record.
+    UnknownRecord => 404, No, false, "unknown_record";
+    /// The program was ended.
+    ProgramEnded => 410, No, false, "program_ended";
+    /// The turn is not the next one.
+    WrongTurn => 409, No, false, "wrong_turn";
+    /// The same turn was sent before with another body.
+    TurnChanged => 409, No, false, "turn_changed";
+    /// The messages do not continue the committed history.
+    HistoryMismatch => 409, No, false, "history_mismatch";
+    /// The program belongs to another team.
+    ForeignProgram => 403, No, false, "foreign_program";
+    /// A call that is not idempotent came without an `Idempotency-Key`.
+    MissingKey => 400, No, false, "missing_key";
+    /// The `Idempotency-Key` was used before with another body.
+    KeyReused => 422, No, false, "key_reused";
+    /// A call under this `Idempotency-Key` is still under way.
+    KeyInUse => 409, Maybe, true, "key_in_use";
+    /// A call under this `Idempotency-Key` was sent and its outcome is not known.
+    MayHaveRun => 409, Maybe, false, "may_have_run";
+    /// The program has no turns, tokens or time left.
+    BudgetExhausted => 403, No, false, "budget_exhausted";
+    /// The entry takes no further work of this sort for now.
+    Overloaded => 503, No, true, "overloaded";
+    /// The team uses more than its share while others wait.
+    ShareExceeded => 429, No, true, "share_exceeded";
+    /// The queue in front of the upstream is full.
+    QueueFull => 503, No, true, "queue_full";
+    /// The call could not start before its deadline.
+    DeadlineUnmeetable => 503, No, true, "deadline_unmeetable";
+    /// The retry budget of the service is spent.
+    RetryBudget => 503, No, true, "retry_budget";
+    /// No healthy upstream can take the call.
+    NoUpstream => 503, No, true, "no_upstream";
+    /// The upstream is leaving.
+    UpstreamLeaving => 503, No, true, "upstream_leaving";
+    /// The program's keeper is gone and its shard not yet taken over.
+    KeeperUnavailable => 503, No, true, "keeper_unavailable";
+    /// The platform's store does not answer, and the call is not safe without it.
+    StoreUnavailable => 503, No, true, "store_unavailable";
+    /// The process is shutting down.
+    ShuttingDown => 503, No, true, "shutting_down";
+    /// The sender's fencing number is older than one already seen.
+    StaleFence => 503, No, true, "stale_fence";
+    /// Requests like this one crashed upstreams before.
+    Quarantined => 422, No, false, "quarantined";
+    /// A segment of the journal is torn, missing or foreign.
+    JournalCorrupt => 500, No, false, "journal_corrupt";
+    /// The upstream crashed or closed the connection under the call.
+    UpstreamCrashed => 502, Maybe, true, "upstream_crashed";
+    /// The upstream answered with an error.
+    UpstreamError => 502, Yes, false, "upstream_error";
+    /// The upstream did not answer in time.
+    UpstreamTimeout => 504, Maybe, true, "upstream_timeout";
+    /// The deadline passed while the call was under way.
+    DeadlineExceeded => 504, Maybe, true, "deadline_exceeded";
+    /// The attempt was cancelled, by its caller's wish or absence.
+    Cancelled => 409, Maybe, false, "cancelled";
+    /// A record was changed by someone else; the answer shows both.
+    RecordConflict => 409, No, false, "record_conflict";
+    /// The record is malformed; the message names the field.
+    BadRecord => 400, No, false, "bad_record";
+    /// A defect of the system itself.
+    Internal => 500, Maybe, true, "internal";
+}
+
+/// An error as it travels between processes and, as JSON, to callers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Snafu)]
+#[snafu(display("{}: {message}", kind.row().label))]
+pub struct Error {
+    /// What sort of error.
+    pub kind: Kind,
+    /// One sentence: the field or thing concerned, its bounds and the way out.
+    pub message: String,
+    /// When the same call may be sent again, where the kind allows it.
+    pub retry_after: Option<Duration>,
+}
+
+impl Error {
+    /// An error without a time to retry.
+    pub fn new(kind: Kind, message: impl Into<String>) -> Self {
+        Self {
+            kind,
+            message: message.into(),
+            retry_after: None,
+        }
+    }
+
+    /// The same error with a time to retry.
+    pub fn with_retry_after(self, after: Duration) -> Self {
+        Self {
+            retry_after: Some(after),
+            ..self
+        }
+    }
+
+    /// Whether the call ran.
+    pub fn ran(&self) -> Ran {
+        self.kind.row().ran
+    }
+}
+
+impl From<crate::chat::ParseError> for Error {
+    fn from(err: crate::chat::ParseError) -> Self {
+        Self::new(Kind::BadRequest, err.to_string())
+    }
+}
--- /dev/null
+++ b/fw-base/src/lib.rs
@@ -0,0 +1,14 @@
+//! Ids, error kinds, digests and chat messages that every other crate shares.
+//!
+//! ```
+//! use fw_base::error::{self, Ran};
+//!
+//! let row = error::Kind::Overloaded.row();
+//! assert_eq!(row.ran, Ran::No);
+//! assert!(row.retry);
+//! ```
+
+pub mod chat;
+pub mod digest;
+pub mod error;
+pub mod id;
--- /dev/null
+++ b/fw-base/tests/base/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the shared types.
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod chat_messages;
+mod error_table;
+mod shard_hash;
--- /dev/null
+++ b/fw-check/src/lib.rs
@@ -0,0 +1,1 @@
+//! Recorded histories of concurrent runs and the checker of the promises.
--- /dev/null
+++ b/fw-conf/src/lib.rs
@@ -0,0 +1,1 @@
+//! INI settings of both programs, every key checked.
--- /dev/null
+++ b/fw-entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry: callers' HTTP, admission, keeper of programs, records in force.
--- /dev/null
+++ b/fw-http/src/lib.rs
@@ -0,0 +1,226 @@
+//! A pooled HTTP client with a timeout on every call, over hyper-util.
+//!
+//! Used towards the platform, the upstreams and, from the command line, towards an entry.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper::http;
+use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt;
+use snafu::ResultExt;
+use snafu::Snafu;
+
+/// How a client treats its connections and answers.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Longest wait for a TCP connection.
+    pub connect_timeout: Duration,
+    /// Longest wait from sending a request to the head of its answer.
+    pub head_timeout: Duration,
+    /// Longest wait for the whole body of an answer that is collected.
+    pub body_timeout: Duration,
+    /// How long an idle connection is kept.
+    pub idle_timeout: Duration,
+    /// Most bytes of an answer that is collected.
+    pub max_body: usize,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Duration::from_secs(1),
+            head_timeout: Duration::from_secs(5),
+            body_timeout: Duration::from_secs(10),
+            idle_timeout: Duration::from_secs(30),
+            max_body: 64 << 20,
+        }
+    }
+}
+
+/// Why a call brought no answer.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum Error {
+    /// No connection was made, so no byte of the request was sent.
+    #[snafu(display("cannot connect to {uri}: {source}"))]
+    Connect {
+        /// The address called.
+        uri: String,
+        /// What the connector saw.
+        source: legacy::Error,
+    },
+    /// The connection failed after bytes may have been sent.
+    #[snafu(display("call to {uri} failed: {source}"))]
+    Call {
+        /// The address called.
+        uri: String,
+        /// What the client saw.
+        source: legacy::Error,
+    },
+    /// The answer did not come in time.
+    #[snafu(display("{uri} did not answer within {after:?}"))]
+    Timeout {
+        /// The address called.
+        uri: String,
+        /// The timeout that passed.
+        after: Duration,
+    },
+    /// The answer's body broke off or was too large.
+    #[snafu(display("cannot read the answer's body: {source}"))]
+    Body {
+        /// What the reader saw.
+        source: Box<dyn std::error::Error + Send + Sync>,
+    },
+    /// The request could not be built.
+    #[snafu(display("cannot build the request: {source}"))]
+    Build {
+        /// Which part was wrong.
+        source: http::Error,
+    },
+    /// The request's body could not be written as JSON.
+    #[snafu(display("cannot write the request as JSON: {source}"))]
+    Json {
+        /// What the serializer saw.
+        source: serde_json::Error,
+    },
+}
+
+impl Error {
+    /// Whether the called server cannot have seen any byte of the request.
+    pub fn is_unsent(&self) -> bool {
+        matches!(
+            self,
+            Self::Connect { .. } | Self::Build { .. } | Self::Json { .. }
+        )
+    }
+}
+
+/// A collected answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The status.
+    pub status: http::StatusCode,
+    /// The headers.
+    pub headers: http::HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// A client whose clones share one pool of connections.
+#[derive(Clone, Debug)]
+pub struct Client {
+    pool: legacy::Client<HttpConnector, Full<Bytes>>,
+    opts: Options,
+}
+
+impl Client {
+    /// A client without connections yet.
+    pub fn new(opts: Options) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(opts.connect_timeout));
+        connector.set_nodelay(true);
+        let pool = legacy::Client::builder(rt::TokioExecutor::new())
+            .pool_timer(rt::TokioTimer::new())
+            .pool_idle_timeout(opts.idle_timeout)
+            // A request must reach the wire at most once: the caller decides on retries.
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { pool, opts }
+    }
+
+    /// Sends `req` and returns as soon as the head of the answer is there.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::is_unsent`] tells whether the server may have seen the request.
+    pub async fn stream(
+        &self,
+        req: http::Request<Full<Bytes>>,
+    ) -> Result<http::Response<Incoming>, Error> {
+        let uri = req.uri().to_string();
+        let after = self.opts.head_timeout;
+        match tokio::time::timeout(after, self.pool.request(req)).await {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(source)) if source.is_connect() => Err(Error::Connect { uri, source }),
+            Ok(Err(source)) => Err(Error::Call { uri, source }),
+            Err(_) => Err(Error::Timeout { uri, after }),
+        }
+    }
+
+    /// Sends `req` and collects the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::stream`], and when the body breaks off, is late or too large.
+    pub async fn call(&self, req: http::Request<Full<Bytes>>) -> Result<Answer, Error> {
+        let uri = req.uri().to_string();
+        let (head, body) = self.stream(req).await?.into_parts();
+        let after = self.opts.body_timeout;
+        let whole = Limited::new(body, self.opts.max_body).collect();
+        let body = match tokio::time::timeout(after, whole).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(source)) => return Err(Error::Body { source }),
+            Err(_) => return Err(Error::Timeout { uri, after }),
+        };
+        Ok(Answer {
+            status: head.status,
+            headers: head.headers,
+            body,
+        })
+    }
+
+    /// Posts `value` as JSON and collects the answer.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::call`].
+    pub async fn post_json<T: serde::Serialize>(
+        &self,
+        uri: &str,
+        value: &T,
+    ) -> Result<Answer, Error> {
+        self.call(json_request(http::Method::POST, uri, value)?)
+            .await
+    }
+
+    /// Gets `uri` and collects the answer.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::call`].
+    pub async fn get(&self, uri: &str) -> Result<Answer, Error> {
+        let req = http::Request::get(uri).body(Full::default());
+        self.call(req.context(BuildSnafu)?).await
+    }
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Self::new(Options::default())
+    }
+}
+
+/// A request that carries `value` as JSON.
+///
+/// # Errors
+///
+/// When `uri` is no URI, or `value` cannot be written as JSON.
+pub fn json_request<T: serde::Serialize>(
+    method: http::Method,
+    uri: &str,
+    value: &T,
+) -> Result<http::Request<Full<Bytes>>, Error> {
+    let body = serde_json::to_vec(value).context(JsonSnafu)?;
+    http::Request::builder()
+        .method(method)
+        .uri(uri)
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .body(Full::from(body))
+        .context(BuildSnafu)
+}
--- /dev/null
+++ b/fw-keep/src/lib.rs
@@ -0,0 +1,1 @@
+//! Program state, journal, claims and shard leases over the platform's store.
--- /dev/null
+++ b/fw-plan/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions under load, free of clocks, networks and runtimes.
--- /dev/null
+++ b/fw-side/src/lib.rs
@@ -0,0 +1,1 @@
+//! The process beside each upstream.
--- /dev/null
+++ b/fw-wire/src/side.rs
@@ -0,0 +1,181 @@
+//! What entries ask of sides.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fw_base::chat;
+use fw_base::digest;
+use fw_base::error;
+use fw_base::id;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::attempt;
+
+/// Calls that a side answers.
+#[tarpc::service]
+pub trait Side {
+    /// Heartbeat of an entry: renews its sessions, learns load, health and cache changes.
+    async fn heartbeat(req: Heartbeat) -> HeartbeatReply;
+    /// Gives the side a newer set of records.
+    async fn records(req: Records) -> id::Revision;
+    /// Starts a turn. The same attempt again is accepted without effect.
+    async fn start(req: Start) -> StartReply;
+    /// Reads an attempt's events.
+    async fn read(req: attempt::Read) -> attempt::ReadReply;
+    /// Cancels an attempt; false if it is not known.
+    async fn cancel(attempt: id::AttemptId) -> bool;
+    /// Forgets a finished attempt, which is durable now.
+    async fn forget(attempt: id::AttemptId);
+    /// Frees the engine memory of programs that ended or moved away.
+    async fn release(req: Release);
+}
+
+/// A heartbeat.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The entry.
+    pub from: id::EntryId,
+    /// Revision of the records in force there.
+    pub revision: id::Revision,
+    /// Shards kept by the entry, with the fencing number of each. The side frees the sessions of
+    /// shards that no heartbeat renews.
+    pub shards: Vec<(id::ShardId, id::Fence)>,
+    /// Sequence number of the last cache change received from this side; 0 for none.
+    pub cache_seen: u64,
+    /// Which of the programs that the side asked after ([`HeartbeatReply::asked`]) are gone.
+    pub gone: Vec<id::ProgramId>,
+}
+
+/// What the side says of itself.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct HeartbeatReply {
+    /// The upstream beside the side.
+    pub upstream: id::UpstreamId,
+    /// Its service.
+    pub service: id::ServiceId,
+    /// Its place.
+    pub place: id::PlaceId,
+    /// Drawn at random when the side started: another number means that attempts were lost.
+    pub incarnation: u64,
+    /// Revision of the records in force at the side.
+    pub revision: id::Revision,
+    /// The upstream is leaving and gets no new work.
+    pub leaving: bool,
+    /// The upstream does not answer.
+    pub down: bool,
+    /// How busy it is.
+    pub load: Load,
+    /// Sequence number after `cache`.
+    pub cache_seq: u64,
+    /// `cache` starts anew: forget what was known of this side's cache.
+    pub cache_reset: bool,
+    /// Cache changes since [`Heartbeat::cache_seen`].
+    pub cache: Vec<CacheChange>,
+    /// Idle programs of the sender's shards: does the keeper still know them?
+    pub asked: Vec<id::ProgramId>,
+}
+
+/// How busy an upstream is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Load {
+    /// Attempts waiting in the side's queue.
+    pub queued: u32,
+    /// Attempts in the engine.
+    pub running: u32,
+    /// Prompt tokens that wait for prefill, in the queue and in the engine.
+    pub prefill: id::Tokens,
+    /// Time from arrival at the side to release into the engine, smoothed.
+    pub delay: Duration,
+    /// Time between tokens of one stream, smoothed.
+    pub step: Duration,
+    /// Prefill speed in tokens a second, smoothed; 0 if not known yet.
+    pub prefill_rate: u64,
+    /// Tokens of engine cache in use.
+    pub cache_used: id::Tokens,
+    /// Tokens of engine cache there are; 0 if not known.
+    pub cache_size: id::Tokens,
+    /// Most attempts that the engine runs together; 0 if not known.
+    pub batch: u32,
+    /// Age of the engine's own report.
+    pub age: Duration,
+}
+
+/// A change of what an engine's cache holds of a program.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CacheChange {
+    /// The program.
+    pub program: id::ProgramId,
+    /// Tokens of its history held from now on; 0 for none.
+    pub tokens: id::Tokens,
+}
+
+/// A set of records, newer than the receiver's.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Records {
+    /// Store revision of the set.
+    pub revision: id::Revision,
+    /// The whole set as `fw-record` writes it: JSON text.
+    pub set: Arc<str>,
+}
+
+/// Starts a turn.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Start {
+    /// The keeper.
+    pub from: id::EntryId,
+    /// Revision of the records that the keeper acted on.
+    pub revision: id::Revision,
+    /// The attempt, drawn at random by the keeper.
+    pub attempt: id::AttemptId,
+    /// The program.
+    pub program: id::ProgramId,
+    /// Its shard.
+    pub shard: id::ShardId,
+    /// The keeper's fencing number for the shard.
+    pub fence: id::Fence,
+    /// The turn.
+    pub turn: id::Turn,
+    /// The model.
+    pub model: id::ModelId,
+    /// Digest of the history that `messages` follow; the side must hold it, unless it is empty.
+    pub base: digest::Digest,
+    /// The messages after `base`.
+    pub messages: Vec<chat::Message>,
+    /// Digest of the whole prompt: `base` extended by `messages`.
+    pub digest: digest::Digest,
+    /// The caller's other fields: a JSON object as text.
+    pub params: Arc<str>,
+    /// Most tokens to generate.
+    pub max_tokens: id::Tokens,
+    /// Time left until the caller's deadline.
+    pub deadline: Duration,
+    /// The team, for fair sharing.
+    pub team: id::TeamId,
+    /// The team's share relative to others; 1.0 is usual.
+    pub share: f64,
+    /// Engine time that the program has attained so far.
+    pub attained: Duration,
+    /// Estimate of the prompt's tokens.
+    pub prompt_tokens: id::Tokens,
+    /// Runs alone in the engine: it is suspected of having crashed another upstream.
+    pub alone: bool,
+}
+
+/// Whether a turn was started.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum StartReply {
+    /// Queued or running; read it by its attempt.
+    Accepted,
+    /// The side does not hold `base`; send the whole history.
+    NeedHistory,
+    /// Not accepted; it did not run.
+    Refused(error::Error),
+}
+
+/// Frees engine memory.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Release {
+    /// The sender's shard and fencing number are checked for each program.
+    pub programs: Vec<(id::ProgramId, id::Fence)>,
+}
--- /dev/null
+++ b/fw-wire/src/transport.rs
@@ -0,0 +1,101 @@
+//! TCP transport of the tarpc services.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tarpc::ClientMessage;
+use tarpc::Response;
+use tarpc::tokio_serde::formats::Json;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+
+use crate::peer;
+use crate::side;
+
+/// Largest message, in bytes: a history of 750,000 tokens is about 4 MB of text, and JSON escapes
+/// may double it.
+pub const MAX_FRAME: usize = 32 << 20;
+
+/// Connects to a side.
+///
+/// # Errors
+///
+/// When no connection is made within `within`.
+pub async fn connect_side(addr: SocketAddr, within: Duration) -> io::Result<side::SideClient> {
+    let mut connect = tarpc::serde_transport::tcp::connect(addr, Json::default);
+    connect.config_mut().max_frame_length(MAX_FRAME);
+    let transport = tokio::time::timeout(within, connect).await??;
+    Ok(side::SideClient::new(tarpc::client::Config::default(), transport).spawn())
+}
+
+/// Connects to another entry.
+///
+/// # Errors
+///
+/// When no connection is made within `within`.
+pub async fn connect_peer(addr: SocketAddr, within: Duration) -> io::Result<peer::PeerClient> {
+    let mut connect = tarpc::serde_transport::tcp::connect(addr, Json::default);
+    connect.config_mut().max_frame_length(MAX_FRAME);
+    let transport = tokio::time::timeout(within, connect).await??;
+    Ok(peer::PeerClient::new(tarpc::client::Config::default(), transport).spawn())
+}
+
+/// A context whose deadline lies `within` from now.
+pub fn context(within: Duration) -> tarpc::context::Context {
+    let mut cx = tarpc::context::current();
+    cx.deadline = std::time::Instant::now() + within;
+    cx
+}
+
+/// One accepted connection.
+pub type Framed<Req, Resp> = tarpc::serde_transport::Transport<
+    TcpStream,
+    ClientMessage<Req>,
+    Response<Resp>,
+    Json<ClientMessage<Req>, Response<Resp>>,
+>;
+
+/// A connection from an entry to a side, as the side sees it.
+pub type SideTransport = Framed<side::SideRequest, side::SideResponse>;
+
+/// A connection from an entry to another, as the called one sees it.
+pub type PeerTransport = Framed<peer::PeerRequest, peer::PeerResponse>;
+
+/// Accepts connections on `listener` and runs `each` for every one, until the returned future is
+/// dropped, which also ends the connections.
+///
+/// `each` builds its channel itself, because a service's futures are known to be `Send` only where
+/// the service's type is:
+///
+/// ```ignore
+/// transport::accept(listener, |connection: transport::SideTransport| {
+///     server::BaseChannel::with_defaults(connection)
+///         .execute(service.clone().serve())
+///         .for_each_concurrent(None, |answer| answer)
+/// })
+/// ```
+pub async fn accept<Req, Resp, F, Fut>(listener: TcpListener, each: F)
+where
+    Req: DeserializeOwned,
+    Resp: Serialize,
+    F: Fn(Framed<Req, Resp>) -> Fut,
+    Fut: Future<Output = ()> + Send + 'static,
+{
+    let listening = tarpc::serde_transport::tcp::listen_on(listener, Json::default).await;
+    let Ok(mut incoming) = listening else {
+        return;
+    };
+    incoming.config_mut().max_frame_length(MAX_FRAME);
+    let mut connections = JoinSet::new();
+    while let Some(accepted) = incoming.next().await {
+        // A peer that closes before it is accepted costs that connection only.
+        let Ok(transport) = accepted else { continue };
+        connections.spawn(each(transport));
+        while connections.try_join_next().is_some() {}
+    }
+}
