fw-wire: a buffer of events read by offset, and turns that move to another attempt

Cause: keeper and side both keep an answer that grows under several readers. Change: one buffer for both; the first end stands; State::Moved and the kind keeper_lost for a turn whose attempt is replaced. Measured: cargo test -p fw-wire passes; removing the check for a final state lets a late event through and the_first_end_stands fails.

--- a/fw-base/src/error.rs
+++ b/fw-base/src/error.rs
@@ -112,6 +112,8 @@
     UpstreamLeaving => 503, No, true, "upstream_leaving";
     /// The program's keeper is gone and its shard not yet taken over.
     KeeperUnavailable => 503, No, true, "keeper_unavailable";
+    /// The program changed its keeper while the call was under way.
+    KeeperLost => 503, Maybe, true, "keeper_lost";
     /// The platform's store does not answer, and the call is not safe without it.
     StoreUnavailable => 503, No, true, "store_unavailable";
     /// The process is shutting down.
--- a/fw-wire/src/attempt.rs
+++ b/fw-wire/src/attempt.rs
@@ -43,10 +43,19 @@
     Done(Box<Finish>),
     /// Ended with an error.
     Failed(error::Error),
+    /// The turn goes on under another attempt, whose events start anew at 0. Only keepers say so.
+    Moved(id::AttemptId),
     /// The receiver knows no such attempt (any more).
     Unknown,
 }
 
+impl State {
+    /// Whether no event follows any more.
+    pub fn is_final(&self) -> bool {
+        !matches!(self, Self::Queued | Self::Running)
+    }
+}
+
 /// A whole answer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Finish {
--- /dev/null
+++ b/fw-wire/src/buffer.rs
@@ -0,0 +1,139 @@
+//! The events of one attempt while it grows, with any number of readers.
+//!
+//! Readers ask by offset, so one whose connection went silent loses nothing, and two readers of one
+//! attempt never take events from each other.
+
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use fw_base::error;
+use parking_lot::Mutex;
+use tokio::sync::watch;
+
+use crate::attempt;
+
+/// The events and state of one attempt.
+#[derive(Debug)]
+pub struct Buffer {
+    inner: Mutex<Inner>,
+    version: watch::Sender<u64>,
+    delivered: AtomicU32,
+}
+
+#[derive(Debug)]
+struct Inner {
+    events: Vec<attempt::Event>,
+    state: attempt::State,
+}
+
+impl Buffer {
+    /// A buffer without events, of an attempt that waits.
+    pub fn new() -> Self {
+        Self {
+            inner: Mutex::new(Inner {
+                events: Vec::new(),
+                state: attempt::State::Queued,
+            }),
+            version: watch::Sender::new(0),
+            delivered: AtomicU32::new(0),
+        }
+    }
+
+    /// Appends events and notes that the attempt runs. Without effect after its end.
+    pub fn push(&self, events: impl IntoIterator<Item = attempt::Event>) {
+        self.change(|inner| {
+            inner.events.extend(events);
+            inner.state = attempt::State::Running;
+        });
+    }
+
+    /// Notes that the attempt was released into the engine.
+    pub fn running(&self) {
+        self.change(|inner| inner.state = attempt::State::Running);
+    }
+
+    /// Ends the attempt whole.
+    pub fn finish(&self, finish: attempt::Finish) {
+        self.end(attempt::State::Done(Box::new(finish)));
+    }
+
+    /// Ends the attempt with an error.
+    pub fn fail(&self, err: error::Error) {
+        self.end(attempt::State::Failed(err));
+    }
+
+    /// Ends the attempt with `state`. The first end stands; later ones are without effect.
+    pub fn end(&self, state: attempt::State) {
+        self.change(|inner| inner.state = state);
+    }
+
+    /// How the attempt stands.
+    pub fn state(&self) -> attempt::State {
+        self.inner.lock().state.clone()
+    }
+
+    /// How many events there are.
+    pub fn len(&self) -> usize {
+        self.inner.lock().events.len()
+    }
+
+    /// Whether there is no event yet.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// How many events have been handed to some reader.
+    pub fn delivered(&self) -> u32 {
+        self.delivered.load(Ordering::Acquire)
+    }
+
+    /// The events from `offset` on, waiting up to `wait` if there is none and the attempt goes on.
+    ///
+    /// An offset beyond the events waits for the end only.
+    pub async fn read(&self, offset: u32, wait: Duration) -> attempt::ReadReply {
+        let mut version = self.version.subscribe();
+        let deadline = tokio::time::Instant::now() + wait;
+        loop {
+            version.mark_unchanged();
+            let reply = self.look(offset);
+            if reply.state.is_final() || !reply.events.is_empty() {
+                return reply;
+            }
+            let changed = tokio::time::timeout_at(deadline, version.changed()).await;
+            if changed.is_err() {
+                return self.look(offset);
+            }
+        }
+    }
+
+    fn look(&self, offset: u32) -> attempt::ReadReply {
+        let inner = self.inner.lock();
+        let from = usize::try_from(offset).unwrap_or(usize::MAX);
+        let events = inner.events.get(from..).unwrap_or_default().to_vec();
+        if !events.is_empty() {
+            let end = u32::try_from(inner.events.len()).unwrap_or(u32::MAX);
+            self.delivered.fetch_max(end, Ordering::AcqRel);
+        }
+        attempt::ReadReply {
+            events,
+            state: inner.state.clone(),
+        }
+    }
+
+    fn change(&self, apply: impl FnOnce(&mut Inner)) {
+        let mut inner = self.inner.lock();
+        if inner.state.is_final() {
+            return;
+        }
+        apply(&mut inner);
+        drop(inner);
+        self.version.send_modify(|version| *version += 1);
+    }
+}
+
+impl Default for Buffer {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/fw-wire/src/lib.rs
+++ b/fw-wire/src/lib.rs
@@ -7,6 +7,7 @@
 //! connection went silent reads on from its offset over a new one, and nothing is sent again.
 
 pub mod attempt;
+pub mod buffer;
 pub mod peer;
 pub mod side;
 pub mod transport;
--- /dev/null
+++ b/fw-wire/tests/wire/buffer_reads.rs
@@ -0,0 +1,75 @@
+//! Readers of a growing answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fw_base::error;
+use fw_wire::attempt;
+use fw_wire::buffer;
+use googletest::prelude::*;
+
+const NO_WAIT: Duration = Duration::ZERO;
+const LONG: Duration = Duration::from_secs(20);
+
+fn event(text: &str) -> attempt::Event {
+    text.into()
+}
+
+#[gtest]
+#[tokio::test]
+async fn two_readers_see_every_event() {
+    let buf = buffer::Buffer::new();
+    buf.push([event("a"), event("b")]);
+    for _ in 0..2 {
+        let reply = buf.read(0, NO_WAIT).await;
+        expect_that!(reply.events.len(), eq(2));
+    }
+    expect_that!(buf.delivered(), eq(2));
+}
+
+// A caller's connection goes silent after the first event; it reads on over a new one.
+// The events that came meanwhile must all be there, in order, once.
+#[gtest]
+#[tokio::test]
+async fn reading_on_from_an_offset_loses_nothing() {
+    let buf = buffer::Buffer::new();
+    buf.push([event("a")]);
+    let first = buf.read(0, NO_WAIT).await;
+    buf.push([event("b"), event("c")]);
+    let rest = buf.read(1, NO_WAIT).await;
+    let all: Vec<_> = first.events.iter().chain(&rest.events).collect();
+    expect_that!(
+        all,
+        elements_are![eq(&&event("a")), eq(&&event("b")), eq(&&event("c"))]
+    );
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_waiting_reader_wakes_at_the_end() {
+    let buf = Arc::new(buffer::Buffer::new());
+    let reader = tokio::spawn({
+        let buf = Arc::clone(&buf);
+        async move { buf.read(u32::MAX, LONG).await }
+    });
+    tokio::task::yield_now().await;
+    buf.push([event("a")]);
+    buf.fail(error::Error::new(error::Kind::Cancelled, "gone"));
+    let reply = reader.await.unwrap();
+    expect_true!(reply.state.is_final());
+    expect_that!(reply.events, is_empty());
+}
+
+// The engine's answer arrives after the attempt was given up and its caller was told so.
+// A late event or end must not change what the caller was told.
+#[gtest]
+#[tokio::test]
+async fn the_first_end_stands() {
+    let buf = buffer::Buffer::new();
+    buf.fail(error::Error::new(error::Kind::UpstreamCrashed, "crashed"));
+    buf.push([event("late")]);
+    buf.end(attempt::State::Moved(7));
+    let reply = buf.read(0, NO_WAIT).await;
+    expect_that!(reply.events, is_empty());
+    expect_true!(matches!(reply.state, attempt::State::Failed(_)));
+}
--- /dev/null
+++ b/fw-wire/tests/wire/main.rs
@@ -0,0 +1,4 @@
+//! Tests of messages and of the buffer behind long polls.
+
+mod buffer_reads;
+mod message_forms;
