fw-conf: INI settings of both programs, every key checked

Cause: an operator needs all faults of a settings file at once, each with its line and what is allowed. Change: one table of rows per section makes the struct, its defaults, the parser and docs/SETTINGS.md; rust-ini is given one line at a time, because it keeps no line numbers and joins a line without '=' to the next. Measured: 19 tests and 1 doc test pass (cargo test -p fw-conf); each of the checks for unknown sections, unknown keys and repeated keys was taken out once, and a test failed each time. Conclusion: entry, side and command line can read their settings.

--- /dev/null
+++ b/fw-conf/src/entry.rs
@@ -0,0 +1,218 @@
+//! Settings of the entry.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use fw_base::id;
+use smol_str::SmolStr;
+
+use crate::codec;
+use crate::reader::Conflict;
+use crate::schema;
+use crate::shared;
+use crate::shared::ANY_LOOPBACK;
+use crate::shared::ms;
+use crate::shared::secs;
+
+schema::settings! {
+    /// The whole settings file of an entry.
+    Settings {
+        /// Who the entry is.
+        instance: Instance;
+        /// Where it listens.
+        listen: Listen;
+        /// The platform's key-value service.
+        store: Store;
+        /// The platform's instance list.
+        platform: Platform;
+        /// Shards of programs.
+        keeper: Keeper;
+        /// Connections and calls of callers.
+        callers: Callers;
+        /// Calls to sides.
+        upstream: Upstream;
+        /// Decisions under load.
+        plan: Plan;
+        /// The way to stop.
+        shutdown: shared::Shutdown;
+        /// Log lines.
+        log: shared::Log;
+        /// Explanations of decisions.
+        explain: Explain;
+    }
+}
+
+schema::section! {
+    /// Who the entry is.
+    Instance in "instance" {
+        /// Name of the process among all entries; each start needs a new one.
+        id: Option<id::EntryId> = None,
+            codec::Maybe { codec: codec::Name, absent: "drawn at random at each start" };
+        /// The place that the instance stands in, such as a data centre.
+        place: id::PlaceId = SmolStr::new_static("local"), codec::Name, required;
+    }
+}
+
+schema::section! {
+    /// Where the entry listens. Port 0 lets the system pick a free one.
+    Listen in "listen" {
+        /// Address for callers' HTTP requests.
+        callers: SocketAddr = ANY_LOOPBACK, codec::Address, required;
+        /// Address for calls of other entries.
+        peers: SocketAddr = ANY_LOOPBACK, codec::Address, required;
+        /// Address for `/metrics` and operators' requests.
+        admin: SocketAddr = SocketAddr::from(([127, 0, 0, 1], 9180)), codec::Address;
+        /// Address under which other entries reach `peers`.
+        advertise: Option<SocketAddr> = None,
+            codec::Maybe { codec: codec::Address, absent: "the address of `peers`" };
+    }
+}
+
+schema::section! {
+    /// The platform's key-value service, met as the etcd v3 HTTP/JSON gateway.
+    Store in "store" {
+        /// Its addresses; the next one is tried when one does not answer.
+        endpoints: Vec<SocketAddr> = vec![ANY_LOOPBACK], codec::List(codec::Address), required;
+        /// Longest wait for an answer. A write whose answer is late is read back before it is
+        /// repeated.
+        timeout: Duration = secs(1), codec::time(ms(10)..=secs(30));
+    }
+}
+
+schema::section! {
+    /// The platform's list of live and leaving instances.
+    Platform in "platform" {
+        /// Where the list is fetched.
+        instances: Option<SmolStr> = None,
+            codec::Maybe { codec: codec::Url, absent: "no list: upstreams come from the records" };
+        /// Time between two fetches.
+        poll_interval: Duration = secs(2), codec::time(ms(50)..=secs(60));
+    }
+}
+
+schema::section! {
+    /// The keeper orders programs' turns and makes them durable, for the shards that it leases.
+    Keeper in "keeper" {
+        /// Whether this entry keeps shards at all.
+        enabled: bool = true, codec::Flag;
+        /// Most shards that this entry keeps.
+        shards: id::ShardId = id::SHARDS, codec::number(1..=id::SHARDS);
+        /// Time after which the shards of a dead entry may be taken over.
+        lease_ttl: Duration = secs(5), codec::time(secs(1)..=secs(60));
+        /// Shortest wait for further turns before a group of them is committed.
+        commit_window_min: Duration = ms(2), codec::time(ms(0)..=secs(1));
+        /// Longest wait for further turns before a group of them is committed.
+        commit_window_max: Duration = ms(200), codec::time(ms(1)..=secs(10));
+        /// How long a finished answer waits for its commit before the caller gets it all the same,
+        /// held by keeper and side until the store answers again.
+        commit_wait: Duration = secs(1), codec::time(ms(10)..=secs(30));
+        /// Most turns held for a store that does not answer; further ones are refused.
+        pending_limit: usize = 4096, codec::number(1..=1_000_000);
+    }
+}
+
+schema::section! {
+    /// Connections and calls of callers.
+    Callers in "callers" {
+        /// Largest request body.
+        body_limit: usize = 16 << 20, codec::size(1 << 10..=32 << 20);
+        /// Time that a call may take if its caller names none.
+        deadline_default: Duration = secs(120), codec::time(ms(100)..=secs(3600));
+        /// Most time that a caller may ask for.
+        deadline_max: Duration = secs(600), codec::time(ms(100)..=secs(3600));
+        /// Time after which a connection without a request is closed.
+        idle_timeout: Duration = secs(75), codec::time(secs(1)..=secs(3600));
+        /// Longest wait for a request's head.
+        header_timeout: Duration = secs(10), codec::time(ms(100)..=secs(300));
+    }
+}
+
+schema::section! {
+    /// Calls to sides and, through them, to upstreams.
+    Upstream in "upstream" {
+        /// Longest wait for a connection.
+        connect_timeout: Duration = ms(500), codec::time(ms(10)..=secs(30));
+        /// Time between two heartbeats to one side.
+        heartbeat_interval: Duration = ms(500), codec::time(ms(20)..=secs(30));
+        /// Heartbeats without an answer after which a connection is replaced.
+        missed_heartbeats: u32 = 3, codec::number(1..=100);
+        /// How long a read waits at the side for the next event of an attempt.
+        read_wait: Duration = secs(1), codec::time(ms(10)..=secs(30));
+        /// Most upstreams of one service that this entry keeps connections to.
+        subset_size: usize = 32, codec::number(1..=1024);
+    }
+}
+
+schema::section! {
+    /// Decisions under load.
+    Plan in "plan" {
+        /// Queueing delay that admission aims at.
+        target_delay: Duration = ms(100), codec::time(ms(1)..=secs(60));
+        /// Fewest calls under way that the learned limit sinks to.
+        limit_min: u32 = 4, codec::number(1..=100_000);
+        /// Most calls under way that the learned limit grows to.
+        limit_max: u32 = 4096, codec::number(1..=1_000_000);
+        /// Most calls that wait for admission.
+        waiting_limit: u32 = 4096, codec::number(0..=1_000_000);
+        /// Retries that each first attempt pays for.
+        retry_ratio: f64 = 0.1, codec::number(0.0..=1.0);
+        /// Whether a slow idempotent read is sent to a second upstream.
+        hedge: bool = true, codec::Flag;
+        /// Shortest wait before such a read is sent again.
+        hedge_delay: Duration = ms(20), codec::time(ms(1)..=secs(30));
+    }
+}
+
+schema::section! {
+    /// Explanations of why a call was placed, delayed, retried or refused.
+    Explain in "explain" {
+        /// Most decisions that are kept.
+        records_kept: usize = 4096, codec::number(0..=1_000_000);
+    }
+}
+
+impl Settings {
+    /// The address that other entries are told, given where `peers` really listens.
+    pub fn advertised(&self, bound: SocketAddr) -> SocketAddr {
+        self.listen.advertise.unwrap_or(bound)
+    }
+
+    fn conflicts(&self) -> Vec<Conflict> {
+        let listen = &self.listen;
+        let no_address = listen.peers.ip().is_unspecified() && listen.advertise.is_none();
+        let advertised = listen.advertise.map(|address| address.ip());
+        let checks = [
+            Conflict {
+                section: "listen",
+                key: "advertise",
+                why: "`peers` listens on every address: give one that other entries can reach",
+            }
+            .when(no_address),
+            Conflict {
+                section: "listen",
+                key: "advertise",
+                why: "0.0.0.0 and :: cannot be reached: give the instance's own address",
+            }
+            .when(advertised.is_some_and(|ip| ip.is_unspecified())),
+            Conflict {
+                section: "keeper",
+                key: "commit_window_min",
+                why: "must not exceed `commit_window_max`",
+            }
+            .when(self.keeper.commit_window_min > self.keeper.commit_window_max),
+            Conflict {
+                section: "callers",
+                key: "deadline_default",
+                why: "must not exceed `deadline_max`",
+            }
+            .when(self.callers.deadline_default > self.callers.deadline_max),
+            Conflict {
+                section: "plan",
+                key: "limit_min",
+                why: "must not exceed `limit_max`",
+            }
+            .when(self.plan.limit_min > self.plan.limit_max),
+        ];
+        checks.into_iter().flatten().collect()
+    }
+}
--- /dev/null
+++ b/fw-conf/src/error.rs
@@ -0,0 +1,97 @@
+//! What is wrong with a settings file.
+
+use std::fmt;
+
+use smol_str::SmolStr;
+use snafu::Snafu;
+
+/// Everything that is wrong with one file; never empty.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("{}", joined(problems)))]
+pub struct Errors {
+    /// The problems in the order of their lines; those without a line come last.
+    pub problems: Vec<Problem>,
+}
+
+/// One thing that is wrong with a file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Problem {
+    /// Name of the file.
+    pub file: SmolStr,
+    /// The line, counted from 1. Absent for a file that cannot be read, and for a key that is
+    /// missing along with its section.
+    pub line: Option<usize>,
+    /// The section, if the problem concerns one.
+    pub section: Option<SmolStr>,
+    /// The key, if the problem concerns one.
+    pub key: Option<SmolStr>,
+    /// What is wrong.
+    pub fault: Fault,
+    /// What is allowed instead.
+    pub allowed: SmolStr,
+}
+
+/// What is wrong.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// The file cannot be read.
+    Unreadable(SmolStr),
+    /// The line is not part of the INI format.
+    Syntax(SmolStr),
+    /// There is no such section.
+    UnknownSection,
+    /// There is no such key in the section.
+    UnknownKey,
+    /// The key was given before, on the line named.
+    Repeated(usize),
+    /// A required key is not given.
+    Missing,
+    /// The value is not of the key's type.
+    Type(SmolStr),
+    /// The value is outside the key's range.
+    Range(SmolStr),
+    /// The value contradicts that of another key.
+    Conflict(SmolStr),
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unreadable(why) => write!(f, "cannot be read: {why}"),
+            Self::Syntax(why) => write!(f, "not understood: {why}"),
+            Self::UnknownSection => f.write_str("unknown section"),
+            Self::UnknownKey => f.write_str("unknown key"),
+            Self::Repeated(line) => write!(f, "given before, on line {line}"),
+            Self::Missing => f.write_str("required, but missing"),
+            Self::Type(value) => write!(f, "wrong type: `{value}`"),
+            Self::Range(value) => write!(f, "out of range: `{value}`"),
+            Self::Conflict(why) => f.write_str(why),
+        }
+    }
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.file)?;
+        if let Some(line) = self.line {
+            write!(f, ":{line}")?;
+        }
+        f.write_str(":")?;
+        if let Some(section) = &self.section {
+            write!(f, " [{section}]")?;
+        }
+        if let Some(key) = &self.key {
+            write!(f, " {key}:")?;
+        }
+        write!(f, " {}", self.fault)?;
+        if !self.allowed.is_empty() {
+            write!(f, "; allowed: {}", self.allowed)?;
+        }
+        Ok(())
+    }
+}
+
+fn joined(problems: &[Problem]) -> String {
+    let lines: Vec<_> = problems.iter().map(Problem::to_string).collect();
+    lines.join("\n")
+}
--- /dev/null
+++ b/fw-conf/src/key.rs
@@ -0,0 +1,68 @@
+//! What the reference page and the checks know of each key.
+
+use crate::codec;
+
+/// Describes one key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Key {
+    /// Its section.
+    pub section: &'static str,
+    /// Its name.
+    pub name: &'static str,
+    /// Name of its type.
+    pub type_name: &'static str,
+    /// The value it has when it is not given; absent for a required key.
+    pub default: Option<String>,
+    /// The allowed values.
+    pub allowed: String,
+    /// What it is for.
+    pub doc: String,
+    /// Whether the default is an allowed value.
+    pub default_is_allowed: bool,
+}
+
+/// A section and its keys.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Section {
+    /// Its name.
+    pub name: &'static str,
+    /// What it is for.
+    pub doc: String,
+    /// Its keys in the order of the page.
+    pub keys: Vec<Key>,
+}
+
+/// Whether a key must be given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Need {
+    Optional,
+    Required,
+}
+
+impl Key {
+    pub(crate) fn describe<C: codec::Codec>(
+        section: &'static str,
+        name: &'static str,
+        codec: &C,
+        default: &C::Value,
+        need: Need,
+        doc: &[&str],
+    ) -> Self {
+        let text = codec.write(default);
+        Self {
+            section,
+            name,
+            type_name: codec.type_name(),
+            default_is_allowed: codec.accepts(default),
+            default: (need == Need::Optional).then_some(text),
+            allowed: codec.allowed(),
+            doc: joined(doc),
+        }
+    }
+}
+
+/// Lines of a doc comment as one text.
+pub(crate) fn joined(doc: &[&str]) -> String {
+    let lines: Vec<_> = doc.iter().map(|line| line.trim()).collect();
+    lines.join(" ")
+}
--- /dev/null
+++ b/fw-conf/src/schema.rs
@@ -0,0 +1,140 @@
+//! Macros that make a settings struct, its defaults, its parser and its description of one table.
+
+/// Whether a key must be given, from the mark after its codec.
+macro_rules! need {
+    () => {
+        $crate::key::Need::Optional
+    };
+    (required) => {
+        $crate::key::Need::Required
+    };
+}
+
+/// Makes the struct of a section. A row is `key: type = default, codec;` or, for a key without
+/// which a file is not accepted, `key: type = default, codec, required;`.
+macro_rules! section {
+    (
+        $(#[doc = $about:literal])+
+        $name:ident in $section:literal {
+            $(
+                $(#[doc = $doc:literal])+
+                $key:ident: $type:ty = $default:expr, $codec:expr $(, $need:ident)?;
+            )*
+        }
+    ) => {
+        $(#[doc = $about])+
+        #[derive(Clone, Debug, PartialEq)]
+        pub struct $name {
+            $(
+                $(#[doc = $doc])+
+                pub $key: $type,
+            )*
+        }
+
+        impl Default for $name {
+            fn default() -> Self {
+                Self {
+                    $($key: $default,)*
+                }
+            }
+        }
+
+        impl $name {
+            pub(crate) fn describe() -> $crate::key::Section {
+                $crate::key::Section {
+                    name: $section,
+                    doc: $crate::key::joined(&[$($about),+]),
+                    keys: vec![$(
+                        $crate::key::Key::describe(
+                            $section,
+                            stringify!($key),
+                            &$codec,
+                            &$default,
+                            $crate::schema::need!($($need)?),
+                            &[$($doc),+],
+                        ),
+                    )*],
+                }
+            }
+
+            pub(crate) fn read(reader: &mut $crate::reader::Reader) -> Self {
+                Self {
+                    $(
+                        $key: reader.take(
+                            $section,
+                            stringify!($key),
+                            &$codec,
+                            $default,
+                            $crate::schema::need!($($need)?),
+                        ),
+                    )*
+                }
+            }
+        }
+    };
+}
+
+/// Makes the struct of a whole file out of its sections. The type's `conflicts` method names
+/// values that contradict each other.
+macro_rules! settings {
+    (
+        $(#[doc = $about:literal])+
+        $name:ident {
+            $(
+                $(#[doc = $doc:literal])+
+                $field:ident: $type:path;
+            )*
+        }
+    ) => {
+        $(#[doc = $about])+
+        #[derive(Clone, Debug, Default, PartialEq)]
+        pub struct $name {
+            $(
+                $(#[doc = $doc])+
+                pub $field: $type,
+            )*
+        }
+
+        impl $name {
+            /// Every section and key of the file.
+            pub fn describe() -> Vec<$crate::key::Section> {
+                vec![$(<$type>::describe()),*]
+            }
+
+            /// Reads the file at `path`.
+            ///
+            /// # Errors
+            ///
+            /// Everything that is wrong with the file, together.
+            pub fn load(path: &std::path::Path) -> Result<Self, $crate::error::Errors> {
+                let file = path.display().to_string();
+                match std::fs::read(path) {
+                    Ok(text) => Self::parse(&file, text),
+                    Err(err) => Err($crate::reader::unreadable(&file, &err)),
+                }
+            }
+
+            /// Reads settings from `text`; `file` names it in errors.
+            ///
+            /// # Errors
+            ///
+            /// Everything that is wrong with the text, together.
+            pub fn parse(
+                file: &str,
+                text: impl AsRef<[u8]>,
+            ) -> Result<Self, $crate::error::Errors> {
+                let known = Self::describe();
+                let mut reader = $crate::reader::Reader::new(file, text.as_ref(), &known);
+                let settings = Self {
+                    $($field: <$type>::read(&mut reader),)*
+                };
+                reader.add(settings.conflicts());
+                reader.finish(settings)
+            }
+        }
+    };
+}
+
+pub(crate) use need;
+pub(crate) use section;
+pub(crate) use settings;
