fw-store: client of the etcd v3 JSON gateway

Cause: nothing reads or writes the platform's store yet. Change: ranges, transactions, leases and watches over fw-http, with endpoint rotation, counters by operation and outcome, an error that tells whether a write may have applied, and watches that detect silent connections. Conclusion: the public API others build on stands.

--- /dev/null
+++ b/fw-store/src/client.rs
@@ -0,0 +1,340 @@
+//! Calls to the store: which endpoint is tried, how often, and what is counted.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use hyper::StatusCode;
+use hyper::http;
+use parking_lot::RwLock;
+use serde::Deserialize;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::codec;
+use crate::error::Error;
+use crate::error::Result;
+use crate::kv;
+use crate::watch;
+
+/// Counter of calls, with labels `op` and `outcome`.
+pub const CALLS_TOTAL: &str = "fw_store_calls_total";
+
+/// Fewest tries of a read, so that one silent connection does not fail it.
+const MIN_READ_TRIES: usize = 2;
+
+const RANGE: &str = "/v3/kv/range";
+const TXN: &str = "/v3/kv/txn";
+const LEASE_GRANT: &str = "/v3/lease/grant";
+const LEASE_KEEP_ALIVE: &str = "/v3/lease/keepalive";
+const LEASE_REVOKE: &str = "/v3/lease/revoke";
+pub(crate) const WATCH: &str = "/v3/watch";
+
+/// How the store is reached.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Base URIs such as `http://127.0.0.1:2379`; a bare `ip:port` is taken as HTTP.
+    pub endpoints: Vec<String>,
+    /// Longest wait for the answer to one try. A read is tried on each endpoint, at least twice;
+    /// a write goes on to the next endpoint only if nothing of it was sent.
+    pub timeout: Duration,
+    /// Longest silence on a watch before its connection is given up. Must exceed the interval of
+    /// the store's progress notifications, or idle watches are opened anew each time.
+    pub watch_silence: Duration,
+    /// Pause before a failed watch is opened again.
+    pub watch_backoff: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            endpoints: Vec::new(),
+            timeout: Duration::from_secs(2),
+            watch_silence: Duration::from_secs(2),
+            watch_backoff: Duration::from_millis(200),
+        }
+    }
+}
+
+/// A client of the store. Clones are cheap and share connections.
+#[derive(Clone, Debug)]
+pub struct Client {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    opts: Options,
+    pool: RwLock<fw_http::Client>,
+    /// Index of the endpoint to try first.
+    first: AtomicUsize,
+}
+
+/// Whether a call may be sent again after its answer was lost.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Repeat {
+    Read,
+    Write,
+}
+
+impl Client {
+    /// A client without connections yet.
+    pub fn new(opts: Options) -> Self {
+        let opts = Options {
+            endpoints: opts.endpoints.iter().map(|e| base_uri(e)).collect(),
+            ..opts
+        };
+        let pool = RwLock::new(new_pool(&opts));
+        let first = AtomicUsize::new(0);
+        let shared = Arc::new(Shared { opts, pool, first });
+        Self { shared }
+    }
+
+    /// How the store is reached.
+    pub fn options(&self) -> &Options {
+        &self.shared.opts
+    }
+
+    /// Reads one key or a prefix.
+    ///
+    /// # Errors
+    ///
+    /// When no endpoint answers in time.
+    pub async fn range(&self, range: &kv::Range) -> Result<kv::Ranged> {
+        let req = codec::range(range);
+        let read = self.unary::<codec::RawRanged>("range", RANGE, &req, Repeat::Read);
+        read.await?.decode()
+    }
+
+    /// Runs a transaction, at most once.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::may_have_applied`] tells whether it may have taken effect.
+    pub async fn txn(&self, txn: &kv::Txn) -> Result<kv::TxnOutcome> {
+        let req = codec::txn(txn);
+        let write = self.unary::<codec::RawTxnOutcome>("txn", TXN, &req, Repeat::Write);
+        write.await?.decode()
+    }
+
+    /// Asks for a lease of `ttl`, rounded up to whole seconds.
+    ///
+    /// # Errors
+    ///
+    /// A lease whose answer was lost lapses by itself, so the call may simply be made again.
+    pub async fn grant(&self, ttl: Duration) -> Result<kv::Lease> {
+        let secs = ttl.as_millis().div_ceil(1000).max(1);
+        let req = json!({ "TTL": secs.to_string() });
+        let lease: codec::RawLease = self
+            .unary("lease_grant", LEASE_GRANT, &req, Repeat::Write)
+            .await?;
+        lease_of(lease)
+    }
+
+    /// Renews a lease.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::LeaseGone`] when it has lapsed or was revoked.
+    pub async fn keep_alive(&self, id: kv::LeaseId) -> Result<kv::Lease> {
+        let req = json!({ "ID": id.to_string() });
+        // Renewing twice does no harm, hence tried like a read.
+        let line: codec::Line<codec::RawLease> = self
+            .unary("lease_keep_alive", LEASE_KEEP_ALIVE, &req, Repeat::Read)
+            .await?;
+        match line.result {
+            Some(lease) if lease.ttl.0 > 0 => lease_of(lease),
+            Some(_) => Err(Error::LeaseGone { id }),
+            None => Err(refusal(200, line.error.unwrap_or_default())),
+        }
+    }
+
+    /// Ends a lease and deletes the keys bound to it.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::LeaseGone`] when it has ended before.
+    pub async fn revoke(&self, id: kv::LeaseId) -> Result<()> {
+        let req = json!({ "ID": id.to_string() });
+        let done = self
+            .unary::<serde::de::IgnoredAny>("lease_revoke", LEASE_REVOKE, &req, Repeat::Read)
+            .await;
+        match done {
+            Ok(_) => Ok(()),
+            Err(Error::Refused {
+                code: GRPC_NOT_FOUND,
+                ..
+            }) => Err(Error::LeaseGone { id }),
+            Err(err) => Err(err),
+        }
+    }
+
+    /// Watches all keys that begin with `prefix`, from `from_revision` on (0: from now on).
+    ///
+    /// Nothing is sent before the first [`watch::Watch::next`].
+    pub fn watch(&self, prefix: impl Into<String>, from_revision: i64) -> watch::Watch {
+        watch::Watch::new(self.clone(), prefix.into(), from_revision)
+    }
+
+    /// Posts `req` and reads the JSON of the answer.
+    async fn unary<T>(&self, op: &'static str, path: &str, req: &Value, repeat: Repeat) -> Result<T>
+    where
+        T: for<'de> Deserialize<'de>,
+    {
+        let answer = self.tries(op, path, req, repeat).await?;
+        codec::parse(&answer)
+    }
+
+    async fn tries(
+        &self,
+        op: &'static str,
+        path: &str,
+        req: &Value,
+        repeat: Repeat,
+    ) -> Result<bytes::Bytes> {
+        let endpoints = self.shared.opts.endpoints.len();
+        let tries = match repeat {
+            Repeat::Read => endpoints.max(MIN_READ_TRIES),
+            Repeat::Write => endpoints,
+        };
+        for _ in 1..tries {
+            match self.once(op, path, req).await {
+                Err(err) if is_worth_another(&err, repeat) => (),
+                result => return result,
+            }
+        }
+        self.once(op, path, req).await
+    }
+
+    /// One try on the endpoint whose turn it is.
+    async fn once(&self, op: &'static str, path: &str, req: &Value) -> Result<bytes::Bytes> {
+        let (index, uri) = self.endpoint(path);
+        let pool = self.shared.pool.read().clone();
+        let result = match pool.post_json(&uri, req).await {
+            Ok(answer) if answer.status == StatusCode::OK => Ok(answer.body),
+            Ok(answer) => {
+                let raw = serde_json::from_slice(&answer.body).unwrap_or_default();
+                Err(refusal(answer.status.as_u16(), raw))
+            }
+            Err(err) => Err(Error::from(err)),
+        };
+        count(op, result.as_ref().err());
+        if let Err(err) = &result {
+            self.note_failure(index, err);
+        }
+        result
+    }
+
+    /// Opens a streamed answer.
+    pub(crate) async fn open(
+        &self,
+        path: &str,
+        req: &Value,
+    ) -> Result<http::Response<hyper::body::Incoming>> {
+        let (index, uri) = self.endpoint(path);
+        let pool = self.shared.pool.read().clone();
+        let result = open_stream(&pool, &uri, req).await;
+        count("watch", result.as_ref().err());
+        if let Err(err) = &result {
+            self.note_failure(index, err);
+        }
+        result
+    }
+
+    fn endpoint(&self, path: &str) -> (usize, String) {
+        let index = self.shared.first.load(Ordering::Relaxed);
+        let endpoints = &self.shared.opts.endpoints;
+        let base = endpoints.get(index % endpoints.len().max(1));
+        let base = base.map_or("http://127.0.0.1:0", String::as_str);
+        (index, format!("{base}{path}"))
+    }
+
+    /// Turns to the next endpoint, and to fresh connections where the old ones are suspect.
+    ///
+    /// A connection that went silent looks idle and sound, and every call on it times out while
+    /// new connections work. After one lost answer the whole pool is replaced, so that at most one
+    /// call finds out the hard way.
+    fn note_failure(&self, index: usize, err: &Error) {
+        let endpoints = self.shared.opts.endpoints.len().max(1);
+        let next = (index + 1) % endpoints;
+        let first = &self.shared.first;
+        // Only the first of several failures on one endpoint moves on.
+        let _ = first.compare_exchange(index, next, Ordering::Relaxed, Ordering::Relaxed);
+        if matches!(err, Error::AnswerLost { .. }) {
+            self.renew_connections();
+        }
+    }
+
+    /// Lets every later call use a new connection.
+    pub(crate) fn renew_connections(&self) {
+        *self.shared.pool.write() = new_pool(&self.shared.opts);
+    }
+}
+
+/// gRPC status code of "not found".
+const GRPC_NOT_FOUND: u32 = 5;
+
+async fn open_stream(
+    pool: &fw_http::Client,
+    uri: &str,
+    req: &Value,
+) -> Result<http::Response<hyper::body::Incoming>> {
+    let req = fw_http::json_request(http::Method::POST, uri, req)?;
+    let answer = pool.stream(req).await?;
+    if answer.status() != StatusCode::OK {
+        return Err(refusal(
+            answer.status().as_u16(),
+            codec::RawError::default(),
+        ));
+    }
+    Ok(answer)
+}
+
+fn is_worth_another(err: &Error, repeat: Repeat) -> bool {
+    match (err, repeat) {
+        (Error::Unreachable { .. }, _) => true,
+        (Error::AnswerLost { .. }, Repeat::Read) => true,
+        (Error::Refused { .. }, Repeat::Read) => err.may_have_applied(),
+        _ => false,
+    }
+}
+
+fn new_pool(opts: &Options) -> fw_http::Client {
+    fw_http::Client::new(fw_http::Options {
+        connect_timeout: opts.timeout,
+        head_timeout: opts.timeout,
+        body_timeout: opts.timeout,
+        ..fw_http::Options::default()
+    })
+}
+
+fn base_uri(endpoint: &str) -> String {
+    let endpoint = endpoint.trim_end_matches('/');
+    if endpoint.contains("://") {
+        endpoint.to_owned()
+    } else {
+        format!("http://{endpoint}")
+    }
+}
+
+fn lease_of(raw: codec::RawLease) -> Result<kv::Lease> {
+    let secs = u64::try_from(raw.ttl.0).map_err(|err| codec::malformed("TTL", &err))?;
+    Ok(kv::Lease {
+        id: raw.id.0,
+        ttl: Duration::from_secs(secs),
+    })
+}
+
+fn refusal(status: u16, raw: codec::RawError) -> Error {
+    Error::Refused {
+        status,
+        code: raw.code,
+        message: raw.message,
+    }
+}
+
+fn count(op: &'static str, err: Option<&Error>) {
+    let outcome = err.map_or("ok", Error::label);
+    metrics::counter!(CALLS_TOTAL, "op" => op, "outcome" => outcome).increment(1);
+}
--- /dev/null
+++ b/fw-store/src/kv.rs
@@ -0,0 +1,187 @@
+//! What is read from and written to the store.
+
+use fw_base::id;
+
+/// Id of a lease, given out by the store; 0 stands for none.
+pub type LeaseId = i64;
+
+/// One key with its value and revisions.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Kv {
+    /// The key.
+    pub key: String,
+    /// The value; empty in the event of a deletion.
+    pub value: Vec<u8>,
+    /// Revision at which the key was last created.
+    pub create_revision: id::Revision,
+    /// Revision at which the key was last written.
+    pub mod_revision: id::Revision,
+    /// Number of writes since the key was created.
+    pub version: i64,
+    /// The lease that the key is bound to, or 0.
+    pub lease: LeaseId,
+}
+
+/// A read of one key or of all keys with a prefix.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Range {
+    /// The key, or the prefix.
+    pub key: String,
+    /// Whether `key` is a prefix.
+    pub prefix: bool,
+    /// Most keys to return; 0 for all.
+    pub limit: i64,
+    /// Revision to read at; 0 for the newest.
+    pub revision: id::Revision,
+}
+
+impl Range {
+    /// The newest value of one key.
+    pub fn one(key: impl Into<String>) -> Self {
+        Self {
+            key: key.into(),
+            ..Self::default()
+        }
+    }
+
+    /// The newest values of all keys that begin with `key`.
+    pub fn prefix(key: impl Into<String>) -> Self {
+        Self {
+            key: key.into(),
+            prefix: true,
+            ..Self::default()
+        }
+    }
+}
+
+/// What a [`Range`] found.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Ranged {
+    /// The keys in ascending order.
+    pub kvs: Vec<Kv>,
+    /// Revision of the store when it answered.
+    pub revision: id::Revision,
+    /// Whether `limit` left keys out.
+    pub more: bool,
+}
+
+/// A condition of a transaction: the named property of the key equals the value.
+///
+/// All revisions and the version of a missing key are 0.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Compare {
+    /// Compares the revision of the last write.
+    ModRevision(String, id::Revision),
+    /// Compares the revision of creation.
+    CreateRevision(String, id::Revision),
+    /// Compares the number of writes since creation.
+    Version(String, i64),
+    /// Compares the value.
+    Value(String, Vec<u8>),
+    /// Compares the lease.
+    Lease(String, LeaseId),
+}
+
+/// One step of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Op {
+    /// Writes a key.
+    Put {
+        /// The key.
+        key: String,
+        /// The value, at most a megabyte.
+        value: Vec<u8>,
+        /// The lease to bind the key to, or 0.
+        lease: LeaseId,
+    },
+    /// Deletes a key or all keys with a prefix.
+    Delete {
+        /// The key, or the prefix.
+        key: String,
+        /// Whether `key` is a prefix.
+        prefix: bool,
+    },
+    /// Reads within the transaction.
+    Get(Range),
+}
+
+impl Op {
+    /// Writes a key without a lease.
+    pub fn put(key: impl Into<String>, value: impl Into<Vec<u8>>) -> Self {
+        Self::Put {
+            key: key.into(),
+            value: value.into(),
+            lease: 0,
+        }
+    }
+
+    /// Deletes one key.
+    pub fn delete(key: impl Into<String>) -> Self {
+        Self::Delete {
+            key: key.into(),
+            prefix: false,
+        }
+    }
+
+    /// Reads one key.
+    pub fn get(key: impl Into<String>) -> Self {
+        Self::Get(Range::one(key))
+    }
+}
+
+/// A transaction: `then` if all of `compares` hold, else `otherwise`; all at one revision.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Txn {
+    /// The conditions.
+    pub compares: Vec<Compare>,
+    /// The steps if every condition holds.
+    pub then: Vec<Op>,
+    /// The steps if one does not.
+    pub otherwise: Vec<Op>,
+}
+
+/// The answer to one [`Op`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// The key was written.
+    Put,
+    /// Keys were deleted.
+    Deleted {
+        /// How many.
+        count: i64,
+    },
+    /// Keys were read.
+    Got(Ranged),
+}
+
+/// What a [`Txn`] did.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TxnOutcome {
+    /// Whether the conditions held, so that `then` was taken.
+    pub succeeded: bool,
+    /// Revision of the store after the transaction. For a transaction that wrote, the revision
+    /// of its writes.
+    pub revision: id::Revision,
+    /// One answer for each step taken, in order.
+    pub responses: Vec<Reply>,
+}
+
+impl TxnOutcome {
+    /// The keys that all reads of the transaction returned, in order.
+    pub fn into_kvs(self) -> Vec<Kv> {
+        let got = self.responses.into_iter().filter_map(|reply| match reply {
+            Reply::Got(ranged) => Some(ranged.kvs),
+            Reply::Put | Reply::Deleted { .. } => None,
+        });
+        got.flatten().collect()
+    }
+}
+
+/// A lease as the store granted or renewed it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lease {
+    /// Its id.
+    pub id: LeaseId,
+    /// Time from the store's answer until it lapses unless renewed.
+    pub ttl: std::time::Duration,
+}
--- /dev/null
+++ b/fw-store/src/watch.rs
@@ -0,0 +1,264 @@
+//! Watches of a key prefix that outlive their connections.
+
+use std::time::Duration;
+
+use bytes::Buf;
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures_util::FutureExt;
+use futures_util::Stream;
+use futures_util::future::BoxFuture;
+use futures_util::stream;
+use fw_base::id;
+use http_body_util::BodyExt;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use crate::client;
+use crate::codec;
+use crate::error::Error;
+use crate::error::Result;
+use crate::kv;
+
+/// Longest line of a watch's answer, in bytes; longer ones are taken for garbage.
+const MAX_LINE: usize = 64 << 20;
+
+/// What happened to a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EventKind {
+    /// It was written.
+    Put,
+    /// It was deleted, or its lease lapsed.
+    Delete,
+}
+
+/// One change of one key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// What happened.
+    pub kind: EventKind,
+    /// The key after the change; for a deletion only key and `mod_revision` are set.
+    pub kv: kv::Kv,
+}
+
+/// Changes up to a revision.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Batch {
+    /// Every change of the prefix up to this revision has been delivered.
+    pub revision: id::Revision,
+    /// The changes in order; empty for a progress notification.
+    pub events: Vec<Event>,
+}
+
+/// A watch of a key prefix. It opens its connection on the first [`Watch::next`], and again from
+/// the last revision seen when the connection breaks or falls silent.
+pub struct Watch {
+    client: client::Client,
+    prefix: String,
+    /// First revision not yet delivered; 0 until the first answer if it is to start from now.
+    next_revision: id::Revision,
+    state: State,
+}
+
+/// Where a watch stands. Kept outside of the future of [`Watch::next`], so that a caller that
+/// drops it again and again, as `select!` does, still gets to a connection and to its silence.
+enum State {
+    Closed { retry_at: Option<Instant> },
+    Opening(BoxFuture<'static, Result<Open>>),
+    Open(Open),
+}
+
+struct Open {
+    body: Incoming,
+    buf: BytesMut,
+    /// Bytes of `buf` known to hold no end of line.
+    scanned: usize,
+    heard_at: Instant,
+}
+
+impl Watch {
+    pub(crate) fn new(client: client::Client, prefix: String, from: id::Revision) -> Self {
+        Self {
+            client,
+            prefix,
+            next_revision: from,
+            state: State::Closed { retry_at: None },
+        }
+    }
+
+    /// The next changes or progress.
+    ///
+    /// Dropping the future loses nothing.
+    ///
+    /// # Errors
+    ///
+    /// After [`Error::Compacted`] the watch cannot go on: read the prefix and start a new one.
+    /// After any other error, which only tells that the store is away, the next call goes on from
+    /// the last revision seen, after [`client::Options::watch_backoff`].
+    pub async fn next(&mut self) -> Result<Batch> {
+        let result = self.advance().await;
+        if result.is_err() {
+            let backoff = self.client.options().watch_backoff;
+            let retry_at = Some(Instant::now() + backoff);
+            self.state = State::Closed { retry_at };
+        }
+        result
+    }
+
+    /// The watch as a stream; it ends after [`Error::Compacted`].
+    pub fn into_stream(self) -> impl Stream<Item = Result<Batch>> + Send {
+        stream::unfold(Some(self), |watch| async {
+            let mut watch = watch?;
+            let item = watch.next().await;
+            let is_over = matches!(item, Err(Error::Compacted { .. }));
+            Some((item, (!is_over).then_some(watch)))
+        })
+    }
+
+    async fn advance(&mut self) -> Result<Batch> {
+        loop {
+            let silence = self.client.options().watch_silence;
+            match &mut self.state {
+                State::Closed { retry_at } => {
+                    if let Some(at) = *retry_at {
+                        tokio::time::sleep_until(at).await;
+                    }
+                    self.state = State::Opening(self.opening());
+                }
+                State::Opening(opening) => self.state = State::Open(opening.await?),
+                State::Open(open) => {
+                    let message = open.message(silence).await;
+                    if message.is_err() {
+                        self.client.renew_connections();
+                    }
+                    if let Some(batch) = self.take(message?)? {
+                        return Ok(batch);
+                    }
+                }
+            }
+        }
+    }
+
+    fn opening(&self) -> BoxFuture<'static, Result<Open>> {
+        let client = self.client.clone();
+        let req = codec::watch(&self.prefix, self.next_revision);
+        async move {
+            let answer = client.open(client::WATCH, &req).await?;
+            Ok(Open {
+                body: answer.into_body(),
+                buf: BytesMut::new(),
+                scanned: 0,
+                heard_at: Instant::now(),
+            })
+        }
+        .boxed()
+    }
+
+    /// Turns a message into a batch; `None` for the confirmation of a new watch.
+    fn take(&mut self, message: codec::RawWatch) -> Result<Option<Batch>> {
+        let compacted = message.compact_revision.0;
+        if compacted > 0 {
+            let revision = compacted;
+            return Err(Error::Compacted { revision });
+        }
+        if message.canceled {
+            return ended(&message.cancel_reason);
+        }
+        let revision = message.header.revision.0;
+        if message.created && message.events.is_empty() {
+            // Earlier changes may still be on their way, unless the watch starts from now.
+            if self.next_revision == 0 {
+                self.next_revision = revision + 1;
+            }
+            return Ok(None);
+        }
+        let events = message.events.into_iter().map(decode_event);
+        let events = events.collect::<Result<Vec<_>>>()?;
+        let newest = events.iter().map(|event| event.kv.mod_revision).max();
+        // A message with changes vouches for these only; one without, for everything before it.
+        let revision = newest.unwrap_or(revision);
+        let before = self.next_revision;
+        self.next_revision = before.max(revision + 1);
+        let is_new = |event: &Event| event.kv.mod_revision >= before;
+        let events = events.into_iter().filter(is_new).collect();
+        Ok(Some(Batch { revision, events }))
+    }
+}
+
+impl Open {
+    /// The next message, or an error if the connection ended or stayed silent for too long.
+    ///
+    /// A connection that something between the two ends has forgotten stays open and delivers
+    /// nothing, so changes would go unseen for good. The store notifies of its progress even
+    /// when nothing changes, hence a silent connection is a lost one.
+    async fn message(&mut self, silence: Duration) -> Result<codec::RawWatch> {
+        let deadline = self.heard_at + silence;
+        match tokio::time::timeout_at(deadline, self.line()).await {
+            Ok(line) => line,
+            Err(_) => ended("its connection fell silent"),
+        }
+    }
+
+    async fn line(&mut self) -> Result<codec::RawWatch> {
+        loop {
+            if let Some(line) = self.take_line() {
+                return decode_line(&line);
+            }
+            if self.buf.len() > MAX_LINE {
+                return ended("a line is too long");
+            }
+            match self.body.frame().await {
+                Some(Ok(frame)) => self.push(frame),
+                Some(Err(err)) => return ended(&err.to_string()),
+                None => return ended("closed by the store"),
+            }
+        }
+    }
+
+    fn push(&mut self, frame: Frame<Bytes>) {
+        self.heard_at = Instant::now();
+        if let Ok(data) = frame.into_data() {
+            self.buf.extend_from_slice(&data);
+        }
+    }
+
+    /// Takes the next line that is not blank from the buffer.
+    fn take_line(&mut self) -> Option<BytesMut> {
+        loop {
+            let rest = &self.buf[self.scanned..];
+            let Some(offset) = rest.iter().position(|b| *b == b'\n') else {
+                self.scanned = self.buf.len();
+                return None;
+            };
+            let line = self.buf.split_to(self.scanned + offset);
+            self.buf.advance(1);
+            self.scanned = 0;
+            if !line.iter().all(u8::is_ascii_whitespace) {
+                return Some(line);
+            }
+        }
+    }
+}
+
+fn decode_line(line: &[u8]) -> Result<codec::RawWatch> {
+    let line: codec::Line<codec::RawWatch> = codec::parse(line)?;
+    match line.result {
+        Some(result) => Ok(result),
+        None => ended(&line.error.unwrap_or_default().message),
+    }
+}
+
+fn decode_event(raw: codec::RawEvent) -> Result<Event> {
+    let kind = match raw.kind.as_str() {
+        "DELETE" => EventKind::Delete,
+        _ => EventKind::Put,
+    };
+    let kv = raw.kv.decode()?;
+    Ok(Event { kind, kv })
+}
+
+fn ended<T>(reason: &str) -> Result<T> {
+    let reason = reason.to_owned();
+    Err(Error::WatchEnded { reason })
+}
--- /dev/null
+++ b/fw-store/tests/store/bad_answers.rs
@@ -0,0 +1,24 @@
+//! What the client makes of endpoints that fail or answer garbage.
+
+use fw_store::client;
+use fw_store::kv;
+use googletest::prelude::*;
+
+#[gtest]
+#[tokio::test]
+async fn nothing_applied_when_no_endpoint_listens() {
+    // A port that was free a moment ago.
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    drop(listener);
+    let client = client::Client::new(client::Options {
+        endpoints: vec![addr.to_string()],
+        ..client::Options::default()
+    });
+    let txn = kv::Txn {
+        then: vec![kv::Op::put("/a", "1")],
+        ..kv::Txn::default()
+    };
+    let err = client.txn(&txn).await.unwrap_err();
+    expect_false!(err.may_have_applied());
+}
--- /dev/null
+++ b/fw-store/tests/store/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the store client.
+
+mod bad_answers;
