--- /dev/null
+++ b/fw-keep/src/ledger.rs
@@ -0,0 +1,166 @@
+//! What a program spends of its budget: reserved before a turn runs, settled after it.
+//!
+//! Without reservations, sub-agents that run at the same time would each see the whole rest of
+//! their parent's budget and spend it together several times over.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use fw_base::error;
+use fw_base::id;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Bounds of a budget; `None` sets no bound.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Limits {
+    /// Most turns.
+    pub turns: Option<u32>,
+    /// Most tokens, prompt and completion of all turns together.
+    pub tokens: Option<id::Tokens>,
+    /// Most time with a turn under way.
+    pub time: Option<Duration>,
+}
+
+/// An amount spent, or about to be.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Amount {
+    /// Turns.
+    pub turns: u32,
+    /// Tokens, prompt and completion.
+    pub tokens: id::Tokens,
+    /// Time with a turn under way.
+    pub time: Duration,
+}
+
+/// What one turn wants.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Want {
+    /// Estimate of the prompt's tokens.
+    pub prompt: id::Tokens,
+    /// Most tokens to generate, if the caller set a bound.
+    pub completion: Option<id::Tokens>,
+}
+
+/// What one turn may use.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Grant {
+    /// Most tokens to generate; `None` if neither caller nor budget sets a bound.
+    pub completion: Option<id::Tokens>,
+    /// Time that the budget leaves for the turn.
+    pub time: Option<Duration>,
+}
+
+/// Spent amounts of one program, and what its running turns have reserved.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Ledger {
+    spent: Amount,
+    reserved: BTreeMap<id::AttemptId, Amount>,
+}
+
+impl Ledger {
+    /// A ledger that starts with `spent`.
+    pub fn new(spent: Amount) -> Self {
+        Self {
+            spent,
+            reserved: BTreeMap::new(),
+        }
+    }
+
+    /// What was spent for good.
+    pub fn spent(&self) -> Amount {
+        self.spent
+    }
+
+    /// Tokens neither spent nor reserved; `None` if `limits` sets no bound.
+    pub fn tokens_left(&self, limits: &Limits) -> Option<id::Tokens> {
+        let held: id::Tokens = self.reserved.values().map(|amount| amount.tokens).sum();
+        let used = self.spent.tokens.saturating_add(held);
+        limits.tokens.map(|most| most.saturating_sub(used))
+    }
+
+    /// Sets aside what the turn of `attempt` may use at most.
+    ///
+    /// # Errors
+    ///
+    /// [`error::Kind::BudgetExhausted`] when not even one token could be generated.
+    pub fn reserve(
+        &mut self,
+        attempt: id::AttemptId,
+        want: Want,
+        limits: &Limits,
+    ) -> Result<Grant, error::Error> {
+        self.check_turns(limits)?;
+        let time = self.time_left(limits)?;
+        let completion = self.completion(want, limits)?;
+        let tokens = want.prompt.saturating_add(completion.unwrap_or(0));
+        let amount = Amount {
+            turns: 1,
+            tokens,
+            time: Duration::ZERO,
+        };
+        self.reserved.insert(attempt, amount);
+        Ok(Grant { completion, time })
+    }
+
+    /// Replaces the reservation of `attempt` by what it used.
+    pub fn settle(&mut self, attempt: id::AttemptId, used: Amount) {
+        self.reserved.remove(&attempt);
+        self.charge(used);
+    }
+
+    /// The amount that `attempt` has reserved, which is the most it can have used.
+    pub fn reserved(&self, attempt: id::AttemptId) -> Amount {
+        self.reserved.get(&attempt).copied().unwrap_or_default()
+    }
+
+    /// Adds `used` to what was spent.
+    pub fn charge(&mut self, used: Amount) {
+        self.spent.turns = self.spent.turns.saturating_add(used.turns);
+        self.spent.tokens = self.spent.tokens.saturating_add(used.tokens);
+        self.spent.time = self.spent.time.saturating_add(used.time);
+    }
+
+    fn check_turns(&self, limits: &Limits) -> Result<(), error::Error> {
+        let held: u32 = self.reserved.values().map(|amount| amount.turns).sum();
+        let used = self.spent.turns.saturating_add(held);
+        match limits.turns {
+            Some(most) if used >= most => Err(exhausted(format!(
+                "the program's budget of {most} turns is spent; end it and start another"
+            ))),
+            _ => Ok(()),
+        }
+    }
+
+    fn time_left(&self, limits: &Limits) -> Result<Option<Duration>, error::Error> {
+        let Some(most) = limits.time else {
+            return Ok(None);
+        };
+        let left = most.saturating_sub(self.spent.time);
+        if left.is_zero() {
+            return Err(exhausted(format!(
+                "the program's budget of {most:?} of running time is spent; end it and start another"
+            )));
+        }
+        Ok(Some(left))
+    }
+
+    fn completion(&self, want: Want, limits: &Limits) -> Result<Option<id::Tokens>, error::Error> {
+        let Some(left) = self.tokens_left(limits) else {
+            return Ok(want.completion);
+        };
+        let room = left.saturating_sub(want.prompt);
+        if room == 0 {
+            let prompt = want.prompt;
+            return Err(exhausted(format!(
+                "the program's budget has {left} tokens left and the prompt takes about {prompt}; \
+                 end it and start another"
+            )));
+        }
+        Ok(Some(want.completion.map_or(room, |most| most.min(room))))
+    }
+}
+
+fn exhausted(message: String) -> error::Error {
+    error::Error::new(error::Kind::BudgetExhausted, message)
+}
--- /dev/null
+++ b/fw-keep/src/program.rs
@@ -0,0 +1,688 @@
+//! The life cycle of one program: idle, running, idle again, and at last ended.
+//!
+//! A turn enters the history when it is finished, never before, so that whatever happens to an
+//! attempt leaves the history as it was.
+
+use std::time::Duration;
+
+use fw_base::chat;
+use fw_base::digest::Digest;
+use fw_base::error;
+use fw_base::error::Kind;
+use fw_base::id;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ledger;
+
+/// Bytes of message text for one token, for estimates before an engine has counted.
+const BYTES_PER_TOKEN: u64 = 4;
+
+/// How the messages of a turn are to be read.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum History {
+    /// They begin with the committed history.
+    #[default]
+    Full,
+    /// They follow the committed history.
+    Delta,
+}
+
+/// A turn that a caller asks for.
+#[derive(Clone, Debug)]
+pub struct Begin {
+    /// The team.
+    pub team: id::TeamId,
+    /// The program that this one is a sub-agent of.
+    pub parent: Option<id::ProgramId>,
+    /// The turn, if the caller named it.
+    pub turn: Option<id::Turn>,
+    /// Digest of the committed history, if the caller named it.
+    pub base: Option<Digest>,
+    /// How `messages` are to be read.
+    pub history: History,
+    /// The messages.
+    pub messages: Vec<chat::Message>,
+    /// Fingerprint of everything else that shapes the answer: model, parameters, bounds.
+    pub params: Digest,
+    /// The attempt to run the turn under, drawn afresh.
+    pub attempt: id::AttemptId,
+    /// Most tokens to generate, if the caller set a bound.
+    pub max_tokens: Option<id::Tokens>,
+    /// The program's budget as of now.
+    pub limits: ledger::Limits,
+}
+
+impl Default for Begin {
+    fn default() -> Self {
+        Self {
+            team: id::TeamId::default(),
+            parent: None,
+            turn: None,
+            base: None,
+            history: History::Full,
+            messages: Vec::new(),
+            params: Digest::EMPTY,
+            attempt: 0,
+            max_tokens: None,
+            limits: ledger::Limits::default(),
+        }
+    }
+}
+
+/// What became of a turn that was asked for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Outcome {
+    /// Run it.
+    Run(Run),
+    /// It runs already.
+    Attach {
+        /// The attempt that runs it.
+        attempt: id::AttemptId,
+        /// Its number.
+        turn: id::Turn,
+    },
+    /// It was committed before.
+    Replay {
+        /// The attempt that ran it.
+        attempt: id::AttemptId,
+        /// Its number.
+        turn: id::Turn,
+        /// Its answer.
+        answer: Answer,
+    },
+    /// It does not run.
+    Refused(error::Error),
+}
+
+/// A turn to run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Run {
+    /// The attempt to run it under.
+    pub attempt: id::AttemptId,
+    /// Its number.
+    pub turn: id::Turn,
+    /// Digest of the history before it.
+    pub base: Digest,
+    /// The messages after that history.
+    pub messages: Vec<chat::Message>,
+    /// Digest of the whole prompt.
+    pub digest: Digest,
+    /// Estimate of the whole prompt's tokens.
+    pub prompt_tokens: id::Tokens,
+    /// Most tokens to generate; `None` if neither caller nor budget sets a bound.
+    pub max_tokens: Option<id::Tokens>,
+    /// Time that the budget leaves for the turn.
+    pub time_left: Option<Duration>,
+}
+
+/// The answer of a turn.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Answer {
+    /// The assistant's message, as it enters the history.
+    pub message: chat::Message,
+    /// Why generation ended, in OpenAI's words: `stop`, `length`, `tool_calls`.
+    pub finish_reason: String,
+    /// Token counts.
+    pub usage: chat::Usage,
+}
+
+/// A turn that was finished.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Committed {
+    /// Its number.
+    pub turn: id::Turn,
+    /// The attempt that ran it.
+    pub attempt: id::AttemptId,
+    /// Digest of the history before it.
+    pub base: Digest,
+    /// Digest of its prompt.
+    pub prompt: Digest,
+    /// Fingerprint of its other parameters.
+    pub params: Digest,
+    /// Its answer.
+    pub answer: Answer,
+}
+
+/// How a program stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Status {
+    /// No turn is under way.
+    Idle,
+    /// A turn is under way.
+    Running,
+    /// It takes no further turn.
+    Ended,
+}
+
+impl Status {
+    /// The word for it towards callers.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Idle => "idle",
+            Self::Running => "running",
+            Self::Ended => "ended",
+        }
+    }
+}
+
+/// The turn under way.
+#[derive(Clone, Debug, PartialEq)]
+struct Running {
+    attempt: id::AttemptId,
+    turn: id::Turn,
+    prompt: Digest,
+    params: Digest,
+    messages: Vec<chat::Message>,
+    since: Duration,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum State {
+    Idle,
+    Running(Box<Running>),
+    Ended,
+}
+
+/// What a finished turn adds to the program; the shard writes it to the journal.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Turn {
+    /// The turn.
+    pub committed: Committed,
+    /// The messages that it added before its answer.
+    pub messages: Vec<chat::Message>,
+    /// What it spent.
+    pub spent: ledger::Amount,
+}
+
+/// One program.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Program {
+    team: id::TeamId,
+    parent: Option<id::ProgramId>,
+    digest: Digest,
+    history: Vec<chat::Message>,
+    last: Option<Committed>,
+    state: State,
+    ledger: ledger::Ledger,
+    limits: ledger::Limits,
+    touched: Duration,
+}
+
+/// Where the messages of a request stand relative to the committed history.
+enum Place {
+    Next(Vec<chat::Message>),
+    Last,
+}
+
+impl Program {
+    /// A program without turns.
+    pub fn new(team: id::TeamId, parent: Option<id::ProgramId>, now: Duration) -> Self {
+        Self {
+            team,
+            parent,
+            digest: Digest::EMPTY,
+            history: Vec::new(),
+            last: None,
+            state: State::Idle,
+            ledger: ledger::Ledger::default(),
+            limits: ledger::Limits::default(),
+            touched: now,
+        }
+    }
+
+    /// The team.
+    pub fn team(&self) -> &id::TeamId {
+        &self.team
+    }
+
+    /// The program that this one is a sub-agent of.
+    pub fn parent(&self) -> Option<&id::ProgramId> {
+        self.parent.as_ref()
+    }
+
+    /// How it stands.
+    pub fn status(&self) -> Status {
+        match self.state {
+            State::Idle => Status::Idle,
+            State::Running(_) => Status::Running,
+            State::Ended => Status::Ended,
+        }
+    }
+
+    /// Number of the last committed turn; 0 before the first.
+    pub fn turn(&self) -> id::Turn {
+        self.last.as_ref().map_or(0, |last| last.turn)
+    }
+
+    /// Digest of the committed history.
+    pub fn digest(&self) -> Digest {
+        self.digest
+    }
+
+    /// The committed messages.
+    pub fn history(&self) -> &[chat::Message] {
+        &self.history
+    }
+
+    /// The last committed turn.
+    pub fn last(&self) -> Option<&Committed> {
+        self.last.as_ref()
+    }
+
+    /// The attempt under way.
+    pub fn attempt(&self) -> Option<id::AttemptId> {
+        self.running().map(|running| running.attempt)
+    }
+
+    /// What it spent and has reserved.
+    pub fn ledger(&self) -> &ledger::Ledger {
+        &self.ledger
+    }
+
+    /// Tokens that the budget still allows; `None` if it sets no bound.
+    pub fn tokens_left(&self) -> Option<id::Tokens> {
+        self.ledger.tokens_left(&self.limits)
+    }
+
+    /// When it was last used, as the caller's `now` of that time.
+    pub fn touched(&self) -> Duration {
+        self.touched
+    }
+
+    /// Asks for a turn.
+    pub fn begin(&mut self, begin: Begin, now: Duration) -> Outcome {
+        match self.try_begin(begin, now) {
+            Ok(outcome) => outcome,
+            Err(err) => Outcome::Refused(err),
+        }
+    }
+
+    /// Commits the turn of `attempt`; `None` if that attempt is not the one under way, which is
+    /// so for late and crossed answers.
+    pub fn finish(
+        &mut self,
+        attempt: id::AttemptId,
+        answer: Answer,
+        now: Duration,
+    ) -> Option<Turn> {
+        let running = self.take_running(attempt)?;
+        let spent = ledger::Amount {
+            turns: 1,
+            tokens: answer.usage.prompt.saturating_add(answer.usage.completion),
+            time: now.saturating_sub(running.since),
+        };
+        let turn = Turn {
+            committed: Committed {
+                turn: running.turn,
+                attempt,
+                base: self.digest,
+                prompt: running.prompt,
+                params: running.params,
+                answer,
+            },
+            messages: running.messages,
+            spent,
+        };
+        self.ledger.settle(attempt, ledger::Amount::default());
+        self.apply(&turn, now);
+        Some(turn)
+    }
+
+    /// Gives up the turn of `attempt`, which may then be asked for again under the same number.
+    /// Returns what it is charged; `None` if that attempt is not the one under way.
+    ///
+    /// An attempt that may have run is charged all that it had reserved: the true amount is not
+    /// known, and a program that could make its turns fail would otherwise spend without bound.
+    pub fn fail(
+        &mut self,
+        attempt: id::AttemptId,
+        ran: error::Ran,
+        now: Duration,
+    ) -> Option<ledger::Amount> {
+        let running = self.take_running(attempt)?;
+        let reserved = self.ledger.reserved(attempt);
+        let used = match ran {
+            error::Ran::No => ledger::Amount::default(),
+            error::Ran::Maybe | error::Ran::Yes => ledger::Amount {
+                turns: 0,
+                tokens: reserved.tokens,
+                time: now.saturating_sub(running.since),
+            },
+        };
+        self.ledger.settle(attempt, used);
+        self.touched = now;
+        Some(used)
+    }
+
+    /// Ends the program and returns the attempt to cancel, if a turn is under way.
+    pub fn end(&mut self, now: Duration) -> Option<id::AttemptId> {
+        let attempt = self.attempt();
+        if let Some(attempt) = attempt {
+            self.ledger.settle(attempt, ledger::Amount::default());
+        }
+        self.state = State::Ended;
+        self.touched = now;
+        attempt
+    }
+
+    /// Sets aside budget for a sub-agent's attempt.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::BudgetExhausted`] when nothing is left, [`Kind::ProgramEnded`] after the end.
+    pub fn reserve(
+        &mut self,
+        attempt: id::AttemptId,
+        want: ledger::Want,
+    ) -> Result<ledger::Grant, error::Error> {
+        self.check_alive()?;
+        self.ledger.reserve(attempt, want, &self.limits)
+    }
+
+    /// Replaces a sub-agent's reservation by what it used.
+    pub fn settle(&mut self, attempt: id::AttemptId, used: ledger::Amount) {
+        self.ledger.settle(attempt, used);
+    }
+
+    /// Whether `turn` continues this program exactly where it stands.
+    pub fn continues(&self, turn: &Committed) -> bool {
+        turn.turn == self.turn() + 1 && turn.base == self.digest
+    }
+
+    /// Applies a turn that was finished here or read from the journal.
+    pub fn apply(&mut self, turn: &Turn, now: Duration) {
+        self.history.extend_from_slice(&turn.messages);
+        self.history.push(turn.committed.answer.message.clone());
+        self.digest = turn.committed.prompt.extend(&turn.committed.answer.message);
+        self.last = Some(turn.committed.clone());
+        self.ledger.charge(turn.spent);
+        self.touched = now;
+    }
+
+    /// Puts together a program that a snapshot describes.
+    pub fn restore(saved: Saved) -> Self {
+        let ended = saved.ended;
+        Self {
+            team: saved.team,
+            parent: saved.parent,
+            digest: Digest::EMPTY.extend_all(&saved.history),
+            history: saved.history,
+            last: saved.last,
+            state: if ended { State::Ended } else { State::Idle },
+            ledger: ledger::Ledger::new(saved.spent),
+            limits: ledger::Limits::default(),
+            touched: saved.touched,
+        }
+    }
+
+    /// What a snapshot keeps of the program: all that is committed, nothing that is under way.
+    pub fn save(&self) -> Saved {
+        Saved {
+            team: self.team.clone(),
+            parent: self.parent.clone(),
+            history: self.history.clone(),
+            last: self.last.clone(),
+            spent: self.ledger.spent(),
+            ended: self.state == State::Ended,
+            touched: self.touched,
+        }
+    }
+
+    fn running(&self) -> Option<&Running> {
+        match &self.state {
+            State::Running(running) => Some(running),
+            State::Idle | State::Ended => None,
+        }
+    }
+
+    fn take_running(&mut self, attempt: id::AttemptId) -> Option<Running> {
+        if self.attempt() != Some(attempt) {
+            return None;
+        }
+        match std::mem::replace(&mut self.state, State::Idle) {
+            State::Running(running) => Some(*running),
+            State::Idle | State::Ended => None,
+        }
+    }
+
+    fn check_alive(&self) -> Result<(), error::Error> {
+        match self.state {
+            State::Ended => Err(error::Error::new(
+                Kind::ProgramEnded,
+                "the program was ended; start another under a new id",
+            )),
+            State::Idle | State::Running(_) => Ok(()),
+        }
+    }
+
+    fn check_team(&self, team: &id::TeamId) -> Result<(), error::Error> {
+        if *team == self.team {
+            return Ok(());
+        }
+        Err(error::Error::new(
+            Kind::ForeignProgram,
+            "the program belongs to another team; choose another `x-program`",
+        ))
+    }
+
+    fn try_begin(&mut self, begin: Begin, now: Duration) -> Result<Outcome, error::Error> {
+        self.check_team(&begin.team)?;
+        self.check_alive()?;
+        self.touched = now;
+        match self.place(&begin)? {
+            Place::Last => self.replay(&begin),
+            Place::Next(messages) => self.next(begin, messages, now),
+        }
+    }
+
+    /// Tells a repetition of the last committed turn from the next one.
+    fn place(&self, begin: &Begin) -> Result<Place, error::Error> {
+        if let Some(turn) = begin.turn {
+            return self.place_numbered(begin, turn);
+        }
+        match begin.history {
+            History::Full => self.place_full(begin),
+            History::Delta => self.place_delta(begin),
+        }
+    }
+
+    fn place_numbered(&self, begin: &Begin, turn: id::Turn) -> Result<Place, error::Error> {
+        let committed = self.turn();
+        if turn == committed && turn > 0 {
+            return Ok(Place::Last);
+        }
+        if turn != committed + 1 {
+            let next = committed + 1;
+            return Err(error::Error::new(
+                Kind::WrongTurn,
+                format!("`x-turn` is {turn}, and the program's next turn is {next}"),
+            ));
+        }
+        match begin.history {
+            History::Full => self.after_history(begin).map(Place::Next),
+            History::Delta => {
+                self.check_base(begin)?;
+                Ok(Place::Next(begin.messages.clone()))
+            }
+        }
+    }
+
+    /// A client library that knows nothing of turns repeats a call by sending the same messages.
+    fn place_full(&self, begin: &Begin) -> Result<Place, error::Error> {
+        if self.repeats_last(begin) {
+            return Ok(Place::Last);
+        }
+        self.after_history(begin).map(Place::Next)
+    }
+
+    /// Messages alone don't tell a repetition from a next turn that says the same again.
+    fn place_delta(&self, begin: &Begin) -> Result<Place, error::Error> {
+        let Some(base) = begin.base else {
+            if self.turn() == 0 {
+                return Ok(Place::Next(begin.messages.clone()));
+            }
+            return Err(error::Error::new(
+                Kind::BadRequest,
+                "`x-history: delta` needs `x-turn`, else a repeated call would run as a new turn",
+            ));
+        };
+        let repeats = |last: &Committed| last.base == base;
+        if base != self.digest && self.last.as_ref().is_some_and(repeats) {
+            return Ok(Place::Last);
+        }
+        self.check_base(begin)?;
+        Ok(Place::Next(begin.messages.clone()))
+    }
+
+    fn repeats_last(&self, begin: &Begin) -> bool {
+        let Some(last) = &self.last else {
+            return false;
+        };
+        let prompt_len = self.history.len() - 1;
+        let same_len = begin.messages.len() == prompt_len;
+        same_len && Digest::EMPTY.extend_all(&begin.messages) == last.prompt
+    }
+
+    /// The messages after the committed history, which the request must begin with. The digest
+    /// covers every message in order, so a history of another program can't pass for this one's.
+    fn after_history(&self, begin: &Begin) -> Result<Vec<chat::Message>, error::Error> {
+        let held = self.history.len();
+        let Some((before, after)) = begin.messages.split_at_checked(held) else {
+            let sent = begin.messages.len();
+            return Err(mismatch(format!(
+                "the committed history has {held} messages, and the request only {sent}; send all \
+                 of it, or `x-history: delta`"
+            )));
+        };
+        if Digest::EMPTY.extend_all(before) != self.digest {
+            return Err(mismatch(format!(
+                "the first {held} messages differ from the committed history; read it at \
+                 GET /v1/programs/{{id}}"
+            )));
+        }
+        self.check_base(begin)?;
+        Ok(after.to_vec())
+    }
+
+    fn check_base(&self, begin: &Begin) -> Result<(), error::Error> {
+        match begin.base {
+            Some(base) if base != self.digest => Err(mismatch(format!(
+                "the request follows history {base}, and the committed one is {}",
+                self.digest
+            ))),
+            _ => Ok(()),
+        }
+    }
+
+    fn replay(&self, begin: &Begin) -> Result<Outcome, error::Error> {
+        let Some(last) = &self.last else {
+            return Err(changed(0));
+        };
+        let prompt = match begin.history {
+            History::Full => Digest::EMPTY.extend_all(&begin.messages),
+            History::Delta => last.base.extend_all(&begin.messages),
+        };
+        if prompt != last.prompt || begin.params != last.params {
+            return Err(changed(last.turn));
+        }
+        Ok(Outcome::Replay {
+            attempt: last.attempt,
+            turn: last.turn,
+            answer: last.answer.clone(),
+        })
+    }
+
+    fn next(
+        &mut self,
+        begin: Begin,
+        messages: Vec<chat::Message>,
+        now: Duration,
+    ) -> Result<Outcome, error::Error> {
+        if messages.is_empty() {
+            return Err(mismatch(
+                "the request adds no message to the committed history".to_owned(),
+            ));
+        }
+        let prompt = self.digest.extend_all(&messages);
+        if let Some(running) = self.running() {
+            return running.attach(prompt, begin.params);
+        }
+        self.limits = begin.limits;
+        let prompt_tokens = self.estimate(&messages);
+        let want = ledger::Want {
+            prompt: prompt_tokens,
+            completion: begin.max_tokens,
+        };
+        let grant = self.ledger.reserve(begin.attempt, want, &begin.limits)?;
+        let turn = self.turn() + 1;
+        self.state = State::Running(Box::new(Running {
+            attempt: begin.attempt,
+            turn,
+            prompt,
+            params: begin.params,
+            messages: messages.clone(),
+            since: now,
+        }));
+        Ok(Outcome::Run(Run {
+            attempt: begin.attempt,
+            turn,
+            base: self.digest,
+            messages,
+            digest: prompt,
+            prompt_tokens,
+            max_tokens: grant.completion,
+            time_left: grant.time,
+        }))
+    }
+
+    fn estimate(&self, messages: &[chat::Message]) -> id::Tokens {
+        let held = self.last.as_ref().map_or(0, |last| {
+            last.answer.usage.prompt + last.answer.usage.completion
+        });
+        let added: u64 = messages.iter().map(|m| m.as_str().len() as u64).sum();
+        held + added.div_ceil(BYTES_PER_TOKEN)
+    }
+}
+
+impl Running {
+    fn attach(&self, prompt: Digest, params: Digest) -> Result<Outcome, error::Error> {
+        if prompt != self.prompt || params != self.params {
+            return Err(changed(self.turn));
+        }
+        Ok(Outcome::Attach {
+            attempt: self.attempt,
+            turn: self.turn,
+        })
+    }
+}
+
+/// What a snapshot keeps of one program.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Saved {
+    /// The team.
+    pub team: id::TeamId,
+    /// The program that this one is a sub-agent of.
+    pub parent: Option<id::ProgramId>,
+    /// The committed messages.
+    pub history: Vec<chat::Message>,
+    /// The last committed turn.
+    pub last: Option<Committed>,
+    /// What it spent.
+    pub spent: ledger::Amount,
+    /// Whether it was ended.
+    pub ended: bool,
+    /// When it was last used.
+    pub touched: Duration,
+}
+
+fn mismatch(message: String) -> error::Error {
+    error::Error::new(Kind::HistoryMismatch, message)
+}
+
+fn changed(turn: id::Turn) -> error::Error {
+    error::Error::new(
+        Kind::TurnChanged,
+        format!("turn {turn} was sent before with another body; send it unchanged or go on"),
+    )
+}
