fw-wire: sides name the shards that a heartbeat left out

Cause: an entry that sends every shard in every heartbeat spends 14 bytes for each; at 2,048 shards kept that is 28 KB a heartbeat, twice the control budget of a second. Change: entries renew only shards that they know to have sessions at the side; the side names the others, so that a new keeper renews sessions it did not open.

--- a/fw-wire/src/side.rs
+++ b/fw-wire/src/side.rs
@@ -38,8 +38,8 @@
     pub from: id::EntryId,
     /// Revision of the records in force there.
     pub revision: id::Revision,
-    /// Shards kept by the entry, with the fencing number of each. The side frees the sessions of
-    /// shards that no heartbeat renews.
+    /// Shards kept by the entry in which it knows of sessions at this side, with the fencing number
+    /// of each. The side frees the sessions of shards that no heartbeat renews.
     pub shards: Vec<(id::ShardId, id::Fence)>,
     /// Sequence number of the last cache change received from this side; 0 for none.
     pub cache_seen: u64,
@@ -74,6 +74,10 @@
     pub cache: Vec<CacheChange>,
     /// Idle programs of the sender's shards: does the keeper still know them?
     pub asked: Vec<id::ProgramId>,
+    /// Shards with sessions here that this heartbeat did not renew. Their keeper, if it is the
+    /// sender, renews them from now on: it may have taken them over without knowing of sessions.
+    #[serde(default)]
+    pub unrenewed: Vec<id::ShardId>,
 }
 
 /// How busy an upstream is.
