--- /dev/null
+++ b/fw-plan/src/health.rs
@@ -0,0 +1,285 @@
+//! Which upstreams may be used, from a lagging list and own observations.
+//!
+//! *Load pattern:* an upstream crashes, hangs, flaps or leaves long before the instance list says
+//! so, or the list forgets one that serves well; or this process loses its own network and sees
+//! everything fail.
+//!
+//! *Without it:* a dead upstream gets its part of the calls until the list catches up, a flapping
+//! one gets all waiting work at each return, and a fault of this process's own network ejects
+//! every upstream there is.
+//!
+//! *Rule:* what an upstream says of itself (leaving) and what this process sees (failures, missed
+//! heartbeats) go before the list, which only adds to it. Failures in a row eject an upstream for
+//! a time that doubles with each ejection and is forgotten slowly, so that a flapping one is
+//! dampened. At most [`Options::max_ejected`] of the upstreams are ejected: beyond that the cause
+//! is more likely here or common to all, and using them is better than using none. Being slow is
+//! no failure: placement sees it as a longer delay. An upstream that returns starts at a small
+//! weight that grows, so that a herd does not knock it over again.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use fw_base::id;
+
+/// When upstreams are ejected and how they return.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Failures or missed heartbeats in a row that eject.
+    pub failures: u32,
+    /// Length of the first ejection.
+    pub eject: Duration,
+    /// Longest ejection.
+    pub eject_max: Duration,
+    /// Time without an ejection after which one ejection is forgotten.
+    pub forgive: Duration,
+    /// Greatest part of the upstreams that is ejected together.
+    pub max_ejected: f64,
+    /// How long the weight grows after a return.
+    pub slow_start: Duration,
+    /// Weight at the moment of return.
+    pub least_weight: f64,
+    /// How long an upstream that the list lacks and that is not heard is still used.
+    pub unlisted: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            failures: 3,
+            eject: Duration::from_secs(2),
+            eject_max: Duration::from_secs(60),
+            forgive: Duration::from_secs(60),
+            max_ejected: 0.34,
+            slow_start: Duration::from_secs(10),
+            least_weight: 0.1,
+            unlisted: Duration::from_secs(10),
+        }
+    }
+}
+
+/// What this process saw of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Seen {
+    /// It answered a heartbeat or a call, however slowly.
+    Answered,
+    /// A call or connection failed, or a heartbeat was missed.
+    Failed,
+    /// It crashed or says that its engine is down.
+    Down,
+    /// It says that it leaves.
+    Leaving,
+}
+
+/// One line of the instance list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listed {
+    /// The upstream.
+    pub upstream: id::UpstreamId,
+    /// The list says that it leaves.
+    pub leaving: bool,
+}
+
+/// Whether an upstream may get new work.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Outcome {
+    /// It may.
+    Usable {
+        /// 1 for fully; less while it starts slowly.
+        weight: f64,
+    },
+    /// It may not.
+    Unusable {
+        /// Why.
+        reason: Reason,
+    },
+}
+
+/// Why an upstream gets no new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Reason {
+    /// It is not known, or no longer.
+    Unknown,
+    /// It leaves.
+    Leaving,
+    /// It failed several times in a row.
+    Ejected,
+}
+
+impl Reason {
+    /// Value of the `reason` label on counters.
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Unknown => "unknown",
+            Self::Leaving => "leaving",
+            Self::Ejected => "ejected",
+        }
+    }
+}
+
+impl Outcome {
+    /// The weight for placement; 0 if unusable.
+    pub fn weight(self) -> f64 {
+        match self {
+            Self::Usable { weight } => weight,
+            Self::Unusable { .. } => 0.0,
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Upstream {
+    listed: bool,
+    leaving: bool,
+    failures: u32,
+    ejections: u32,
+    ejected_until: Option<Duration>,
+    ejected_at: Duration,
+    /// Since when it is usable again, if it was ejected before.
+    returned: Option<Duration>,
+    answered: Duration,
+}
+
+/// Health of the upstreams of one service, as one process sees it.
+#[derive(Debug)]
+pub struct Health {
+    options: Options,
+    upstreams: HashMap<id::UpstreamId, Upstream>,
+}
+
+impl Health {
+    /// Without upstreams.
+    pub fn new(options: Options) -> Self {
+        Self {
+            options,
+            upstreams: HashMap::new(),
+        }
+    }
+
+    /// A new copy of the instance list arrived.
+    pub fn listed(&mut self, now: Duration, list: &[Listed]) {
+        for upstream in self.upstreams.values_mut() {
+            upstream.listed = false;
+        }
+        for line in list {
+            let upstream = self.upstreams.entry(line.upstream.clone());
+            let upstream = upstream.or_insert_with(|| Upstream::new(now));
+            upstream.listed = true;
+            upstream.leaving |= line.leaving;
+        }
+        let unlisted = self.options.unlisted;
+        self.upstreams
+            .retain(|_, upstream| upstream.listed || now < upstream.answered + unlisted);
+    }
+
+    /// This process saw something of `upstream`.
+    pub fn seen(&mut self, now: Duration, upstream: &id::UpstreamId, seen: Seen) {
+        let known = self.upstreams.entry(upstream.clone());
+        let known = known.or_insert_with(|| Upstream::new(now));
+        match seen {
+            Seen::Answered => known.answer(now),
+            Seen::Leaving => known.leaving = true,
+            Seen::Failed => known.failures += 1,
+            Seen::Down => known.failures = known.failures.max(self.options.failures),
+        }
+        let fails = known.failures >= self.options.failures;
+        if fails && !known.is_ejected(now) {
+            self.eject(now, upstream);
+        }
+    }
+
+    /// An upstream of this name started anew: it neither leaves nor fails any more.
+    pub fn restarted(&mut self, now: Duration, upstream: &id::UpstreamId) {
+        if let Some(known) = self.upstreams.get_mut(upstream) {
+            known.leaving = false;
+            known.failures = 0;
+            known.answered = now;
+            known.returned = Some(now.max(known.ejected_until.unwrap_or_default()));
+        }
+    }
+
+    /// Whether `upstream` may get new work.
+    pub fn decide(&self, now: Duration, upstream: &id::UpstreamId) -> Outcome {
+        let unusable = |reason| Outcome::Unusable { reason };
+        let Some(known) = self.upstreams.get(upstream) else {
+            return unusable(Reason::Unknown);
+        };
+        if known.leaving {
+            return unusable(Reason::Leaving);
+        }
+        if known.is_ejected(now) {
+            return unusable(Reason::Ejected);
+        }
+        if !known.listed && now >= known.answered + self.options.unlisted {
+            return unusable(Reason::Unknown);
+        }
+        Outcome::Usable {
+            weight: self.weight(now, known),
+        }
+    }
+
+    /// Upstreams known.
+    pub fn len(&self) -> usize {
+        self.upstreams.len()
+    }
+
+    /// Whether none is known.
+    pub fn is_empty(&self) -> bool {
+        self.upstreams.is_empty()
+    }
+
+    fn weight(&self, now: Duration, known: &Upstream) -> f64 {
+        let Some(returned) = known.returned else {
+            return 1.0;
+        };
+        let since = now.saturating_sub(returned).as_secs_f64();
+        let part = since / self.options.slow_start.as_secs_f64();
+        part.clamp(self.options.least_weight, 1.0)
+    }
+
+    fn eject(&mut self, now: Duration, upstream: &id::UpstreamId) {
+        let ejected = self
+            .upstreams
+            .values()
+            .filter(|known| known.is_ejected(now));
+        let after = ejected.count() + 1;
+        let most = self.upstreams.len() as f64 * self.options.max_ejected;
+        if after as f64 > most {
+            return;
+        }
+        let options = &self.options;
+        if let Some(known) = self.upstreams.get_mut(upstream) {
+            known.eject(now, options);
+        }
+    }
+}
+
+impl Upstream {
+    fn new(now: Duration) -> Self {
+        Self {
+            answered: now,
+            ..Self::default()
+        }
+    }
+
+    fn is_ejected(&self, now: Duration) -> bool {
+        self.ejected_until.is_some_and(|until| now < until)
+    }
+
+    fn answer(&mut self, now: Duration) {
+        self.failures = 0;
+        self.answered = now;
+    }
+
+    fn eject(&mut self, now: Duration, options: &Options) {
+        let quiet = now.saturating_sub(self.ejected_at).as_secs_f64();
+        let forgiven = (quiet / options.forgive.as_secs_f64()) as u32;
+        self.ejections = self.ejections.saturating_sub(forgiven);
+        let length = options.eject * (1 << self.ejections.min(16));
+        let until = now + length.min(options.eject_max);
+        self.ejections += 1;
+        self.ejected_at = now;
+        self.ejected_until = Some(until);
+        self.returned = Some(until);
+        self.failures = 0;
+    }
+}
--- /dev/null
+++ b/fw-plan/tests/plan/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the decisions, each without clock or network.
+
+mod placement;
