--- a/fw-store/tests/store/bad_answers.rs
+++ b/fw-store/tests/store/bad_answers.rs
@@ -1,9 +1,10 @@
 //! What the client makes of endpoints that fail or answer garbage.
 
-use fw_store::client;
 use fw_store::kv;
 use googletest::prelude::*;
 
+use crate::connect;
+
 #[gtest]
 #[tokio::test]
 async fn nothing_applied_when_no_endpoint_listens() {
@@ -11,10 +12,7 @@
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap();
     drop(listener);
-    let client = client::Client::new(client::Options {
-        endpoints: vec![addr.to_string()],
-        ..client::Options::default()
-    });
+    let client = connect(vec![addr.to_string()]);
     let txn = kv::Txn {
         then: vec![kv::Op::put("/a", "1")],
         ..kv::Txn::default()
--- /dev/null
+++ b/fw-store/tests/store/watch_events.rs
@@ -0,0 +1,128 @@
+//! Watches through breaks, silence and compaction.
+
+use std::time::Duration;
+
+use fw_fake::store;
+use fw_store::error::Error;
+use fw_store::watch;
+use googletest::prelude::*;
+
+use crate::connect;
+use crate::start;
+
+/// Most batches and errors to look through for an event.
+const MAX_STEPS: usize = 200;
+
+/// The next batch that has events, past progress and passing errors.
+async fn next_events(watch: &mut watch::Watch) -> watch::Batch {
+    for _ in 0..MAX_STEPS {
+        match watch.next().await {
+            Ok(batch) if !batch.events.is_empty() => return batch,
+            Err(err @ Error::Compacted { .. }) => panic!("{err}"),
+            Ok(_) | Err(_) => (),
+        }
+    }
+    panic!("no event in {MAX_STEPS} steps");
+}
+
+#[gtest]
+#[tokio::test]
+async fn events_come_in_order_from_the_revision() {
+    let store = start().await;
+    store.put("/a/0", "before");
+    let from = store.put("/a/1", "one");
+    store.put("/b", "other");
+    let last = store.delete("/a/1");
+    let mut watch = connect(store.endpoints()).watch("/a/", from);
+    let batch = next_events(&mut watch).await;
+    let kinds: Vec<_> = batch.events.iter().map(|event| event.kind).collect();
+    expect_eq!(kinds, vec![watch::EventKind::Put, watch::EventKind::Delete]);
+    expect_eq!(batch.revision, last);
+}
+
+#[gtest]
+#[tokio::test]
+async fn progress_advances_without_events() {
+    let store = start().await;
+    let newest = store.put("/b", "other");
+    let mut watch = connect(store.endpoints()).watch("/a/", 1);
+    let batch = watch.next().await.unwrap();
+    expect_that!(batch.events, is_empty());
+    expect_eq!(batch.revision, newest);
+}
+
+#[gtest]
+#[tokio::test]
+async fn silent_connection_is_replaced_without_loss() {
+    // A record is changed, but one entry goes on with the old one for ever: the connection of its
+    // watch is still open, yet something in between has forgotten it, so no event arrives. The
+    // watch must notice the silence, connect anew and still see every change once.
+    let store = start().await;
+    let mut watch = connect(store.endpoints()).watch("/a/", 1);
+    store.put("/a/1", "one");
+    expect_that!(next_events(&mut watch).await.events, len(eq(1)));
+    store.silence_watches(0);
+    store.put("/a/2", "two");
+    let batch = next_events(&mut watch).await;
+    expect_that!(batch.events, len(eq(1)));
+    expect_eq!(batch.events[0].kv.key, "/a/2");
+}
+
+#[gtest]
+#[tokio::test]
+async fn silence_is_seen_by_a_caller_that_polls() {
+    // As before, but the caller waits in a `select!` whose other arm wins often, so that each
+    // call of `next` is dropped long before the silence is over.
+    let store = start().await;
+    let mut watch = connect(store.endpoints()).watch("/a/", 1);
+    store.put("/a/1", "one");
+    next_events(&mut watch).await;
+    store.silence_watches(0);
+    store.put("/a/2", "two");
+    let mut seen = None;
+    for _ in 0..MAX_STEPS {
+        let polled = tokio::time::timeout(Duration::from_millis(10), watch.next()).await;
+        if let Ok(Ok(batch)) = polled
+            && !batch.events.is_empty()
+        {
+            seen = Some(batch);
+            break;
+        }
+    }
+    expect_eq!(seen.unwrap().events[0].kv.key, "/a/2");
+}
+
+#[gtest]
+#[tokio::test]
+async fn outage_delays_events_and_loses_none() {
+    let store = start().await;
+    let mut watch = connect(store.endpoints()).watch("/a/", 1);
+    store.put("/a/1", "one");
+    next_events(&mut watch).await;
+    store.set_outage(Some(store::Outage::Refuse));
+    store.put("/a/2", "two");
+    let ended = async {
+        for _ in 0..MAX_STEPS {
+            if watch.next().await.is_err() {
+                return true;
+            }
+        }
+        false
+    };
+    expect_true!(ended.await);
+    store.set_outage(None);
+    expect_eq!(next_events(&mut watch).await.events[0].kv.key, "/a/2");
+}
+
+#[gtest]
+#[tokio::test]
+async fn compaction_is_told() {
+    let store = start().await;
+    store.put("/a/1", "one");
+    let newest = store.put("/a/2", "two");
+    store.compact(newest);
+    let mut watch = connect(store.endpoints()).watch("/a/", 1);
+    let err = watch.next().await.unwrap_err();
+    let revision = newest + 1;
+    expect_true!(matches!(err, Error::Compacted { revision: r } if r == revision));
+}
