--- /dev/null
+++ b/fw-keep/src/commit.rs
@@ -0,0 +1,297 @@
+//! Writes groups of many shards to the store, whatever happens to the answers.
+//!
+//! One transaction carries the groups of many shards, so that the number of store calls follows
+//! the number of entries and the commit window, not the number of turns. Two conditions guard
+//! each shard:
+//!
+//! * The keeper's key still has the revision of our acquisition. A holder that was paused past its
+//!   lease finds its transaction refused, whether or not it knows that the lease lapsed.
+//! * The journal's head is the one that our group follows. A transaction that was delayed on its
+//!   way, and whose answer was given up, can't be applied after a later one.
+//!
+//! When an answer is lost, the head is read back: it names the group written last.
+
+use fw_base::id;
+use fw_store::kv;
+
+use crate::journal::writer::Job;
+use crate::journal::writer::Part;
+
+/// Bounds of one transaction.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Options {
+    /// Most steps; etcd refuses more than 128.
+    pub max_ops: usize,
+    /// Most bytes of values; etcd refuses requests above 1.5 MB.
+    pub max_bytes: usize,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            max_ops: 120,
+            max_bytes: 1_000_000,
+        }
+    }
+}
+
+/// What to do next.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// Send this write, and report what came of it.
+    Write(kv::Txn),
+    /// The last write's answer was lost: send this read, and report what it found.
+    Read(kv::Txn),
+    /// All groups have a [`Verdict`].
+    Done,
+}
+
+/// What came of a [`Step`].
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// The store answered.
+    Answer(kv::TxnOutcome),
+    /// The store was not reached; nothing took effect.
+    NotSent,
+    /// No answer came; a write may have taken effect.
+    Unknown,
+}
+
+/// What became of a shard's group.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    /// It is in the store.
+    Committed {
+        /// The shard.
+        shard: id::ShardId,
+    },
+    /// Our lease lapsed and nobody has taken the shard since; what is left of the group may be
+    /// written once the shard is acquired again.
+    Lapsed(Job),
+    /// The shard has another keeper. Whether the group is in the store is for that one to say.
+    Lost {
+        /// The shard.
+        shard: id::ShardId,
+    },
+    /// The journal was changed by someone who does not hold the shard.
+    Foreign {
+        /// The shard.
+        shard: id::ShardId,
+    },
+}
+
+/// What a transaction carries of one job.
+#[derive(Clone, Debug)]
+struct Sent {
+    job: usize,
+    parts: usize,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// The next write is not sent yet, or is known not to have taken effect.
+    Ready,
+    /// A write's answer was lost.
+    Doubt,
+}
+
+/// How a shard stands in the store.
+struct Seen<'a> {
+    owner: id::Revision,
+    head: Option<&'a [u8]>,
+}
+
+/// One group commit.
+#[derive(Debug)]
+pub struct Commit {
+    jobs: Vec<Job>,
+    sent: Vec<Sent>,
+    state: State,
+    verdicts: Vec<Verdict>,
+    opts: Options,
+}
+
+impl Commit {
+    /// A commit of `jobs`, at most one for each shard.
+    pub fn new(jobs: Vec<Job>, opts: Options) -> Self {
+        let mut commit = Self {
+            jobs,
+            sent: Vec::new(),
+            state: State::Ready,
+            verdicts: Vec::new(),
+            opts,
+        };
+        commit.plan();
+        commit
+    }
+
+    /// What to do next.
+    pub fn step(&self) -> Step {
+        match self.state {
+            _ if self.jobs.is_empty() => Step::Done,
+            State::Ready => Step::Write(self.write()),
+            State::Doubt => Step::Read(kv::Txn {
+                then: self.reads(),
+                ..kv::Txn::default()
+            }),
+        }
+    }
+
+    /// Reports what came of the step.
+    pub fn on(&mut self, reply: Reply) {
+        match (self.state, reply) {
+            (_, Reply::NotSent) | (State::Doubt, Reply::Unknown) => (),
+            (State::Ready, Reply::Unknown) => self.state = State::Doubt,
+            (State::Ready, Reply::Answer(outcome)) if outcome.succeeded => self.applied(),
+            // A refused write may be the repetition of one that took effect after we had looked.
+            (State::Ready | State::Doubt, Reply::Answer(outcome)) => {
+                self.state = State::Ready;
+                self.judge(&outcome.into_kvs());
+            }
+        }
+    }
+
+    /// The verdicts reached since the last call.
+    pub fn take_verdicts(&mut self) -> Vec<Verdict> {
+        std::mem::take(&mut self.verdicts)
+    }
+
+    /// Chooses what the next transaction carries.
+    fn plan(&mut self) {
+        self.sent.clear();
+        let mut ops = 0;
+        let mut bytes = 0;
+        for (index, job) in self.jobs.iter().enumerate() {
+            let parts = fitting(job, &mut ops, &mut bytes, &self.opts, self.sent.is_empty());
+            if parts == 0 {
+                break;
+            }
+            self.sent.push(Sent { job: index, parts });
+        }
+    }
+
+    fn write(&self) -> kv::Txn {
+        let mut txn = kv::Txn {
+            otherwise: self.reads(),
+            ..kv::Txn::default()
+        };
+        for sent in &self.sent {
+            let job = &self.jobs[sent.job];
+            txn.compares.extend(compares(job));
+            for part in job.parts.iter().take(sent.parts) {
+                txn.then.push(kv::Op::put(&part.key, part.value.clone()));
+                txn.then.extend(deletes(part));
+            }
+            txn.then.push(kv::Op::put(&job.head_key, self.after(sent)));
+        }
+        txn
+    }
+
+    fn reads(&self) -> Vec<kv::Op> {
+        let jobs = self.sent.iter().map(|sent| &self.jobs[sent.job]);
+        let keys = jobs.flat_map(|job| [&job.owner_key, &job.head_key]);
+        keys.map(kv::Op::get).collect()
+    }
+
+    fn after(&self, sent: &Sent) -> &[u8] {
+        let part = &self.jobs[sent.job].parts[sent.parts - 1];
+        &part.head
+    }
+
+    /// Everything that was sent is in the store.
+    fn applied(&mut self) {
+        for sent in std::mem::take(&mut self.sent) {
+            let job = &mut self.jobs[sent.job];
+            let last = job.parts.drain(..sent.parts).next_back();
+            job.before = last.map(|part| part.head);
+        }
+        let (done, left) = self.jobs.drain(..).partition(|job| job.parts.is_empty());
+        self.jobs = left;
+        let done: Vec<Job> = done;
+        let committed = done
+            .iter()
+            .map(|job| Verdict::Committed { shard: job.shard });
+        self.verdicts.extend(committed);
+        self.plan();
+    }
+
+    /// Tells from what the store holds whether the last write took effect.
+    ///
+    /// The write was one transaction: where one head is ours, all of it took effect. Where none
+    /// is, it did not and, if a condition has come to fail since, never will: revisions only grow.
+    fn judge(&mut self, kvs: &[kv::Kv]) {
+        let ours = |sent: &Sent| seen(kvs, &self.jobs[sent.job]).head == Some(self.after(sent));
+        if self.sent.iter().any(ours) {
+            self.applied();
+            return;
+        }
+        let mut verdicts = Vec::new();
+        let sent: Vec<usize> = self.sent.iter().map(|sent| sent.job).collect();
+        for index in sent.into_iter().rev() {
+            let job = &self.jobs[index];
+            let seen = seen(kvs, job);
+            let same_head = seen.head == job.before.as_deref();
+            let shard = job.shard;
+            match (seen.owner, same_head) {
+                (owner, true) if owner == job.fence => (),
+                (0, true) => verdicts.push(Verdict::Lapsed(self.jobs.remove(index))),
+                (owner, false) if owner == job.fence => {
+                    self.jobs.remove(index);
+                    verdicts.push(Verdict::Foreign { shard });
+                }
+                _ => {
+                    self.jobs.remove(index);
+                    verdicts.push(Verdict::Lost { shard });
+                }
+            }
+        }
+        self.verdicts.extend(verdicts);
+        self.plan();
+    }
+}
+
+/// Number of the job's next parts that still fit a transaction, which they are added to. The very
+/// first part always fits: it is bounded by the size of a segment.
+fn fitting(job: &Job, ops: &mut usize, bytes: &mut usize, opts: &Options, is_first: bool) -> usize {
+    let mut count = 0;
+    for part in &job.parts {
+        let head_op = usize::from(count == 0);
+        let more_ops = *ops + 1 + part.delete.len() + head_op;
+        let more_bytes = *bytes + part.value.len();
+        let must_go = is_first && count == 0;
+        let fits = more_ops <= opts.max_ops && more_bytes <= opts.max_bytes;
+        if !must_go && !fits {
+            break;
+        }
+        (*ops, *bytes) = (more_ops, more_bytes);
+        count += 1;
+    }
+    count
+}
+
+fn compares(job: &Job) -> [kv::Compare; 2] {
+    let head_key = job.head_key.clone();
+    let head = match &job.before {
+        Some(before) => kv::Compare::Value(head_key, before.clone()),
+        None => kv::Compare::CreateRevision(head_key, 0),
+    };
+    [
+        kv::Compare::CreateRevision(job.owner_key.clone(), job.fence),
+        head,
+    ]
+}
+
+fn deletes(part: &Part) -> impl Iterator<Item = kv::Op> {
+    part.delete.iter().map(|prefix| kv::Op::Delete {
+        key: prefix.clone(),
+        prefix: true,
+    })
+}
+
+fn seen<'a>(kvs: &'a [kv::Kv], job: &Job) -> Seen<'a> {
+    let find = |key: &str| kvs.iter().find(|kv| kv.key == key);
+    Seen {
+        owner: find(&job.owner_key).map_or(0, |kv| kv.create_revision),
+        head: find(&job.head_key).map(|kv| kv.value.as_slice()),
+    }
+}
--- a/fw-keep/src/journal/mod.rs
+++ b/fw-keep/src/journal/mod.rs
@@ -3,6 +3,11 @@
 //! A shard's journal is a sequence of segments, each one value in the store. [`Entry`] values are
 //! encoded into groups, a group into one segment or, if it is large, several.
 
+pub mod keys;
+pub mod replay;
+pub mod segment;
+pub mod writer;
+
 use std::time::Duration;
 
 use fw_base::digest::Digest;
--- /dev/null
+++ b/fw-keep/src/journal/replay.rs
@@ -0,0 +1,252 @@
+//! Reads a shard's journal back.
+
+use std::collections::BTreeMap;
+
+use fw_base::id;
+
+use crate::journal::Entry;
+use crate::journal::keys;
+use crate::journal::segment::Corrupt;
+use crate::journal::segment::Head;
+use crate::journal::segment::Segment;
+
+/// One step of a replay.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Item {
+    /// A whole snapshot: it replaces all that came before.
+    Snapshot(Vec<Entry>),
+    /// A whole group.
+    Group(Vec<Entry>),
+    /// Something is wrong here: changes of any program may be missing at this point.
+    Damage(Corrupt),
+}
+
+/// What a journal holds.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Replayed {
+    /// The steps, in order.
+    pub items: Vec<Item>,
+    /// The head to go on from.
+    pub head: Head,
+    /// The head's value in the store, whole or not.
+    pub stored_head: Option<Vec<u8>>,
+    /// Groups at the end of a holder's time that were not written whole, hence never durable.
+    pub unfinished: usize,
+}
+
+impl Replayed {
+    /// Whether anything is wrong.
+    pub fn is_damaged(&self) -> bool {
+        let is_damage = |item: &Item| matches!(item, Item::Damage(_));
+        self.items.iter().any(is_damage)
+    }
+}
+
+/// Reads the journal of `shard` from its head and the values of its segments' keys, in any order.
+pub fn read(
+    root: &str,
+    shard: id::ShardId,
+    stored_head: Option<Vec<u8>>,
+    values: Vec<(String, Vec<u8>)>,
+) -> Replayed {
+    let mut reader = Reader::new(root, shard, values);
+    let head = reader.head(stored_head.as_deref());
+    reader.segments(&head);
+    reader.finish_group(None);
+    Replayed {
+        items: reader.items,
+        head,
+        stored_head,
+        unfinished: reader.unfinished,
+    }
+}
+
+struct Reader<'a> {
+    root: &'a str,
+    shard: id::ShardId,
+    values: BTreeMap<(u64, u64), Vec<u8>>,
+    items: Vec<Item>,
+    group: Vec<Segment>,
+    fence: id::Fence,
+    unfinished: usize,
+}
+
+impl<'a> Reader<'a> {
+    fn new(root: &'a str, shard: id::ShardId, values: Vec<(String, Vec<u8>)>) -> Self {
+        let mut items = Vec::new();
+        let mut placed = BTreeMap::new();
+        for (key, value) in values {
+            match keys::parse_segment(&key) {
+                Some(place) => {
+                    placed.insert(place, value);
+                }
+                None => items.push(Item::Damage(Corrupt::Foreign {
+                    key,
+                    reason: "its name is no segment's".to_owned(),
+                })),
+            }
+        }
+        Self {
+            root,
+            shard,
+            values: placed,
+            items,
+            group: Vec::new(),
+            fence: 0,
+            unfinished: 0,
+        }
+    }
+
+    fn head(&mut self, stored: Option<&[u8]>) -> Head {
+        let key = keys::head(self.root, self.shard);
+        let result = match stored {
+            None if self.values.is_empty() => return self.empty_head(),
+            None => Err(Corrupt::Missing { key }),
+            Some(value) => Head::decode(&key, self.shard, value),
+        };
+        result.unwrap_or_else(|corrupt| {
+            self.items.push(Item::Damage(corrupt));
+            self.guess_head()
+        })
+    }
+
+    fn empty_head(&self) -> Head {
+        Head {
+            shard: self.shard,
+            ..Head::default()
+        }
+    }
+
+    /// A head for segments whose own is lost. The lowest generation is the one in force: those
+    /// before it are deleted when it comes into force, and a higher one is an unfinished snapshot.
+    fn guess_head(&self) -> Head {
+        let keys = self.values.keys();
+        let generation = keys.clone().map(|(g, _)| *g).min().unwrap_or(1);
+        let drafted = keys.clone().map(|(g, _)| *g).max().unwrap_or(1);
+        let of_it = keys.filter(|(g, _)| *g == generation);
+        let next = of_it.map(|(_, seq)| seq + 1).max().unwrap_or(0);
+        Head {
+            generation,
+            next,
+            drafted,
+            damaged_before: Some(next),
+            ..self.empty_head()
+        }
+    }
+
+    fn segments(&mut self, head: &Head) {
+        for seq in 0..head.next {
+            if head.damaged_before == Some(seq) {
+                self.lost_head();
+            }
+            let key = keys::segment(self.root, self.shard, head.generation, seq);
+            match self.segment(&key, head.generation, seq) {
+                Ok(segment) => self.accept(&key, segment),
+                Err(corrupt) => self.damage(corrupt),
+            }
+        }
+        if head.damaged_before == Some(head.next) {
+            self.lost_head();
+        }
+        self.beyond(head);
+    }
+
+    /// A head that was lost and written anew can't tell whether segments were lost with it.
+    fn lost_head(&mut self) {
+        let key = keys::head(self.root, self.shard);
+        self.damage(Corrupt::Missing { key });
+    }
+
+    fn segment(&mut self, key: &str, generation: u64, seq: u64) -> Result<Segment, Corrupt> {
+        let value = self.values.remove(&(generation, seq));
+        let value = value.ok_or_else(|| Corrupt::Missing {
+            key: key.to_owned(),
+        })?;
+        Segment::decode(key, self.shard, generation, seq, &value)
+    }
+
+    fn accept(&mut self, key: &str, segment: Segment) {
+        if segment.fence < self.fence {
+            let (found, newest) = (segment.fence, self.fence);
+            self.damage(Corrupt::Foreign {
+                key: key.to_owned(),
+                reason: format!("its fencing number {found} follows {newest}"),
+            });
+            return;
+        }
+        if self
+            .group
+            .first()
+            .is_some_and(|first| first.nonce != segment.nonce)
+        {
+            self.finish_group(Some(segment.fence));
+        }
+        self.fence = segment.fence;
+        let expected = self.group.len();
+        if segment.part as usize != expected {
+            self.damage(Corrupt::Foreign {
+                key: key.to_owned(),
+                reason: format!("it is part {} where part {expected} belongs", segment.part),
+            });
+            return;
+        }
+        let is_last = segment.part + 1 == segment.parts;
+        self.group.push(segment);
+        if is_last {
+            self.finish_group(None);
+        }
+    }
+
+    /// Decodes the group read so far. A group without its last part was never durable if its
+    /// holder stopped there: nothing follows, or a newer holder does.
+    fn finish_group(&mut self, next_fence: Option<id::Fence>) {
+        let group = std::mem::take(&mut self.group);
+        let Some(first) = group.first() else {
+            return;
+        };
+        let key = keys::segment(self.root, self.shard, first.generation, first.seq);
+        if group.len() < first.parts as usize {
+            if next_fence.is_some_and(|fence| fence == first.fence) {
+                let reason = format!(
+                    "its group has {} parts less",
+                    first.parts as usize - group.len()
+                );
+                self.items
+                    .push(Item::Damage(Corrupt::Foreign { key, reason }));
+            } else {
+                self.unfinished += 1;
+            }
+            return;
+        }
+        let bytes: Vec<u8> = group
+            .iter()
+            .flat_map(|s| s.payload.iter().copied())
+            .collect();
+        let item = match postcard::from_bytes::<Vec<Entry>>(&bytes) {
+            Ok(entries) if first.snapshot => Item::Snapshot(entries),
+            Ok(entries) => Item::Group(entries),
+            Err(err) => Item::Damage(Corrupt::Form {
+                key,
+                reason: err.to_string(),
+            }),
+        };
+        self.items.push(item);
+    }
+
+    fn damage(&mut self, corrupt: Corrupt) {
+        self.group.clear();
+        self.items.push(Item::Damage(corrupt));
+    }
+
+    /// Segments of the generation in force that lie beyond its end were not written by a holder.
+    fn beyond(&mut self, head: &Head) {
+        let left = self.values.keys().find(|(g, _)| *g <= head.generation);
+        let Some((generation, seq)) = left.copied() else {
+            return;
+        };
+        self.damage(Corrupt::Foreign {
+            key: keys::segment(self.root, self.shard, generation, seq),
+            reason: "the journal's head does not reach it".to_owned(),
+        });
+    }
+}
--- /dev/null
+++ b/fw-keep/src/journal/segment.rs
@@ -0,0 +1,206 @@
+//! Form of one value in the store: a mark of kind and version, the content, and a checksum.
+
+use fw_base::id;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use snafu::Snafu;
+use snafu::ensure;
+
+const SEGMENT_MARK: &[u8; 4] = b"fwj1";
+const HEAD_MARK: &[u8; 4] = b"fwh1";
+const MARK_LEN: usize = 4;
+const SUM_LEN: usize = 32;
+
+/// A random number that names one group of entries and one attempt to write it. After a write
+/// whose answer was lost, it tells our own value from another's.
+pub type Nonce = u64;
+
+/// One segment: a part of an encoded group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Segment {
+    /// The shard.
+    pub shard: id::ShardId,
+    /// Number of the snapshot that the segment follows.
+    pub generation: u64,
+    /// Position within the generation; the first is 0.
+    pub seq: u64,
+    /// Fencing number of the holder that encoded it.
+    pub fence: id::Fence,
+    /// Names the group.
+    pub nonce: Nonce,
+    /// Position within the group; the first is 0.
+    pub part: u32,
+    /// Number of parts of the group.
+    pub parts: u32,
+    /// Whether the group is a snapshot.
+    pub snapshot: bool,
+    /// This part of the encoded entries.
+    pub payload: Vec<u8>,
+}
+
+/// Where a shard's journal ends. Written together with every segment, so that a segment that is
+/// missing at the end is noticed.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Head {
+    /// The shard.
+    pub shard: id::ShardId,
+    /// The generation in force.
+    pub generation: u64,
+    /// Sequence number of its next segment.
+    pub next: u64,
+    /// The highest generation ever begun; above `generation` while a snapshot is being written.
+    pub drafted: u64,
+    /// Names the group written last.
+    pub nonce: Nonce,
+    /// The part of that group written last.
+    pub part: u32,
+    /// Bytes of the generation's segments.
+    pub bytes: u64,
+    /// Bytes of the snapshot that the generation begins with.
+    pub base_bytes: u64,
+    /// Sequence numbers before which damage was found that can't be seen any more.
+    pub damaged_before: Option<u64>,
+}
+
+/// Why a value in the store is not what it should be.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(visibility(pub(super)))]
+pub enum Corrupt {
+    /// The checksum does not match: cut off or changed.
+    #[snafu(display("`{key}` is torn: its checksum does not match its {len} bytes"))]
+    Torn {
+        /// The key.
+        key: String,
+        /// Length of the value.
+        len: usize,
+    },
+    /// The value is whole and of another kind or version.
+    #[snafu(display("`{key}` has an unknown form: {reason}"))]
+    Form {
+        /// The key.
+        key: String,
+        /// What is unknown.
+        reason: String,
+    },
+    /// The value is whole and belongs elsewhere.
+    #[snafu(display("`{key}` is foreign: {reason}"))]
+    Foreign {
+        /// The key.
+        key: String,
+        /// What does not fit.
+        reason: String,
+    },
+    /// The value should be there.
+    #[snafu(display("`{key}` is missing"))]
+    Missing {
+        /// The key.
+        key: String,
+    },
+}
+
+impl Segment {
+    /// The value to store.
+    pub fn encode(&self) -> Vec<u8> {
+        encode(SEGMENT_MARK, self)
+    }
+
+    /// Reads the value of `key`, and checks that it belongs there.
+    ///
+    /// # Errors
+    ///
+    /// Any [`Corrupt`] but `Missing`.
+    pub fn decode(
+        key: &str,
+        shard: id::ShardId,
+        generation: u64,
+        seq: u64,
+        value: &[u8],
+    ) -> Result<Self, Corrupt> {
+        let segment: Self = decode(SEGMENT_MARK, key, value)?;
+        let place = (segment.shard, segment.generation, segment.seq);
+        ensure!(
+            place == (shard, generation, seq),
+            ForeignSnafu {
+                key,
+                reason: format!("it says shard, generation and number {place:?}"),
+            }
+        );
+        ensure!(
+            segment.part < segment.parts,
+            ForeignSnafu {
+                key,
+                reason: format!("it is part {} of {}", segment.part, segment.parts),
+            }
+        );
+        Ok(segment)
+    }
+}
+
+impl Head {
+    /// The value to store.
+    pub fn encode(&self) -> Vec<u8> {
+        encode(HEAD_MARK, self)
+    }
+
+    /// Reads the value of `key`, and checks that it belongs there.
+    ///
+    /// # Errors
+    ///
+    /// Any [`Corrupt`] but `Missing`.
+    pub fn decode(key: &str, shard: id::ShardId, value: &[u8]) -> Result<Self, Corrupt> {
+        let head: Self = decode(HEAD_MARK, key, value)?;
+        ensure!(
+            head.shard == shard,
+            ForeignSnafu {
+                key,
+                reason: format!("it says shard {}", head.shard),
+            }
+        );
+        Ok(head)
+    }
+}
+
+fn encode<T: Serialize>(mark: &[u8; MARK_LEN], content: &T) -> Vec<u8> {
+    let mut buf = mark.to_vec();
+    let body = postcard::to_stdvec(content).expect("plain data encodes into memory");
+    buf.extend_from_slice(&body);
+    let sum = blake3::hash(&buf);
+    buf.extend_from_slice(sum.as_bytes());
+    buf
+}
+
+fn decode<T: DeserializeOwned>(
+    mark: &[u8; MARK_LEN],
+    key: &str,
+    value: &[u8],
+) -> Result<T, Corrupt> {
+    let len = value.len();
+    ensure!(len >= MARK_LEN + SUM_LEN, TornSnafu { key, len });
+    let (content, sum) = value.split_at(len - SUM_LEN);
+    ensure!(
+        blake3::hash(content).as_bytes() == sum,
+        TornSnafu { key, len }
+    );
+    let (found, body) = content.split_at(MARK_LEN);
+    ensure!(
+        found == mark,
+        FormSnafu {
+            key,
+            reason: format!("its mark is {}", found.escape_ascii()),
+        }
+    );
+    let form = |err: postcard::Error| Corrupt::Form {
+        key: key.to_owned(),
+        reason: err.to_string(),
+    };
+    let (content, rest) = postcard::take_from_bytes(body).map_err(form)?;
+    ensure!(
+        rest.is_empty(),
+        FormSnafu {
+            key,
+            reason: format!("{} bytes follow its content", rest.len()),
+        }
+    );
+    Ok(content)
+}
--- /dev/null
+++ b/fw-keep/src/journal/writer.rs
@@ -0,0 +1,227 @@
+//! Encodes groups of entries into segments and plans where they go.
+
+use std::collections::VecDeque;
+
+use fw_base::id;
+use smol_str::SmolStr;
+
+use crate::journal::Entry;
+use crate::journal::keys;
+use crate::journal::segment::Head;
+use crate::journal::segment::Nonce;
+use crate::journal::segment::Segment;
+
+/// Bounds of a journal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Options {
+    /// Most payload bytes of one segment. The store holds values up to a megabyte; the rest is
+    /// room for the segment's own fields.
+    pub max_payload: usize,
+    /// Segments after the snapshot from which on a new one is due.
+    pub max_segments: u64,
+    /// A new snapshot is due once the segments after the last hold more than this many times its
+    /// bytes, so that what is rewritten stays in proportion to what is written.
+    pub growth: u64,
+    /// No snapshot is due for size alone below this many bytes.
+    pub min_bytes: u64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            max_payload: 900_000,
+            max_segments: 256,
+            growth: 2,
+            min_bytes: 1 << 20,
+        }
+    }
+}
+
+/// One segment to write and the head after it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// Key of the segment.
+    pub key: String,
+    /// Value of the segment.
+    pub value: Vec<u8>,
+    /// Value of the head once this part is written.
+    pub head: Vec<u8>,
+    /// Prefixes of generations that this part supersedes.
+    pub delete: Vec<String>,
+}
+
+/// A group of one shard on its way to the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Job {
+    /// The shard.
+    pub shard: id::ShardId,
+    /// Fencing number under which it is written.
+    pub fence: id::Fence,
+    /// Key of the shard's keeper.
+    pub owner_key: String,
+    /// Key of the head.
+    pub head_key: String,
+    /// Value of the head before the next part; `None` for a journal without one.
+    pub before: Option<Vec<u8>>,
+    /// What is still to be written; never empty when handed out.
+    pub parts: VecDeque<Part>,
+}
+
+/// Writes one shard's journal.
+#[derive(Clone, Debug)]
+pub struct Writer {
+    root: SmolStr,
+    shard: id::ShardId,
+    fence: id::Fence,
+    head: Head,
+    /// Value of the head in the store once all jobs are done.
+    stored: Option<Vec<u8>>,
+    opts: Options,
+}
+
+impl Writer {
+    /// A writer that goes on after `head`, whose value in the store is `stored`.
+    pub fn new(
+        root: &str,
+        shard: id::ShardId,
+        fence: id::Fence,
+        head: Head,
+        stored: Option<Vec<u8>>,
+        opts: Options,
+    ) -> Self {
+        Self {
+            root: root.into(),
+            shard,
+            fence,
+            head,
+            stored,
+            opts,
+        }
+    }
+
+    /// The fencing number.
+    pub fn fence(&self) -> id::Fence {
+        self.fence
+    }
+
+    /// Goes on under another fencing number, after the shard was acquired again.
+    pub fn set_fence(&mut self, fence: id::Fence) {
+        self.fence = fence;
+    }
+
+    /// Value of the head in the store once all jobs are done.
+    pub fn stored_head(&self) -> Option<&[u8]> {
+        self.stored.as_deref()
+    }
+
+    /// Whether the next group should be a snapshot.
+    pub fn is_snapshot_due(&self) -> bool {
+        let head = &self.head;
+        if head.damaged_before.is_some() {
+            return false;
+        }
+        let since = head.bytes.saturating_sub(head.base_bytes);
+        let large = since > self.opts.min_bytes.max(head.base_bytes * self.opts.growth);
+        large || head.next > self.opts.max_segments
+    }
+
+    /// Plans a group that follows what was planned before.
+    pub fn append(&mut self, entries: &[Entry], nonce: Nonce) -> Job {
+        self.head.generation = self.head.generation.max(1);
+        self.head.drafted = self.head.drafted.max(1);
+        let generation = self.head.generation;
+        let first = self.head.next;
+        let segments = self.split(entries, nonce, generation, first, false);
+        let mut parts = VecDeque::new();
+        for segment in segments {
+            let value = segment.encode();
+            self.head.next = segment.seq + 1;
+            self.head.bytes += value.len() as u64;
+            parts.push_back(self.part(&segment, value, Vec::new()));
+        }
+        self.job(parts)
+    }
+
+    /// Plans a snapshot: a generation of its own that takes the place of the one before when its
+    /// last part is written, in the same transaction.
+    pub fn snapshot(&mut self, entries: &[Entry], nonce: Nonce) -> Job {
+        let old = self.head.generation;
+        let generation = self.head.drafted + 1;
+        self.head.drafted = generation;
+        let segments = self.split(entries, nonce, generation, 0, true);
+        let count = segments.len() as u64;
+        let mut bytes = 0;
+        let mut parts = VecDeque::new();
+        for segment in segments {
+            let value = segment.encode();
+            bytes += value.len() as u64;
+            let is_last = segment.seq + 1 == count;
+            let mut delete = Vec::new();
+            if is_last {
+                self.head.generation = generation;
+                self.head.next = count;
+                self.head.bytes = bytes;
+                self.head.base_bytes = bytes;
+                let superseded = old.max(1)..generation;
+                delete = superseded.map(|g| self.generation_prefix(g)).collect();
+            }
+            parts.push_back(self.part(&segment, value, delete));
+        }
+        self.job(parts)
+    }
+
+    fn split(
+        &self,
+        entries: &[Entry],
+        nonce: Nonce,
+        generation: u64,
+        first: u64,
+        snapshot: bool,
+    ) -> Vec<Segment> {
+        let encoded = postcard::to_stdvec(entries).expect("plain data encodes into memory");
+        let chunks: Vec<&[u8]> = encoded.chunks(self.opts.max_payload).collect();
+        let parts = u32::try_from(chunks.len()).expect("a group has fewer than 2^32 parts");
+        let numbered = (0u32..).zip(chunks);
+        let segments = numbered.map(|(part, chunk)| Segment {
+            shard: self.shard,
+            generation,
+            seq: first + u64::from(part),
+            fence: self.fence,
+            nonce,
+            part,
+            parts,
+            snapshot,
+            payload: chunk.to_vec(),
+        });
+        segments.collect()
+    }
+
+    fn part(&mut self, segment: &Segment, value: Vec<u8>, delete: Vec<String>) -> Part {
+        self.head.shard = self.shard;
+        self.head.nonce = segment.nonce;
+        self.head.part = segment.part;
+        Part {
+            key: keys::segment(&self.root, self.shard, segment.generation, segment.seq),
+            value,
+            head: self.head.encode(),
+            delete,
+        }
+    }
+
+    fn job(&mut self, parts: VecDeque<Part>) -> Job {
+        let last = parts.back().map(|part| part.head.clone());
+        let before = std::mem::replace(&mut self.stored, last);
+        Job {
+            shard: self.shard,
+            fence: self.fence,
+            owner_key: keys::owner(&self.root, self.shard),
+            head_key: keys::head(&self.root, self.shard),
+            before,
+            parts,
+        }
+    }
+
+    fn generation_prefix(&self, generation: u64) -> String {
+        keys::generation(&self.root, self.shard, generation)
+    }
+}
--- a/fw-keep/src/lib.rs
+++ b/fw-keep/src/lib.rs
@@ -22,7 +22,9 @@
 //! assert!(matches!(outcome, program::Outcome::Run(run) if run.turn == 1));
 //! ```
 
+pub mod balance;
 pub mod claim;
+pub mod commit;
 pub mod journal;
 pub mod ledger;
 pub mod program;
--- a/fw-keep/src/program.rs
+++ b/fw-keep/src/program.rs
@@ -380,6 +380,11 @@
         self.ledger.reserve(attempt, want, &self.limits)
     }
 
+    /// Adds what was spent without a turn.
+    pub fn charge(&mut self, used: ledger::Amount) {
+        self.ledger.charge(used);
+    }
+
     /// Replaces a sub-agent's reservation by what it used.
     pub fn settle(&mut self, attempt: id::AttemptId, used: ledger::Amount) {
         self.ledger.settle(attempt, used);
--- a/fw-keep/src/shard.rs
+++ b/fw-keep/src/shard.rs
@@ -1,6 +1,7 @@
 //! The programs and claims of one shard, in memory, and what of them is not yet durable.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 
 use crate::claim;
 use crate::journal::Entry;
+use crate::journal::replay;
 use crate::ledger;
 use crate::program;
 use crate::program::Program;
@@ -74,6 +76,16 @@
     pub entries: Vec<Entry>,
     /// Position of the last one.
     pub upto: Position,
+    /// Whether the entries are the whole shard rather than changes.
+    pub snapshot: bool,
+}
+
+/// What a damaged journal leaves in doubt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Damage {
+    reason: String,
+    /// Programs that a later turn has shown to be whole.
+    whole: HashSet<id::ProgramId>,
 }
 
 /// One shard.
@@ -85,12 +97,19 @@
     pending: VecDeque<Entry>,
     /// Position of the last change.
     last: Position,
-    /// Position up to which changes were handed out by [`Shard::take_batch`].
-    taken: Position,
     durable: Position,
     retention: Retention,
+    max_pending: usize,
+    damage: Option<Damage>,
 }
 
+/// Most changes that wait for the store before new turns and claims are refused. At 42 turns a
+/// second over eleven shards, an hour's outage of the store fits.
+const MAX_PENDING: usize = 16_384;
+
+/// When to ask again after a refusal for want of the store.
+const STORE_RETRY: Duration = Duration::from_secs(2);
+
 impl Shard {
     /// An empty shard.
     pub fn new(id: id::ShardId) -> Self {
@@ -100,9 +119,29 @@
             claims: HashMap::new(),
             pending: VecDeque::new(),
             last: 0,
-            taken: 0,
             durable: 0,
             retention: Retention::default(),
+            max_pending: MAX_PENDING,
+            damage: None,
+        }
+    }
+
+    /// The shard that a journal describes. What was open under the former holder has an unknown
+    /// outcome.
+    pub fn load(id: id::ShardId, items: Vec<replay::Item>) -> Self {
+        let mut shard = Self::new(id);
+        for item in items {
+            shard.replay(item);
+        }
+        shard.claims.values_mut().for_each(claim::Claim::orphan);
+        shard
+    }
+
+    /// The same shard with another bound on changes that wait for the store.
+    pub fn with_max_pending(self, max_pending: usize) -> Self {
+        Self {
+            max_pending,
+            ..self
         }
     }
 
@@ -136,6 +175,25 @@
         self.durable
     }
 
+    /// Position of the last change.
+    pub fn last_position(&self) -> Position {
+        self.last
+    }
+
+    /// Why some of its programs can't be served, if its journal is damaged.
+    pub fn damage(&self) -> Option<&str> {
+        self.damage.as_ref().map(|damage| damage.reason.as_str())
+    }
+
+    /// Whether nothing would be cut off by handing it over: no turn and no claim is under way.
+    pub fn is_quiet(&self) -> bool {
+        let running = |known: &Program| known.status() == program::Status::Running;
+        let open = |claim: &claim::Claim| {
+            matches!(claim.state, claim::State::Opening | claim::State::Open)
+        };
+        !self.programs.values().any(running) && !self.claims.values().any(open)
+    }
+
     /// Number of changes not handed out yet.
     pub fn pending(&self) -> usize {
         self.pending.len()
@@ -148,6 +206,9 @@
         begin: program::Begin,
         now: Duration,
     ) -> program::Outcome {
+        if let Err(err) = self.check(program) {
+            return program::Outcome::Refused(err);
+        }
         if let Some(known) = self.programs.get_mut(program) {
             return known.begin(begin, now);
         }
@@ -284,6 +345,9 @@
             let patience = self.retention.patience;
             return ClaimOutcome::Again(claim.again(fingerprint, patience, now));
         }
+        if let Err(err) = self.check_claims() {
+            return ClaimOutcome::Again(claim::Again::Refused(err));
+        }
         let claim = claim::Claim::new(fingerprint, now);
         self.claims.insert(key.clone(), claim);
         let position = self.push(Entry::Claim {
@@ -337,14 +401,25 @@
         if self.pending.is_empty() {
             return None;
         }
-        self.taken = self.last;
         Some(Batch {
             shard: self.id,
             entries: self.pending.drain(..).collect(),
-            upto: self.taken,
+            upto: self.last,
+            snapshot: false,
         })
     }
 
+    /// Hands out the whole shard in place of the pending changes, which it contains.
+    pub fn take_snapshot(&mut self) -> Batch {
+        self.pending.clear();
+        Batch {
+            shard: self.id,
+            entries: self.snapshot(),
+            upto: self.last,
+            snapshot: true,
+        }
+    }
+
     /// Notes that all changes up to `position` are in the store.
     pub fn durable(&mut self, position: Position) {
         self.durable = self.durable.max(position);
@@ -356,8 +431,58 @@
         self.sweep_claims(now);
     }
 
-    /// Applies a change read from the journal.
-    pub fn replay(&mut self, entry: Entry) {
+    fn replay(&mut self, item: replay::Item) {
+        match item {
+            replay::Item::Snapshot(entries) => {
+                self.programs.clear();
+                self.claims.clear();
+                self.damage = None;
+                self.replay_all(entries);
+            }
+            replay::Item::Group(entries) => self.replay_all(entries),
+            replay::Item::Damage(corrupt) => self.damage_by(&corrupt.to_string()),
+        }
+    }
+
+    fn replay_all(&mut self, entries: Vec<Entry>) {
+        for entry in entries {
+            self.replay_entry(entry);
+        }
+    }
+
+    /// Changes of any program or claim may be missing here, so all are in doubt. A program whose
+    /// next turn continues exactly what is known of it has lost nothing.
+    fn damage_by(&mut self, reason: &str) {
+        self.damage = Some(Damage {
+            reason: reason.to_owned(),
+            whole: HashSet::new(),
+        });
+    }
+
+    fn replay_turn(
+        &mut self,
+        program: id::ProgramId,
+        fresh: Program,
+        turn: &program::Turn,
+        at: Duration,
+    ) {
+        let known = self.programs.entry(program.clone()).or_insert(fresh);
+        if !known.continues(&turn.committed) {
+            let number = turn.committed.turn;
+            let had = known.turn();
+            let reason = format!("turn {number} of `{program}` does not follow its turn {had}");
+            if self.damage.is_none() {
+                self.damage_by(&reason);
+            }
+            return;
+        }
+        known.apply(turn, at);
+        if let Some(damage) = &mut self.damage {
+            damage.whole.insert(program);
+        }
+    }
+
+    fn replay_entry(&mut self, entry: Entry) {
         match entry {
             Entry::Turn {
                 program,
@@ -365,14 +490,10 @@
                 parent,
                 turn,
                 at,
-            } => {
-                let fresh = || Program::new(team, parent, at);
-                let known = self.programs.entry(program).or_insert_with(fresh);
-                known.apply(&turn, at);
-            }
+            } => self.replay_turn(program, Program::new(team, parent, at), &turn, at),
             Entry::Charge { program, amount } => {
                 if let Some(known) = self.programs.get_mut(&program) {
-                    known.settle(0, amount);
+                    known.charge(amount);
                 }
             }
             Entry::End { program, at } => {
@@ -408,13 +529,40 @@
         }
     }
 
-    /// Ends the replay: what was open under the former holder has an unknown outcome.
-    pub fn replayed(&mut self) {
-        self.claims.values_mut().for_each(claim::Claim::orphan);
+    /// A program that a damaged journal leaves in doubt is refused rather than run on a history
+    /// that may lack turns; so is an unknown one, which the damaged part may have held.
+    fn check(&self, program: &id::ProgramId) -> Result<(), error::Error> {
+        self.check_room()?;
+        match &self.damage {
+            Some(damage) if !damage.whole.contains(program) => Err(corrupt(&damage.reason)),
+            _ => Ok(()),
+        }
+    }
+
+    /// A key that is not known may have been claimed in the damaged part.
+    fn check_claims(&self) -> Result<(), error::Error> {
+        self.check_room()?;
+        match &self.damage {
+            Some(damage) => Err(corrupt(&damage.reason)),
+            None => Ok(()),
+        }
+    }
+
+    /// Changes that the store does not take are held in memory, which is bounded.
+    fn check_room(&self) -> Result<(), error::Error> {
+        let waiting = self.pending.len();
+        if waiting < self.max_pending {
+            return Ok(());
+        }
+        Err(error::Error::new(
+            Kind::StoreUnavailable,
+            format!("{waiting} changes wait for the store already; send the call again later"),
+        )
+        .with_retry_after(STORE_RETRY))
     }
 
     /// All that is committed, as the entries of a snapshot.
-    pub fn snapshot(&self) -> Vec<Entry> {
+    fn snapshot(&self) -> Vec<Entry> {
         let programs = self.programs.iter().filter(|(_, p)| p.turn() > 0);
         let programs = programs.map(|(program, known)| Entry::Program {
             program: program.clone(),
@@ -483,6 +631,13 @@
     Ok(())
 }
 
+fn corrupt(reason: &str) -> error::Error {
+    error::Error::new(
+        Kind::JournalCorrupt,
+        format!("the program's journal is damaged: {reason}; ask the operator to restore it"),
+    )
+}
+
 fn unknown() -> error::Error {
     error::Error::new(
         Kind::UnknownProgram,
