fw-keep: keeper on tokio over the store client

Cause: entries need shards, leases and durable changes without knowing the store. Change: lease, membership, loading, group commit, hand-over and claims over fw-store; keys are created only where absent and every commit compares their revision.

--- /dev/null
+++ b/fw-keep/src/keeper/flush.rs
@@ -0,0 +1,232 @@
+//! Commits the changes of all shards together, and takes shards again after a lapsed lease.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fw_base::id;
+use fw_store::kv;
+
+use crate::commit::Commit;
+use crate::commit::Reply;
+use crate::commit::Step;
+use crate::commit::Verdict;
+use crate::journal::writer::Job;
+use crate::keeper;
+use crate::keeper::Inner;
+use crate::keeper::acquire;
+use crate::keeper::lease::Backoff;
+use crate::keeper::slot::Slot;
+use crate::shard;
+
+/// Changes on their way to the store.
+struct Round {
+    jobs: Vec<Job>,
+    upto: BTreeMap<id::ShardId, shard::Position>,
+}
+
+pub(super) async fn run(inner: Arc<Inner>) {
+    let mut lease = inner.lease.subscribe();
+    loop {
+        tokio::select! {
+            () = inner.dirtied.notified() => {
+                let window = *inner.window.lock();
+                tokio::time::sleep(window).await;
+                let round = collect(&inner);
+                write(&inner, round).await;
+            }
+            () = inner.lapsed.notified() => verify(&inner).await,
+            _ = lease.changed() => {
+                lease.borrow_and_update();
+                verify(&inner).await;
+            }
+        }
+    }
+}
+
+/// Takes the pending changes of every changed shard and plans their journal segments.
+fn collect(inner: &Inner) -> Round {
+    let dirty = std::mem::take(&mut *inner.dirty.lock());
+    let mut round = Round {
+        jobs: Vec::new(),
+        upto: BTreeMap::new(),
+    };
+    for shard in dirty {
+        let mut slot = inner.slot(shard).lock();
+        let Some(kept) = slot.kept().filter(|kept| kept.shard.pending() > 0) else {
+            continue;
+        };
+        let nonce = rand::random();
+        let job = if kept.writer.is_snapshot_due() {
+            let batch = kept.shard.take_snapshot();
+            round.upto.insert(shard, batch.upto);
+            kept.writer.snapshot(&batch.entries, nonce)
+        } else {
+            let Some(batch) = kept.shard.take_batch() else {
+                continue;
+            };
+            round.upto.insert(shard, batch.upto);
+            kept.writer.append(&batch.entries, nonce)
+        };
+        round.jobs.push(job);
+    }
+    round
+}
+
+/// Writes a round to its end: every shard in it is durable or lost.
+async fn write(inner: &Inner, round: Round) {
+    let mut jobs = round.jobs;
+    while !jobs.is_empty() {
+        let lapsed = commit_jobs(inner, jobs, &round.upto).await;
+        jobs = take_again(inner, lapsed).await;
+    }
+}
+
+/// Commits `jobs`; returns those whose shards nobody holds.
+async fn commit_jobs(
+    inner: &Inner,
+    jobs: Vec<Job>,
+    upto: &BTreeMap<id::ShardId, shard::Position>,
+) -> Vec<Job> {
+    let mut commit = Commit::new(jobs, inner.opts.commit);
+    let mut backoff = Backoff::new();
+    let mut lapsed = Vec::new();
+    loop {
+        let txn = match commit.step() {
+            Step::Done => return lapsed,
+            Step::Write(txn) | Step::Read(txn) => txn,
+        };
+        let reply = send(inner, &txn).await;
+        let failed = !matches!(reply, Reply::Answer(_));
+        commit.on(reply);
+        for verdict in commit.take_verdicts() {
+            settle(inner, verdict, upto, &mut lapsed);
+        }
+        if failed {
+            backoff.pause().await;
+        } else {
+            backoff = Backoff::new();
+        }
+    }
+}
+
+async fn send(inner: &Inner, txn: &kv::Txn) -> Reply {
+    match inner.store.txn(txn).await {
+        Ok(outcome) => {
+            inner.note_contact();
+            Reply::Answer(outcome)
+        }
+        Err(err) if err.may_have_applied() => {
+            count("unknown");
+            Reply::Unknown
+        }
+        Err(_) => {
+            count("not_sent");
+            Reply::NotSent
+        }
+    }
+}
+
+fn settle(
+    inner: &Inner,
+    verdict: Verdict,
+    upto: &BTreeMap<id::ShardId, shard::Position>,
+    lapsed: &mut Vec<Job>,
+) {
+    match verdict {
+        Verdict::Committed { shard } => {
+            count("committed");
+            if let Some(kept) = inner.slot(shard).lock().kept() {
+                kept.note_durable(upto[&shard]);
+            }
+        }
+        Verdict::Lapsed(job) => {
+            count("lapsed");
+            lapsed.push(job);
+        }
+        Verdict::Lost { shard } => {
+            count("lost");
+            lose(inner, shard, "stale_fence");
+        }
+        Verdict::Foreign { shard } => {
+            count("foreign");
+            lose(inner, shard, "foreign_journal");
+        }
+    }
+}
+
+/// Takes the shards of `lapsed` again, where nobody else has; returns what is left to write.
+async fn take_again(inner: &Inner, lapsed: Vec<Job>) -> Vec<Job> {
+    if lapsed.is_empty() {
+        return Vec::new();
+    }
+    wait_for_lease(inner).await;
+    let wants = lapsed.iter().map(|job| acquire::Want {
+        shard: job.shard,
+        head: Some(job.before.clone()),
+    });
+    let outcome = acquire::run(inner, wants.collect()).await;
+    let fences = refence(inner, &outcome);
+    let kept = lapsed
+        .into_iter()
+        .filter(|job| !outcome.lost.contains(&job.shard));
+    // Undecided ones go round again under their old fencing number, which can't succeed.
+    let refenced = kept.map(|job| Job {
+        fence: fences.get(&job.shard).copied().unwrap_or(job.fence),
+        ..job
+    });
+    refenced.collect()
+}
+
+/// After a lapsed lease, takes all kept shards again, where nobody else has taken them and their
+/// journal is as this keeper left it; drops the others. Safety does not need this, since every
+/// commit compares the fencing number: it lets idle shards go on, too.
+async fn verify(inner: &Inner) {
+    // All entries come here together when the store is back.
+    tokio::time::sleep(keeper::jitter(inner.opts.ttl / 4)).await;
+    if *inner.lease.borrow() == 0 {
+        return;
+    }
+    let mut wants = Vec::new();
+    for shard in 0..inner.opts.shards {
+        if let Some(kept) = inner.slot(shard).lock().kept() {
+            let head = kept.writer.stored_head().map(<[u8]>::to_vec);
+            wants.push(acquire::Want {
+                shard,
+                head: Some(head),
+            });
+        }
+    }
+    let outcome = acquire::run(inner, wants).await;
+    refence(inner, &outcome);
+}
+
+fn refence(inner: &Inner, outcome: &acquire::Outcome) -> BTreeMap<id::ShardId, id::Fence> {
+    for shard in &outcome.lost {
+        lose(inner, *shard, "taken_over");
+    }
+    for (shard, fence) in &outcome.taken {
+        if let Some(kept) = inner.slot(*shard).lock().kept() {
+            kept.writer.set_fence(*fence);
+        }
+    }
+    outcome.taken.iter().copied().collect()
+}
+
+async fn wait_for_lease(inner: &Inner) {
+    let mut lease = inner.lease.subscribe();
+    let granted = lease.wait_for(|id| *id != 0);
+    // The pause bounds how often this goes round while the store answers and grants no lease.
+    let _ = tokio::time::timeout(Duration::from_secs(1), granted).await;
+}
+
+/// Drops a shard that has another keeper. Whoever waits for a change of it is told.
+fn lose(inner: &Inner, shard: id::ShardId, reason: &'static str) {
+    *inner.slot(shard).lock() = Slot::Absent;
+    metrics::counter!(keeper::LOST_TOTAL, "reason" => reason).increment(1);
+    tracing::warn!(shard, reason, "shard lost");
+}
+
+fn count(outcome: &'static str) {
+    metrics::counter!(keeper::COMMITS_TOTAL, "outcome" => outcome).increment(1);
+}
--- /dev/null
+++ b/fw-keep/src/keeper/load.rs
@@ -0,0 +1,172 @@
+//! Reads the journals of newly taken shards.
+//!
+//! Many small journals share one store call; a large one is read some segments at a time.
+
+use fw_base::id;
+use fw_store::kv;
+
+use crate::journal::keys;
+use crate::journal::replay;
+use crate::journal::segment::Head;
+use crate::journal::writer::Writer;
+use crate::keeper;
+use crate::keeper::Inner;
+use crate::keeper::slot::Kept;
+use crate::keeper::slot::Slot;
+use crate::shard::Shard;
+
+/// Reads in one transaction; etcd allows 128 steps.
+const BATCH: usize = 120;
+
+/// Bytes of segments read in one call. Bounds the memory that loading takes besides the shards.
+const MAX_BYTES: u64 = 4_000_000;
+
+/// Segments read in one call of a journal above [`MAX_BYTES`]; each is up to a megabyte.
+const SEGMENTS: u64 = 4;
+
+/// A taken shard whose journal is to be read.
+#[derive(Clone, Debug)]
+struct Fresh {
+    shard: id::ShardId,
+    fence: id::Fence,
+    head: Option<Vec<u8>>,
+    /// The head as far as it can be read, for its sizes.
+    sizes: Head,
+}
+
+/// Loads the shards; those whose journal can't be read now stay absent and are tried again later.
+pub(super) async fn run(inner: &Inner, taken: Vec<(id::ShardId, id::Fence)>) {
+    for chunk in taken.chunks(BATCH) {
+        let Some(fresh) = heads(inner, chunk).await else {
+            count("unavailable", chunk.len());
+            continue;
+        };
+        for group in groups(fresh) {
+            load_group(inner, group).await;
+        }
+    }
+}
+
+async fn heads(inner: &Inner, taken: &[(id::ShardId, id::Fence)]) -> Option<Vec<Fresh>> {
+    let root = &inner.opts.root;
+    let reads = taken
+        .iter()
+        .map(|(shard, _)| kv::Op::get(keys::head(root, *shard)));
+    let kvs = read(inner, reads.collect()).await?;
+    let fresh = taken.iter().map(|(shard, fence)| {
+        let key = keys::head(root, *shard);
+        let head = kvs
+            .iter()
+            .find(|kv| kv.key == key)
+            .map(|kv| kv.value.clone());
+        let decoded = head
+            .as_ref()
+            .and_then(|v| Head::decode(&key, *shard, v).ok());
+        Fresh {
+            shard: *shard,
+            fence: *fence,
+            head,
+            sizes: decoded.unwrap_or_default(),
+        }
+    });
+    Some(fresh.collect())
+}
+
+/// Groups shards whose journals are read together.
+fn groups(fresh: Vec<Fresh>) -> Vec<Vec<Fresh>> {
+    let mut groups: Vec<Vec<Fresh>> = Vec::new();
+    let mut bytes = u64::MAX;
+    for shard in fresh {
+        bytes = bytes.saturating_add(shard.sizes.bytes);
+        match groups.last_mut() {
+            Some(group) if bytes <= MAX_BYTES => group.push(shard),
+            _ => {
+                bytes = shard.sizes.bytes;
+                groups.push(vec![shard]);
+            }
+        }
+    }
+    groups
+}
+
+async fn load_group(inner: &Inner, group: Vec<Fresh>) {
+    let is_large = group.iter().any(|shard| shard.sizes.bytes > MAX_BYTES);
+    let values = if is_large {
+        read_large(inner, &group[0]).await
+    } else {
+        read_small(inner, &group).await
+    };
+    let Some(values) = values else {
+        count("unavailable", group.len());
+        return;
+    };
+    for fresh in group {
+        let prefix = keys::segments(&inner.opts.root, fresh.shard);
+        let own = values.iter().filter(|kv| kv.key.starts_with(&prefix));
+        let own = own.map(|kv| (kv.key.clone(), kv.value.clone())).collect();
+        install(inner, fresh, own);
+    }
+}
+
+async fn read_small(inner: &Inner, group: &[Fresh]) -> Option<Vec<kv::Kv>> {
+    let prefixes = group
+        .iter()
+        .map(|fresh| keys::segments(&inner.opts.root, fresh.shard));
+    let reads = prefixes.map(|prefix| kv::Op::Get(kv::Range::prefix(prefix)));
+    read(inner, reads.collect()).await
+}
+
+async fn read_large(inner: &Inner, fresh: &Fresh) -> Option<Vec<kv::Kv>> {
+    let head = &fresh.sizes;
+    let mut kvs = Vec::new();
+    for first in (0..head.next).step_by(SEGMENTS as usize) {
+        let last = (first + SEGMENTS).min(head.next);
+        let reads = (first..last).map(|seq| {
+            let key = keys::segment(&inner.opts.root, fresh.shard, head.generation, seq);
+            kv::Op::get(key)
+        });
+        kvs.extend(read(inner, reads.collect()).await?);
+    }
+    Some(kvs)
+}
+
+async fn read(inner: &Inner, reads: Vec<kv::Op>) -> Option<Vec<kv::Kv>> {
+    let txn = kv::Txn {
+        then: reads,
+        ..kv::Txn::default()
+    };
+    let outcome = inner.store.txn(&txn).await.ok()?;
+    inner.note_contact();
+    Some(outcome.into_kvs())
+}
+
+fn install(inner: &Inner, fresh: Fresh, values: Vec<(String, Vec<u8>)>) {
+    let Fresh { shard, fence, .. } = fresh;
+    let opts = &inner.opts;
+    let replayed = replay::read(&opts.root, shard, fresh.head, values);
+    let damaged = replayed.is_damaged();
+    count(if damaged { "damaged" } else { "clean" }, 1);
+    let loaded = Shard::load(shard, replayed.items)
+        .with_retention(opts.retention)
+        .with_max_pending(opts.max_pending);
+    if let Some(reason) = loaded.damage() {
+        tracing::error!(shard, reason, "journal damaged");
+    }
+    let writer = Writer::new(
+        &opts.root,
+        shard,
+        fence,
+        replayed.head,
+        replayed.stored_head,
+        opts.journal,
+    );
+    let mut slot = inner.slot(shard).lock();
+    // Another task can't have loaded it meanwhile: only `member` loads.
+    if slot.kept().is_none() {
+        *slot = Slot::Kept(Box::new(Kept::new(loaded, writer)));
+    }
+}
+
+fn count(outcome: &'static str, number: usize) {
+    metrics::counter!(keeper::REPLAYS_TOTAL, "outcome" => outcome).increment(number as u64);
+}
--- /dev/null
+++ b/fw-keep/src/keeper/member.rs
@@ -0,0 +1,183 @@
+//! Follows the table of live entries, and takes and hands over shards as it changes.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use fw_base::id;
+use fw_store::kv;
+use fw_store::watch::Watch;
+use tokio::time;
+
+use crate::journal::keys;
+use crate::keeper;
+use crate::keeper::Inner;
+use crate::keeper::acquire;
+use crate::keeper::close;
+use crate::keeper::lease::Backoff;
+use crate::keeper::load;
+
+/// When this entry may take shards that it did not keep before.
+struct Grace {
+    /// Whether a lease was held before the one in force.
+    had_lease: bool,
+    lease: kv::LeaseId,
+    until: Instant,
+}
+
+pub(super) async fn run(inner: Arc<Inner>) {
+    let mut grace = Grace {
+        had_lease: false,
+        lease: 0,
+        until: Instant::now(),
+    };
+    loop {
+        let mut watch = read_table(&inner).await;
+        follow(&inner, &mut watch, &mut grace).await;
+    }
+}
+
+async fn read_table(inner: &Inner) -> Watch {
+    let prefix = keys::live(&inner.opts.root);
+    let mut backoff = Backoff::new();
+    loop {
+        if let Ok(read) = inner.store.range(&kv::Range::prefix(&prefix)).await {
+            inner.note_contact();
+            inner.table.write().reset(&inner.opts.root, read.kvs);
+            return inner.store.watch(prefix, read.revision + 1);
+        }
+        backoff.pause().await;
+    }
+}
+
+/// Follows the watch until the table has to be read anew.
+async fn follow(inner: &Inner, watch: &mut Watch, grace: &mut Grace) {
+    let mut lease = inner.lease.subscribe();
+    let mut sweep = time::interval(inner.opts.sweep);
+    let mut act_at = time::Instant::now() + settle(inner);
+    loop {
+        tokio::select! {
+            next = watch.next() => match next {
+                Ok(batch) => {
+                    inner.note_contact();
+                    if apply(inner, batch.events) {
+                        act_at = time::Instant::now() + settle(inner);
+                    }
+                }
+                Err(fw_store::error::Error::Compacted { .. }) => return,
+                // It opens again by itself, after a pause.
+                Err(_) => time::sleep(settle(inner)).await,
+            },
+            _ = lease.changed() => act_at = time::Instant::now() + settle(inner),
+            () = time::sleep_until(act_at) => {
+                act(inner, grace).await;
+                act_at = time::Instant::now() + inner.opts.ttl / 3;
+            }
+            _ = sweep.tick() => sweep_all(inner),
+        }
+    }
+}
+
+fn apply(inner: &Inner, events: Vec<fw_store::watch::Event>) -> bool {
+    let mut table = inner.table.write();
+    let mut matters = false;
+    for event in events {
+        matters |= table.apply(&inner.opts.root, event);
+    }
+    matters
+}
+
+/// A burst of changes, as when a data centre restarts, is acted on once.
+fn settle(inner: &Inner) -> Duration {
+    inner.opts.settle + keeper::jitter(inner.opts.settle)
+}
+
+async fn act(inner: &Inner, grace: &mut Grace) {
+    let lease = *inner.lease.borrow();
+    if lease == 0 || inner.is_closing() {
+        return;
+    }
+    grace.note(lease, inner.opts.ttl);
+    adopt(inner).await;
+    let plan = inner.table.read().plan(&inner.opts.entry, inner.opts.ttl);
+    take(inner, plan.acquire, grace).await;
+    hand_over(inner, plan.release).await;
+}
+
+async fn take(inner: &Inner, free: Vec<id::ShardId>, grace: &Grace) {
+    let is_kept = |shard: &id::ShardId| inner.slot(*shard).lock().kept().is_some();
+    let (kept, absent): (Vec<_>, Vec<_>) = free.into_iter().partition(is_kept);
+    // These lapsed with our lease. Loading them would drop changes that the store lacks.
+    if !kept.is_empty() {
+        inner.lapsed.notify_one();
+    }
+    if absent.is_empty() || !grace.is_over() {
+        return;
+    }
+    let wants = absent
+        .into_iter()
+        .map(|shard| acquire::Want { shard, head: None });
+    let outcome = acquire::run(inner, wants.collect()).await;
+    tracing::info!(taken = outcome.taken.len(), "shards taken");
+    load::run(inner, outcome.taken).await;
+}
+
+impl Grace {
+    /// After an outage of the store every entry finds its own lease lapsed and all shards free.
+    /// Those that kept them hold changes that the store lacks, so they go first; others wait.
+    fn note(&mut self, lease: kv::LeaseId, wait: Duration) {
+        if lease == self.lease {
+            return;
+        }
+        if self.had_lease {
+            self.until = Instant::now() + wait;
+        }
+        self.had_lease = true;
+        self.lease = lease;
+    }
+
+    fn is_over(&self) -> bool {
+        Instant::now() >= self.until
+    }
+}
+
+/// Loads shards that the store says are ours and that are not loaded: the answer to their
+/// acquisition was lost, or their journal could not be read.
+async fn adopt(inner: &Inner) {
+    let kept = inner.table.read().kept_by(inner.nonce);
+    let absent = |shard: &id::ShardId| inner.slot(*shard).lock().kept().is_none();
+    let missing: Vec<_> = kept
+        .into_iter()
+        .filter(|(shard, _)| absent(shard))
+        .collect();
+    if !missing.is_empty() {
+        load::run(inner, missing).await;
+    }
+}
+
+/// Hands over shards beyond this entry's share, as far as nothing is under way in them.
+async fn hand_over(inner: &Inner, shards: Vec<id::ShardId>) {
+    let quiet = |shard: &id::ShardId| {
+        let mut slot = inner.slot(*shard).lock();
+        let Some(kept) = slot.serving() else {
+            return false;
+        };
+        if !kept.shard.is_quiet() {
+            return false;
+        }
+        kept.is_leaving = true;
+        true
+    };
+    let leaving: Vec<id::ShardId> = shards.into_iter().filter(quiet).collect();
+    if !leaving.is_empty() {
+        close::release(inner, leaving).await;
+    }
+}
+
+fn sweep_all(inner: &Inner) {
+    let now = keeper::now();
+    for shard in 0..inner.opts.shards {
+        // Not kept: nothing to sweep.
+        let _ = inner.with_shard(shard, |kept| kept.sweep(now));
+    }
+}
--- /dev/null
+++ b/fw-keep/src/keeper/mod.rs
@@ -0,0 +1,500 @@
+//! Keeps shards for one entry: runs the pure core on tokio against the store.
+//!
+//! Three tasks run for as long as the keeper is open: `lease` renews the entry's lease, `member`
+//! follows the table of live entries and takes or hands over shards, and `flush` commits the
+//! changes of all shards together. Requests touch memory only, under the lock of one shard.
+
+mod acquire;
+mod close;
+mod flush;
+mod lease;
+mod load;
+mod member;
+mod slot;
+mod table;
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use fw_base::digest::Digest;
+use fw_base::error;
+use fw_base::error::Kind;
+use fw_base::id;
+use fw_store::kv;
+use parking_lot::Mutex;
+use parking_lot::RwLock;
+use smol_str::SmolStr;
+use snafu::Snafu;
+use tokio::sync::Notify;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::claim;
+use crate::commit;
+use crate::journal::writer;
+use crate::keeper::slot::Slot;
+use crate::keeper::table::Table;
+use crate::shard;
+use crate::shard::Shard;
+
+/// Counter of group commits by shard, with label `outcome`.
+pub const COMMITS_TOTAL: &str = "fw_keep_commits_total";
+/// Counter of shards asked for, with label `outcome`.
+pub const ACQUIRES_TOTAL: &str = "fw_keep_acquires_total";
+/// Counter of shards given up, with label `reason`.
+pub const LOST_TOTAL: &str = "fw_keep_lost_total";
+/// Counter of journals read back, with label `outcome`.
+pub const REPLAYS_TOTAL: &str = "fw_keep_replays_total";
+/// Counter of lease calls, with label `outcome`.
+pub const LEASES_TOTAL: &str = "fw_keep_leases_total";
+/// Counter of refusals, with label `kind`.
+pub const REFUSALS_TOTAL: &str = "fw_keep_refusals_total";
+
+/// How an entry keeps shards.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The entry; a restarted one takes a new id.
+    pub entry: id::EntryId,
+    /// Where other entries reach it.
+    pub address: SmolStr,
+    /// Prefix of all keys in the store.
+    pub root: SmolStr,
+    /// Number of shards, at most [`id::SHARDS`]; the same at all entries and for good.
+    pub shards: id::ShardId,
+    /// Time after which a silent entry's shards are free.
+    pub ttl: Duration,
+    /// Time that a change waits for others to share its store call.
+    pub window: Duration,
+    /// Longest wait of [`Keeper::durable`].
+    pub durable_wait: Duration,
+    /// Longest wait of [`Keeper::close`] for the last changes to reach the store.
+    pub close_wait: Duration,
+    /// Time without a change of the table after which shards are taken and handed over.
+    pub settle: Duration,
+    /// Time between two searches for what has outlived its retention.
+    pub sweep: Duration,
+    /// How long what is finished is kept.
+    pub retention: shard::Retention,
+    /// Most changes of a shard that wait for the store before it refuses more.
+    pub max_pending: usize,
+    /// Bounds of a journal.
+    pub journal: writer::Options,
+    /// Bounds of a transaction.
+    pub commit: commit::Options,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            entry: id::EntryId::default(),
+            address: SmolStr::default(),
+            root: SmolStr::new_static("/foxtailweir/"),
+            shards: id::SHARDS,
+            ttl: Duration::from_secs(3),
+            window: Duration::from_millis(20),
+            durable_wait: Duration::from_secs(5),
+            close_wait: Duration::from_secs(10),
+            settle: Duration::from_millis(50),
+            sweep: Duration::from_secs(60),
+            retention: shard::Retention::default(),
+            max_pending: shard::MAX_PENDING,
+            journal: writer::Options::default(),
+            commit: commit::Options::default(),
+        }
+    }
+}
+
+/// Who keeps a shard. A hint: the one named checks it on use.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Owner {
+    /// This entry.
+    Mine,
+    /// Another entry.
+    Other {
+        /// Its id.
+        entry: id::EntryId,
+        /// Where to reach it.
+        address: SmolStr,
+    },
+    /// Nobody for now: its keeper is gone, or it is being taken over.
+    Nobody,
+}
+
+/// Position of a change, to wait for with [`Keeper::durable`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ticket {
+    shard: id::ShardId,
+    incarnation: u64,
+    position: shard::Position,
+}
+
+/// What a change returned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Changed<T> {
+    /// What the closure returned.
+    pub value: T,
+    /// The position after it.
+    pub ticket: Ticket,
+}
+
+/// Why a change is not known to be durable.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum Error {
+    /// This entry does not keep the shard any more. The change may be in the store or not; the
+    /// shard's new keeper knows. A turn is to be submitted there again, which replays or runs it.
+    #[snafu(display("the shard has another keeper"))]
+    StaleFence,
+    /// The store did not take it within the wait; it is still on its way.
+    #[snafu(display("the store did not take the change in time"))]
+    StoreUnavailable,
+}
+
+impl Error {
+    /// The kind for counters. Not for callers whose turn ran: [`Kind::StaleFence`] and
+    /// [`Kind::StoreUnavailable`] both say that it did not.
+    pub fn kind(&self) -> Kind {
+        match self {
+            Self::StaleFence => Kind::StaleFence,
+            Self::StoreUnavailable => Kind::StoreUnavailable,
+        }
+    }
+}
+
+/// What became of a claim.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Claimed {
+    /// It is durable: send the call, once.
+    Granted,
+    /// The call ran before; this was its answer.
+    Replay(claim::Answer),
+    /// This entry does not keep the key's shard.
+    NotKeeper,
+    /// It must not be sent.
+    Refused(error::Error),
+}
+
+/// How a claimed call ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Settle {
+    /// It did not run.
+    NotRun,
+    /// It was answered.
+    Done(claim::Answer),
+}
+
+/// A shard kept here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeptShard {
+    /// The shard.
+    pub shard: id::ShardId,
+    /// Its fencing number.
+    pub fence: id::Fence,
+}
+
+/// What the tasks and the handles share.
+struct Inner {
+    store: fw_store::Client,
+    opts: Options,
+    /// Drawn at the start; marks the keys that this process wrote.
+    nonce: u64,
+    slots: Box<[Mutex<Slot>]>,
+    table: RwLock<Table>,
+    dirty: Mutex<BTreeSet<id::ShardId>>,
+    dirtied: Notify,
+    /// Kept shards were seen without keeper in the store.
+    lapsed: Notify,
+    /// The lease in force; 0 for none.
+    lease: watch::Sender<kv::LeaseId>,
+    /// When the store answered last.
+    contact: Mutex<Instant>,
+    window: Mutex<Duration>,
+    closing: watch::Sender<bool>,
+}
+
+/// Keeps shards for one entry. Clones share the same keeper.
+#[derive(Clone)]
+pub struct Keeper {
+    inner: Arc<Inner>,
+    tasks: Arc<Mutex<Vec<JoinHandle<()>>>>,
+}
+
+impl Keeper {
+    /// Starts to keep shards. Returns at once; shards come as the store answers.
+    ///
+    /// Must be called inside a tokio runtime.
+    pub fn open(store: fw_store::Client, opts: Options) -> Self {
+        let inner = Arc::new(Inner::new(store, opts));
+        let tasks = vec![
+            tokio::spawn(lease::run(Arc::clone(&inner))),
+            tokio::spawn(member::run(Arc::clone(&inner))),
+            tokio::spawn(flush::run(Arc::clone(&inner))),
+        ];
+        Self {
+            inner,
+            tasks: Arc::new(Mutex::new(tasks)),
+        }
+    }
+
+    /// The shard that keeps `name`: a program's id, or a claim's [`claim::Key::shard_name`].
+    pub fn shard_of(&self, name: &str) -> id::ShardId {
+        id::shard_of(name) % self.inner.opts.shards
+    }
+
+    /// Who keeps `shard`, as far as this entry knows.
+    pub fn owner(&self, shard: id::ShardId) -> Owner {
+        self.inner.owner(shard)
+    }
+
+    /// The shards kept here, in order.
+    pub fn shards(&self) -> Vec<KeptShard> {
+        let slots = self.inner.slots.iter();
+        let kept = (0..).zip(slots).filter_map(|(shard, slot)| {
+            let fence = slot.lock().serving()?.writer.fence();
+            Some(KeptShard { shard, fence })
+        });
+        kept.collect()
+    }
+
+    /// The other live entries and where to reach them.
+    pub fn entries(&self) -> Vec<(id::EntryId, SmolStr)> {
+        self.inner.table.read().entries()
+    }
+
+    /// Time since the store last answered this keeper.
+    pub fn silence(&self) -> Duration {
+        self.inner.contact.lock().elapsed()
+    }
+
+    /// The error for a shard that nobody keeps.
+    pub fn unavailable(&self) -> error::Error {
+        error::Error::new(
+            Kind::KeeperUnavailable,
+            "the program's keeper is gone and its shard is being taken over; send the call again",
+        )
+        .with_retry_after(self.inner.opts.ttl)
+    }
+
+    /// Changes how long a change waits for others to share its store call.
+    pub fn set_window(&self, window: Duration) {
+        *self.inner.window.lock() = window;
+    }
+
+    /// Runs `f` on the shard of `program`, under its lock.
+    ///
+    /// # Errors
+    ///
+    /// Who keeps the shard instead, if it is not kept here.
+    pub fn with_program<T>(
+        &self,
+        program: &str,
+        f: impl FnOnce(&mut Shard) -> T,
+    ) -> Result<Changed<T>, Owner> {
+        self.with_shard(self.shard_of(program), f)
+    }
+
+    /// Runs `f` on `shard`, under its lock.
+    ///
+    /// # Errors
+    ///
+    /// Who keeps the shard instead, if it is not kept here.
+    pub fn with_shard<T>(
+        &self,
+        shard: id::ShardId,
+        f: impl FnOnce(&mut Shard) -> T,
+    ) -> Result<Changed<T>, Owner> {
+        self.inner.with_shard(shard, f)
+    }
+
+    /// Waits until the change of `ticket` is in the store.
+    ///
+    /// # Errors
+    ///
+    /// When the shard has another keeper, or the store does not take the change in time.
+    pub async fn durable(&self, ticket: Ticket) -> Result<(), Error> {
+        self.inner
+            .durable(ticket, self.inner.opts.durable_wait)
+            .await
+    }
+
+    /// Asks for the one run of a call, and returns when the claim is durable.
+    pub async fn claim(&self, key: &claim::Key, fingerprint: Digest) -> Claimed {
+        let shard = self.shard_of(&key.shard_name());
+        let open = |kept: &mut Shard| kept.open_claim(key, fingerprint, now());
+        let Ok(changed) = self.with_shard(shard, open) else {
+            return Claimed::NotKeeper;
+        };
+        match changed.value {
+            shard::ClaimOutcome::Again(claim::Again::Replay(answer)) => Claimed::Replay(answer),
+            shard::ClaimOutcome::Again(claim::Again::Refused(err)) => refuse(err),
+            shard::ClaimOutcome::Opening { .. } => {
+                let durable = self.durable(changed.ticket).await;
+                self.opened(shard, key, fingerprint, durable)
+            }
+        }
+    }
+
+    /// Notes how a claimed call ended. The returned ticket may be waited for; none is returned if
+    /// nothing was changed.
+    ///
+    /// # Errors
+    ///
+    /// Who keeps the shard instead, if it is not kept here.
+    pub fn settle(
+        &self,
+        key: &claim::Key,
+        fingerprint: Digest,
+        how: Settle,
+    ) -> Result<Option<Ticket>, Owner> {
+        let shard = self.shard_of(&key.shard_name());
+        let changed = self.with_shard(shard, |kept| match how {
+            Settle::NotRun => kept.claim_not_run(key, fingerprint),
+            Settle::Done(answer) => kept.claim_done(key, fingerprint, answer, now()),
+        })?;
+        Ok(changed.value.map(|_| changed.ticket))
+    }
+
+    /// Hands all shards over and stops. Turns under way should have ended before.
+    pub async fn close(&self) {
+        close::run(&self.inner).await;
+        let tasks = std::mem::take(&mut *self.tasks.lock());
+        tasks.iter().for_each(JoinHandle::abort);
+    }
+
+    /// A claim that did not become durable is withdrawn: its call is refused as not run.
+    fn opened(
+        &self,
+        shard: id::ShardId,
+        key: &claim::Key,
+        fingerprint: Digest,
+        durable: Result<(), Error>,
+    ) -> Claimed {
+        let Err(err) = durable else {
+            let opened = self.with_shard(shard, |kept| kept.claim_opened(key, now()));
+            return match opened {
+                Ok(Changed { value: true, .. }) => Claimed::Granted,
+                _ => Claimed::NotKeeper,
+            };
+        };
+        // The claim may still reach the store, hence the entry that frees the key again.
+        let withdraw = |kept: &mut Shard| kept.claim_not_run(key, fingerprint);
+        let withdrawn = self.with_shard(shard, withdraw);
+        match (err, withdrawn) {
+            (Error::StaleFence, _) | (_, Err(_)) => Claimed::NotKeeper,
+            (Error::StoreUnavailable, Ok(_)) => refuse(
+                error::Error::new(
+                    Kind::StoreUnavailable,
+                    "the claim on `Idempotency-Key` could not be stored; send the call again",
+                )
+                .with_retry_after(shard::STORE_RETRY),
+            ),
+        }
+    }
+}
+
+impl Inner {
+    fn new(store: fw_store::Client, opts: Options) -> Self {
+        let shards = usize::from(opts.shards);
+        let window = Mutex::new(opts.window);
+        Self {
+            store,
+            nonce: rand::random(),
+            slots: (0..shards).map(|_| Mutex::new(Slot::Absent)).collect(),
+            table: RwLock::new(Table::new(shards)),
+            dirty: Mutex::new(BTreeSet::new()),
+            dirtied: Notify::new(),
+            lapsed: Notify::new(),
+            lease: watch::Sender::new(0),
+            contact: Mutex::new(Instant::now()),
+            window,
+            closing: watch::Sender::new(false),
+            opts,
+        }
+    }
+
+    fn slot(&self, shard: id::ShardId) -> &Mutex<Slot> {
+        &self.slots[usize::from(shard)]
+    }
+
+    fn owner(&self, shard: id::ShardId) -> Owner {
+        if usize::from(shard) >= self.slots.len() {
+            return Owner::Nobody;
+        }
+        if self.slot(shard).lock().serving().is_some() {
+            return Owner::Mine;
+        }
+        self.table.read().owner(shard, &self.opts.entry)
+    }
+
+    fn with_shard<T>(
+        &self,
+        shard: id::ShardId,
+        f: impl FnOnce(&mut Shard) -> T,
+    ) -> Result<Changed<T>, Owner> {
+        if usize::from(shard) >= self.slots.len() {
+            return Err(Owner::Nobody);
+        }
+        let mut slot = self.slot(shard).lock();
+        let Some(kept) = slot.serving() else {
+            drop(slot);
+            return Err(self.owner(shard));
+        };
+        let value = f(&mut kept.shard);
+        let ticket = kept.ticket();
+        let is_dirty = kept.shard.pending() > 0;
+        drop(slot);
+        if is_dirty {
+            self.mark_dirty(shard);
+        }
+        Ok(Changed { value, ticket })
+    }
+
+    fn mark_dirty(&self, shard: id::ShardId) {
+        self.dirty.lock().insert(shard);
+        self.dirtied.notify_one();
+    }
+
+    async fn durable(&self, ticket: Ticket, wait: Duration) -> Result<(), Error> {
+        let progress = {
+            let mut slot = self.slot(ticket.shard).lock();
+            let kept = slot
+                .kept()
+                .filter(|kept| kept.incarnation == ticket.incarnation);
+            kept.map(|kept| kept.progress.subscribe())
+        };
+        let mut progress = progress.ok_or(Error::StaleFence)?;
+        let reached = progress.wait_for(|position| *position >= ticket.position);
+        match tokio::time::timeout(wait, reached).await {
+            Ok(Ok(_)) => Ok(()),
+            // The sender is dropped with the shard.
+            Ok(Err(_)) => Err(Error::StaleFence),
+            Err(_) => Err(Error::StoreUnavailable),
+        }
+    }
+
+    fn note_contact(&self) {
+        *self.contact.lock() = Instant::now();
+    }
+
+    fn is_closing(&self) -> bool {
+        *self.closing.borrow()
+    }
+}
+
+/// The time that the pure core is given: since the Unix epoch, so that retention outlives keepers.
+pub fn now() -> Duration {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.unwrap_or_default()
+}
+
+fn refuse(err: error::Error) -> Claimed {
+    metrics::counter!(REFUSALS_TOTAL, "kind" => err.kind.row().label).increment(1);
+    Claimed::Refused(err)
+}
+
+/// A random time up to `most`, so that entries that wait for the same event act one by one.
+fn jitter(most: Duration) -> Duration {
+    most.mul_f64(rand::random::<f64>())
+}
--- /dev/null
+++ b/fw-keep/src/keeper/slot.rs
@@ -0,0 +1,74 @@
+//! The place of one shard at this entry.
+
+use tokio::sync::watch;
+
+use crate::journal::writer::Writer;
+use crate::keeper::Ticket;
+use crate::shard;
+use crate::shard::Shard;
+
+/// A shard that is kept or not.
+#[derive(Debug)]
+pub(super) enum Slot {
+    /// Not kept here.
+    Absent,
+    /// Kept here.
+    Kept(Box<Kept>),
+}
+
+/// A shard kept here.
+#[derive(Debug)]
+pub(super) struct Kept {
+    pub(super) shard: Shard,
+    pub(super) writer: Writer,
+    /// Tells this time of keeping the shard from any other.
+    pub(super) incarnation: u64,
+    /// It is being handed over and serves no more.
+    pub(super) is_leaving: bool,
+    /// Position up to which changes are in the store.
+    pub(super) progress: watch::Sender<shard::Position>,
+}
+
+impl Kept {
+    pub(super) fn new(shard: Shard, writer: Writer) -> Self {
+        Self {
+            shard,
+            writer,
+            incarnation: rand::random(),
+            is_leaving: false,
+            progress: watch::Sender::new(0),
+        }
+    }
+
+    pub(super) fn ticket(&self) -> Ticket {
+        Ticket {
+            shard: self.shard.id(),
+            incarnation: self.incarnation,
+            position: self.shard.last_position(),
+        }
+    }
+
+    /// Whether all changes are in the store.
+    pub(super) fn is_flushed(&self) -> bool {
+        self.shard.durable_position() >= self.shard.last_position()
+    }
+
+    pub(super) fn note_durable(&mut self, position: shard::Position) {
+        self.shard.durable(position);
+        self.progress.send_replace(position);
+    }
+}
+
+impl Slot {
+    pub(super) fn kept(&mut self) -> Option<&mut Kept> {
+        match self {
+            Self::Kept(kept) => Some(kept),
+            Self::Absent => None,
+        }
+    }
+
+    /// The shard, if it may be used by requests.
+    pub(super) fn serving(&mut self) -> Option<&mut Kept> {
+        self.kept().filter(|kept| !kept.is_leaving)
+    }
+}
--- /dev/null
+++ b/fw-keep/src/keeper/table.rs
@@ -0,0 +1,178 @@
+//! The table of live entries and shard keepers, as the store last showed it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use fw_base::id;
+use fw_store::kv;
+use fw_store::watch;
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+
+use crate::balance;
+use crate::journal::keys;
+use crate::keeper::Owner;
+
+/// Value of a live entry's key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct EntryValue {
+    pub(super) address: SmolStr,
+}
+
+/// Value of a shard keeper's key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct OwnerValue {
+    pub(super) entry: id::EntryId,
+    /// Of the process that wrote it.
+    pub(super) nonce: u64,
+}
+
+impl OwnerValue {
+    pub(super) fn encode(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("plain data encodes into memory")
+    }
+
+    pub(super) fn decode(value: &[u8]) -> Option<Self> {
+        serde_json::from_slice(value).ok()
+    }
+}
+
+/// A shard's keeper.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Holder {
+    pub(super) value: OwnerValue,
+    pub(super) fence: id::Fence,
+}
+
+/// The table.
+#[derive(Debug)]
+pub(super) struct Table {
+    entries: BTreeMap<id::EntryId, SmolStr>,
+    owners: Vec<Option<Holder>>,
+    free_since: Vec<Instant>,
+}
+
+impl Table {
+    pub(super) fn new(shards: usize) -> Self {
+        Self {
+            entries: BTreeMap::new(),
+            owners: vec![None; shards],
+            free_since: vec![Instant::now(); shards],
+        }
+    }
+
+    /// Takes over a whole reading of the table.
+    pub(super) fn reset(&mut self, root: &str, kvs: Vec<kv::Kv>) {
+        let before = std::mem::replace(self, Self::new(self.owners.len()));
+        for kv in kvs {
+            self.put(root, kv);
+        }
+        for (shard, since) in before.free_since.into_iter().enumerate() {
+            if before.owners[shard].is_none() {
+                self.free_since[shard] = since;
+            }
+        }
+    }
+
+    /// Takes over a change; true if it may change anybody's plan.
+    pub(super) fn apply(&mut self, root: &str, event: watch::Event) -> bool {
+        match event.kind {
+            watch::EventKind::Put => self.put(root, event.kv),
+            watch::EventKind::Delete => self.delete(root, &event.kv.key),
+        }
+    }
+
+    pub(super) fn entries(&self) -> Vec<(id::EntryId, SmolStr)> {
+        let entries = self.entries.iter();
+        entries
+            .map(|(id, addr)| (id.clone(), addr.clone()))
+            .collect()
+    }
+
+    /// Who keeps `shard`, asked by `me`, which does not serve it.
+    pub(super) fn owner(&self, shard: id::ShardId, me: &id::EntryId) -> Owner {
+        let holder = self.owners.get(usize::from(shard)).and_then(Option::as_ref);
+        let Some(holder) = holder.filter(|holder| holder.value.entry != *me) else {
+            return Owner::Nobody;
+        };
+        let entry = holder.value.entry.clone();
+        match self.entries.get(&entry) {
+            Some(address) => Owner::Other {
+                entry,
+                address: address.clone(),
+            },
+            None => Owner::Nobody,
+        }
+    }
+
+    /// The shards that process `nonce` keeps according to the store.
+    pub(super) fn kept_by(&self, nonce: u64) -> Vec<(id::ShardId, id::Fence)> {
+        let numbered = (0..).zip(&self.owners);
+        let held = numbered.filter_map(|(shard, holder)| Some((shard, holder.as_ref()?)));
+        let mine = held.filter(|(_, holder)| holder.value.nonce == nonce);
+        mine.map(|(shard, holder)| (shard, holder.fence)).collect()
+    }
+
+    /// Notes the outcome of an own call before the watch shows it.
+    pub(super) fn note(&mut self, shard: id::ShardId, holder: Option<Holder>) {
+        let place = usize::from(shard);
+        if holder.is_none() && self.owners[place].is_some() {
+            self.free_since[place] = Instant::now();
+        }
+        self.owners[place] = holder;
+    }
+
+    pub(super) fn plan(&self, me: &id::EntryId, round: Duration) -> balance::Plan {
+        let numbered = (0..).zip(&self.owners);
+        let free = numbered.filter(|(_, owner)| owner.is_none());
+        let free_rounds = free.map(|(shard, _)| (shard, self.rounds_free(shard, round)));
+        let owners = self.owners.iter().map(|owner| {
+            let holder = owner.as_ref()?;
+            Some(holder.value.entry.as_str())
+        });
+        let view = balance::View {
+            entries: self.entries.keys().map(SmolStr::as_str).collect(),
+            owners: owners.collect(),
+            free_rounds: free_rounds.collect(),
+        };
+        balance::plan(me, &view)
+    }
+
+    fn rounds_free(&self, shard: id::ShardId, round: Duration) -> usize {
+        let free = self.free_since[usize::from(shard)].elapsed();
+        let rounds = free.as_secs_f64() / round.as_secs_f64().max(f64::MIN_POSITIVE);
+        rounds as usize
+    }
+
+    fn put(&mut self, root: &str, kv: kv::Kv) -> bool {
+        match keys::parse_live(root, &kv.key) {
+            Some(keys::Live::Entry(entry)) => {
+                let Ok(value) = serde_json::from_slice::<EntryValue>(&kv.value) else {
+                    return false;
+                };
+                let before = self.entries.insert(entry.into(), value.address);
+                before.is_none()
+            }
+            Some(keys::Live::Shard(shard)) if usize::from(shard) < self.owners.len() => {
+                let value = OwnerValue::decode(&kv.value);
+                let fence = kv.create_revision;
+                self.note(shard, value.map(|value| Holder { value, fence }));
+                false
+            }
+            _ => false,
+        }
+    }
+
+    fn delete(&mut self, root: &str, key: &str) -> bool {
+        match keys::parse_live(root, key) {
+            Some(keys::Live::Entry(entry)) => self.entries.remove(entry).is_some(),
+            Some(keys::Live::Shard(shard)) if usize::from(shard) < self.owners.len() => {
+                self.note(shard, None);
+                true
+            }
+            _ => false,
+        }
+    }
+}
--- a/fw-keep/src/lib.rs
+++ b/fw-keep/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod claim;
 pub mod commit;
 pub mod journal;
+pub mod keeper;
 pub mod ledger;
 pub mod program;
 pub mod shard;
--- a/fw-keep/src/shard.rs
+++ b/fw-keep/src/shard.rs
@@ -105,10 +105,10 @@
 
 /// Most changes that wait for the store before new turns and claims are refused. At 42 turns a
 /// second over eleven shards, an hour's outage of the store fits.
-const MAX_PENDING: usize = 16_384;
+pub(crate) const MAX_PENDING: usize = 16_384;
 
 /// When to ask again after a refusal for want of the store.
-const STORE_RETRY: Duration = Duration::from_secs(2);
+pub(crate) const STORE_RETRY: Duration = Duration::from_secs(2);
 
 impl Shard {
     /// An empty shard.
