fw-keep, fw-conf: what the entry asks of them

Cause: heartbeats look up one shard's fencing number at a time, tests end an entry as a crash would, and the subset of upstreams goes by watchers of an upstream, not by upstreams of an entry. Change: Keeper::fence, Keeper::abort; [upstream] watchers_near and watchers_far take the place of subset_size.

--- a/fw-conf/src/entry.rs
+++ b/fw-conf/src/entry.rs
@@ -138,8 +138,10 @@
         missed_heartbeats: u32 = 3, codec::number(1..=100);
         /// How long a read waits at the side for the next event of an attempt.
         read_wait: Duration = secs(1), codec::time(ms(10)..=secs(30));
-        /// Most upstreams of one service that this entry keeps connections to.
-        subset_size: usize = 32, codec::number(1..=1024);
+        /// Entries of an upstream's own place that send it heartbeats and calls.
+        watchers_near: usize = 8, codec::number(1..=1024);
+        /// Entries of other places that send an upstream heartbeats and calls.
+        watchers_far: usize = 4, codec::number(1..=1024);
     }
 }
 
--- a/fw-keep/src/keeper/mod.rs
+++ b/fw-keep/src/keeper/mod.rs
@@ -258,6 +258,13 @@
         kept.collect()
     }
 
+    /// The fencing number of `shard`, if it is kept here.
+    pub fn fence(&self, shard: id::ShardId) -> Option<id::Fence> {
+        let slot = self.inner.slots.get(usize::from(shard))?;
+        let mut slot = slot.lock();
+        slot.serving().map(|kept| kept.writer.fence())
+    }
+
     /// The other live entries and where to reach them.
     pub fn entries(&self) -> Vec<(id::EntryId, SmolStr)> {
         self.inner.table.read().entries()
@@ -363,6 +370,12 @@
         tasks.iter().for_each(JoinHandle::abort);
     }
 
+    /// Stops at once, as a crash would: nothing is flushed or handed over.
+    pub fn abort(&self) {
+        let tasks = std::mem::take(&mut *self.tasks.lock());
+        tasks.iter().for_each(JoinHandle::abort);
+    }
+
     /// A claim that did not become durable is withdrawn: its call is refused as not run.
     fn opened(
         &self,
