fw-store: watch tests fail instead of hanging

Cause: with the silence deadline taken out, silent_connection_is_replaced_without_loss waited for ever. Change: each step of the watch tests is bounded.

--- a/fw-store/tests/store/watch_events.rs
+++ b/fw-store/tests/store/watch_events.rs
@@ -13,10 +13,14 @@
 /// Most batches and errors to look through for an event.
 const MAX_STEPS: usize = 200;
 
+/// Longest wait for one step, so that a watch that never wakes fails its test.
+const STEP: Duration = Duration::from_secs(20);
+
 /// The next batch that has events, past progress and passing errors.
 async fn next_events(watch: &mut watch::Watch) -> watch::Batch {
     for _ in 0..MAX_STEPS {
-        match watch.next().await {
+        let step = tokio::time::timeout(STEP, watch.next()).await;
+        match step.expect("a watch wakes within a step") {
             Ok(batch) if !batch.events.is_empty() => return batch,
             Err(err @ Error::Compacted { .. }) => panic!("{err}"),
             Ok(_) | Err(_) => (),
