fw-record: records in two schema versions, the set in force, changes by compare-and-swap

Cause: nothing reads or writes operators' records. Change: services, routes, teams and budgets, each in schema 1 and 2; raw fields beside the typed view; a shared set with look-ups; a holder that never goes back; loading and following by watch; puts and deletes that compare revisions, keep a history and find their own nonce after a lost answer; operators' requests without an HTTP library. A set's revision is that of the newest change of a record, kept by a head key, not the store's own. New dependency of the workspace: humantime, which tarpc brought in already. fw-store: transactions that only read are repeated like reads. fw-fake: only answers to transactions that can write are lost. Measured: 29 tests pass; the decoders' five property and table tests also with 5000 cases each; 251 of 256 generated records are accepted and so compared in all forms. With one guard removed at a time, tests fail for each of: nonce read-back (3), nonce in the history (1), no read-back at all (4), holder's comparison (1), old events onto a newer set (1), last good version on a whole read (1; had no test at first), last good version from history (1), head key in the revision (1), precedence of schema 1 (1), fields for old readers (1).

--- a/fw-fake/src/store/faults.rs
+++ b/fw-fake/src/store/faults.rs
@@ -22,9 +22,9 @@
     pub outage: Option<Outage>,
     /// Wait before a call is looked at.
     pub delay: Duration,
-    /// Answers to the next so many transactions are lost after they took effect.
+    /// Answers to the next so many transactions that can write are lost after they took effect.
     pub lose_answers: u32,
-    /// Chance that the answer to a transaction is lost after it took effect.
+    /// Chance that the answer to a transaction that can write is lost after it took effect.
     pub lose_probability: f64,
     /// Answers to the next so many lease calls are lost after they took effect.
     pub lose_lease_answers: u32,
@@ -37,7 +37,7 @@
 /// Which sort of answer may be lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Answer {
-    Txn,
+    Write,
     Lease,
 }
 
@@ -63,7 +63,7 @@
     pub fn loses(&mut self, answer: Answer) -> bool {
         let faults = &mut self.faults;
         let (left, probability) = match answer {
-            Answer::Txn => (&mut faults.lose_answers, faults.lose_probability),
+            Answer::Write => (&mut faults.lose_answers, faults.lose_probability),
             Answer::Lease => (
                 &mut faults.lose_lease_answers,
                 faults.lose_lease_probability,
--- /dev/null
+++ b/fw-record/src/field.rs
@@ -0,0 +1,230 @@
+//! Reading of single fields with their bounds.
+
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use fw_base::error;
+use serde_json::Map;
+use serde_json::Value;
+use smol_str::SmolStr;
+use snafu::Snafu;
+
+use crate::schema::Field;
+use crate::schema::Form;
+use crate::schema::Schema;
+use crate::schema::USUAL_WEIGHT;
+
+/// Most bytes of a refused value that a message repeats.
+const SHOWN: usize = 60;
+
+/// Why a record is refused.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("field `{field}` must be {expected}, not {found}"))]
+pub struct Error {
+    /// The field, with the groups that it is in.
+    pub field: String,
+    /// What is accepted.
+    pub expected: String,
+    /// What was found.
+    pub found: String,
+}
+
+impl Error {
+    /// An error about `field`.
+    pub fn new(
+        field: impl Into<String>,
+        expected: impl Into<String>,
+        found: Option<&Value>,
+    ) -> Self {
+        let found = match found {
+            None => "missing".to_owned(),
+            Some(value) => shorten(value.to_string()),
+        };
+        Self {
+            field: field.into(),
+            expected: expected.into(),
+            found,
+        }
+    }
+}
+
+impl From<Error> for error::Error {
+    fn from(err: Error) -> Self {
+        Self::new(error::Kind::BadRecord, err.to_string())
+    }
+}
+
+/// What reading a field returns.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// The fields of one record, read as one schema version.
+#[derive(Clone, Copy, Debug)]
+pub struct Reader<'a> {
+    /// The record.
+    pub map: &'a Map<String, Value>,
+    /// The version whose fields prevail.
+    pub schema: Schema,
+}
+
+impl<'a> Reader<'a> {
+    /// A value, its version, and the error to give if it is refused.
+    fn find(&self, field: &Field) -> (Schema, Option<&'a Value>) {
+        let (schema, value) = field.find(self.map, self.schema);
+        (schema, value.filter(|value| !value.is_null()))
+    }
+
+    /// The error that `field` is not as `expected`.
+    pub fn refuse(&self, field: &Field, expected: impl Into<String>) -> Error {
+        Error::new(field.name(self.schema), expected, self.find(field).1)
+    }
+
+    /// Whether the field has a value.
+    pub fn has(&self, field: &Field) -> bool {
+        self.find(field).1.is_some()
+    }
+
+    /// A text of at most `max` bytes, not empty.
+    pub fn text(&self, field: &Field, max: usize) -> Result<Option<SmolStr>> {
+        let Some(value) = self.find(field).1 else {
+            return Ok(None);
+        };
+        let fits = |text: &&str| (1..=max).contains(&text.len());
+        match value.as_str().filter(fits) {
+            Some(text) => Ok(Some(text.into())),
+            None => Err(self.refuse(field, format!("a text of 1 to {max} bytes"))),
+        }
+    }
+
+    /// Texts of at most `max_len` bytes, at most `max` of them; none if the field is missing.
+    pub fn texts(&self, field: &Field, max: usize, max_len: usize) -> Result<Vec<SmolStr>> {
+        let Some(value) = self.find(field).1 else {
+            return Ok(Vec::new());
+        };
+        let texts = value.as_array().filter(|items| items.len() <= max);
+        let texts = texts.and_then(|items| {
+            let texts = items.iter().map(Value::as_str);
+            let fits = |text: &&str| (1..=max_len).contains(&text.len());
+            let texts = texts.map(|text| text.filter(fits).map(SmolStr::from));
+            texts.collect::<Option<Vec<_>>>()
+        });
+        texts.ok_or_else(|| {
+            let expected = format!("an array of at most {max} texts of 1 to {max_len} bytes");
+            self.refuse(field, expected)
+        })
+    }
+
+    /// A truth value.
+    pub fn flag(&self, field: &Field, default: bool) -> Result<bool> {
+        match self.find(field).1 {
+            None => Ok(default),
+            Some(Value::Bool(flag)) => Ok(*flag),
+            Some(_) => Err(self.refuse(field, "true or false")),
+        }
+    }
+
+    /// One of several words.
+    pub fn choice<T: Copy>(&self, field: &Field, choices: &[(&str, T)]) -> Result<Option<T>> {
+        let Some(value) = self.find(field).1 else {
+            return Ok(None);
+        };
+        let chosen = choices.iter().find(|(word, _)| value == word);
+        match chosen {
+            Some((_, choice)) => Ok(Some(*choice)),
+            None => {
+                let words: Vec<_> = choices
+                    .iter()
+                    .map(|(word, _)| format!("`{word}`"))
+                    .collect();
+                Err(self.refuse(field, words.join(" or ")))
+            }
+        }
+    }
+
+    /// A whole number.
+    pub fn count(&self, field: &Field, bounds: RangeInclusive<u64>) -> Result<Option<u64>> {
+        let Some(value) = self.find(field).1 else {
+            return Ok(None);
+        };
+        match value.as_u64().filter(|count| bounds.contains(count)) {
+            Some(count) => Ok(Some(count)),
+            None => {
+                let (low, high) = bounds.into_inner();
+                Err(self.refuse(field, format!("a whole number from {low} to {high}")))
+            }
+        }
+    }
+
+    /// A share relative to the usual one, 1.0.
+    pub fn share(&self, field: &Field, bounds: RangeInclusive<f64>) -> Result<Option<f64>> {
+        let (schema, value) = self.find(field);
+        let Some(value) = value else {
+            return Ok(None);
+        };
+        let unit = match schema {
+            Schema::V1 => USUAL_WEIGHT,
+            Schema::V2 => 1.0,
+        };
+        let share = value.as_f64().map(|number| number / unit);
+        match share.filter(|share| bounds.contains(share)) {
+            Some(share) => Ok(Some(share)),
+            None => {
+                let (low, high) = (bounds.start() * unit, bounds.end() * unit);
+                Err(self.refuse(field, format!("a number from {low} to {high}")))
+            }
+        }
+    }
+
+    /// A duration.
+    pub fn duration(
+        &self,
+        field: &Field,
+        bounds: RangeInclusive<Duration>,
+    ) -> Result<Option<Duration>> {
+        let (schema, value) = self.find(field);
+        let Some(value) = value else {
+            return Ok(None);
+        };
+        let time = match (schema, field.form) {
+            (Schema::V1, Form::Seconds) => value.as_u64().map(Duration::from_secs),
+            (Schema::V1, _) => value.as_u64().map(Duration::from_millis),
+            (Schema::V2, _) => duration_of_text(value),
+        };
+        match time.filter(|time| bounds.contains(time)) {
+            Some(time) => Ok(Some(time)),
+            None => Err(self.refuse(field, expected_duration(schema, field.form, &bounds))),
+        }
+    }
+}
+
+/// A duration such as `30s` or `1h 30m`.
+pub fn duration_of_text(value: &Value) -> Option<Duration> {
+    humantime::parse_duration(value.as_str()?).ok()
+}
+
+fn expected_duration(schema: Schema, form: Form, bounds: &RangeInclusive<Duration>) -> String {
+    let (low, high) = (*bounds.start(), *bounds.end());
+    match (schema, form) {
+        (Schema::V1, Form::Seconds) => {
+            let (low, high) = (low.as_secs(), high.as_secs());
+            format!("a whole number of seconds from {low} to {high}")
+        }
+        (Schema::V1, _) => {
+            let (low, high) = (low.as_millis(), high.as_millis());
+            format!("a whole number of milliseconds from {low} to {high}")
+        }
+        (Schema::V2, _) => {
+            let low = humantime::format_duration(low);
+            let high = humantime::format_duration(high);
+            format!("a duration from `{low}` to `{high}`, such as `30s`")
+        }
+    }
+}
+
+fn shorten(mut text: String) -> String {
+    if text.len() > SHOWN {
+        let end = text.floor_char_boundary(SHOWN);
+        text.truncate(end);
+        text.push_str("...");
+    }
+    text
+}
--- /dev/null
+++ b/fw-record/src/load.rs
@@ -0,0 +1,91 @@
+//! Reads all records from the store, and follows their changes.
+
+use fw_store::client;
+use fw_store::error::Error;
+use fw_store::error::Result;
+use fw_store::kv;
+use fw_store::watch;
+
+use crate::envelope;
+use crate::holder;
+use crate::key;
+use crate::set;
+
+/// All records as they stand in the store.
+///
+/// Of a record that cannot be read, the version in `previous` stays in force, or else, in a
+/// process that has just started, the newest version in the record's history that can be read.
+///
+/// # Errors
+///
+/// When the store does not answer.
+pub async fn all(client: &client::Client, previous: &set::Set) -> Result<set::Set> {
+    let found = client.range(&kv::Range::prefix(key::RECORDS)).await?;
+    from_kvs(client, previous, &found.kvs).await
+}
+
+async fn from_kvs(
+    client: &client::Client,
+    previous: &set::Set,
+    kvs: &[kv::Kv],
+) -> Result<set::Set> {
+    let mut set = previous.replaced(set::revision_of(kvs), kvs);
+    for problem in set.problems().to_vec() {
+        if set.version(&problem.name).is_none()
+            && let Some(version) = last_good(client, &problem.name).await?
+        {
+            set = set.with_version(version);
+        }
+    }
+    Ok(set)
+}
+
+/// The newest version in a record's history that can be read.
+async fn last_good(client: &client::Client, name: &key::Name) -> Result<Option<set::Version>> {
+    let found = client.range(&kv::Range::prefix(name.history())).await?;
+    let newest_first = found.kvs.iter().rev();
+    let mut versions = newest_first.filter_map(|kv| {
+        let revision = name.history_revision(&kv.key)?;
+        let doc = envelope::Envelope::document(name.clone(), &kv.value).ok()?;
+        Some(set::Version { revision, doc })
+    });
+    Ok(versions.next())
+}
+
+/// Keeps `holder` at the newest records, for ever: one read, then a watch.
+///
+/// One process of each place runs this; the others learn from it and from the revision that each
+/// message carries. A store outage leaves the records in force as they are.
+pub async fn follow(client: &client::Client, holder: &holder::Holder) {
+    loop {
+        if let Err(err) = follow_once(client, holder).await {
+            tracing::debug!(%err, "the watch of the records starts again");
+        }
+        tokio::time::sleep(client.options().watch_backoff).await;
+    }
+}
+
+/// Reads everything and follows the changes until the watch cannot go on.
+async fn follow_once(client: &client::Client, holder: &holder::Holder) -> Result<()> {
+    let found = client.range(&kv::Range::prefix(key::RECORDS)).await?;
+    holder.offer(from_kvs(client, &holder.current(), &found.kvs).await?);
+    let mut watch = client.watch(key::RECORDS, found.revision + 1);
+    loop {
+        match watch.next().await {
+            Ok(batch) => take(holder, &batch),
+            Err(err @ Error::Compacted { .. }) => return Err(err),
+            // The watch goes on by itself, once the store answers again.
+            Err(_) => (),
+        }
+    }
+}
+
+fn take(holder: &holder::Holder, batch: &watch::Batch) {
+    if batch.events.is_empty() {
+        return;
+    }
+    let current = holder.current();
+    if batch.revision > current.revision() {
+        holder.offer(current.changed(batch.revision, &batch.events));
+    }
+}
--- /dev/null
+++ b/fw-record/src/route.rs
@@ -0,0 +1,140 @@
+//! Routes from paths to plain services.
+
+use std::collections::BTreeSet;
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use fw_base::id;
+use smol_str::SmolStr;
+
+use crate::field;
+use crate::schema::Field;
+use crate::schema::Form;
+
+const PATH: Field = Field::same(&["path"]);
+const SERVICE: Field = Field::same(&["service"]);
+const REPEATABLE: Field = Field {
+    v1: Some("repeatable"),
+    v2: &["methods", "repeatable"],
+    form: Form::Same,
+};
+const TIMEOUT: Field = Field {
+    v1: Some("timeout_ms"),
+    v2: &["timeout", "total"],
+    form: Form::Millis,
+};
+const HEDGE: Field = Field {
+    v1: Some("hedge_ms"),
+    v2: &["hedge", "after"],
+    form: Form::Millis,
+};
+
+/// Every field of the kind.
+pub const FIELDS: &[Field] = &[PATH, SERVICE, REPEATABLE, TIMEOUT, HEDGE];
+
+/// Methods that may be repeated unless the record says otherwise: those that change nothing.
+const SAFE_METHODS: [&str; 3] = ["GET", "HEAD", "OPTIONS"];
+
+/// Paths that the entry answers itself.
+const RESERVED: [&str; 6] = [
+    "/v1/chat",
+    "/v1/programs",
+    "/v1/models",
+    "/healthz",
+    "/readyz",
+    "/metrics",
+];
+
+const MAX_PATH: usize = 512;
+const MAX_METHODS: usize = 16;
+const MAX_METHOD: usize = 16;
+const TIME_BOUNDS: RangeInclusive<Duration> = Duration::from_millis(1)..=Duration::from_secs(3600);
+
+/// A path prefix that leads to a plain service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Its name.
+    pub name: SmolStr,
+    /// The path itself and everything below it. No `/` at the end, except for the root.
+    pub path: SmolStr,
+    /// The plain service.
+    pub service: id::ServiceId,
+    /// Methods, in capitals, whose calls are idempotent. Every other needs an `Idempotency-Key`.
+    pub repeatable: BTreeSet<SmolStr>,
+    /// Longest wait for an answer; the service's own if absent.
+    pub timeout: Option<Duration>,
+    /// Time after which a repeatable call is sent to a second upstream too; never if absent.
+    pub hedge: Option<Duration>,
+}
+
+impl Route {
+    /// Reads the record `name`.
+    ///
+    /// # Errors
+    ///
+    /// When a field is missing, of a wrong type or out of bounds.
+    pub fn read(name: &str, fields: &field::Reader<'_>) -> field::Result<Self> {
+        let service = fields.text(&SERVICE, id::MAX_NAME)?;
+        let service =
+            service.ok_or_else(|| fields.refuse(&SERVICE, "the name of a plain service"))?;
+        Ok(Self {
+            name: name.into(),
+            path: read_path(fields)?,
+            service,
+            repeatable: read_repeatable(fields)?,
+            timeout: fields.duration(&TIMEOUT, TIME_BOUNDS)?,
+            hedge: fields.duration(&HEDGE, TIME_BOUNDS)?,
+        })
+    }
+
+    /// Whether the route covers `path`.
+    pub fn covers(&self, path: &str) -> bool {
+        is_below(path, &self.path)
+    }
+
+    /// Whether a call with `method` may be sent again.
+    pub fn is_repeatable(&self, method: &str) -> bool {
+        self.repeatable.contains(method)
+    }
+}
+
+/// Whether `path` is `prefix` or lies below it, segment by segment.
+pub fn is_below(path: &str, prefix: &str) -> bool {
+    match path.strip_prefix(prefix) {
+        Some(rest) => rest.is_empty() || rest.starts_with('/') || prefix == "/",
+        None => false,
+    }
+}
+
+fn read_path(fields: &field::Reader<'_>) -> field::Result<SmolStr> {
+    let path = fields.text(&PATH, MAX_PATH)?.unwrap_or_default();
+    let is_clean = path
+        .bytes()
+        .all(|b| b.is_ascii_graphic() && !b"?#%".contains(&b));
+    let is_dotted = path.split('/').any(|part| matches!(part, "." | ".."));
+    if !path.starts_with('/') || !is_clean || is_dotted {
+        let expected = "a path that begins with `/`, without `?`, `#`, `%`, `.` or `..`";
+        return Err(fields.refuse(&PATH, expected));
+    }
+    let path = match path.trim_end_matches('/') {
+        "" => "/",
+        trimmed => trimmed,
+    };
+    if RESERVED.iter().any(|reserved| is_below(path, reserved)) {
+        let expected = format!("outside of {}, which entries answer", RESERVED.join(", "));
+        return Err(fields.refuse(&PATH, expected));
+    }
+    Ok(path.into())
+}
+
+fn read_repeatable(fields: &field::Reader<'_>) -> field::Result<BTreeSet<SmolStr>> {
+    if !fields.has(&REPEATABLE) {
+        return Ok(SAFE_METHODS.map(SmolStr::new_static).into());
+    }
+    let methods = fields.texts(&REPEATABLE, MAX_METHODS, MAX_METHOD)?;
+    let is_method = |method: &SmolStr| method.bytes().all(|b| b.is_ascii_uppercase());
+    if !methods.iter().all(is_method) {
+        return Err(fields.refuse(&REPEATABLE, "methods in capitals, such as `GET`"));
+    }
+    Ok(methods.into_iter().collect())
+}
--- /dev/null
+++ b/fw-record/src/write.rs
@@ -0,0 +1,480 @@
+//! Changes of records by compare-and-swap, safe against lost answers and racing writers.
+//!
+//! A change is accepted when its transaction is. The transaction compares the revision that the
+//! writer saw, writes the record and [`key::HEAD`], and moves the replaced version into the
+//! history, with the writer's nonce. After a lost answer the nonce tells whether the change took
+//! effect, even if somebody else has replaced it since.
+
+use std::time::Duration;
+
+use fw_base::error;
+use fw_base::id;
+use fw_store::client::Client;
+use fw_store::kv;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Map;
+use serde_json::Value;
+use snafu::ResultExt;
+use snafu::Snafu;
+
+use crate::document;
+use crate::envelope;
+use crate::key;
+
+/// How changes are made.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Versions kept in a record's history.
+    pub keep: usize,
+    /// Most tries to find out what became of a change whose answer was lost.
+    pub tries: u32,
+    /// Pause before each of them.
+    pub pause: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            keep: 10,
+            tries: 20,
+            pause: Duration::from_millis(250),
+        }
+    }
+}
+
+/// An accepted change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Accepted {
+    /// The store revision of the change: it is in force wherever the records' revision is not
+    /// lower.
+    pub revision: id::Revision,
+    /// Names of fields that no version knows. They are kept, and may be spelling mistakes.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub unknown: Vec<String>,
+}
+
+/// A record with the revision to compare with in the next change.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Stored {
+    /// Kind and name.
+    #[serde(flatten)]
+    pub name: key::Name,
+    /// Revision at which it was written.
+    pub revision: id::Revision,
+    /// Its fields, as operators edit them.
+    pub record: Map<String, Value>,
+    /// What is wrong with it, if it cannot be read.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub problem: Option<String>,
+}
+
+/// Why a change or a read failed.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The record is malformed.
+    #[snafu(transparent)]
+    Bad {
+        /// How.
+        source: document::Error,
+    },
+    /// There is no such record.
+    #[snafu(display("there is no record {name}"))]
+    Unknown {
+        /// Its name.
+        name: key::Name,
+    },
+    /// Someone else changed the record.
+    #[snafu(display("record {name} was changed by someone else{}", at(theirs.as_deref())))]
+    Conflict {
+        /// The record.
+        name: key::Name,
+        /// What was to be stored; `None` for a deletion.
+        yours: Option<Map<String, Value>>,
+        /// What is stored; `None` if it was deleted or never there.
+        theirs: Option<Box<Stored>>,
+    },
+    /// The store did not answer; nothing has changed.
+    #[snafu(display("{source}"))]
+    Store {
+        /// What it gave.
+        source: fw_store::error::Error,
+    },
+    /// The store's answer was lost, and it could not be found out what became of the change.
+    #[snafu(display(
+        "the change of {name} may have taken effect: its answer was lost ({source}); \
+         get the record and compare before you repeat it"
+    ))]
+    InDoubt {
+        /// The record.
+        name: key::Name,
+        /// The last failure.
+        source: fw_store::error::Error,
+    },
+    /// The record was changed so often meanwhile that its history does not tell any more.
+    #[snafu(display(
+        "the change of {name} may have taken effect: its answer was lost and the record was \
+         replaced often since; see its history"
+    ))]
+    Buried {
+        /// The record.
+        name: key::Name,
+    },
+}
+
+/// What this module returns.
+pub type Result<T> = std::result::Result<T, Error>;
+
+impl Error {
+    /// The kind told to operators.
+    pub fn kind(&self) -> error::Kind {
+        match self {
+            Self::Bad { .. } => error::Kind::BadRecord,
+            Self::Unknown { .. } => error::Kind::UnknownRecord,
+            Self::Conflict { .. } => error::Kind::RecordConflict,
+            Self::Store { source } => source.kind(),
+            Self::InDoubt { .. } | Self::Buried { .. } => error::Kind::MayHaveRun,
+        }
+    }
+}
+
+impl From<Error> for error::Error {
+    fn from(err: Error) -> Self {
+        Self::new(err.kind(), err.to_string())
+    }
+}
+
+fn at(theirs: Option<&Stored>) -> String {
+    match theirs {
+        Some(theirs) => format!(", at revision {}", theirs.revision),
+        None => ": it is not there".to_owned(),
+    }
+}
+
+/// Stores a record. `expected` is the revision of the version that it replaces, or 0 if there
+/// must be none yet.
+///
+/// # Errors
+///
+/// When the record is malformed, someone else changed it, or the store does not answer.
+pub async fn put(
+    client: &Client,
+    name: &key::Name,
+    json: &[u8],
+    expected: id::Revision,
+    opts: &Options,
+) -> Result<Accepted> {
+    let doc = document::Document::from_operator(name.clone(), json)?;
+    let unknown = doc.unknown();
+    let change = Change::new(name, Some(doc), expected);
+    let revision = change.run(client, opts).await?;
+    Ok(Accepted { revision, unknown })
+}
+
+/// Deletes a record. `expected` is the revision of the version to delete.
+///
+/// # Errors
+///
+/// When there is no such record, someone else changed it, or the store does not answer.
+pub async fn delete(
+    client: &Client,
+    name: &key::Name,
+    expected: id::Revision,
+    opts: &Options,
+) -> Result<Accepted> {
+    let change = Change::new(name, None, expected);
+    let revision = change.run(client, opts).await?;
+    Ok(Accepted {
+        revision,
+        unknown: Vec::new(),
+    })
+}
+
+/// Reads one record.
+///
+/// # Errors
+///
+/// When there is no such record, or the store does not answer.
+pub async fn get(client: &Client, name: &key::Name) -> Result<Stored> {
+    let found = client.range(&kv::Range::one(name.key())).await;
+    let found = found.context(StoreSnafu)?.kvs.pop();
+    let kv = found.ok_or_else(|| Error::Unknown { name: name.clone() })?;
+    Ok(stored(name, kv.mod_revision, &kv.value))
+}
+
+/// Reads all records, by kind and name.
+///
+/// # Errors
+///
+/// When the store does not answer.
+pub async fn list(client: &Client) -> Result<Vec<Stored>> {
+    let found = client.range(&kv::Range::prefix(key::RECORDS)).await;
+    let kvs = found.context(StoreSnafu)?.kvs;
+    let records = kvs.iter().filter_map(|kv| {
+        let name = key::Name::from_key(&kv.key)?;
+        Some(stored(&name, kv.mod_revision, &kv.value))
+    });
+    Ok(records.collect())
+}
+
+/// Reads the replaced versions of a record, oldest first. A deleted record has a history too.
+///
+/// # Errors
+///
+/// When the store does not answer.
+pub async fn history(client: &Client, name: &key::Name) -> Result<Vec<Stored>> {
+    let found = client.range(&kv::Range::prefix(name.history())).await;
+    let kvs = found.context(StoreSnafu)?.kvs;
+    let versions = kvs.iter().filter_map(|kv| {
+        let revision = name.history_revision(&kv.key)?;
+        Some(stored(name, revision, &kv.value))
+    });
+    Ok(versions.collect())
+}
+
+fn stored(name: &key::Name, revision: id::Revision, value: &[u8]) -> Stored {
+    let (record, problem) = match envelope::Envelope::document(name.clone(), value) {
+        Ok(doc) => (doc.shown(), None),
+        Err(err) => {
+            let raw = envelope::Envelope::parse(value).unwrap_or_default();
+            (raw.record, Some(err.to_string()))
+        }
+    };
+    Stored {
+        name: name.clone(),
+        revision,
+        record,
+        problem,
+    }
+}
+
+/// One change under way.
+struct Change<'a> {
+    name: &'a key::Name,
+    /// The new version, or `None` to delete.
+    doc: Option<document::Document>,
+    expected: id::Revision,
+    nonce: envelope::Nonce,
+}
+
+/// The record's key and history at one revision of the store.
+struct Seen {
+    current: Option<kv::Kv>,
+    history: Vec<kv::Kv>,
+}
+
+/// What one look at the store says about a change.
+enum Fate {
+    /// It took effect, at this revision.
+    Applied(id::Revision),
+    /// It did not, and still can.
+    Open(Seen),
+    /// It did not, and cannot any more.
+    Overtaken(Seen),
+    /// The history does not reach back far enough.
+    Buried,
+}
+
+impl<'a> Change<'a> {
+    fn new(name: &'a key::Name, doc: Option<document::Document>, expected: id::Revision) -> Self {
+        Self {
+            name,
+            doc,
+            expected,
+            nonce: format!("{:032x}", rand::random::<u128>()),
+        }
+    }
+
+    async fn run(&self, client: &Client, opts: &Options) -> Result<id::Revision> {
+        let seen = self.look(client).await.context(StoreSnafu)?;
+        if !self.fits(&seen) {
+            return Err(self.conflict(seen));
+        }
+        match self.swap(client, seen, opts).await {
+            Ok(Some(revision)) => Ok(revision),
+            Ok(None) => self.find_out(client, opts, None).await,
+            Err(err) if err.may_have_applied() => self.find_out(client, opts, Some(err)).await,
+            Err(source) => Err(Error::Store { source }),
+        }
+    }
+
+    /// Reads back until it is known what became of the change, and repeats it only if it has not
+    /// taken effect.
+    ///
+    /// The transaction may also be slow rather than lost, and apply after a look that did not
+    /// find it. Repeating is safe even then: both compare the same revision, so that at most one
+    /// of the two applies, and both carry the same nonce, so that either counts.
+    async fn find_out(
+        &self,
+        client: &Client,
+        opts: &Options,
+        doubt: Option<fw_store::error::Error>,
+    ) -> Result<id::Revision> {
+        let is_doubtful = doubt.is_some();
+        let mut last = doubt;
+        for _ in 0..opts.tries {
+            if last.is_some() {
+                tokio::time::sleep(opts.pause).await;
+            }
+            let step = match self.look(client).await {
+                Ok(seen) => match self.fate(seen, opts, is_doubtful) {
+                    Fate::Applied(revision) => return Ok(revision),
+                    Fate::Overtaken(seen) => return Err(self.conflict(seen)),
+                    Fate::Buried => {
+                        let name = self.name.clone();
+                        return Err(Error::Buried { name });
+                    }
+                    Fate::Open(seen) => self.swap(client, seen, opts).await,
+                },
+                Err(err) => Err(err),
+            };
+            match step {
+                Ok(Some(revision)) => return Ok(revision),
+                Ok(None) => last = None,
+                Err(err) => last = Some(err),
+            }
+        }
+        let name = self.name.clone();
+        match last {
+            Some(source) => Err(Error::InDoubt { name, source }),
+            None => Err(Error::Buried { name }),
+        }
+    }
+
+    /// Reads record and history together.
+    async fn look(&self, client: &Client) -> fw_store::error::Result<Seen> {
+        let read = kv::Txn {
+            then: vec![
+                kv::Op::get(self.name.key()),
+                kv::Op::Get(kv::Range::prefix(self.name.history())),
+            ],
+            ..kv::Txn::default()
+        };
+        let kvs = client.txn(&read).await?.into_kvs();
+        let key = self.name.key();
+        let (current, history): (Vec<_>, Vec<_>) = kvs.into_iter().partition(|kv| kv.key == key);
+        Ok(Seen {
+            current: current.into_iter().next(),
+            history,
+        })
+    }
+
+    /// Whether the record is still the version that the change replaces.
+    fn fits(&self, seen: &Seen) -> bool {
+        let current = seen.current.as_ref();
+        current.map_or(0, |kv| kv.mod_revision) == self.expected
+    }
+
+    /// Sends the transaction; `None` if its comparison failed.
+    async fn swap(
+        &self,
+        client: &Client,
+        seen: Seen,
+        opts: &Options,
+    ) -> fw_store::error::Result<Option<id::Revision>> {
+        let compare = kv::Compare::ModRevision(self.name.key(), self.expected);
+        let txn = kv::Txn {
+            compares: vec![compare],
+            then: self.steps(&seen, opts),
+            ..kv::Txn::default()
+        };
+        let outcome = client.txn(&txn).await?;
+        Ok(outcome.succeeded.then_some(outcome.revision))
+    }
+
+    fn steps(&self, seen: &Seen, opts: &Options) -> Vec<kv::Op> {
+        let mut steps = vec![
+            self.record_step(),
+            kv::Op::put(key::HEAD, self.nonce.as_str()),
+        ];
+        if let Some(current) = &seen.current {
+            steps.push(self.archive_step(current));
+        }
+        let archived = usize::from(seen.current.is_some());
+        let excess = (seen.history.len() + archived).saturating_sub(opts.keep);
+        let oldest = seen.history.iter().take(excess);
+        steps.extend(oldest.map(|kv| kv::Op::delete(kv.key.as_str())));
+        steps
+    }
+
+    fn record_step(&self) -> kv::Op {
+        let key = self.name.key();
+        match &self.doc {
+            None => kv::Op::delete(key),
+            Some(doc) => {
+                let envelope = envelope::Envelope {
+                    record: doc.raw().clone(),
+                    nonce: self.nonce.clone(),
+                    ..envelope::Envelope::default()
+                };
+                kv::Op::put(key, envelope.to_bytes())
+            }
+        }
+    }
+
+    fn archive_step(&self, current: &kv::Kv) -> kv::Op {
+        let key = self.name.history_at(self.expected);
+        let envelope = envelope::Envelope::parse(&current.value).unwrap_or_default();
+        let archived = envelope::Envelope {
+            replaced_by: self.nonce.clone(),
+            ..envelope
+        };
+        kv::Op::put(key, archived.to_bytes())
+    }
+
+    fn fate(&self, seen: Seen, opts: &Options, is_doubtful: bool) -> Fate {
+        if let Some(revision) = self.applied_at(&seen) {
+            return Fate::Applied(revision);
+        }
+        if self.fits(&seen) {
+            return Fate::Open(seen);
+        }
+        let mut revisions = seen
+            .history
+            .iter()
+            .filter_map(|kv| self.name.history_revision(&kv.key));
+        let reaches_back = revisions
+            .next()
+            .is_none_or(|oldest| oldest <= self.expected);
+        if is_doubtful && seen.history.len() >= opts.keep && !reaches_back {
+            return Fate::Buried;
+        }
+        Fate::Overtaken(seen)
+    }
+
+    /// The revision of this change, if the record or its history bears its nonce.
+    fn applied_at(&self, seen: &Seen) -> Option<id::Revision> {
+        let current = seen.current.as_ref();
+        if let Some(kv) = current.filter(|kv| nonces(kv).0 == self.nonce) {
+            return Some(kv.mod_revision);
+        }
+        seen.history.iter().find_map(|kv| {
+            let (stored_by, replaced_by) = nonces(kv);
+            if stored_by == self.nonce {
+                return self.name.history_revision(&kv.key);
+            }
+            // The replaced version was archived by the same transaction.
+            (replaced_by == self.nonce).then_some(kv.mod_revision)
+        })
+    }
+
+    fn conflict(&self, seen: Seen) -> Error {
+        let name = self.name.clone();
+        let theirs = seen.current;
+        if theirs.is_none() && self.doc.is_none() {
+            return Error::Unknown { name };
+        }
+        let theirs = theirs.map(|kv| Box::new(stored(&name, kv.mod_revision, &kv.value)));
+        Error::Conflict {
+            yours: self.doc.as_ref().map(document::Document::shown),
+            theirs,
+            name,
+        }
+    }
+}
+
+/// Nonces of the writes that stored and that replaced a version.
+fn nonces(kv: &kv::Kv) -> (envelope::Nonce, envelope::Nonce) {
+    let envelope = envelope::Envelope::parse(&kv.value).unwrap_or_default();
+    (envelope.nonce, envelope.replaced_by)
+}
--- a/fw-store/src/client.rs
+++ b/fw-store/src/client.rs
@@ -107,15 +107,20 @@
         read.await?.decode()
     }
 
-    /// Runs a transaction, at most once.
+    /// Runs a transaction; one that can write, at most once.
     ///
     /// # Errors
     ///
     /// [`Error::may_have_applied`] tells whether it may have taken effect.
     pub async fn txn(&self, txn: &kv::Txn) -> Result<kv::TxnOutcome> {
         let req = codec::txn(txn);
-        let write = self.unary::<codec::RawTxnOutcome>("txn", TXN, &req, Repeat::Write);
-        write.await?.decode()
+        let repeat = if txn.can_write() {
+            Repeat::Write
+        } else {
+            Repeat::Read
+        };
+        let done = self.unary::<codec::RawTxnOutcome>("txn", TXN, &req, repeat);
+        done.await?.decode()
     }
 
     /// Asks for a lease of `ttl`, rounded up to whole seconds.
--- a/fw-store/src/kv.rs
+++ b/fw-store/src/kv.rs
@@ -140,6 +140,14 @@
     pub otherwise: Vec<Op>,
 }
 
+impl Txn {
+    /// Whether any step of it writes or deletes.
+    pub fn can_write(&self) -> bool {
+        let mut steps = self.then.iter().chain(&self.otherwise);
+        steps.any(|op| !matches!(op, Op::Get(_)))
+    }
+}
+
 /// The answer to one [`Op`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reply {
