fw-keep: tests of turns, claims, journals, commits and keepers

Cause: the state machines and their shell had no proof. Change: tests by feature against the stand-in store and its state alone, a state-machine property test over the real machines, a shuttle test of the shard's lock; a taker that leaves shards lying is passed over; an empty keeper no longer delays its first commit.

--- a/fw-keep/src/balance.rs
+++ b/fw-keep/src/balance.rs
@@ -8,6 +8,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use fw_base::id;
 use xxhash_rust::xxh3;
@@ -17,11 +18,11 @@
 pub struct View<'a> {
     /// Entries that are live and stay, this one included.
     pub entries: Vec<&'a str>,
+    /// Those among them that left shards lying which they should have taken. They keep what they
+    /// have and get no more.
+    pub passive: BTreeSet<&'a str>,
     /// The keeper of each shard, live or leaving; `None` for a free one.
     pub owners: Vec<Option<&'a str>>,
-    /// For how many rounds each shard has been free; missing ones count as 0. A taker that does
-    /// not act within a round is passed over.
-    pub free_rounds: BTreeMap<id::ShardId, usize>,
 }
 
 /// What one entry is to do.
@@ -33,116 +34,95 @@
     pub release: Vec<id::ShardId>,
 }
 
+/// Who is to take a free shard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Taker<'a> {
+    /// The shard.
+    pub shard: id::ShardId,
+    /// The entry.
+    pub entry: &'a str,
+}
+
 /// The plan of entry `me`.
 pub fn plan(me: &str, view: &View<'_>) -> Plan {
-    let Some(shares) = Shares::new(view) else {
-        return Plan::default();
-    };
+    let mine = takers(view).into_iter().filter(|taker| taker.entry == me);
     Plan {
-        acquire: acquire(me, view, &shares),
-        release: release(me, view, &shares),
-    }
-}
-
-/// How many shards each entry keeps, and the most it should.
-struct Shares<'a> {
-    kept: BTreeMap<&'a str, usize>,
-    floor: usize,
-    /// Number of entries that may keep one shard more than `floor`.
-    extra: usize,
-}
-
-impl<'a> Shares<'a> {
-    fn new(view: &View<'a>) -> Option<Self> {
-        let entries = view.entries.len();
-        if entries == 0 {
-            return None;
-        }
-        let mut kept: BTreeMap<&str, usize> = view.entries.iter().map(|e| (*e, 0)).collect();
-        for owner in view.owners.iter().flatten() {
-            if let Some(count) = kept.get_mut(owner) {
-                *count += 1;
-            }
-        }
-        Some(Self {
-            kept,
-            floor: view.owners.len() / entries,
-            extra: view.owners.len() % entries,
-        })
-    }
-
-    /// The most shards of each entry: those that keep most get the odd ones, so that they need
-    /// not hand them over.
-    fn quotas(&self) -> BTreeMap<&'a str, usize> {
-        let mut order: Vec<_> = self.kept.iter().collect();
-        order.sort_by_key(|(entry, kept)| (Reverse(**kept), **entry));
-        let ranked = order.into_iter().enumerate();
-        let quotas = ranked.map(|(rank, (entry, _))| {
-            let odd = usize::from(rank < self.extra);
-            (*entry, self.floor + odd)
-        });
-        quotas.collect()
+        acquire: mine.map(|taker| taker.shard).collect(),
+        release: release(me, view),
     }
 }
 
-fn acquire(me: &str, view: &View<'_>, shares: &Shares<'_>) -> Vec<id::ShardId> {
-    let quotas = shares.quotas();
-    let mut room: BTreeMap<&str, usize> = BTreeMap::new();
-    for (entry, quota) in quotas {
-        room.insert(entry, quota.saturating_sub(shares.kept[entry]));
-    }
-    let mut mine = Vec::new();
+/// Who is to take each free shard: the entry that ranks highest for it among those with room.
+pub fn takers<'a>(view: &View<'a>) -> Vec<Taker<'a>> {
+    let mut room = room(view);
+    let mut takers = Vec::new();
     for shard in free_shards(view) {
-        let rounds = view.free_rounds.get(&shard).copied().unwrap_or(0);
-        let Some(taker) = taker(shard, rounds, &room) else {
-            continue;
-        };
-        if let Some(left) = room.get_mut(taker) {
-            *left -= 1;
-        }
-        if taker == me {
-            mine.push(shard);
+        let best = room.iter_mut().max_by_key(|(entry, _)| rank(entry, shard));
+        let Some((entry, left)) = best else { break };
+        takers.push(Taker { shard, entry });
+        *left -= 1;
+        if *left == 0 {
+            let full = *entry;
+            room.retain(|(entry, _)| *entry != full);
         }
     }
-    mine
+    takers
 }
 
-/// The entry with room that ranks highest for `shard`, passing over one for each lost round.
-fn taker<'a>(
-    shard: id::ShardId,
-    rounds: usize,
-    room: &BTreeMap<&'a str, usize>,
-) -> Option<&'a str> {
-    let with_room = room.iter().filter(|(_, left)| **left > 0);
-    let mut ranked: Vec<&str> = with_room.map(|(entry, _)| *entry).collect();
-    if ranked.is_empty() {
-        return None;
-    }
-    let place = rounds % ranked.len();
-    if place == 0 {
-        return ranked.into_iter().max_by_key(|entry| rank(entry, shard));
-    }
-    ranked.sort_by_key(|entry| Reverse(rank(entry, shard)));
-    Some(ranked[place])
+/// The entries that should take more shards, and how many.
+fn room<'a>(view: &View<'a>) -> Vec<(&'a str, usize)> {
+    let kept = kept(view);
+    let quotas = quotas(view).into_iter();
+    let room = quotas.map(|(entry, quota)| (entry, quota.saturating_sub(kept[entry])));
+    room.filter(|(_, left)| *left > 0).collect()
 }
 
-/// Hands over what exceeds the quota, as long as another has room for it.
-fn release(me: &str, view: &View<'_>, shares: &Shares<'_>) -> Vec<id::ShardId> {
-    let quotas = shares.quotas();
-    let Some(quota) = quotas.get(me) else {
+/// Hands over what exceeds the quota.
+fn release(me: &str, view: &View<'_>) -> Vec<id::ShardId> {
+    let quotas = quotas(view);
+    let Some((_, quota)) = quotas.iter().find(|(entry, _)| *entry == me) else {
         return Vec::new();
     };
-    let mut mine: Vec<id::ShardId> = (0..)
-        .zip(&view.owners)
-        .filter(|(_, owner)| **owner == Some(me))
-        .map(|(shard, _)| shard)
-        .collect();
+    let numbered = (0..).zip(&view.owners);
+    let own = numbered.filter(|(_, owner)| **owner == Some(me));
+    let mut mine: Vec<id::ShardId> = own.map(|(shard, _)| shard).collect();
     let excess = mine.len().saturating_sub(*quota);
     mine.sort_by_key(|shard| rank(me, *shard));
     mine.truncate(excess);
     mine
 }
 
+/// Number of shards that each entry keeps.
+fn kept<'a>(view: &View<'a>) -> BTreeMap<&'a str, usize> {
+    let mut kept: BTreeMap<&str, usize> = view.entries.iter().map(|e| (*e, 0)).collect();
+    for owner in view.owners.iter().flatten() {
+        if let Some(count) = kept.get_mut(owner) {
+            *count += 1;
+        }
+    }
+    kept
+}
+
+/// The most shards of each entry that is not passive. Those that keep most get the odd ones, so
+/// that they need not hand them over.
+fn quotas<'a>(view: &View<'a>) -> Vec<(&'a str, usize)> {
+    let kept = kept(view);
+    let is_passive = |entry: &str| view.passive.contains(entry);
+    let taken: usize = kept
+        .iter()
+        .filter(|(e, _)| is_passive(e))
+        .map(|(_, n)| n)
+        .sum();
+    let mut active: Vec<_> = kept.into_iter().filter(|(e, _)| !is_passive(e)).collect();
+    active.sort_by_key(|(entry, kept)| (Reverse(*kept), *entry));
+    let count = active.len().max(1);
+    let shards = view.owners.len() - taken;
+    let (floor, extra) = (shards / count, shards % count);
+    let ranked = active.into_iter().enumerate();
+    let quotas = ranked.map(|(place, (entry, _))| (entry, floor + usize::from(place < extra)));
+    quotas.collect()
+}
+
 fn free_shards(view: &View<'_>) -> Vec<id::ShardId> {
     let numbered = (0..).zip(&view.owners);
     let free = numbered.filter(|(_, owner)| owner.is_none());
--- a/fw-keep/src/keeper/close.rs
+++ b/fw-keep/src/keeper/close.rs
@@ -8,6 +8,7 @@
 
 use crate::journal::keys;
 use crate::keeper;
+use crate::keeper::Closed;
 use crate::keeper::Inner;
 use crate::keeper::slot::Slot;
 
@@ -18,7 +19,7 @@
 const LOOK: Duration = Duration::from_millis(5);
 
 /// Hands over everything at a graceful stop.
-pub(super) async fn run(inner: &Inner) {
+pub(super) async fn run(inner: &Inner) -> Closed {
     inner.closing.send_replace(true);
     leave(inner).await;
     let mut kept = Vec::new();
@@ -28,16 +29,21 @@
             kept.push(shard);
         }
     }
-    release(inner, kept).await;
+    let all = kept.len();
+    let handed_over = release(inner, kept).await;
     let lease = *inner.lease.borrow();
     if lease != 0 {
         // If this fails, the lease lapses by itself.
         let _ = inner.store.revoke(lease).await;
     }
+    Closed {
+        handed_over,
+        unflushed: all - handed_over,
+    }
 }
 
-/// Hands over shards that are marked as leaving.
-pub(super) async fn release(inner: &Inner, shards: Vec<id::ShardId>) {
+/// Hands over shards that are marked as leaving; returns how many.
+pub(super) async fn release(inner: &Inner, shards: Vec<id::ShardId>) -> usize {
     let deadline = time::Instant::now() + inner.opts.close_wait;
     let mut done = Vec::new();
     for shard in shards {
@@ -50,6 +56,7 @@
     for chunk in done.chunks(BATCH) {
         delete(inner, chunk).await;
     }
+    done.len()
 }
 
 /// Takes the entry off the table, so that no other waits for it to take shards.
--- a/fw-keep/src/keeper/flush.rs
+++ b/fw-keep/src/keeper/flush.rs
@@ -19,6 +19,9 @@
 use crate::keeper::slot::Slot;
 use crate::shard;
 
+/// Longest random wait before the shards of a lapsed lease are taken again.
+const MAX_SPREAD: Duration = Duration::from_millis(500);
+
 /// Changes on their way to the store.
 struct Round {
     jobs: Vec<Job>,
@@ -182,25 +185,31 @@
 /// journal is as this keeper left it; drops the others. Safety does not need this, since every
 /// commit compares the fencing number: it lets idle shards go on, too.
 async fn verify(inner: &Inner) {
+    if kept_heads(inner).is_empty() {
+        return;
+    }
     // All entries come here together when the store is back.
-    tokio::time::sleep(keeper::jitter(inner.opts.ttl / 4)).await;
+    tokio::time::sleep(keeper::jitter(MAX_SPREAD.min(inner.opts.ttl / 4))).await;
     if *inner.lease.borrow() == 0 {
         return;
     }
-    let mut wants = Vec::new();
-    for shard in 0..inner.opts.shards {
-        if let Some(kept) = inner.slot(shard).lock().kept() {
-            let head = kept.writer.stored_head().map(<[u8]>::to_vec);
-            wants.push(acquire::Want {
-                shard,
-                head: Some(head),
-            });
-        }
-    }
-    let outcome = acquire::run(inner, wants).await;
+    let outcome = acquire::run(inner, kept_heads(inner)).await;
     refence(inner, &outcome);
 }
 
+/// The kept shards with the heads that their journals must have.
+fn kept_heads(inner: &Inner) -> Vec<acquire::Want> {
+    let kept = (0..inner.opts.shards).filter_map(|shard| {
+        let mut slot = inner.slot(shard).lock();
+        let head = slot.kept()?.writer.stored_head().map(<[u8]>::to_vec);
+        Some(acquire::Want {
+            shard,
+            head: Some(head),
+        })
+    });
+    kept.collect()
+}
+
 fn refence(inner: &Inner, outcome: &acquire::Outcome) -> BTreeMap<id::ShardId, id::Fence> {
     for shard in &outcome.lost {
         lose(inner, *shard, "taken_over");
--- a/fw-keep/src/keeper/member.rs
+++ b/fw-keep/src/keeper/member.rs
@@ -99,7 +99,7 @@
     }
     grace.note(lease, inner.opts.ttl);
     adopt(inner).await;
-    let plan = inner.table.read().plan(&inner.opts.entry, inner.opts.ttl);
+    let plan = inner.table.write().plan(&inner.opts.entry, inner.opts.ttl);
     take(inner, plan.acquire, grace).await;
     hand_over(inner, plan.release).await;
 }
--- a/fw-keep/src/keeper/mod.rs
+++ b/fw-keep/src/keeper/mod.rs
@@ -194,6 +194,15 @@
     pub fence: id::Fence,
 }
 
+/// What became of the shards at a graceful stop.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Closed {
+    /// Shards that another entry can take at once.
+    pub handed_over: usize,
+    /// Shards whose last changes the store did not take in time, or that were lost meanwhile.
+    pub unflushed: usize,
+}
+
 /// What the tasks and the handles share.
 struct Inner {
     store: fw_store::Client,
@@ -364,10 +373,11 @@
     }
 
     /// Hands all shards over and stops. Turns under way should have ended before.
-    pub async fn close(&self) {
-        close::run(&self.inner).await;
+    pub async fn close(&self) -> Closed {
+        let closed = close::run(&self.inner).await;
         let tasks = std::mem::take(&mut *self.tasks.lock());
         tasks.iter().for_each(JoinHandle::abort);
+        closed
     }
 
     /// Stops at once, as a crash would: nothing is flushed or handed over.
--- a/fw-keep/src/keeper/table.rs
+++ b/fw-keep/src/keeper/table.rs
@@ -52,14 +52,21 @@
     entries: BTreeMap<id::EntryId, SmolStr>,
     owners: Vec<Option<Holder>>,
     free_since: Vec<Instant>,
+    /// Entries that left shards lying, and until when they get no more.
+    passive: BTreeMap<id::EntryId, Instant>,
 }
 
+/// Rounds for which an entry that left shards lying gets no more: long enough that shards don't go
+/// to and fro around a stuck one, short enough that one that was merely slow gets its share again.
+const PASSIVE_ROUNDS: u32 = 20;
+
 impl Table {
     pub(super) fn new(shards: usize) -> Self {
         Self {
             entries: BTreeMap::new(),
             owners: vec![None; shards],
             free_since: vec![Instant::now(); shards],
+            passive: BTreeMap::new(),
         }
     }
 
@@ -69,6 +76,7 @@
         for kv in kvs {
             self.put(root, kv);
         }
+        self.passive = before.passive;
         for (shard, since) in before.free_since.into_iter().enumerate() {
             if before.owners[shard].is_none() {
                 self.free_since[shard] = since;
@@ -124,26 +132,35 @@
         self.owners[place] = holder;
     }
 
-    pub(super) fn plan(&self, me: &id::EntryId, round: Duration) -> balance::Plan {
-        let numbered = (0..).zip(&self.owners);
-        let free = numbered.filter(|(_, owner)| owner.is_none());
-        let free_rounds = free.map(|(shard, _)| (shard, self.rounds_free(shard, round)));
+    /// The plan of entry `me`, which looks every `round` at least.
+    ///
+    /// A live entry that leaves a shard lying which it should take is stuck; its callers would wait
+    /// for as long as it hangs. After a round it is passive for a while, and others take over.
+    pub(super) fn plan(&mut self, me: &id::EntryId, round: Duration) -> balance::Plan {
+        let now = Instant::now();
+        self.passive.retain(|_, until| *until > now);
+        let stuck: Vec<id::EntryId> = balance::takers(&self.view())
+            .into_iter()
+            .filter(|taker| taker.entry != me)
+            .filter(|taker| self.free_since[usize::from(taker.shard)] + round < now)
+            .map(|taker| taker.entry.into())
+            .collect();
+        let until = now + round * PASSIVE_ROUNDS;
+        self.passive
+            .extend(stuck.into_iter().map(|entry| (entry, until)));
+        balance::plan(me, &self.view())
+    }
+
+    fn view(&self) -> balance::View<'_> {
         let owners = self.owners.iter().map(|owner| {
             let holder = owner.as_ref()?;
             Some(holder.value.entry.as_str())
         });
-        let view = balance::View {
+        balance::View {
             entries: self.entries.keys().map(SmolStr::as_str).collect(),
+            passive: self.passive.keys().map(SmolStr::as_str).collect(),
             owners: owners.collect(),
-            free_rounds: free_rounds.collect(),
-        };
-        balance::plan(me, &view)
-    }
-
-    fn rounds_free(&self, shard: id::ShardId, round: Duration) -> usize {
-        let free = self.free_since[usize::from(shard)].elapsed();
-        let rounds = free.as_secs_f64() / round.as_secs_f64().max(f64::MIN_POSITIVE);
-        rounds as usize
+        }
     }
 
     fn put(&mut self, root: &str, kv: kv::Kv) -> bool {
--- /dev/null
+++ b/fw-keep/tests/keep/claim_steps.rs
@@ -0,0 +1,164 @@
+//! Each point at which a claimed call's holder can die, and what the next holder answers.
+
+use std::time::Duration;
+
+use fw_base::error::Kind;
+use fw_keep::claim;
+use fw_keep::claim::Again;
+use fw_keep::claim::Answer;
+use fw_keep::journal::replay;
+use fw_keep::shard::ClaimOutcome;
+use fw_keep::shard::Shard;
+use googletest::prelude::*;
+
+use crate::fleet;
+
+const NOW: Duration = Duration::from_secs(1);
+
+/// What the next holder of a shard finds after the batches that became durable.
+fn take_over(shard: &mut Shard) -> Shard {
+    let batch = shard.take_batch();
+    let items = batch.map(|batch| replay::Item::Group(batch.entries));
+    Shard::load(shard.id(), items.into_iter().collect())
+}
+
+fn open(shard: &mut Shard) -> ClaimOutcome {
+    shard.open_claim(&fleet::key("k"), fleet::fingerprint("body"), NOW)
+}
+
+fn refusal(outcome: ClaimOutcome) -> Option<Kind> {
+    match outcome {
+        ClaimOutcome::Again(Again::Refused(err)) => Some(err.kind),
+        ClaimOutcome::Opening { .. } | ClaimOutcome::Again(Again::Replay(_)) => None,
+    }
+}
+
+fn ok_answer() -> Answer {
+    Answer {
+        status: 200,
+        ..Answer::default()
+    }
+}
+
+/// The holder dies before its claim reached the store. The call was not sent, as sending waits
+/// for that; so the next holder may run it.
+#[gtest]
+fn a_claim_that_never_became_durable_is_free() {
+    let mut shard = Shard::new(1);
+    open(&mut shard);
+    let mut next = Shard::load(1, Vec::new());
+    expect_that!(open(&mut next), pat!(ClaimOutcome::Opening { .. }));
+}
+
+/// The claim reached the store, its answer was lost, and the holder died: nobody knows whether
+/// the call was sent. The next holder must not run it.
+#[gtest]
+fn a_durable_claim_without_outcome_may_have_run() {
+    let mut shard = Shard::new(1);
+    open(&mut shard);
+    let mut next = take_over(&mut shard);
+    expect_that!(refusal(open(&mut next)), some(eq(Kind::MayHaveRun)));
+}
+
+#[gtest]
+fn a_claim_whose_call_did_not_run_is_free_after_take_over() {
+    let mut shard = Shard::new(1);
+    open(&mut shard);
+    shard.claim_opened(&fleet::key("k"), NOW);
+    shard
+        .claim_not_run(&fleet::key("k"), fleet::fingerprint("body"))
+        .unwrap();
+    let mut next = take_over(&mut shard);
+    expect_that!(open(&mut next), pat!(ClaimOutcome::Opening { .. }));
+}
+
+#[gtest]
+fn an_answered_claim_is_replayed_after_take_over() {
+    let mut shard = Shard::new(1);
+    open(&mut shard);
+    shard.claim_opened(&fleet::key("k"), NOW);
+    let body = fleet::fingerprint("body");
+    shard
+        .claim_done(&fleet::key("k"), body, ok_answer(), NOW)
+        .unwrap();
+    let mut next = take_over(&mut shard);
+    expect_that!(
+        open(&mut next),
+        eq(&ClaimOutcome::Again(Again::Replay(ok_answer())))
+    );
+}
+
+/// The keeper died while another entry ran the call. That entry brings the outcome to the new
+/// keeper, which knows the claim as one with an unknown outcome.
+#[gtest]
+fn an_outcome_that_comes_after_take_over_is_kept() {
+    let mut shard = Shard::new(1);
+    open(&mut shard);
+    let mut next = take_over(&mut shard);
+    let body = fleet::fingerprint("body");
+    expect_that!(
+        next.claim_done(&fleet::key("k"), body, ok_answer(), NOW),
+        some(anything())
+    );
+    expect_that!(
+        open(&mut next),
+        eq(&ClaimOutcome::Again(Again::Replay(ok_answer())))
+    );
+}
+
+/// Two answers arrive for one claim, the second a late duplicate, and then a claim that the call
+/// did not run. The first answer stands.
+#[gtest]
+fn the_first_answer_stands() {
+    let mut shard = Shard::new(1);
+    open(&mut shard);
+    let (key, body) = (fleet::key("k"), fleet::fingerprint("body"));
+    shard.claim_done(&key, body, ok_answer(), NOW).unwrap();
+    let other = Answer {
+        status: 500,
+        ..Answer::default()
+    };
+    expect_that!(shard.claim_done(&key, body, other, NOW), none());
+    expect_that!(shard.claim_not_run(&key, body), none());
+    expect_that!(
+        open(&mut shard),
+        eq(&ClaimOutcome::Again(Again::Replay(ok_answer())))
+    );
+}
+
+#[gtest]
+fn another_body_under_the_same_key_is_refused_and_settles_nothing() {
+    let mut shard = Shard::new(1);
+    open(&mut shard);
+    let key = fleet::key("k");
+    let other = fleet::fingerprint("other");
+    let again = shard.open_claim(&key, other, NOW);
+    expect_that!(refusal(again), some(eq(Kind::KeyReused)));
+    expect_that!(shard.claim_not_run(&key, other), none());
+    expect_that!(shard.claim_done(&key, other, ok_answer(), NOW), none());
+}
+
+/// The entry that was granted the claim is gone, and its keeper lives. The key would stay "in use"
+/// for good, and the shop would ask again and again.
+#[gtest]
+fn an_open_claim_is_given_up_after_a_while_and_never_run() {
+    let mut shard = Shard::new(1);
+    open(&mut shard);
+    shard.claim_opened(&fleet::key("k"), NOW);
+    expect_that!(refusal(open(&mut shard)), some(eq(Kind::KeyInUse)));
+    let later = NOW + Duration::from_secs(3_600);
+    let again = shard.open_claim(&fleet::key("k"), fleet::fingerprint("body"), later);
+    expect_that!(refusal(again), some(eq(Kind::MayHaveRun)));
+}
+
+#[gtest]
+fn keys_of_different_teams_never_meet() {
+    let mut shard = Shard::new(1);
+    open(&mut shard);
+    let other = claim::Key {
+        team: "other".into(),
+        key: "k".into(),
+    };
+    let opened = shard.open_claim(&other, fleet::fingerprint("body"), NOW);
+    expect_that!(opened, pat!(ClaimOutcome::Opening { .. }));
+}
--- /dev/null
+++ b/fw-keep/tests/keep/keeper_outage.rs
@@ -0,0 +1,114 @@
+//! While the store is away programs go on in memory, and what they did is flushed afterwards.
+
+use std::time::Duration;
+
+use fw_base::error;
+use fw_fake::store::Outage;
+use fw_keep::keeper;
+use fw_keep::keeper::Keeper;
+use fw_keep::program;
+use googletest::prelude::*;
+
+use crate::fleet;
+use crate::fleet::Fleet;
+
+/// The store is down for longer than the leases. Conversations go on meanwhile; when it is back,
+/// every turn of that time must be in it, though every lease has lapsed and all shards are free.
+async fn outage_of(outage: Outage) {
+    let fleet = Fleet::start(2).await;
+    let a = fleet.keeper("a", 0);
+    let b = fleet.keeper("b", 1);
+    fleet::until_kept(&a, 8).await;
+    fleet::until_kept(&b, 8).await;
+    fleet.store.set_outage(Some(outage));
+    let programs: Vec<String> = (0..32).map(|n| format!("p{n}")).collect();
+    for program in &programs {
+        let keeper = keeper_of(&a, &b, program);
+        fleet::turn(keeper, program, 1);
+    }
+    fleet.lapse("a");
+    fleet.lapse("b");
+    for program in &programs {
+        fleet::turn(keeper_of(&a, &b, program), program, 2);
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    fleet.store.set_outage(None);
+    for program in &programs {
+        let keeper = keeper_of(&a, &b, program);
+        let ticket = fleet::turn(keeper, program, 3);
+        let mut done = keeper.durable(ticket).await;
+        for _ in 0..40 {
+            if done != Err(keeper::Error::StoreUnavailable) {
+                break;
+            }
+            done = keeper.durable(ticket).await;
+        }
+        expect_that!(done, ok(anything()), "{program}");
+    }
+}
+
+fn keeper_of<'a>(a: &'a Keeper, b: &'a Keeper, program: &str) -> &'a Keeper {
+    let is_mine = a.owner(a.shard_of(program)) == keeper::Owner::Mine;
+    if is_mine { a } else { b }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn turns_of_an_outage_that_refuses_are_flushed_after_it() {
+    outage_of(Outage::Refuse).await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn turns_of_an_outage_that_hangs_are_flushed_after_it() {
+    outage_of(Outage::Hang).await;
+}
+
+/// The store stays away while a program runs turn after turn. What waits for it is bounded, and
+/// beyond the bound the caller is told, truly, that the turn did not run.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn changes_that_wait_for_the_store_are_bounded() {
+    let fleet = Fleet::start(1).await;
+    let opts = keeper::Options {
+        max_pending: 4,
+        ..Fleet::options("a")
+    };
+    let a = Keeper::open(fleet.client(0), opts);
+    fleet::until_kept(&a, 16).await;
+    fleet.store.set_outage(Some(Outage::Refuse));
+    fleet::turn(&a, "p", 1);
+    let pending = || a.with_program("p", |shard| shard.pending()).unwrap().value;
+    fleet::until("the first turn is on its way", || pending() == 0).await;
+    for number in 2..=5 {
+        fleet::turn(&a, "p", number);
+    }
+    let refused = fleet::begin(&a, "p", fleet::delta(6, "ask 6", 1));
+    let unavailable = pat!(error::Error {
+        kind: eq(&error::Kind::StoreUnavailable),
+        retry_after: some(anything()),
+        ..
+    });
+    expect_that!(refused, pat!(program::Outcome::Refused(unavailable)));
+}
+
+/// One entry alone is cut off from the store. Its neighbour takes its shards over after the lease;
+/// the one cut off learns of it and serves them no more.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_entry_cut_off_alone_loses_its_shards() {
+    let fleet = Fleet::start(2).await;
+    let a = fleet.keeper("a", 0);
+    let b = fleet.keeper("b", 1);
+    fleet::until_kept(&a, 8).await;
+    fleet::until_kept(&b, 8).await;
+    fleet
+        .store
+        .faults(0, |faults| faults.outage = Some(Outage::Hang));
+    fleet::until_kept(&b, 16).await;
+    fleet.store.faults(0, |faults| faults.outage = None);
+    fleet::until("a and b share again", || {
+        a.shards().len() == 8 && b.shards().len() == 8
+    })
+    .await;
+}
--- /dev/null
+++ b/fw-keep/tests/keep/keeper_takeover.rs
@@ -0,0 +1,175 @@
+//! What one keeper made durable, the next one finds; what it did not hold any more, it can't write.
+
+use std::time::Duration;
+
+use fw_base::error;
+use fw_keep::journal::keys;
+use fw_keep::keeper;
+use fw_keep::keeper::Owner;
+use fw_keep::program;
+use googletest::prelude::*;
+
+use crate::fleet;
+use crate::fleet::Fleet;
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_lone_keeper_takes_all_shards_and_commits() {
+    let fleet = Fleet::start(1).await;
+    let a = fleet.keeper("a", 0);
+    fleet::until_kept(&a, 16).await;
+    let ticket = fleet::turn(&a, "p", 1);
+    expect_that!(a.durable(ticket).await, ok(anything()));
+    expect_that!(fleet::standing(&a, "p"), some((eq(1), anything())));
+}
+
+/// A shopkeeper's editor has two turns behind it when the entry that keeps the program dies. Her
+/// third turn reaches another entry. Without a replay, that one would start an empty history.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_dead_keepers_programs_go_on_elsewhere() {
+    let fleet = Fleet::start(2).await;
+    let a = fleet.keeper("a", 0);
+    fleet::until_kept(&a, 16).await;
+    for program in ["p", "q", "r"] {
+        a.durable(fleet::turn(&a, program, 1)).await.unwrap();
+        a.durable(fleet::turn(&a, program, 2)).await.unwrap();
+    }
+    let before = fleet::standing(&a, "p");
+    fleet.store.faults(0, |faults| {
+        faults.outage = Some(fw_fake::store::Outage::Hang)
+    });
+    let b = fleet.keeper("b", 1);
+    fleet::until_kept(&b, 16).await;
+    expect_that!(fleet::standing(&b, "p"), eq(before));
+    b.durable(fleet::turn(&b, "p", 3)).await.unwrap();
+    let replay = fleet::begin(&b, "q", fleet::delta(2, "ask 2", 77));
+    expect_that!(replay, pat!(program::Outcome::Replay { turn: eq(&2), .. }));
+}
+
+/// An entry is paused (here: cut off) past its lease, another takes its shards and goes on. Then
+/// the first wakes, finishes the turn it had in memory and writes. If that write got through,
+/// the program would have two third turns, and the caller of the second would lose hers.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_paused_keeper_that_wakes_is_fenced() {
+    let fleet = Fleet::start(2).await;
+    let a = fleet.keeper("a", 0);
+    fleet::until_kept(&a, 16).await;
+    a.durable(fleet::turn(&a, "p", 1)).await.unwrap();
+    fleet.store.faults(0, |faults| {
+        faults.outage = Some(fw_fake::store::Outage::Hang)
+    });
+    let late = fleet::turn(&a, "p", 2);
+    let b = fleet.keeper("b", 1);
+    fleet::until_kept(&b, 16).await;
+    let other = fleet::begin(&b, "p", fleet::delta(2, "another ask", 21));
+    expect_that!(other, pat!(program::Outcome::Run(anything())));
+    b.durable(fleet::finish(&b, "p", 2, 21)).await.unwrap();
+    let after = fleet::standing(&b, "p");
+    fleet.store.faults(0, |faults| faults.outage = None);
+    let lost = async {
+        loop {
+            match a.durable(late).await {
+                Err(keeper::Error::StoreUnavailable) => (),
+                done => break done,
+            }
+        }
+    };
+    let lost = tokio::time::timeout(Duration::from_secs(20), lost)
+        .await
+        .unwrap();
+    expect_that!(lost, err(eq(keeper::Error::StaleFence)));
+    // Awake, it gets its share of the shards again, perhaps this one.
+    let standing = || fleet::standing(&b, "p").or_else(|| fleet::standing(&a, "p"));
+    fleet::until("the shard is kept", || standing().is_some()).await;
+    expect_that!(standing(), eq(after));
+}
+
+/// The last write before a death was one whose answer was lost. It is in the store, so the turn
+/// was made, and the caller who asks again must get that turn's answer and not a second run.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_commit_whose_answer_was_lost_is_found_by_reading_back() {
+    let fleet = Fleet::start(1).await;
+    let a = fleet.keeper("a", 0);
+    fleet::until_kept(&a, 16).await;
+    fleet.store.faults(0, |faults| faults.lose_answers = 2);
+    for number in 1..=4 {
+        expect_that!(
+            a.durable(fleet::turn(&a, "p", number)).await,
+            ok(anything())
+        );
+    }
+    let shard = a.shard_of("p");
+    let prefix = keys::segments(fleet::ROOT, shard);
+    let segments = fleet.store.all().into_iter();
+    let segments = segments.filter(|kv| kv.key.starts_with(prefix.as_bytes()));
+    expect_that!(segments.count(), eq(4));
+}
+
+/// Somebody cut a segment short. The programs of other shards must not notice, and those of its
+/// own get a clear error instead of a history with a hole.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_torn_segment_refuses_its_own_shard_only() {
+    let fleet = Fleet::start(2).await;
+    let a = fleet.keeper("a", 0);
+    fleet::until_kept(&a, 16).await;
+    let programs: Vec<String> = (0..32).map(|n| format!("p{n}")).collect();
+    for program in &programs {
+        a.durable(fleet::turn(&a, program, 1)).await.unwrap();
+    }
+    a.close().await;
+    let torn = a.shard_of(&programs[0]);
+    let key = keys::segment(fleet::ROOT, torn, 1, 0);
+    let value = fleet.store.get(&key).unwrap().value;
+    fleet.store.put(&key, &value[..value.len() / 2]);
+    let b = fleet.keeper("b", 1);
+    fleet::until_kept(&b, 16).await;
+    for program in &programs {
+        let begun = fleet::begin(&b, program, fleet::delta(2, "on", 9));
+        if b.shard_of(program) == torn {
+            let corrupt = pat!(error::Error {
+                kind: eq(&error::Kind::JournalCorrupt),
+                ..
+            });
+            expect_that!(begun, pat!(program::Outcome::Refused(corrupt)));
+        } else {
+            expect_that!(begun, pat!(program::Outcome::Run(anything())));
+        }
+    }
+}
+
+/// A data centre comes back and twelve entries start in the same moment. If each took whatever it
+/// found free, most of their writes would fail, and some would end up with all shards.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn many_that_start_at_once_share_without_a_stampede() {
+    let fleet = Fleet::start(1).await;
+    let keepers: Vec<_> = (0..12).map(|n| fleet.keeper(&format!("e{n}"), 0)).collect();
+    let count = |least: usize| keepers.iter().all(|k| k.shards().len() >= least);
+    fleet::until("each keeps its share", || count(1)).await;
+    let all = || keepers.iter().map(|k| k.shards().len()).sum::<usize>();
+    fleet::until("all shards are kept", || all() == 16).await;
+    expect_that!(keepers.iter().map(|k| k.shards().len()).max(), some(le(2)));
+    // Twelve registrations, and a few transactions each to take and hand over shards.
+    expect_that!(fleet.store.counts().writes, lt(12 * 12));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn others_are_told_who_keeps_a_shard() {
+    let fleet = Fleet::start(2).await;
+    let a = fleet.keeper("a", 0);
+    fleet::until_kept(&a, 16).await;
+    let b = fleet.keeper("b", 1);
+    fleet::until_kept(&b, 8).await;
+    fleet::until_kept(&a, 8).await;
+    let theirs = b.shards()[0].shard;
+    let owner = Owner::Other {
+        entry: "b".into(),
+        address: "b:1".into(),
+    };
+    fleet::until("a knows", || a.owner(theirs) == owner).await;
+}
--- /dev/null
+++ b/fw-keep/tests/keep/main.rs
@@ -0,0 +1,18 @@
+//! Tests of programs, claims, journals, commits and keepers.
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod claim_steps;
+mod commit_answers;
+mod fleet;
+mod journal_replay;
+mod keeper_claims;
+mod keeper_handover;
+mod keeper_outage;
+mod keeper_takeover;
+mod memory_store;
+mod program_budget;
+mod program_turns;
+mod segment_codec;
+mod shard_balance;
+mod shard_lock;
+mod whole_model;
--- /dev/null
+++ b/fw-keep/tests/keep/program_budget.rs
@@ -0,0 +1,114 @@
+//! A budget holds, also while several turns spend it at the same time.
+
+use std::time::Duration;
+
+use fw_base::error;
+use fw_base::error::Kind;
+use fw_keep::ledger::Amount;
+use fw_keep::ledger::Ledger;
+use fw_keep::ledger::Limits;
+use fw_keep::ledger::Want;
+use fw_keep::program::Begin;
+use fw_keep::program::Outcome;
+use fw_keep::program::Program;
+use googletest::prelude::*;
+
+use crate::fleet;
+
+const NOW: Duration = Duration::from_secs(1);
+
+fn limits(turns: u32, tokens: u64) -> Limits {
+    Limits {
+        turns: Some(turns),
+        tokens: Some(tokens),
+        time: None,
+    }
+}
+
+fn want(prompt: u64, completion: u64) -> Want {
+    Want {
+        prompt,
+        completion: Some(completion),
+    }
+}
+
+/// A program starts five sub-agents at once. Each looks at the budget before any has spent: without
+/// reservations all five would be let through, and the budget would be spent five times.
+#[gtest]
+fn concurrent_sub_agents_share_one_budget() {
+    let mut ledger = Ledger::default();
+    let limits = limits(100, 1_000);
+    let grants = (1..=5).map(|attempt| ledger.reserve(attempt, want(100, 300), &limits));
+    let granted: Vec<u64> = grants
+        .flatten()
+        .filter_map(|grant| grant.completion)
+        .collect();
+    expect_that!(granted, elements_are![eq(&300), eq(&300), eq(&100)]);
+    let total: u64 = granted.iter().map(|completion| completion + 100).sum();
+    expect_that!(total, le(1_000));
+}
+
+#[gtest]
+fn what_was_not_used_comes_back() {
+    let mut ledger = Ledger::default();
+    let limits = limits(10, 1_000);
+    ledger.reserve(1, want(100, 900), &limits).unwrap();
+    expect_that!(ledger.tokens_left(&limits), some(eq(0)));
+    let used = Amount {
+        turns: 1,
+        tokens: 150,
+        time: Duration::ZERO,
+    };
+    ledger.settle(1, used);
+    expect_that!(ledger.tokens_left(&limits), some(eq(850)));
+    expect_that!(ledger.spent(), eq(used));
+}
+
+#[gtest]
+fn turns_and_time_are_bounded_too() {
+    let mut ledger = Ledger::default();
+    let limits = Limits {
+        turns: Some(1),
+        tokens: None,
+        time: Some(Duration::from_secs(10)),
+    };
+    let grant = ledger.reserve(1, want(1, 1), &limits).unwrap();
+    expect_that!(grant.time, some(eq(Duration::from_secs(10))));
+    let second = ledger.reserve(2, want(1, 1), &limits);
+    expect_that!(
+        second.map_err(|err| err.kind),
+        err(eq(Kind::BudgetExhausted))
+    );
+    ledger.settle(1, Amount::default());
+    ledger.charge(Amount {
+        time: Duration::from_secs(10),
+        ..Amount::default()
+    });
+    let late = ledger.reserve(3, want(1, 1), &limits);
+    expect_that!(late.map_err(|err| err.kind), err(eq(Kind::BudgetExhausted)));
+}
+
+/// A program's turns fail again and again after they ran. Charged nothing, it could spend engine
+/// time without end; so a turn that may have run costs what it had reserved.
+#[gtest]
+fn a_turn_that_may_have_run_is_charged_and_one_that_did_not_is_not() {
+    let mut program = Program::new("team".into(), None, NOW);
+    let begin = |attempt| Begin {
+        max_tokens: Some(100),
+        limits: limits(10, 1_000),
+        ..fleet::delta(1, "ask", attempt)
+    };
+    program.begin(begin(1), NOW);
+    program.fail(1, error::Ran::No, NOW);
+    expect_that!(program.tokens_left(), some(eq(1_000)));
+    let mut failures = 0;
+    for attempt in 2..100 {
+        match program.begin(begin(attempt), NOW) {
+            Outcome::Run(_) => program.fail(attempt, error::Ran::Maybe, NOW),
+            _ => break,
+        };
+        failures += 1;
+    }
+    expect_that!(failures, all!(gt(5), lt(12)));
+    expect_that!(program.ledger().spent().tokens, le(1_000));
+}
