--- /dev/null
+++ b/foxtailweir/src/command/check.rs
@@ -0,0 +1,24 @@
+//! `check`: settings files without running anything.
+
+use getopts::Matches;
+use getopts::Options;
+use snafu::ResultExt;
+
+use super::error;
+use super::exit;
+use super::io;
+
+pub(super) fn options(options: &mut Options) {
+    options.optflag("s", "side", "the file is one of foxtailweir-side");
+}
+
+pub(super) fn run(matches: &Matches, io: &mut io::Io<'_>) -> Result<exit::Exit, error::Error> {
+    let path = &matches.free[0];
+    if matches.opt_present("side") {
+        fw_conf::side::Settings::load(path.as_ref()).context(error::SettingsSnafu)?;
+    } else {
+        super::entry_settings(path)?;
+    }
+    io.say(format_args!("{path}: every key is in order"));
+    Ok(exit::Exit::Success)
+}
--- /dev/null
+++ b/foxtailweir/src/command/record.rs
@@ -0,0 +1,263 @@
+//! `records`: operators' records.
+
+use std::io::Read;
+use std::time::Duration;
+
+use fw_base::id;
+use fw_record::key;
+use fw_record::write;
+use getopts::Matches;
+use getopts::Options;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Map;
+use serde_json::Value;
+use smol_str::SmolStr;
+
+use super::Failed;
+use super::error;
+use super::exit;
+use super::io;
+use super::wait;
+use crate::admin;
+
+/// How long a change is waited for unless the options say otherwise.
+const DEFAULT_TIMEOUT: &str = "10s";
+
+/// A record as `get` prints it and `put` reads it.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    kind: key::Kind,
+    name: SmolStr,
+    /// Revision of the version to replace; 0 if there must be none yet.
+    #[serde(default)]
+    revision: id::Revision,
+    record: Map<String, Value>,
+}
+
+pub(super) fn change_options(options: &mut Options) {
+    super::entry_option(options);
+    options.optopt(
+        "r",
+        "revision",
+        "revision of the version to replace; put: the one in FILE if absent, 0 for a new record; \
+         delete: the present one if absent",
+        "N",
+    );
+    let about = format!("how long to wait until it is in force; {DEFAULT_TIMEOUT} if absent");
+    options.optopt("t", "timeout", &about, "TIME");
+}
+
+pub(super) fn list(matches: &Matches, io: &mut io::Io<'_>) -> Result<exit::Exit, error::Error> {
+    let client = super::client(matches);
+    let records = super::block_on(async { Ok(client.records().await?) })?;
+    io.say(format_args!(
+        "{:<40} {:>12} {:>7}  PROBLEM",
+        "RECORD", "REVISION", "SCHEMA"
+    ));
+    for stored in &records {
+        let schema = stored.record.get("schema").map(Value::to_string);
+        let line = format!(
+            "{:<40} {:>12} {:>7}  {}",
+            stored.name.to_string(),
+            stored.revision,
+            schema.unwrap_or_default(),
+            stored.problem.as_deref().unwrap_or_default(),
+        );
+        io.say(line.trim_end());
+    }
+    Ok(exit::Exit::Success)
+}
+
+pub(super) fn get(matches: &Matches, io: &mut io::Io<'_>) -> Result<exit::Exit, error::Error> {
+    let name = name(matches)?;
+    let client = super::client(matches);
+    let stored = super::block_on(async { Ok(client.record(&name).await?) })?;
+    io.say(pretty(&stored)?);
+    note_problem(&stored, io);
+    Ok(exit::Exit::Success)
+}
+
+pub(super) fn history(matches: &Matches, io: &mut io::Io<'_>) -> Result<exit::Exit, error::Error> {
+    let name = name(matches)?;
+    let client = super::client(matches);
+    let versions = super::block_on(async { Ok(client.history(&name).await?) })?;
+    for stored in &versions {
+        io.say(pretty(stored)?);
+        note_problem(stored, io);
+    }
+    io.note(format_args!(
+        "{} replaced versions of {name}",
+        versions.len()
+    ));
+    Ok(exit::Exit::Success)
+}
+
+pub(super) fn put(matches: &Matches, io: &mut io::Io<'_>) -> Result<exit::Exit, error::Error> {
+    let file = read(&matches.free[0])?;
+    let expected = revision(matches)?.unwrap_or(file.revision);
+    let timeout = timeout(matches)?;
+    let name = match key::Name::parse(file.kind.as_str(), &file.name) {
+        Ok(name) => name,
+        Err(message) => return error::usage(message),
+    };
+    let client = super::client(matches);
+    super::block_on(async {
+        let accepted = client.put(&name, &file.record, expected).await;
+        follow(&client, &name, accepted, timeout, io).await
+    })
+}
+
+pub(super) fn delete(matches: &Matches, io: &mut io::Io<'_>) -> Result<exit::Exit, error::Error> {
+    let name = name(matches)?;
+    let given = revision(matches)?;
+    let timeout = timeout(matches)?;
+    let client = super::client(matches);
+    super::block_on(async {
+        let expected = match given {
+            Some(revision) => revision,
+            None => client.record(&name).await?.revision,
+        };
+        let accepted = client.delete(&name, expected).await;
+        follow(&client, &name, accepted, timeout, io).await
+    })
+}
+
+/// Tells what became of a change, and waits until it is in force.
+async fn follow(
+    client: &admin::Client,
+    name: &key::Name,
+    accepted: Result<write::Accepted, admin::Error>,
+    timeout: Duration,
+    io: &mut io::Io<'_>,
+) -> Result<exit::Exit, error::Error> {
+    let accepted = match accepted {
+        Ok(accepted) => accepted,
+        Err(err) => return Err(explained(err, name, io)),
+    };
+    let revision = accepted.revision;
+    io.note(format_args!("{name} accepted at revision {revision}"));
+    for field in &accepted.unknown {
+        io.note(format_args!(
+            "note: field `{field}` is unknown; it is kept as it is"
+        ));
+    }
+    match wait::until_in_force(client, revision, timeout, io).await {
+        wait::Outcome::Everywhere => {
+            io.say(revision);
+            Ok(exit::Exit::Success)
+        }
+        wait::Outcome::Partly => {
+            let message = format!(
+                "accepted at revision {revision}, which stays; but not in force everywhere \
+                 after {timeout:?}"
+            );
+            error::FailedSnafu { message }.fail()
+        }
+    }
+}
+
+/// Shows both versions of a conflict, and what is not known after a lost answer.
+fn explained(err: admin::Error, name: &key::Name, io: &mut io::Io<'_>) -> error::Error {
+    if let admin::Error::Refused { refusal } = &err
+        && refusal.error.kind == "record_conflict"
+    {
+        show_conflict(refusal, io);
+    } else if err.may_have_applied() {
+        io.note(format_args!(
+            "it is not known whether the change of {name} was accepted: \
+             get the record and compare before you repeat it"
+        ));
+    }
+    err.into()
+}
+
+fn show_conflict(refusal: &admin::Refusal, io: &mut io::Io<'_>) {
+    let shown = |record: Option<&Map<String, Value>>| match record {
+        Some(record) => serde_json::to_string_pretty(record).unwrap_or_default(),
+        None => "(no record)".to_owned(),
+    };
+    let theirs = refusal.theirs.as_ref();
+    io.note(format_args!("yours: {}", shown(refusal.yours.as_ref())));
+    io.note(format_args!(
+        "theirs: {}",
+        shown(theirs.map(|theirs| &theirs.record))
+    ));
+    match theirs {
+        Some(theirs) if refusal.yours.as_ref() == Some(&theirs.record) => {
+            io.note("both are equal: an earlier try may have been accepted");
+        }
+        Some(theirs) => {
+            let revision = theirs.revision;
+            io.note(format_args!(
+                "merge yours into theirs and put it with --revision {revision}"
+            ));
+        }
+        None => io.note("put it with --revision 0 to make it anew"),
+    }
+}
+
+fn name(matches: &Matches) -> Result<key::Name, error::Error> {
+    let given = &matches.free[0];
+    let Some((kind, name)) = given.split_once('/') else {
+        return error::usage(format!(
+            "`{given}` must be KIND/NAME, such as team/officers"
+        ));
+    };
+    key::Name::parse(kind, name).or_else(error::usage)
+}
+
+fn revision(matches: &Matches) -> Result<Option<id::Revision>, error::Error> {
+    let Some(text) = matches.opt_str("revision") else {
+        return Ok(None);
+    };
+    match text.parse() {
+        Ok(revision) if revision >= 0 => Ok(Some(revision)),
+        _ => error::usage(format!(
+            "--revision must be a whole number from 0, not `{text}`"
+        )),
+    }
+}
+
+fn timeout(matches: &Matches) -> Result<Duration, error::Error> {
+    let text = matches.opt_str("timeout");
+    let text = text.unwrap_or_else(|| DEFAULT_TIMEOUT.to_owned());
+    match humantime::parse_duration(&text) {
+        Ok(timeout) => Ok(timeout),
+        Err(err) => error::usage(format!("--timeout must be a time such as `30s`: {err}")),
+    }
+}
+
+fn read(path: &str) -> Result<File, error::Error> {
+    let text = match path {
+        "-" => {
+            let mut text = Vec::new();
+            let read = std::io::stdin().read_to_end(&mut text);
+            read.map(|_| text)
+        }
+        path => std::fs::read(path),
+    };
+    let text = text.whatever_failed(path)?;
+    let what = format!(
+        "{path} must hold kind, name, record and, to replace one, its revision, as \
+         `records get` prints them"
+    );
+    serde_json::from_slice(&text).whatever_failed(&what)
+}
+
+fn pretty(stored: &write::Stored) -> Result<String, error::Error> {
+    let file = File {
+        kind: stored.name.kind,
+        name: stored.name.name.clone(),
+        revision: stored.revision,
+        record: stored.record.clone(),
+    };
+    serde_json::to_string_pretty(&file).whatever_failed("cannot print the record")
+}
+
+fn note_problem(stored: &write::Stored, io: &mut io::Io<'_>) {
+    if let Some(problem) = &stored.problem {
+        io.note(format_args!("this version cannot be read: {problem}"));
+    }
+}
--- /dev/null
+++ b/foxtailweir/src/lib.rs
@@ -0,0 +1,16 @@
+//! The commands of the `foxtailweir` program, apart from the process that runs them.
+//!
+//! ```
+//! use foxtailweir::command::{self, exit, io};
+//!
+//! let mut out = Vec::new();
+//! let mut err = Vec::new();
+//! let mut io = io::Io { out: &mut out, err: &mut err };
+//! let exit = command::run(&["--help".to_owned()], &mut io);
+//! assert_eq!(exit, exit::Exit::Success);
+//! ```
+
+pub mod admin;
+pub mod command;
+pub mod demo;
+pub mod logs;
--- a/foxtailweir/src/main.rs
+++ b/foxtailweir/src/main.rs
@@ -1,3 +1,11 @@
-//! Placeholder until the command line lands.
+//! The entry and the operators' command line.
 
-fn main() {}
+use std::process::ExitCode;
+
+use foxtailweir::command;
+use foxtailweir::command::io;
+
+fn main() -> ExitCode {
+    let args: Vec<_> = std::env::args().skip(1).collect();
+    command::run(&args, &mut io::Io::standard()).into()
+}
--- /dev/null
+++ b/foxtailweir/tests/foxtailweir/main.rs
@@ -0,0 +1,48 @@
+//! Tests of the command line.
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod command_line;
+mod record_commands;
+mod standin;
+
+use foxtailweir::command;
+use foxtailweir::command::exit;
+use foxtailweir::command::io;
+
+/// What a command did.
+struct Ran {
+    exit: exit::Exit,
+    out: String,
+    err: String,
+}
+
+/// Runs a command, given as one line.
+fn run(line: &str) -> Ran {
+    let args: Vec<_> = line.split_whitespace().map(str::to_owned).collect();
+    let mut out = Vec::new();
+    let mut err = Vec::new();
+    let mut io = io::Io {
+        out: &mut out,
+        err: &mut err,
+    };
+    let exit = command::run(&args, &mut io);
+    Ran {
+        exit,
+        out: String::from_utf8(out).unwrap(),
+        err: String::from_utf8(err).unwrap(),
+    }
+}
+
+/// As [`run`], from within a runtime.
+async fn run_beside(line: String) -> Ran {
+    tokio::task::spawn_blocking(move || run(&line))
+        .await
+        .unwrap()
+}
+
+/// A new file in the target's folder for temporary files.
+fn file(name: &str, content: &str) -> String {
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, content).unwrap();
+    path.to_str().unwrap().to_owned()
+}
--- /dev/null
+++ b/foxtailweir/tests/foxtailweir/standin.rs
@@ -0,0 +1,105 @@
+//! The admin address of an entry, over a stand-in of the store.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use axum::Json;
+use axum::Router;
+use axum::body::Bytes;
+use axum::extract::State;
+use axum::http::Method;
+use axum::http::StatusCode;
+use axum::http::Uri;
+use axum::routing::any;
+use axum::routing::get;
+use fw_fake::store;
+use fw_record::admin;
+use fw_record::write;
+use fw_store::client;
+use serde_json::Value;
+use serde_json::json;
+
+/// Processes of which the answers tell.
+const PROCESSES: usize = 3;
+
+/// A running admin address.
+pub struct Entry {
+    /// Its address.
+    pub addr: String,
+    /// The store behind it.
+    pub store: store::Store,
+}
+
+struct Shared {
+    client: client::Client,
+    /// Processes in which the change is in force, one more with each question.
+    in_force: AtomicUsize,
+    /// Most of them that it ever reaches.
+    reach: usize,
+}
+
+/// Starts one whose changes reach `reach` of three processes.
+pub async fn start(reach: usize) -> Entry {
+    let store = store::Store::start(store::Options::default())
+        .await
+        .unwrap();
+    let shared = Arc::new(Shared {
+        client: client::Client::new(client::Options {
+            endpoints: store.endpoints(),
+            ..client::Options::default()
+        }),
+        in_force: AtomicUsize::new(0),
+        reach,
+    });
+    let app = Router::new()
+        .route("/admin/records", any(records))
+        .route("/admin/records/{*path}", any(records))
+        .route("/admin/inforce", get(in_force))
+        .route("/admin/programs", get(programs))
+        .route("/admin/explain/{program}", get(explain))
+        .with_state(shared);
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap().to_string();
+    tokio::spawn(async move { axum::serve(listener, app).await });
+    Entry { addr, store }
+}
+
+async fn records(
+    State(shared): State<Arc<Shared>>,
+    method: Method,
+    uri: Uri,
+    body: Bytes,
+) -> (StatusCode, Json<Value>) {
+    let req = admin::Request {
+        method: method.as_str(),
+        path: uri.path().strip_prefix("/admin/records").unwrap(),
+        query: uri.query().unwrap_or_default(),
+        body: &body,
+    };
+    let answer = admin::handle(&shared.client, req, &write::Options::default()).await;
+    (
+        StatusCode::from_u16(answer.status).unwrap(),
+        Json(answer.body),
+    )
+}
+
+async fn in_force(State(shared): State<Arc<Shared>>) -> Json<Value> {
+    let asked = shared.in_force.fetch_add(1, Ordering::Relaxed);
+    let count = asked.min(shared.reach);
+    let waiting: Vec<_> = (count..PROCESSES).map(|n| format!("entry-{n}")).collect();
+    Json(json!({ "revision": 1, "in_force": count, "of": PROCESSES, "waiting": waiting }))
+}
+
+async fn programs() -> Json<Value> {
+    Json(json!({ "entry": {}, "programs": [
+        { "id": "p-1", "status": "idle", "turn": 3, "tokens": 912, "team": "t", "shard": 9 },
+    ]}))
+}
+
+async fn explain(uri: Uri) -> Json<Value> {
+    let known = uri.path().ends_with("/p-1");
+    let event = json!({ "at_ms": 12, "what": "placed", "why": "cache of 700 tokens at w1" });
+    let events = if known { vec![event] } else { Vec::new() };
+    Json(json!({ "keeper": "this entry", "events": events }))
+}
--- a/fw-record/src/admin.rs
+++ b/fw-record/src/admin.rs
@@ -1,7 +1,6 @@
 //! Operators' requests about records, apart from the HTTP library that carries them.
 
 use fw_base::error;
-use fw_base::error::Ran;
 use fw_store::client::Client;
 use serde_json::Value;
 use serde_json::json;
@@ -9,6 +8,9 @@
 use crate::key;
 use crate::write;
 
+/// Counter of refused requests, by error kind.
+pub const REFUSALS: &str = "fw_record_refusals_total";
+
 /// A request below `/admin/records`.
 #[derive(Clone, Debug, Default)]
 pub struct Request<'a> {
@@ -128,12 +130,8 @@
 
 fn answer(err: &error::Error, mut body: Value) -> Answer {
     let row = err.kind.row();
-    let ran = match row.ran {
-        Ran::No => "no",
-        Ran::Maybe => "maybe",
-        Ran::Yes => "yes",
-    };
-    body["error"] = json!({ "kind": row.label, "message": err.message, "ran": ran });
+    metrics::counter!(REFUSALS, "kind" => row.label).increment(1);
+    body["error"] = json!({ "kind": row.label, "message": err.message, "ran": row.ran });
     Answer {
         status: row.status,
         body,
