fw-fake: stand-ins of a model engine and a plain service

Cause: the side and the entry need upstreams to be tested against. Each life is a thread with its own runtime, so that a crash drops every connection at once.

--- /dev/null
+++ b/fw-fake/src/engine/process.rs
@@ -0,0 +1,161 @@
+//! A thread with a runtime of its own, standing for a process that can crash.
+
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use futures_util::future;
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+
+/// Times that a port is bound again before that fails.
+const BIND_TRIES: u32 = 100;
+/// Pause between two such tries.
+const BIND_PAUSE: Duration = Duration::from_millis(20);
+
+/// What one life of the process does with its listener, until it is dropped.
+type Serve = dyn Fn(TcpListener) -> future::LocalBoxFuture<'static, ()> + Send + Sync;
+
+/// Ends lives.
+#[derive(Debug, Default)]
+pub(crate) struct Control {
+    restart_after: Option<Duration>,
+    crash: Notify,
+    stop: AtomicBool,
+}
+
+impl Control {
+    pub(crate) fn new(restart_after: Option<Duration>) -> Arc<Self> {
+        Arc::new(Self {
+            restart_after,
+            ..Self::default()
+        })
+    }
+
+    /// Ends the present life: its connections break and new ones are refused.
+    pub(crate) fn crash(&self) {
+        self.crash.notify_one();
+    }
+}
+
+/// A thread that serves one port for one life after another.
+pub(crate) struct Process {
+    addr: SocketAddr,
+    control: Arc<Control>,
+    serve: Arc<Serve>,
+    thread: Mutex<Option<thread::JoinHandle<()>>>,
+}
+
+impl Process {
+    /// Starts the first life on a free port of the loopback interface.
+    pub(crate) fn spawn<F>(control: Arc<Control>, serve: F) -> io::Result<Self>
+    where
+        F: Fn(TcpListener) -> future::LocalBoxFuture<'static, ()> + Send + Sync + 'static,
+    {
+        let listener = TcpListener::bind(("127.0.0.1", 0))?;
+        let process = Self {
+            addr: listener.local_addr()?,
+            control,
+            serve: Arc::new(serve),
+            thread: Mutex::default(),
+        };
+        process.start(listener);
+        Ok(process)
+    }
+
+    pub(crate) fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Ends the present life, and waits for its end if no other follows by itself.
+    pub(crate) fn crash(&self) {
+        self.control.crash();
+        if self.control.restart_after.is_none() {
+            self.join();
+        }
+    }
+
+    /// Starts another life on the same port after a crash.
+    pub(crate) fn restart(&self) -> io::Result<()> {
+        self.join();
+        self.start(rebind(self.addr)?);
+        Ok(())
+    }
+
+    fn start(&self, listener: TcpListener) {
+        let addr = self.addr;
+        let control = self.control.clone();
+        let serve = self.serve.clone();
+        let lives = move || run_lives(listener, addr, &control, &*serve);
+        *self.thread.lock() = Some(thread::spawn(lives));
+    }
+
+    fn join(&self) {
+        let thread = self.thread.lock().take();
+        if let Some(thread) = thread {
+            // A panic of the thread has been printed; the process is down either way.
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.control.stop.store(true, Ordering::SeqCst);
+        self.control.crash();
+        self.join();
+    }
+}
+
+impl std::fmt::Debug for Process {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Process").field("addr", &self.addr).finish()
+    }
+}
+
+/// Runs one life after another, if a crashed process comes back by itself.
+fn run_lives(listener: TcpListener, addr: SocketAddr, control: &Control, serve: &Serve) {
+    let mut next = Some(listener);
+    while let Some(listener) = next.take() {
+        run_life(listener, control, serve);
+        let Some(pause) = control.restart_after else {
+            return;
+        };
+        thread::sleep(pause);
+        if !control.stop.load(Ordering::SeqCst) {
+            next = rebind(addr).ok();
+        }
+    }
+}
+
+/// Runs one life. All its connections and the listener are gone on return.
+fn run_life(listener: TcpListener, control: &Control, serve: &Serve) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let Ok(runtime) = runtime else { return };
+    runtime.block_on(async {
+        tokio::select! {
+            () = serve(listener) => {}
+            () = control.crash.notified() => {}
+        }
+    });
+    // Dropping the runtime drops each connection's task, and with it the socket.
+    drop(runtime);
+}
+
+/// Binds a port again whose last listener was closed a moment ago.
+fn rebind(addr: SocketAddr) -> io::Result<TcpListener> {
+    for _ in 1..BIND_TRIES {
+        if let Ok(listener) = TcpListener::bind(addr) {
+            return Ok(listener);
+        }
+        thread::sleep(BIND_PAUSE);
+    }
+    TcpListener::bind(addr)
+}
