--- /dev/null
+++ b/fw-entry/src/connection/heartbeat.rs
@@ -0,0 +1,170 @@
+//! Heartbeats to one side: they renew its sessions and bring its load, health and cache changes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fw_base::id;
+use fw_plan::health;
+use fw_plan::place;
+use fw_wire::side;
+use fw_wire::transport;
+use tracing::info;
+
+use super::sides;
+use crate::process::entry;
+
+/// Counter of heartbeats without an answer.
+pub const MISSED: &str = "fw_entry_heartbeats_missed_total";
+
+/// Sends heartbeats to `side` until the future is dropped.
+pub async fn run(entry: Arc<entry::Entry>, side: Arc<sides::Side>) {
+    let interval = entry.settings.upstream.heartbeat_interval;
+    let mut ticks = tokio::time::interval(interval);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        beat(&entry, &side, interval).await;
+    }
+}
+
+async fn beat(entry: &entry::Entry, side: &sides::Side, interval: Duration) {
+    let req = request(entry, side);
+    let cx = transport::context(interval);
+    let addr = side.instance.side;
+    let call = |client: side::SideClient| async move { client.heartbeat(cx, req).await };
+    match entry.sides.pool.call(addr, call).await {
+        Ok(reply) => answered(entry, side, reply).await,
+        Err(_) => missed(entry, side),
+    }
+}
+
+fn request(entry: &entry::Entry, side: &sides::Side) -> side::Heartbeat {
+    let state = side.state();
+    let fence = |shard: &id::ShardId| Some((*shard, entry.keeper.fence(*shard)?));
+    let gone = |program: &id::ProgramId| entry.is_gone(program);
+    side::Heartbeat {
+        from: entry.id.clone(),
+        revision: entry.records.revision(),
+        shards: state.shards.iter().filter_map(fence).collect(),
+        cache_seen: state.cache_seen,
+        gone: state.asked.into_iter().filter(gone).collect(),
+    }
+}
+
+fn missed(entry: &entry::Entry, side: &sides::Side) {
+    metrics::counter!(MISSED).increment(1);
+    let was_reachable = side.update(|state| std::mem::replace(&mut state.reachable, false));
+    if was_reachable {
+        info!(upstream = %side.instance.id, "side does not answer");
+    }
+    see(entry, side, health::Seen::Failed);
+}
+
+async fn answered(entry: &entry::Entry, side: &sides::Side, reply: side::HeartbeatReply) {
+    note_incarnation(entry, side, &reply);
+    note_load(entry, side, &reply);
+    note_cache(entry, side, &reply);
+    let seen = match (reply.leaving, reply.down) {
+        (true, _) => health::Seen::Leaving,
+        (_, true) => health::Seen::Down,
+        _ => health::Seen::Answered,
+    };
+    see(entry, side, seen);
+    let was_reachable = side.update(|state| {
+        state.revision = reply.revision;
+        state.cache_seen = reply.cache_seq;
+        state.asked = reply.asked;
+        state
+            .shards
+            .retain(|shard| entry.keeper.fence(*shard).is_some());
+        let mine = |shard: &id::ShardId| entry.keeper.fence(*shard).is_some();
+        state
+            .shards
+            .extend(reply.unrenewed.into_iter().filter(mine));
+        std::mem::replace(&mut state.reachable, true)
+    });
+    if !was_reachable {
+        info!(upstream = %side.instance.id, "side answers");
+    }
+    if reply.revision < entry.records.revision() {
+        push_records(entry, side).await;
+    }
+}
+
+/// A side that started anew lost its attempts, sessions and cache.
+fn note_incarnation(entry: &entry::Entry, side: &sides::Side, reply: &side::HeartbeatReply) {
+    let before = side.update(|state| {
+        let before = std::mem::replace(&mut state.incarnation, reply.incarnation);
+        if before != reply.incarnation {
+            state.shards.clear();
+            state.cache_seen = 0;
+        }
+        before
+    });
+    if before == reply.incarnation {
+        return;
+    }
+    info!(upstream = %side.instance.id, incarnation = reply.incarnation, "side started");
+    let service = entry.sides.service(&side.instance.service);
+    let mut service = service.lock();
+    service.view.forget_cache(&side.instance.id);
+    if before != 0 {
+        service.health.restarted(entry.now(), &side.instance.id);
+    }
+}
+
+fn note_load(entry: &entry::Entry, side: &sides::Side, reply: &side::HeartbeatReply) {
+    let load = &reply.load;
+    let load = place::Load {
+        queued: load.queued,
+        running: load.running,
+        batch: load.batch,
+        prefill: load.prefill,
+        prefill_rate: load.prefill_rate,
+        delay: load.delay,
+        step: load.step,
+        age: load.age,
+    };
+    let service = entry.sides.service(&side.instance.service);
+    service
+        .lock()
+        .view
+        .report(&side.instance.id, load, entry.now());
+}
+
+fn note_cache(entry: &entry::Entry, side: &sides::Side, reply: &side::HeartbeatReply) {
+    if !reply.cache_reset && reply.cache.is_empty() {
+        return;
+    }
+    let service = entry.sides.service(&side.instance.service);
+    let mut service = service.lock();
+    if reply.cache_reset {
+        service.view.forget_cache(&side.instance.id);
+    }
+    for change in &reply.cache {
+        service
+            .view
+            .cache(&change.program, &side.instance.id, change.tokens);
+    }
+}
+
+fn see(entry: &entry::Entry, side: &sides::Side, seen: health::Seen) {
+    let now = entry.now();
+    let service = entry.sides.service(&side.instance.service);
+    let mut service = service.lock();
+    service.health.seen(now, &side.instance.id, seen);
+    service.refresh(now, &side.instance.id);
+}
+
+async fn push_records(entry: &entry::Entry, side: &sides::Side) {
+    let set = entry.records.current();
+    let req = side::Records {
+        revision: set.revision(),
+        set: set.to_json().into(),
+    };
+    let cx = transport::context(entry.settings.upstream.connect_timeout * 4);
+    let call = |client: side::SideClient| async move { client.records(cx, req).await };
+    if let Ok(revision) = entry.sides.pool.call(side.instance.side, call).await {
+        side.update(|state| state.revision = state.revision.max(revision));
+    }
+}
--- /dev/null
+++ b/fw-entry/src/connection/mod.rs
@@ -0,0 +1,6 @@
+//! What lives as long as a connection: those to sides and to other entries.
+
+pub mod heartbeat;
+pub mod listen;
+pub mod pool;
+pub mod sides;
--- /dev/null
+++ b/fw-entry/src/connection/pool.rs
@@ -0,0 +1,153 @@
+//! Connections to processes of one sort, one for each address, replaced when they fail.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fw_wire::peer;
+use fw_wire::side;
+use fw_wire::transport;
+use parking_lot::Mutex;
+use tarpc::client;
+
+/// Counter of connections replaced because a call on them failed or went unanswered.
+pub const REPLACED: &str = "fw_entry_connections_replaced_total";
+
+/// A client that can be connected to an address.
+pub trait Connect: Clone + Send + 'static {
+    /// Value of the `to` label on counters.
+    const LABEL: &'static str;
+
+    /// Connects to `addr`.
+    fn connect(addr: SocketAddr, within: Duration)
+    -> impl Future<Output = io::Result<Self>> + Send;
+}
+
+impl Connect for side::SideClient {
+    const LABEL: &'static str = "side";
+
+    async fn connect(addr: SocketAddr, within: Duration) -> io::Result<Self> {
+        transport::connect_side(addr, within).await
+    }
+}
+
+impl Connect for peer::PeerClient {
+    const LABEL: &'static str = "peer";
+
+    async fn connect(addr: SocketAddr, within: Duration) -> io::Result<Self> {
+        transport::connect_peer(addr, within).await
+    }
+}
+
+/// One connection, as handed out by a [`Pool`].
+#[derive(Clone, Debug)]
+pub struct Connection<C> {
+    /// The client to call.
+    pub client: C,
+    generation: u64,
+}
+
+/// The connections.
+#[derive(Debug)]
+pub struct Pool<C> {
+    connect_timeout: Duration,
+    slots: Mutex<HashMap<SocketAddr, Arc<Slot<C>>>>,
+}
+
+#[derive(Debug)]
+struct Slot<C> {
+    current: tokio::sync::Mutex<Option<Connection<C>>>,
+    generation: Mutex<u64>,
+}
+
+/// Why a call brought no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// No connection: the call was not sent.
+    Unsent,
+    /// The connection failed, or stayed silent past the call's deadline: it may have been received.
+    Broken,
+}
+
+impl<C: Connect> Pool<C> {
+    /// A pool without connections.
+    pub fn new(connect_timeout: Duration) -> Self {
+        Self {
+            connect_timeout,
+            slots: Mutex::default(),
+        }
+    }
+
+    /// Calls the process at `addr`, over the open connection or a new one.
+    ///
+    /// A connection on which a call fails or goes unanswered is replaced: something between the
+    /// ends may have lost track of it, while new connections work.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure`] tells whether the call may have been received.
+    pub async fn call<T, F>(
+        &self,
+        addr: SocketAddr,
+        send: impl FnOnce(C) -> F,
+    ) -> Result<T, Failure>
+    where
+        F: Future<Output = Result<T, client::RpcError>>,
+    {
+        let connection = self.get(addr).await.map_err(|_| Failure::Unsent)?;
+        let answer = send(connection.client.clone()).await;
+        if let Ok(answer) = answer {
+            return Ok(answer);
+        }
+        self.replace(addr, &connection).await;
+        Err(Failure::Broken)
+    }
+
+    /// Closes the connection to `addr` and forgets the address.
+    pub fn forget(&self, addr: SocketAddr) {
+        self.slots.lock().remove(&addr);
+    }
+
+    async fn get(&self, addr: SocketAddr) -> io::Result<Connection<C>> {
+        let slot = self.slot(addr);
+        let mut current = slot.current.lock().await;
+        if let Some(connection) = &*current {
+            return Ok(connection.clone());
+        }
+        let client = C::connect(addr, self.connect_timeout).await?;
+        let generation = {
+            let mut last = slot.generation.lock();
+            *last += 1;
+            *last
+        };
+        let connection = Connection { client, generation };
+        *current = Some(connection.clone());
+        Ok(connection)
+    }
+
+    async fn replace(&self, addr: SocketAddr, failed: &Connection<C>) {
+        let slot = self.slot(addr);
+        let mut current = slot.current.lock().await;
+        // Many calls fail at once on one connection: only the first takes it away.
+        if current
+            .as_ref()
+            .is_some_and(|now| now.generation == failed.generation)
+        {
+            *current = None;
+            metrics::counter!(REPLACED, "to" => C::LABEL).increment(1);
+        }
+    }
+
+    fn slot(&self, addr: SocketAddr) -> Arc<Slot<C>> {
+        let mut slots = self.slots.lock();
+        let slot = slots.entry(addr).or_insert_with(|| {
+            Arc::new(Slot {
+                current: tokio::sync::Mutex::new(None),
+                generation: Mutex::new(0),
+            })
+        });
+        Arc::clone(slot)
+    }
+}
--- /dev/null
+++ b/fw-entry/src/process/admission.rs
@@ -0,0 +1,99 @@
+//! Admission of this entry: the decisions of `fw_plan::admit` behind one lock, and permits that
+//! report back however a call ends.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use fw_base::error;
+use fw_base::id;
+use fw_plan::admit;
+use parking_lot::Mutex;
+
+/// Counter of refused admissions, by lane and kind.
+pub const REFUSED: &str = "fw_entry_admissions_refused_total";
+
+/// Admission, shared by all requests.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    start: Instant,
+    admit: Arc<Mutex<admit::Admit>>,
+}
+
+/// An admitted call. Dropping it frees its place.
+#[derive(Debug)]
+pub struct Permit {
+    admission: Admission,
+    lane: admit::Lane,
+    team: id::TeamId,
+    queued: Duration,
+}
+
+impl Admission {
+    /// Admission with nothing in flight.
+    pub fn new(options: admit::Options) -> Self {
+        Self {
+            start: Instant::now(),
+            admit: Arc::new(Mutex::new(admit::Admit::new(options))),
+        }
+    }
+
+    /// Asks for a call to be admitted.
+    ///
+    /// # Errors
+    ///
+    /// With the reason and a time to retry, when it is not; it did not run.
+    pub fn enter(&self, req: admit::Request) -> Result<Permit, error::Error> {
+        let now = self.start.elapsed();
+        let mut admit = self.admit.lock();
+        let outcome = admit.decide(now, &req);
+        if let admit::Outcome::Refused { kind, retry_after } = outcome {
+            drop(admit);
+            return Err(refusal(kind, req.lane, retry_after));
+        }
+        admit.started(now, req.lane, &req.team);
+        drop(admit);
+        Ok(Permit {
+            admission: self.clone(),
+            lane: req.lane,
+            team: req.team,
+            queued: Duration::ZERO,
+        })
+    }
+
+    /// Learns a queueing delay of turns from a side's report.
+    pub fn observe(&self, delay: Duration) {
+        self.admit.lock().observe(delay);
+    }
+}
+
+impl Permit {
+    /// Notes how long the call waited in queues.
+    pub fn queued(&mut self, delay: Duration) {
+        self.queued = delay;
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let now = self.admission.start.elapsed();
+        let mut admit = self.admission.admit.lock();
+        admit.finished(now, self.lane, &self.team, self.queued);
+    }
+}
+
+fn refusal(kind: error::Kind, lane: admit::Lane, retry_after: Duration) -> error::Error {
+    let (label, what) = match lane {
+        admit::Lane::Plain => ("plain", "plain requests"),
+        admit::Lane::Turn => ("turn", "turns"),
+        admit::Lane::NewProgram => ("new_program", "new programs"),
+    };
+    metrics::counter!(REFUSED, "lane" => label, "kind" => kind.row().label).increment(1);
+    let why = match kind {
+        error::Kind::ShareExceeded => "your team holds more than its share while others wait",
+        error::Kind::DeadlineUnmeetable => "it could not start before its deadline",
+        _ => "too much is under way",
+    };
+    let message = format!("no further {what} are taken now: {why}");
+    error::Error::new(kind, message).with_retry_after(retry_after)
+}
--- /dev/null
+++ b/fw-entry/src/process/entry.rs
@@ -0,0 +1,217 @@
+//! One running entry: everything that its requests, connections and turns share.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use fw_base::error;
+use fw_base::id;
+use fw_conf::entry as conf;
+use fw_keep::keeper;
+use fw_keep::program;
+use fw_plan::poison;
+use fw_wire::peer;
+use fw_wire::side;
+use fw_wire::transport;
+use parking_lot::Mutex;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::admission;
+use super::attempts;
+use super::explain;
+use super::peers;
+use crate::connection::pool;
+use crate::connection::sides;
+use crate::version::records;
+
+/// What the requests of one entry share.
+pub struct Entry {
+    /// Name of this process among all entries.
+    pub id: id::EntryId,
+    /// The settings.
+    pub settings: conf::Settings,
+    /// Address under which other entries reach this one.
+    pub advertise: SocketAddr,
+    /// The operators' records in force.
+    pub records: records::InForce,
+    /// The platform's store.
+    pub store: fw_store::Client,
+    /// Shards, programs and claims kept here.
+    pub keeper: keeper::Keeper,
+    /// Events of the attempts kept here.
+    pub attempts: attempts::Table,
+    /// Admission of turns and plain requests.
+    pub admission: admission::Admission,
+    /// Requests that crash upstreams.
+    pub poison: Mutex<poison::Poison>,
+    /// Sides and what is known of their upstreams.
+    pub sides: sides::Sides,
+    /// What other entries say of themselves.
+    pub peer_list: peers::Peers,
+    /// Connections to other entries.
+    pub peers: pool::Pool<peer::PeerClient>,
+    /// Plain requests to sides.
+    pub http: fw_http::Client,
+    /// Decisions, for operators.
+    pub explain: explain::Log,
+    /// Renders the metrics, if a recorder is installed.
+    pub metrics: Option<metrics_exporter_prometheus::PrometheusHandle>,
+    /// Turns under way.
+    pub tasks: TaskTracker,
+    /// Requests of callers under way.
+    pub requests: TaskTracker,
+    /// Cancelled when the entry is about to stop: the balancer should send nothing more.
+    pub leaving: CancellationToken,
+    /// Cancelled when the entry is killed: whatever it does ends at once.
+    pub killed: CancellationToken,
+    /// Cancelled when the entry stops: nothing new is taken.
+    pub stopping: CancellationToken,
+    /// Start of the clock that the decision modules see.
+    pub start: Instant,
+}
+
+/// A request under way: a graceful stop waits until it is dropped.
+#[derive(Debug)]
+pub struct Guard {
+    _token: tokio_util::task::task_tracker::TaskTrackerToken,
+}
+
+impl Entry {
+    /// Notes a request as under way.
+    ///
+    /// # Errors
+    ///
+    /// `ShuttingDown` when the entry takes nothing new.
+    pub fn enter(&self) -> Result<Guard, error::Error> {
+        let token = self.requests.token();
+        if self.stopping.is_cancelled() {
+            let message = "this entry is shutting down; send the call again, to another";
+            let err = error::Error::new(error::Kind::ShuttingDown, message);
+            return Err(err.with_retry_after(Duration::ZERO));
+        }
+        Ok(Guard { _token: token })
+    }
+
+    /// Notes work as under way that goes on although the entry takes nothing new.
+    pub fn enter_always(&self) -> Guard {
+        Guard {
+            _token: self.requests.token(),
+        }
+    }
+
+    /// Time since the process started: the clock of the decision modules.
+    pub fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    /// How long to look for the keeper of a shard: a dead one's lease, and the take-over.
+    pub fn patience(&self) -> Duration {
+        self.settings.keeper.lease_ttl * 2
+    }
+
+    /// Whether the keeper of `program`, if this is it, knows that its engine memory may be freed.
+    pub fn is_gone(&self, program: &id::ProgramId) -> bool {
+        let shard = self.keeper.shard_of(program);
+        let gone = self.keeper.with_shard(shard, |shard| {
+            let known = shard.program(program);
+            known.is_none_or(|known| known.status() == program::Status::Ended)
+        });
+        gone.is_ok_and(|changed| changed.value)
+    }
+
+    /// Tells all sides that hold sessions of the program's shard to free its engine memory. A side
+    /// that does not hear it asks after the program later.
+    pub async fn release(&self, program: &id::ProgramId) {
+        let shard = self.keeper.shard_of(program);
+        let Some(fence) = self.keeper.fence(shard) else {
+            return;
+        };
+        for side in self.sides.all() {
+            if !side.update(|state| state.shards.contains(&shard)) {
+                continue;
+            }
+            let service = self.sides.service(&side.instance.service);
+            service.lock().view.forget(program);
+            let req = side::Release {
+                programs: vec![(program.clone(), fence)],
+            };
+            let cx = transport::context(self.settings.upstream.connect_timeout);
+            let call = |client: side::SideClient| async move { client.release(cx, req).await };
+            let _asked_later = self.sides.pool.call(side.instance.side, call).await;
+        }
+    }
+
+    /// How this entry stands, for other entries and operators.
+    pub fn status(&self) -> peer::PeerStatus {
+        let sides = self.sides.all();
+        let revisions = sides.iter().map(|side| side.update(|state| state.revision));
+        peer::PeerStatus {
+            entry: self.id.clone(),
+            place: self.settings.instance.place.clone(),
+            revision: self.records.revision(),
+            sides_revision: revisions.min().unwrap_or_else(|| self.records.revision()),
+            sides: u32::try_from(sides.len()).unwrap_or(u32::MAX),
+            shards: u32::try_from(self.keeper.shards().len()).unwrap_or(u32::MAX),
+            programs: u32::try_from(self.attempts.under_way()).unwrap_or(u32::MAX),
+            leaving: self.stopping.is_cancelled(),
+        }
+    }
+}
+
+/// Serves other entries.
+#[derive(Clone)]
+pub struct PeerService(pub Arc<Entry>);
+
+impl peer::Peer for PeerService {
+    async fn submit(self, _cx: tarpc::context::Context, req: peer::Submit) -> peer::SubmitReply {
+        self.0.records.seen_elsewhere(req.revision);
+        crate::turn::submit::accept(&self.0, req)
+    }
+
+    async fn read(
+        self,
+        _cx: tarpc::context::Context,
+        req: fw_wire::attempt::Read,
+    ) -> fw_wire::attempt::ReadReply {
+        self.0.attempts.read(req).await
+    }
+
+    async fn detach(self, _cx: tarpc::context::Context, attempt: id::AttemptId) {
+        self.0.attempts.detach(attempt);
+    }
+
+    async fn program(self, _cx: tarpc::context::Context, req: peer::Query) -> peer::QueryReply {
+        crate::turn::program::look(&self.0, &req)
+    }
+
+    async fn end(self, _cx: tarpc::context::Context, req: peer::Query) -> peer::QueryReply {
+        crate::turn::program::finish(&self.0, &req).await
+    }
+
+    async fn claim(self, _cx: tarpc::context::Context, req: peer::Claim) -> peer::ClaimReply {
+        crate::turn::claim::take(&self.0, &req).await
+    }
+
+    async fn status(
+        self,
+        _cx: tarpc::context::Context,
+        from: peer::PeerStatus,
+    ) -> peer::PeerStatus {
+        self.0.peer_list.heard(&self.0, from);
+        self.0.status()
+    }
+
+    async fn records(
+        self,
+        _cx: tarpc::context::Context,
+        than: id::Revision,
+    ) -> Option<side::Records> {
+        let set = self.0.records.current();
+        (set.revision() > than).then(|| side::Records {
+            revision: set.revision(),
+            set: set.to_json().into(),
+        })
+    }
+}
--- /dev/null
+++ b/fw-entry/src/process/explain.rs
@@ -0,0 +1,102 @@
+//! A bounded record of decisions, for `foxtailweir explain`.
+//!
+//! Why a call was placed, delayed, retried or refused is kept for the latest programs only; the
+//! oldest program's record makes room for a new one.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use fw_base::id;
+use parking_lot::Mutex;
+use serde::Serialize;
+use smol_str::SmolStr;
+
+/// Most decisions kept of one program; the first ones give way.
+const PER_PROGRAM: usize = 64;
+
+/// One decision.
+#[derive(Clone, Debug, Serialize)]
+pub struct Event {
+    /// Milliseconds since the entry started.
+    pub at_ms: u64,
+    /// What was decided: `placed`, `retried`, `refused`, `committed`, ….
+    pub what: SmolStr,
+    /// Why, in words with the figures that decided.
+    pub why: String,
+}
+
+/// The record.
+#[derive(Debug)]
+pub struct Log {
+    start: Instant,
+    most_programs: usize,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    programs: HashMap<id::ProgramId, VecDeque<Event>>,
+    order: VecDeque<id::ProgramId>,
+}
+
+impl Log {
+    /// An empty record that keeps the decisions of `most_programs` programs.
+    pub fn new(most_programs: usize) -> Self {
+        Self {
+            start: Instant::now(),
+            most_programs,
+            inner: Mutex::default(),
+        }
+    }
+
+    /// Time since the record began: the clock of the pure decision modules.
+    pub fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    /// Notes a decision about `program`.
+    pub fn note(&self, program: &str, what: &'static str, why: String) {
+        if self.most_programs == 0 {
+            return;
+        }
+        let at_ms = u64::try_from(self.now().as_millis()).unwrap_or(u64::MAX);
+        let event = Event {
+            at_ms,
+            what: SmolStr::new_static(what),
+            why,
+        };
+        let mut inner = self.inner.lock();
+        if !inner.programs.contains_key(program) {
+            inner.admit(program.into(), self.most_programs);
+        }
+        if let Some(events) = inner.programs.get_mut(program) {
+            if events.len() == PER_PROGRAM {
+                events.pop_front();
+            }
+            events.push_back(event);
+        }
+    }
+
+    /// The decisions about `program`, oldest first; empty if none is kept.
+    pub fn of(&self, program: &str) -> Vec<Event> {
+        let inner = self.inner.lock();
+        let events = inner.programs.get(program);
+        events
+            .map(|events| events.iter().cloned().collect())
+            .unwrap_or_default()
+    }
+}
+
+impl Inner {
+    fn admit(&mut self, program: id::ProgramId, most: usize) {
+        if self.order.len() >= most
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.programs.remove(&oldest);
+        }
+        self.order.push_back(program.clone());
+        self.programs.insert(program, VecDeque::new());
+    }
+}
--- /dev/null
+++ b/fw-entry/src/process/members.rs
@@ -0,0 +1,93 @@
+//! Keeps up with the platform's instance list: which sides there are, and which this entry watches.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use fw_base::id;
+use fw_plan::subset;
+use tokio::task::AbortHandle;
+use tokio::task::JoinSet;
+use tracing::info;
+
+use super::entry;
+use crate::connection::heartbeat;
+use crate::connection::sides;
+
+/// Counter of instance lists fetched, by outcome.
+pub const FETCHES: &str = "fw_entry_instance_lists_total";
+
+/// Follows the instance list until the future is dropped, and sends heartbeats meanwhile.
+pub async fn run(entry: Arc<entry::Entry>) {
+    let Some(url) = entry.settings.platform.instances.clone() else {
+        info!("no instance list is set: there are no upstreams");
+        return std::future::pending().await;
+    };
+    let http = fw_http::Client::default();
+    let mut ticks = tokio::time::interval(entry.settings.platform.poll_interval);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut beats = Heartbeats::default();
+    loop {
+        ticks.tick().await;
+        let list = fetch(&http, &url).await;
+        let outcome = if list.is_some() { "ok" } else { "failed" };
+        metrics::counter!(FETCHES, "outcome" => outcome).increment(1);
+        // Without a list the last one stands: own observations go on.
+        if let Some(list) = list {
+            let watched = watched(&entry, list);
+            let change = entry.sides.listed(entry.now(), &watched);
+            beats.apply(&entry, &change);
+        }
+    }
+}
+
+async fn fetch(http: &fw_http::Client, url: &str) -> Option<Vec<sides::Instance>> {
+    let answer = http.get(url).await.ok()?;
+    serde_json::from_slice(&answer.body).ok()
+}
+
+/// The instances that this entry is to watch: all in a small fleet, its part in a large one.
+fn watched(entry: &entry::Entry, list: Vec<sides::Instance>) -> Vec<sides::Instance> {
+    let entries = entry.peer_list.members(entry);
+    let options = subset::Options {
+        near: entry.settings.upstream.watchers_near,
+        far: entry.settings.upstream.watchers_far,
+    };
+    let is_mine = |instance: &sides::Instance| {
+        let member = subset::Member {
+            id: instance.id.clone(),
+            place: instance.place.clone(),
+        };
+        subset::watches(&entry.id, &entries, &member, &options)
+    };
+    let holds = |instance: &sides::Instance| {
+        let side = entry.sides.side(&instance.id);
+        side.is_some_and(|side| side.update(|state| !state.shards.is_empty()))
+    };
+    list.into_iter()
+        .filter(|one| is_mine(one) || holds(one))
+        .collect()
+}
+
+/// The heartbeats under way, by upstream. Dropping them ends them.
+#[derive(Default)]
+struct Heartbeats {
+    tasks: JoinSet<()>,
+    handles: HashMap<id::UpstreamId, AbortHandle>,
+}
+
+impl Heartbeats {
+    fn apply(&mut self, entry: &Arc<entry::Entry>, change: &sides::Change) {
+        for side in &change.removed {
+            if let Some(handle) = self.handles.remove(&side.instance.id) {
+                handle.abort();
+            }
+        }
+        for side in &change.added {
+            info!(upstream = %side.instance.id, place = %side.instance.place, "upstream listed");
+            let beat = heartbeat::run(Arc::clone(entry), Arc::clone(side));
+            let handle = self.tasks.spawn(beat);
+            self.handles.insert(side.instance.id.clone(), handle);
+        }
+        while self.tasks.try_join_next().is_some() {}
+    }
+}
--- /dev/null
+++ b/fw-entry/src/process/mod.rs
@@ -0,0 +1,10 @@
+//! What lives as long as the process.
+
+pub mod admission;
+pub mod attempts;
+pub mod entry;
+pub mod explain;
+pub mod keepers;
+pub mod members;
+pub mod peers;
+pub mod serve;
--- /dev/null
+++ b/fw-entry/src/request/admin.rs
@@ -0,0 +1,157 @@
+//! Operators' requests: records, what is in force, programs, explanations, metrics.
+
+use std::sync::Arc;
+
+use axum::Json;
+use axum::extract::Path;
+use axum::extract::Query;
+use axum::extract::State;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use bytes::Bytes;
+use fw_base::id;
+use fw_record::admin;
+use fw_record::write;
+use fw_wire::peer;
+use hyper::StatusCode;
+use hyper::http;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::json;
+
+use crate::process::entry;
+use crate::process::peers;
+
+/// Answers everything below `/admin/records`.
+pub async fn records(
+    State(entry): State<Arc<entry::Entry>>,
+    method: http::Method,
+    uri: http::Uri,
+    body: Bytes,
+) -> Response {
+    let path = uri
+        .path()
+        .strip_prefix("/admin/records")
+        .unwrap_or_default();
+    let req = admin::Request {
+        method: method.as_str(),
+        path,
+        query: uri.query().unwrap_or_default(),
+        body: &body,
+    };
+    let answer = admin::handle(&entry.store, req, &write::Options::default()).await;
+    if let Some(revision) = answer.body.get("revision").and_then(|value| value.as_i64()) {
+        entry.records.seen_elsewhere(revision);
+    }
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    (status, Json(answer.body)).into_response()
+}
+
+/// The query of [`in_force`].
+#[derive(Debug, Deserialize)]
+pub struct InForceQuery {
+    revision: id::Revision,
+}
+
+/// Where records of a revision are in force.
+#[derive(Debug, Serialize)]
+pub struct InForceReport {
+    revision: id::Revision,
+    /// Processes that act on records of the revision or newer.
+    in_force: usize,
+    /// Processes known: entries, and the sides that they heartbeat.
+    of: usize,
+    /// Names of those that do not yet, or did not answer.
+    waiting: Vec<String>,
+}
+
+/// Tells at how many of the processes records of a revision are in force.
+pub async fn in_force(
+    State(entry): State<Arc<entry::Entry>>,
+    Query(query): Query<InForceQuery>,
+) -> Json<InForceReport> {
+    let revision = query.revision;
+    let others = peers::others(&entry);
+    let mut statuses = vec![(entry.id.to_string(), Some(entry.status()))];
+    for (id, addr) in others {
+        statuses.push((id.to_string(), peers::ask(&entry, addr).await));
+    }
+    let mut report = InForceReport {
+        revision,
+        in_force: 0,
+        of: 0,
+        waiting: Vec::new(),
+    };
+    for (name, status) in statuses {
+        let is_in_force = status
+            .as_ref()
+            .is_some_and(|status| status.revision >= revision);
+        report.count(name.clone(), is_in_force);
+        report.count_sides(&name, status.as_ref());
+    }
+    Json(report)
+}
+
+impl InForceReport {
+    fn count(&mut self, name: String, is_in_force: bool) {
+        self.of += 1;
+        if is_in_force {
+            self.in_force += 1;
+        } else {
+            self.waiting.push(name);
+        }
+    }
+
+    /// The sides that an entry heartbeats count as one more, in force once the last of them is.
+    fn count_sides(&mut self, name: &str, status: Option<&peer::PeerStatus>) {
+        let Some(status) = status.filter(|status| status.sides > 0) else {
+            return;
+        };
+        let name = format!("{} sides of {name}", status.sides);
+        self.count(name, status.sides_revision >= self.revision);
+    }
+}
+
+/// Lists the programs kept here, and how this entry stands.
+pub async fn programs(State(entry): State<Arc<entry::Entry>>) -> Json<serde_json::Value> {
+    let mut programs = Vec::new();
+    for kept in entry.keeper.shards() {
+        let listed = entry.keeper.with_shard(kept.shard, |shard| {
+            let described = shard.programs().map(|(name, program)| {
+                json!({
+                    "id": name,
+                    "status": program.status().as_str(),
+                    "turn": program.turn(),
+                    "tokens": program.ledger().spent().tokens,
+                    "team": program.team(),
+                    "shard": kept.shard,
+                })
+            });
+            described.collect::<Vec<_>>()
+        });
+        programs.extend(listed.map(|changed| changed.value).unwrap_or_default());
+    }
+    Json(json!({ "entry": entry.status(), "programs": programs }))
+}
+
+/// Tells the latest decisions about a program at this entry.
+pub async fn explain(
+    State(entry): State<Arc<entry::Entry>>,
+    Path(program): Path<String>,
+) -> Json<serde_json::Value> {
+    let owner = entry.keeper.owner(entry.keeper.shard_of(&program));
+    let keeper = match owner {
+        fw_keep::keeper::Owner::Mine => "this entry".to_owned(),
+        fw_keep::keeper::Owner::Other { entry, address } => format!("{entry} at {address}"),
+        fw_keep::keeper::Owner::Nobody => "nobody now".to_owned(),
+    };
+    Json(json!({ "keeper": keeper, "events": entry.explain.of(&program) }))
+}
+
+/// Prometheus's text format.
+pub async fn metrics(State(entry): State<Arc<entry::Entry>>) -> Response {
+    match &entry.metrics {
+        Some(handle) => handle.render().into_response(),
+        None => (StatusCode::NOT_FOUND, "no metrics recorder is installed\n").into_response(),
+    }
+}
--- /dev/null
+++ b/fw-entry/src/request/answer.rs
@@ -0,0 +1,86 @@
+//! From error to HTTP answer: the only place where an error's answer to a caller is made.
+
+use std::time::Duration;
+
+use axum::Json;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use fw_base::error;
+use hyper::StatusCode;
+use hyper::header;
+use serde::Serialize;
+
+/// Counter of errors answered to callers, by kind.
+pub const ERRORS: &str = "fw_entry_errors_total";
+
+/// Header that tells whether the call ran: `no`, `maybe` or `yes`.
+pub const RAN_HEADER: &str = "x-fw-ran";
+
+/// An error's JSON body, in the shape of OpenAI's API with the fields `ran` and `retry_after`.
+#[derive(Debug, Serialize)]
+pub struct Body<'a> {
+    error: Fields<'a>,
+}
+
+#[derive(Debug, Serialize)]
+struct Fields<'a> {
+    /// Same as `kind`, where OpenAI's client libraries look for it.
+    #[serde(rename = "type")]
+    sort: &'static str,
+    kind: &'static str,
+    message: &'a str,
+    ran: error::Ran,
+    /// Seconds; absent if a later call is no better.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after: Option<f64>,
+}
+
+/// The JSON body that tells of `err`.
+pub fn body(err: &error::Error) -> Body<'_> {
+    let row = err.kind.row();
+    Body {
+        error: Fields {
+            sort: row.label,
+            kind: row.label,
+            message: &err.message,
+            ran: row.ran,
+            retry_after: err.retry_after.map(|after| after.as_secs_f64()),
+        },
+    }
+}
+
+/// The answer that tells of `err`, counted by its kind.
+pub fn refuse(err: &error::Error) -> Response {
+    let row = err.kind.row();
+    count(err.kind);
+    let status = StatusCode::from_u16(row.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut answer = (status, Json(body(err))).into_response();
+    let headers = answer.headers_mut();
+    headers.insert(RAN_HEADER, ran_value(row.ran));
+    if let Some(after) = err.retry_after {
+        headers.insert(header::RETRY_AFTER, whole_seconds(after).into());
+    }
+    answer
+}
+
+/// Counts an error that a caller is told of.
+pub fn count(kind: error::Kind) {
+    metrics::counter!(ERRORS, "kind" => kind.row().label).increment(1);
+}
+
+fn ran_value(ran: error::Ran) -> header::HeaderValue {
+    header::HeaderValue::from_static(match ran {
+        error::Ran::No => "no",
+        error::Ran::Maybe => "maybe",
+        error::Ran::Yes => "yes",
+    })
+}
+
+/// `Retry-After` knows whole seconds only; rounded up, so that nobody comes back too early.
+fn whole_seconds(after: Duration) -> u64 {
+    after
+        .as_millis()
+        .div_ceil(1000)
+        .try_into()
+        .unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/fw-entry/src/request/splice.rs
@@ -0,0 +1,131 @@
+//! Joins a turn's events over a change of attempt.
+//!
+//! When an upstream or a keeper dies under a streamed turn, the turn runs again and its events start
+//! anew, while the caller already holds a part of the answer. If the new run begins with the very
+//! text that was delivered, the rest is passed on and the caller notices only a pause; if it
+//! differs, the caller gets an error, never an answer sewn together from two.
+
+use fw_base::error;
+use fw_wire::attempt;
+use serde::Deserialize;
+use serde_json::Value;
+
+/// What was delivered to one caller of one turn.
+#[derive(Debug, Default)]
+pub struct Splice {
+    delivered: Vec<attempt::Event>,
+    /// Text that the new run must begin with; `None` while events are passed on as they come.
+    expected: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Chunk {
+    #[serde(default)]
+    choices: Vec<Choice>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    #[serde(default)]
+    delta: Delta,
+    finish_reason: Option<String>,
+}
+
+#[derive(Default, Deserialize)]
+struct Delta {
+    content: Option<String>,
+    tool_calls: Option<Value>,
+}
+
+impl Splice {
+    /// Whether anything was delivered.
+    pub fn is_untouched(&self) -> bool {
+        self.delivered.is_empty()
+    }
+
+    /// Tells that the events that follow are those of a new run, from its start.
+    ///
+    /// # Errors
+    ///
+    /// When a tool call was delivered in part: two runs cannot be compared then.
+    pub fn restart(&mut self) -> Result<(), error::Error> {
+        if self.is_untouched() {
+            return Ok(());
+        }
+        let mut text = String::new();
+        for event in &self.delivered {
+            let chunk = parse(event)?;
+            for choice in chunk.choices {
+                if choice.delta.tool_calls.is_some() {
+                    return Err(diverged("a tool call was delivered in part"));
+                }
+                text.push_str(choice.delta.content.as_deref().unwrap_or_default());
+            }
+        }
+        self.expected = Some(text);
+        Ok(())
+    }
+
+    /// What of `event` is to be passed on to the caller.
+    ///
+    /// # Errors
+    ///
+    /// When the new run differs from what was delivered.
+    pub fn pass(&mut self, event: attempt::Event) -> Result<Option<attempt::Event>, error::Error> {
+        let Some(expected) = self.expected.take() else {
+            self.delivered.push(event.clone());
+            return Ok(Some(event));
+        };
+        let chunk = parse(&event)?;
+        let Some(choice) = chunk.choices.into_iter().next() else {
+            self.expected = Some(expected);
+            return Ok(None);
+        };
+        let content = choice.delta.content.unwrap_or_default();
+        if let Some(rest) = expected.strip_prefix(content.as_str()) {
+            return self.hold_back(rest, choice.finish_reason.is_some(), event);
+        }
+        let Some(tail) = content.strip_prefix(expected.as_str()) else {
+            return Err(diverged("the new run's answer differs"));
+        };
+        let rest = with_content(&event, tail)?;
+        self.delivered.push(rest.clone());
+        Ok(Some(rest))
+    }
+
+    fn hold_back(
+        &mut self,
+        rest: &str,
+        ends: bool,
+        event: attempt::Event,
+    ) -> Result<Option<attempt::Event>, error::Error> {
+        if ends && !rest.is_empty() {
+            return Err(diverged("the new run's answer is shorter"));
+        }
+        if ends {
+            self.delivered.push(event.clone());
+            return Ok(Some(event));
+        }
+        self.expected = Some(rest.to_owned());
+        Ok(None)
+    }
+}
+
+fn parse(event: &str) -> Result<Chunk, error::Error> {
+    serde_json::from_str(event).map_err(|err| diverged(&format!("a chunk is malformed: {err}")))
+}
+
+fn with_content(event: &str, content: &str) -> Result<attempt::Event, error::Error> {
+    let malformed = |err| diverged(&format!("a chunk is malformed: {err}"));
+    let mut value: Value = serde_json::from_str(event).map_err(malformed)?;
+    if let Some(delta) = value.pointer_mut("/choices/0/delta/content") {
+        *delta = content.into();
+    }
+    Ok(value.to_string().into())
+}
+
+fn diverged(why: &str) -> error::Error {
+    let message =
+        format!("the turn ran anew after a failure and cannot be continued: {why}; send it again");
+    error::Error::new(error::Kind::UpstreamCrashed, message)
+}
--- /dev/null
+++ b/fw-entry/src/turn/claim.rs
@@ -0,0 +1,146 @@
+//! Claims on idempotency keys: a call that is not idempotent is sent at most once.
+//!
+//! The claim is durable in the journal before the call is sent. A keeper that takes over finds it
+//! there and answers "may have run" instead of sending the call again.
+
+use std::sync::Arc;
+
+use fw_base::error;
+use fw_keep::claim;
+use fw_keep::keeper;
+use fw_wire::peer;
+use fw_wire::transport;
+
+use crate::process::entry;
+use crate::process::keepers;
+
+/// Counter of claim steps, by step and outcome.
+pub const CLAIMS: &str = "fw_entry_claims_total";
+
+/// An answer to a step of a claim.
+#[derive(Clone, Debug)]
+pub enum Claimed {
+    /// The claim is durable: send the call, once.
+    Granted,
+    /// It ran before; this was the answer.
+    Replay(peer::StoredAnswer),
+    /// The outcome is recorded.
+    Settled,
+}
+
+type Reply = Result<Claimed, error::Error>;
+
+/// Takes a step of a claim at its keeper, wherever that is.
+///
+/// # Errors
+///
+/// When the claim is not granted; the kind says whether a call under the key ran.
+pub async fn step(entry: &Arc<entry::Entry>, req: &peer::Claim) -> Reply {
+    let within = entry.settings.keeper.commit_wait * 2;
+    let here = || async { tried(take(entry, req).await) };
+    let there = |client: peer::PeerClient| {
+        let req = req.clone();
+        async move {
+            client
+                .claim(transport::context(within), req)
+                .await
+                .map(tried)
+        }
+    };
+    let options = keepers::Options {
+        patience: entry.patience(),
+        // An open that was received but whose answer was lost finds the key in use: it is not
+        // granted twice. To be told "in use" for one's own claim is safe, if unkind.
+        idempotent: !matches!(req.step, peer::ClaimStep::Open),
+    };
+    let shard = entry.keeper.shard_of(&key(req).shard_name());
+    let (_place, reply) = keepers::call(entry, shard, options, here, there)
+        .await
+        .map_err(|err| not_sent(req, err))?;
+    reply
+}
+
+/// While a claim is being opened, nothing was sent: a lost keeper means "not run".
+fn not_sent(req: &peer::Claim, err: error::Error) -> error::Error {
+    match (&req.step, err.kind) {
+        (peer::ClaimStep::Open, error::Kind::KeeperLost) => {
+            let message = "the key's keeper broke off before the call was sent";
+            error::Error::new(error::Kind::KeeperUnavailable, message)
+        }
+        _ => err,
+    }
+}
+
+fn tried(reply: peer::ClaimReply) -> keepers::Tried<Reply> {
+    keepers::Tried::Answered(match reply {
+        peer::ClaimReply::Granted => Ok(Claimed::Granted),
+        peer::ClaimReply::Replay(answer) => Ok(Claimed::Replay(answer)),
+        peer::ClaimReply::Settled => Ok(Claimed::Settled),
+        peer::ClaimReply::Refused(err) => Err(err),
+        peer::ClaimReply::NotKeeper => return keepers::Tried::NotKeeper,
+    })
+}
+
+fn key(req: &peer::Claim) -> claim::Key {
+    claim::Key {
+        team: req.team.clone(),
+        key: req.key.as_str().into(),
+    }
+}
+
+/// Takes a step of a claim at its keeper.
+pub async fn take(entry: &entry::Entry, req: &peer::Claim) -> peer::ClaimReply {
+    let (step, reply) = match &req.step {
+        peer::ClaimStep::Open => ("open", open(entry, req).await),
+        peer::ClaimStep::NotRun => {
+            let reply = settle(entry, req, keeper::Settle::NotRun).await;
+            ("not_run", reply)
+        }
+        peer::ClaimStep::Done(answer) => {
+            let reply = settle(entry, req, keeper::Settle::Done(kept(answer))).await;
+            ("done", reply)
+        }
+    };
+    let outcome = match &reply {
+        peer::ClaimReply::Refused(err) => err.kind.row().label,
+        peer::ClaimReply::NotKeeper => "not_keeper",
+        _ => "ok",
+    };
+    metrics::counter!(CLAIMS, "step" => step, "outcome" => outcome).increment(1);
+    reply
+}
+
+async fn open(entry: &entry::Entry, req: &peer::Claim) -> peer::ClaimReply {
+    match entry.keeper.claim(&key(req), req.fingerprint).await {
+        keeper::Claimed::Granted => peer::ClaimReply::Granted,
+        keeper::Claimed::Replay(answer) => peer::ClaimReply::Replay(peer::StoredAnswer {
+            status: answer.status,
+            content_type: answer.content_type,
+            body: answer.body,
+            truncated: answer.truncated,
+        }),
+        keeper::Claimed::NotKeeper => peer::ClaimReply::NotKeeper,
+        keeper::Claimed::Refused(err) => peer::ClaimReply::Refused(err),
+    }
+}
+
+async fn settle(entry: &entry::Entry, req: &peer::Claim, how: keeper::Settle) -> peer::ClaimReply {
+    let Ok(ticket) = entry.keeper.settle(&key(req), req.fingerprint, how) else {
+        return peer::ClaimReply::NotKeeper;
+    };
+    if let Some(ticket) = ticket {
+        // Not durable in time means durable later, or "may have run" after a take-over: the caller
+        // gets its answer either way.
+        let _later = entry.keeper.durable(ticket).await;
+    }
+    peer::ClaimReply::Settled
+}
+
+fn kept(answer: &peer::StoredAnswer) -> claim::Answer {
+    claim::Answer {
+        status: answer.status,
+        content_type: answer.content_type.clone(),
+        body: answer.body.clone(),
+        truncated: answer.truncated,
+    }
+}
--- /dev/null
+++ b/fw-entry/src/turn/mod.rs
@@ -0,0 +1,8 @@
+//! What lives for one turn at its keeper.
+
+pub mod claim;
+pub mod plan;
+pub mod program;
+pub mod run;
+pub mod submit;
+pub mod upstream;
--- /dev/null
+++ b/fw-entry/src/turn/program.rs
@@ -0,0 +1,139 @@
+//! What the keeper tells of a program, and how a program ends.
+
+use std::sync::Arc;
+
+use fw_base::error;
+use fw_keep::keeper;
+use fw_keep::program;
+use fw_wire::peer;
+use fw_wire::transport;
+
+use crate::process::entry;
+use crate::process::keepers;
+
+type Reply = Result<Box<peer::Program>, error::Error>;
+
+/// Asks a program's keeper, wherever that is.
+///
+/// # Errors
+///
+/// When there is no such program for the team, or no keeper is found in time.
+pub async fn query(entry: &Arc<entry::Entry>, req: &peer::Query) -> Reply {
+    let within = entry.settings.upstream.connect_timeout * 4;
+    let here = || {
+        let reply = look(entry, req);
+        async move { tried(reply) }
+    };
+    let there = |client: peer::PeerClient| {
+        let req = req.clone();
+        async move {
+            client
+                .program(transport::context(within), req)
+                .await
+                .map(tried)
+        }
+    };
+    let shard = entry.keeper.shard_of(&req.program);
+    let (_place, reply) = keepers::call(entry, shard, options(entry), here, there).await?;
+    reply
+}
+
+/// Ends a program at its keeper, wherever that is. Ending it again changes nothing.
+///
+/// # Errors
+///
+/// As [`query`].
+pub async fn end(entry: &Arc<entry::Entry>, req: &peer::Query) -> Reply {
+    let within = entry.settings.keeper.commit_wait * 2;
+    let here = || async { tried(finish(entry, req).await) };
+    let there = |client: peer::PeerClient| {
+        let req = req.clone();
+        async move { client.end(transport::context(within), req).await.map(tried) }
+    };
+    let shard = entry.keeper.shard_of(&req.program);
+    let (_place, reply) = keepers::call(entry, shard, options(entry), here, there).await?;
+    reply
+}
+
+fn options(entry: &entry::Entry) -> keepers::Options {
+    keepers::Options {
+        patience: entry.patience(),
+        idempotent: true,
+    }
+}
+
+fn tried(reply: peer::QueryReply) -> keepers::Tried<Reply> {
+    match reply {
+        peer::QueryReply::Found(program) => keepers::Tried::Answered(Ok(program)),
+        peer::QueryReply::Refused(err) => keepers::Tried::Answered(Err(err)),
+        peer::QueryReply::NotKeeper => keepers::Tried::NotKeeper,
+    }
+}
+
+/// Answers [`query`] at the keeper.
+pub fn look(entry: &entry::Entry, req: &peer::Query) -> peer::QueryReply {
+    let shard = entry.keeper.shard_of(&req.program);
+    let found = entry.keeper.with_shard(shard, |shard| {
+        let program = shard.program(&req.program).ok_or_else(unknown)?;
+        if *program.team() != req.team {
+            return Err(foreign());
+        }
+        Ok(describe(req, program))
+    });
+    match found.map(|changed| changed.value) {
+        Err(_) => peer::QueryReply::NotKeeper,
+        Ok(Ok(program)) => peer::QueryReply::Found(Box::new(program)),
+        Ok(Err(err)) => peer::QueryReply::Refused(err),
+    }
+}
+
+/// Answers [`end`] at the keeper. The sides learn of it by their next heartbeat, which repeats
+/// until they have freed the program's engine memory.
+pub async fn finish(entry: &entry::Entry, req: &peer::Query) -> peer::QueryReply {
+    let shard = entry.keeper.shard_of(&req.program);
+    let now = keeper::now();
+    let ended = entry
+        .keeper
+        .with_shard(shard, |shard| shard.end(&req.program, &req.team, now));
+    let Ok(ended) = ended else {
+        return peer::QueryReply::NotKeeper;
+    };
+    match ended.value {
+        Err(err) => return peer::QueryReply::Refused(err),
+        Ok(Some(attempt)) => entry.attempts.stop(attempt),
+        Ok(None) => {}
+    }
+    // Not durable in time means durable later, or a program that idles until its retention.
+    let _later = entry.keeper.durable(ended.ticket).await;
+    entry.release(&req.program).await;
+    look(entry, req)
+}
+
+fn describe(req: &peer::Query, program: &program::Program) -> peer::Program {
+    let history = match req.with_history {
+        true => program.history().to_vec(),
+        false => Vec::new(),
+    };
+    peer::Program {
+        program: req.program.clone(),
+        status: program.status().as_str().to_owned(),
+        turn: program.turn(),
+        digest: program.digest(),
+        tokens: program.ledger().spent().tokens,
+        tokens_left: program.tokens_left(),
+        team: program.team().clone(),
+        history,
+    }
+}
+
+fn unknown() -> error::Error {
+    let message = "no such program; it never began, or was forgotten after its retention";
+    error::Error::new(error::Kind::UnknownProgram, message)
+}
+
+fn foreign() -> error::Error {
+    error::Error::new(
+        error::Kind::ForeignProgram,
+        "the program belongs to another team",
+    )
+}
--- /dev/null
+++ b/fw-entry/src/turn/run.rs
@@ -0,0 +1,473 @@
+//! Runs a turn at its keeper: places it, tries it, and commits its answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fw_base::error;
+use fw_base::id;
+use fw_keep::keeper;
+use fw_keep::program;
+use fw_plan::place;
+use fw_plan::poison;
+use fw_plan::retry;
+use fw_wire::attempt;
+use fw_wire::buffer;
+use fw_wire::peer;
+use fw_wire::side;
+use rand::RngExt;
+use tracing::warn;
+
+use super::plan;
+use super::upstream;
+use crate::connection::sides;
+use crate::process::admission;
+use crate::process::entry;
+
+/// Counter of placements, by reason.
+pub const PLACED: &str = "fw_entry_placed_total";
+/// Counter of retries, by the kind of failure.
+pub const RETRIES: &str = "fw_entry_retries_total";
+/// Counter of failures that were not retried, by reason.
+pub const GIVEN_UP: &str = "fw_entry_retries_refused_total";
+/// Counter of committed turns.
+pub const TURNS: &str = "fw_entry_turns_total";
+/// Counter of tokens, by sort: `prompt`, `completion`.
+pub const TOKENS: &str = "fw_entry_tokens_total";
+/// Counter of prompt tokens computed anew that some upstream had held in its cache.
+pub const WASTED: &str = "fw_entry_cache_wasted_tokens_total";
+/// Histogram of time from a turn's arrival to its release into an engine, in seconds.
+pub const QUEUED: &str = "fw_entry_queue_seconds";
+/// Histogram of a turn's time from its arrival to its end, in seconds.
+pub const TOOK: &str = "fw_entry_turn_seconds";
+
+/// A turn under way.
+pub struct Task {
+    entry: Arc<entry::Entry>,
+    req: peer::Submit,
+    plan: plan::Plan,
+    run: program::Run,
+    permit: admission::Permit,
+    max_tokens: id::Tokens,
+    arrived: tokio::time::Instant,
+    /// The attempt that callers read at present.
+    reading: id::AttemptId,
+    /// Where the turn runs at present.
+    current: Option<Current>,
+}
+
+#[derive(Clone, Debug)]
+struct Current {
+    side: Arc<sides::Side>,
+    attempt: id::AttemptId,
+    alone: bool,
+}
+
+impl Task {
+    /// A turn that was admitted.
+    pub fn new(
+        entry: Arc<entry::Entry>,
+        req: peer::Submit,
+        plan: plan::Plan,
+        run: program::Run,
+        permit: admission::Permit,
+        max_tokens: id::Tokens,
+    ) -> Self {
+        Self {
+            entry,
+            req,
+            plan,
+            reading: run.attempt,
+            run,
+            permit,
+            max_tokens,
+            arrived: tokio::time::Instant::now(),
+            current: None,
+        }
+    }
+
+    /// Runs the turn to its end, whatever that is.
+    pub async fn run(mut self, mut buf: Arc<buffer::Buffer>) {
+        let abandoned = self.entry.attempts.abandoned(self.run.attempt);
+        let stopped = self.entry.attempts.ended(self.run.attempt);
+        let killed = self.entry.killed.clone();
+        let cancels = self.plan.cancel_when_gone;
+        let limit = self.time_limit();
+        let outcome = tokio::select! {
+            outcome = tokio::time::timeout(limit, self.tries(&mut buf)) => {
+                outcome.unwrap_or_else(|_| Err(overdue()))
+            }
+            () = abandoned.cancelled(), if cancels => Err(cancelled()),
+            () = stopped.cancelled() => Err(ended()),
+            () = killed.cancelled() => return,
+        };
+        metrics::histogram!(TOOK).record(self.arrived.elapsed().as_secs_f64());
+        match outcome {
+            Ok(finish) => self.commit(&buf, finish).await,
+            Err(err) => self.give_up(&buf, err).await,
+        }
+    }
+
+    fn time_limit(&self) -> Duration {
+        let left = self.run.time_left.unwrap_or(Duration::MAX);
+        self.req.deadline.min(left)
+    }
+
+    async fn tries(
+        &mut self,
+        buf: &mut Arc<buffer::Buffer>,
+    ) -> Result<attempt::Finish, error::Error> {
+        let service = self.entry.sides.service(&self.plan.service);
+        service.lock().retry.earn();
+        let mut tried = 0;
+        loop {
+            tried += 1;
+            let err = match self.try_once(buf).await {
+                Ok(finish) => return Ok(finish),
+                Err(err) => err,
+            };
+            let after = self.decide(tried, &err)?;
+            tokio::time::sleep(after).await;
+            self.start_anew(buf);
+        }
+    }
+
+    /// Whether, and after which delay, a failed try is followed by another.
+    fn decide(&mut self, tried: u32, err: &error::Error) -> Result<Duration, error::Error> {
+        let failure = retry::Failure {
+            kind: err.kind,
+            attempt: tried,
+            // A model call has no effect but its answer, which is not committed yet.
+            repeatable: true,
+            deadline: self.req.deadline.saturating_sub(self.arrived.elapsed()),
+            retry_after: None,
+        };
+        let service = self.entry.sides.service(&self.plan.service);
+        let now = self.entry.now();
+        let outcome = service.lock().retry.decide(now, &failure, &mut rand::rng());
+        let label = err.kind.row().label;
+        match outcome {
+            retry::Outcome::Retry { after } => {
+                metrics::counter!(RETRIES, "kind" => label).increment(1);
+                self.explain("retried", format!("{err}; again after {after:?}"));
+                Ok(after)
+            }
+            retry::Outcome::GiveUp { reason } => {
+                let reason = reason.label();
+                metrics::counter!(GIVEN_UP, "reason" => reason, "kind" => label).increment(1);
+                self.explain("given up", format!("{err}; not tried again: {reason}"));
+                Err(err.clone())
+            }
+        }
+    }
+
+    /// A further try starts its events anew: readers that hold some go over to a new buffer.
+    fn start_anew(&mut self, buf: &mut Arc<buffer::Buffer>) {
+        if buf.is_empty() {
+            return;
+        }
+        let next = rand::rng().random();
+        *buf = self.entry.attempts.go_on(self.reading, next);
+        self.reading = next;
+    }
+
+    async fn try_once(
+        &mut self,
+        buf: &Arc<buffer::Buffer>,
+    ) -> Result<attempt::Finish, error::Error> {
+        let current = self.place()?;
+        self.current = Some(current.clone());
+        let start = self.start_message(&current)?;
+        let attempt = upstream::Try {
+            entry: &self.entry,
+            side: &current.side,
+            start,
+            whole: self.whole_prompt()?,
+            buf,
+        };
+        let outcome = attempt.run().await;
+        self.settle(&current, &outcome);
+        if outcome.is_ok() {
+            return outcome;
+        }
+        self.current = None;
+        outcome
+    }
+
+    fn place(&self) -> Result<Current, error::Error> {
+        let now = self.entry.now();
+        let suspicion = self.entry.poison.lock().decide(now, &self.run.digest);
+        let (alone, avoid) = match suspicion {
+            poison::Outcome::Normal => (false, None),
+            poison::Outcome::Alone { avoid } => (true, Some(avoid)),
+            poison::Outcome::Refused(refused) => return Err(quarantined(refused.retry_after)),
+        };
+        let outcome = self.choose(now, avoid.as_ref())?;
+        let side = self.entry.sides.side(&outcome.upstream);
+        let side = side.ok_or_else(|| self.no_upstream())?;
+        side.update(|state| state.shards.insert(self.plan.shard));
+        Ok(Current {
+            side,
+            attempt: rand::rng().random(),
+            alone,
+        })
+    }
+
+    fn choose(
+        &self,
+        now: Duration,
+        avoid: Option<&id::UpstreamId>,
+    ) -> Result<place::Outcome, error::Error> {
+        let service = self.entry.sides.service(&self.plan.service);
+        let mut service = service.lock();
+        let req = place::Request {
+            program: Some(&self.req.program),
+            prompt_tokens: self.run.prompt_tokens,
+            place: &self.entry.settings.instance.place,
+            model: Some(&self.req.model),
+            avoid,
+        };
+        let chosen = place::choose(&service.view, &req, &self.plan.place, &mut rand::rng());
+        let outcome = chosen.ok_or_else(|| self.no_upstream())?;
+        service.view.sent(&outcome.upstream, outcome.lacks, now);
+        drop(service);
+        metrics::counter!(PLACED, "reason" => outcome.reason.label()).increment(1);
+        let why = format!(
+            "turn {} on {}: {}, {:?} expected, {} tokens missing in its cache",
+            self.run.turn,
+            outcome.upstream,
+            outcome.reason.label(),
+            outcome.expected,
+            outcome.lacks,
+        );
+        self.explain("placed", why);
+        Ok(outcome)
+    }
+
+    fn start_message(&self, current: &Current) -> Result<side::Start, error::Error> {
+        Ok(side::Start {
+            from: self.entry.id.clone(),
+            revision: self.entry.records.revision(),
+            attempt: current.attempt,
+            program: self.req.program.clone(),
+            shard: self.plan.shard,
+            fence: self.plan.fence,
+            turn: self.run.turn,
+            model: self.req.model.clone(),
+            base: self.run.base,
+            messages: self.run.messages.clone(),
+            digest: self.run.digest,
+            params: Arc::clone(&self.req.params),
+            max_tokens: self.max_tokens,
+            deadline: self.time_limit().saturating_sub(self.arrived.elapsed()),
+            team: self.req.team.clone(),
+            share: self.plan.share,
+            attained: self.attained(),
+            prompt_tokens: self.run.prompt_tokens,
+            alone: current.alone,
+        })
+    }
+
+    /// The messages of the whole prompt, shared with the shard's state.
+    fn whole_prompt(&self) -> Result<Vec<fw_base::chat::Message>, error::Error> {
+        if self.run.turn == 1 {
+            return Ok(self.run.messages.clone());
+        }
+        let history = self.entry.keeper.with_shard(self.plan.shard, |shard| {
+            let program = shard.program(&self.req.program)?;
+            Some(program.history().to_vec())
+        });
+        let history = history.ok().and_then(|changed| changed.value);
+        let mut whole = history.ok_or_else(lost)?;
+        whole.extend_from_slice(&self.run.messages);
+        Ok(whole)
+    }
+
+    fn attained(&self) -> Duration {
+        let attained = self.entry.keeper.with_shard(self.plan.shard, |shard| {
+            let program = shard.program(&self.req.program)?;
+            Some(program.ledger().spent().time)
+        });
+        attained
+            .ok()
+            .and_then(|changed| changed.value)
+            .unwrap_or_default()
+    }
+
+    fn settle(&mut self, current: &Current, outcome: &Result<attempt::Finish, error::Error>) {
+        let upstream = &current.side.instance.id;
+        let service = self.entry.sides.service(&self.plan.service);
+        let mut service = service.lock();
+        match outcome {
+            Ok(finish) => {
+                service.view.settled(upstream, Some(finish.ran));
+                let held = finish.usage.prompt + finish.usage.completion;
+                metrics::counter!(WASTED).increment(self.wasted(finish));
+                service.view.cache(&self.req.program, upstream, held);
+                self.entry.poison.lock().survived(&self.run.digest);
+                self.permit.queued(finish.queued);
+                metrics::histogram!(QUEUED).record(finish.queued.as_secs_f64());
+            }
+            Err(err) => {
+                service.view.settled(upstream, None);
+                self.note_failure(&mut service, current, err);
+            }
+        }
+    }
+
+    fn note_failure(&self, service: &mut sides::Service, current: &Current, err: &error::Error) {
+        let now = self.entry.now();
+        let upstream = &current.side.instance.id;
+        let seen = match err.kind {
+            error::Kind::UpstreamCrashed => {
+                let mut poison = self.entry.poison.lock();
+                poison.crashed(now, upstream, self.run.digest, current.alone);
+                Some(fw_plan::health::Seen::Down)
+            }
+            error::Kind::UpstreamLeaving => Some(fw_plan::health::Seen::Leaving),
+            error::Kind::NoUpstream | error::Kind::UpstreamTimeout => {
+                Some(fw_plan::health::Seen::Failed)
+            }
+            _ => None,
+        };
+        if let Some(seen) = seen {
+            service.health.seen(now, upstream, seen);
+            service.refresh(now, upstream);
+        }
+    }
+
+    /// Prompt tokens computed anew although the turn before had left them in some cache.
+    fn wasted(&self, finish: &attempt::Finish) -> id::Tokens {
+        let held = self.entry.keeper.with_shard(self.plan.shard, |shard| {
+            let last = shard.program(&self.req.program)?.last()?;
+            Some(last.answer.usage.prompt + last.answer.usage.completion)
+        });
+        let held = held
+            .ok()
+            .and_then(|changed| changed.value)
+            .unwrap_or_default();
+        held.min(finish.usage.prompt)
+            .saturating_sub(finish.usage.cached)
+    }
+
+    async fn commit(self, buf: &Arc<buffer::Buffer>, finish: attempt::Finish) {
+        metrics::counter!(TURNS).increment(1);
+        metrics::counter!(TOKENS, "sort" => "prompt").increment(finish.usage.prompt);
+        metrics::counter!(TOKENS, "sort" => "completion").increment(finish.usage.completion);
+        if self.req.single {
+            buf.finish(finish);
+            self.forget().await;
+            return;
+        }
+        let answer = program::Answer {
+            message: finish.message.clone(),
+            finish_reason: finish.finish_reason.clone(),
+            usage: finish.usage,
+        };
+        let now = keeper::now();
+        let shard = self.plan.shard;
+        let finished = self.entry.keeper.with_shard(shard, |shard| {
+            shard.finish(&self.req.program, self.run.attempt, answer, now)
+        });
+        match finished {
+            Err(_) => buf.fail(lost()),
+            Ok(changed) if changed.value.is_none() => buf.fail(ended()),
+            Ok(changed) => self.make_durable(buf, finish, changed.ticket).await,
+        }
+    }
+
+    /// The caller learns the end of its answer once it is in the store. While the store does not
+    /// answer, keeper and side both hold the answer: two instances, of which either may die.
+    async fn make_durable(
+        self,
+        buf: &Arc<buffer::Buffer>,
+        finish: attempt::Finish,
+        ticket: keeper::Ticket,
+    ) {
+        let mut durable = self.entry.keeper.durable(ticket).await;
+        if durable == Err(keeper::Error::StoreUnavailable) {
+            self.explain("held", "the store does not answer".to_owned());
+            buf.finish(finish.clone());
+        }
+        while durable == Err(keeper::Error::StoreUnavailable) {
+            durable = self.entry.keeper.durable(ticket).await;
+        }
+        if durable.is_err() {
+            self.explain("fenced", "another entry keeps the program now".to_owned());
+            // Without effect on a caller that has the answer already.
+            buf.fail(lost());
+            return;
+        }
+        self.explain("committed", format!("turn {}", self.run.turn));
+        buf.finish(finish);
+        self.forget().await;
+    }
+
+    async fn forget(&self) {
+        if let Some(current) = &self.current {
+            upstream::forget(&self.entry, &current.side, current.attempt).await;
+        }
+    }
+
+    async fn give_up(self, buf: &Arc<buffer::Buffer>, err: error::Error) {
+        let err = match err.kind {
+            // The side saw a newer keeper of the shard: this one was paused and is fenced off.
+            error::Kind::StaleFence => lost(),
+            _ => err,
+        };
+        if err.kind == error::Kind::Internal {
+            warn!(program = %self.req.program, %err, "turn failed");
+        }
+        if !self.req.single {
+            let now = keeper::now();
+            let _moved = self.entry.keeper.with_shard(self.plan.shard, |shard| {
+                shard.fail(&self.req.program, self.run.attempt, err.ran(), now)
+            });
+        }
+        self.explain("failed", err.to_string());
+        buf.fail(err);
+        if let Some(current) = &self.current {
+            upstream::cancel(&self.entry, &current.side, current.attempt).await;
+        }
+    }
+
+    fn explain(&self, what: &'static str, why: String) {
+        self.entry.explain.note(&self.req.program, what, why);
+    }
+
+    fn no_upstream(&self) -> error::Error {
+        let message = format!("no healthy upstream of service {} now", self.plan.service);
+        error::Error::new(error::Kind::NoUpstream, message)
+            .with_retry_after(self.entry.settings.upstream.heartbeat_interval * 2)
+    }
+}
+
+fn overdue() -> error::Error {
+    error::Error::new(
+        error::Kind::DeadlineExceeded,
+        "the turn took longer than its deadline",
+    )
+}
+
+fn cancelled() -> error::Error {
+    error::Error::new(
+        error::Kind::Cancelled,
+        "the caller went away before the answer was whole",
+    )
+}
+
+fn ended() -> error::Error {
+    error::Error::new(
+        error::Kind::Cancelled,
+        "the program was ended while the turn was under way",
+    )
+}
+
+fn lost() -> error::Error {
+    let message = "the program changed its keeper while the turn was under way; send it again";
+    error::Error::new(error::Kind::KeeperLost, message)
+}
+
+fn quarantined(after: Duration) -> error::Error {
+    let message = "requests like this one crashed upstreams before; change it";
+    error::Error::new(error::Kind::Quarantined, message).with_retry_after(after)
+}
--- /dev/null
+++ b/fw-entry/src/turn/submit.rs
@@ -0,0 +1,272 @@
+//! A turn arrives: at the entry that took the call, and at its keeper.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fw_base::digest;
+use fw_base::error;
+use fw_base::id;
+use fw_keep::keeper;
+use fw_keep::program;
+use fw_plan::admit;
+use fw_plan::poison;
+use fw_wire::attempt;
+use fw_wire::peer;
+use fw_wire::transport;
+use rand::RngExt;
+
+use super::plan;
+use super::run;
+use crate::process::admission;
+use crate::process::entry;
+use crate::process::keepers;
+
+/// Counter of submitted turns, by outcome.
+pub const SUBMITTED: &str = "fw_entry_turns_submitted_total";
+
+/// A turn that its keeper accepted.
+#[derive(Clone, Copy, Debug)]
+pub struct Accepted {
+    /// Where it is kept.
+    pub place: keepers::Place,
+    /// The attempt to read.
+    pub attempt: id::AttemptId,
+    /// Its number.
+    pub turn: id::Turn,
+}
+
+/// Hands a turn to its keeper, wherever that is.
+///
+/// # Errors
+///
+/// When the turn is refused, or no keeper is found in time.
+pub async fn at_keeper(
+    entry: &Arc<entry::Entry>,
+    req: &peer::Submit,
+) -> Result<Accepted, error::Error> {
+    let within = entry.settings.upstream.connect_timeout * 4;
+    let here = || {
+        let reply = accept(entry, req.clone());
+        async move { tried(reply) }
+    };
+    let there = |client: peer::PeerClient| {
+        let req = req.clone();
+        async move {
+            client
+                .submit(transport::context(within), req)
+                .await
+                .map(tried)
+        }
+    };
+    let options = keepers::Options {
+        patience: entry.patience().min(req.deadline),
+        idempotent: is_idempotent(req),
+    };
+    let shard = entry.keeper.shard_of(&req.program);
+    let (place, reply) = keepers::call(entry, shard, options, here, there).await?;
+    let (attempt, turn) = reply?;
+    Ok(Accepted {
+        place,
+        attempt,
+        turn,
+    })
+}
+
+/// Whether the keeper can tell a second arrival from a further turn: it can by the turn's number,
+/// by the digest before it, or by the whole history.
+fn is_idempotent(req: &peer::Submit) -> bool {
+    let named = req.turn.is_some() || req.base.is_some();
+    named || req.single || req.history == peer::History::Full
+}
+
+type Reply = Result<(id::AttemptId, id::Turn), error::Error>;
+
+fn tried(reply: peer::SubmitReply) -> keepers::Tried<Reply> {
+    match reply {
+        peer::SubmitReply::Accepted { attempt, turn } => {
+            keepers::Tried::Answered(Ok((attempt, turn)))
+        }
+        peer::SubmitReply::Refused(err) => keepers::Tried::Answered(Err(err)),
+        peer::SubmitReply::NotKeeper => keepers::Tried::NotKeeper,
+    }
+}
+
+/// Takes in a turn at its keeper.
+pub fn accept(entry: &Arc<entry::Entry>, req: peer::Submit) -> peer::SubmitReply {
+    let program = req.program.clone();
+    let reply = take_in(entry, req);
+    let outcome = match &reply {
+        peer::SubmitReply::Accepted { .. } => "accepted",
+        peer::SubmitReply::NotKeeper => "not_keeper",
+        peer::SubmitReply::Refused(err) => err.kind.row().label,
+    };
+    metrics::counter!(SUBMITTED, "outcome" => outcome).increment(1);
+    if let peer::SubmitReply::Refused(err) = &reply {
+        entry.explain.note(&program, "refused", err.to_string());
+    }
+    reply
+}
+
+fn take_in(entry: &Arc<entry::Entry>, req: peer::Submit) -> peer::SubmitReply {
+    let shard = entry.keeper.shard_of(&req.program);
+    let Some(fence) = entry.keeper.fence(shard) else {
+        return peer::SubmitReply::NotKeeper;
+    };
+    let plan = match plan::Plan::new(entry, &req, shard, fence) {
+        Ok(plan) => plan,
+        Err(err) => return peer::SubmitReply::Refused(err),
+    };
+    match begin(entry, &req, &plan) {
+        None => peer::SubmitReply::NotKeeper,
+        Some(program::Outcome::Refused(err)) => peer::SubmitReply::Refused(err),
+        Some(program::Outcome::Attach { attempt, turn }) => {
+            entry.attempts.attach(attempt);
+            peer::SubmitReply::Accepted { attempt, turn }
+        }
+        Some(program::Outcome::Replay {
+            attempt,
+            turn,
+            answer,
+        }) => {
+            replay(entry, attempt, &req, answer);
+            peer::SubmitReply::Accepted { attempt, turn }
+        }
+        Some(program::Outcome::Run(run)) => start(entry, req, plan, run),
+    }
+}
+
+fn begin(entry: &entry::Entry, req: &peer::Submit, plan: &plan::Plan) -> Option<program::Outcome> {
+    let begin = program::Begin {
+        team: req.team.clone(),
+        parent: req.parent.clone(),
+        turn: req.turn,
+        base: req.base,
+        history: match req.history {
+            peer::History::Full => program::History::Full,
+            peer::History::Delta => program::History::Delta,
+        },
+        messages: req.messages.clone(),
+        params: params_digest(req),
+        attempt: rand::rng().random(),
+        max_tokens: Some(plan.max_tokens),
+        limits: plan.limits,
+    };
+    let now = keeper::now();
+    if req.single {
+        let mut program = program::Program::new(req.team.clone(), None, now);
+        return Some(program.begin(begin, now));
+    }
+    let begun = entry
+        .keeper
+        .with_shard(plan.shard, |shard| shard.begin(&req.program, begin, now));
+    begun.ok().map(|changed| changed.value)
+}
+
+/// What else makes a turn another turn: the model and the caller's other fields.
+fn params_digest(req: &peer::Submit) -> digest::Digest {
+    digest::Digest::of_bytes(format!("{}\n{}", req.model, req.params).as_bytes())
+}
+
+fn start(
+    entry: &Arc<entry::Entry>,
+    req: peer::Submit,
+    plan: plan::Plan,
+    run: program::Run,
+) -> peer::SubmitReply {
+    let (attempt, turn) = (run.attempt, run.turn);
+    let permit = match admit(entry, &req, &plan, &run) {
+        Ok(permit) => permit,
+        Err(err) => {
+            give_back(entry, &req.program, plan.shard, attempt);
+            return peer::SubmitReply::Refused(err);
+        }
+    };
+    let buf = entry.attempts.open(attempt);
+    entry.attempts.attach(attempt);
+    let max_tokens = run.max_tokens.unwrap_or(plan.max_tokens);
+    let task = run::Task::new(Arc::clone(entry), req, plan, run, permit, max_tokens);
+    entry.tasks.spawn(task.run(buf));
+    peer::SubmitReply::Accepted { attempt, turn }
+}
+
+/// A refused turn leaves no trace: it did not run.
+fn give_back(
+    entry: &entry::Entry,
+    program: &id::ProgramId,
+    shard: id::ShardId,
+    attempt: id::AttemptId,
+) {
+    let now = keeper::now();
+    // Not kept here any more: then nothing of the turn is kept at all.
+    let _moved = entry.keeper.with_shard(shard, |shard| {
+        shard.fail(program, attempt, error::Ran::No, now)
+    });
+}
+
+fn admit(
+    entry: &Arc<entry::Entry>,
+    req: &peer::Submit,
+    plan: &plan::Plan,
+    run: &program::Run,
+) -> Result<admission::Permit, error::Error> {
+    let now = entry.now();
+    if let poison::Outcome::Refused(refused) = entry.poison.lock().decide(now, &run.digest) {
+        let message = "requests like this one crashed upstreams before; change it";
+        let err = error::Error::new(refused.kind, message);
+        return Err(err.with_retry_after(refused.retry_after));
+    }
+    let lane = match run.turn {
+        1 => admit::Lane::NewProgram,
+        _ => admit::Lane::Turn,
+    };
+    entry.admission.enter(admit::Request {
+        lane,
+        team: req.team.clone(),
+        share: plan.share,
+        deadline: req.deadline,
+    })
+}
+
+/// Makes a committed answer readable again, if its events are gone.
+fn replay(
+    entry: &entry::Entry,
+    attempt: id::AttemptId,
+    req: &peer::Submit,
+    answer: program::Answer,
+) {
+    if entry.attempts.get(attempt).is_some() {
+        return;
+    }
+    let buf = entry.attempts.open(attempt);
+    buf.push(events_of(&req.model, attempt, &answer));
+    buf.finish(attempt::Finish {
+        message: answer.message,
+        finish_reason: answer.finish_reason,
+        usage: answer.usage,
+        queued: Duration::ZERO,
+        first_token: Duration::ZERO,
+        ran: Duration::ZERO,
+    });
+}
+
+/// A committed answer as two chunks: the message, and the reason why it ended.
+fn events_of(
+    model: &id::ModelId,
+    attempt: id::AttemptId,
+    answer: &program::Answer,
+) -> Vec<attempt::Event> {
+    let delta: serde_json::Value =
+        serde_json::from_str(answer.message.as_str()).unwrap_or_default();
+    let chunk = |delta: serde_json::Value, reason: Option<&str>| {
+        let value = serde_json::json!({
+            "id": format!("chatcmpl-{attempt:016x}"),
+            "object": "chat.completion.chunk",
+            "created": 0,
+            "model": model,
+            "choices": [{ "index": 0, "delta": delta, "finish_reason": reason }],
+        });
+        attempt::Event::from(value.to_string())
+    };
+    let end = chunk(serde_json::json!({}), Some(&answer.finish_reason));
+    vec![chunk(delta, None), end]
+}
--- /dev/null
+++ b/fw-entry/src/turn/upstream.rs
@@ -0,0 +1,158 @@
+//! One try of a turn on one upstream, from its start to the end of its answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fw_base::chat;
+use fw_base::digest;
+use fw_base::error;
+use fw_base::id;
+use fw_wire::attempt;
+use fw_wire::buffer;
+use fw_wire::side;
+use fw_wire::transport;
+
+use crate::connection::pool;
+use crate::connection::sides;
+use crate::process::entry;
+
+/// Time beyond the wait of a read after which its connection counts as silent.
+const SLACK: Duration = Duration::from_millis(500);
+
+/// Reads without an answer, each over a new connection, after which the side counts as gone.
+const MOST_MISSED: u32 = 3;
+
+/// Pause before a side that cannot be reached is tried again.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// A try.
+pub struct Try<'a> {
+    /// The entry.
+    pub entry: &'a entry::Entry,
+    /// The side to try.
+    pub side: &'a sides::Side,
+    /// What to start; `messages` follow `base`, which the side is believed to hold.
+    pub start: side::Start,
+    /// The whole prompt, for a side that does not hold `base`.
+    pub whole: Vec<chat::Message>,
+    /// Where the events go.
+    pub buf: &'a Arc<buffer::Buffer>,
+}
+
+impl Try<'_> {
+    /// Runs the turn on the side's upstream and passes its events on.
+    ///
+    /// # Errors
+    ///
+    /// The kind tells whether the turn may have run there.
+    pub async fn run(mut self) -> Result<attempt::Finish, error::Error> {
+        self.start().await?;
+        self.buf.running();
+        self.read().await
+    }
+
+    async fn start(&mut self) -> Result<(), error::Error> {
+        match self.send_start().await? {
+            side::StartReply::Accepted => Ok(()),
+            side::StartReply::Refused(err) => Err(err),
+            side::StartReply::NeedHistory => self.start_whole().await,
+        }
+    }
+
+    async fn start_whole(&mut self) -> Result<(), error::Error> {
+        self.start.base = digest::Digest::EMPTY;
+        self.start.messages = std::mem::take(&mut self.whole);
+        match self.send_start().await? {
+            side::StartReply::Accepted => Ok(()),
+            side::StartReply::Refused(err) => Err(err),
+            side::StartReply::NeedHistory => {
+                let message = "the side asked for the history of a turn that carried it whole";
+                Err(error::Error::new(error::Kind::Internal, message))
+            }
+        }
+    }
+
+    /// The start is idempotent by its attempt, so one whose answer was lost is sent once more.
+    async fn send_start(&self) -> Result<side::StartReply, error::Error> {
+        let within = self.entry.settings.upstream.connect_timeout * 4;
+        let mut sent = false;
+        for _ in 0..2 {
+            let start = self.start.clone();
+            let cx = transport::context(within);
+            let call = |client: side::SideClient| async move { client.start(cx, start).await };
+            let addr = self.side.instance.side;
+            match self.entry.sides.pool.call(addr, call).await {
+                Ok(reply) => return Ok(reply),
+                Err(pool::Failure::Broken) => sent = true,
+                Err(pool::Failure::Unsent) => break,
+            }
+        }
+        Err(if sent {
+            self.lost()
+        } else {
+            self.unreachable()
+        })
+    }
+
+    async fn read(&self) -> Result<attempt::Finish, error::Error> {
+        let mut offset: u32 = 0;
+        let mut missed = 0;
+        while missed < MOST_MISSED {
+            let Some(reply) = self.read_once(offset).await else {
+                missed += 1;
+                tokio::time::sleep(PAUSE).await;
+                continue;
+            };
+            missed = 0;
+            offset += u32::try_from(reply.events.len()).unwrap_or(u32::MAX);
+            if !reply.events.is_empty() {
+                self.buf.push(reply.events);
+            }
+            match reply.state {
+                attempt::State::Queued | attempt::State::Running => {}
+                attempt::State::Done(finish) => return Ok(*finish),
+                attempt::State::Failed(err) => return Err(err),
+                attempt::State::Moved(_) | attempt::State::Unknown => return Err(self.lost()),
+            }
+        }
+        Err(self.lost())
+    }
+
+    async fn read_once(&self, offset: u32) -> Option<attempt::ReadReply> {
+        let wait = self.entry.settings.upstream.read_wait;
+        let req = attempt::Read {
+            attempt: self.start.attempt,
+            offset,
+            wait,
+        };
+        let cx = transport::context(wait + SLACK);
+        let call = |client: side::SideClient| async move { client.read(cx, req).await };
+        let addr = self.side.instance.side;
+        self.entry.sides.pool.call(addr, call).await.ok()
+    }
+
+    fn lost(&self) -> error::Error {
+        let message = format!("upstream {} was lost under the turn", self.side.instance.id);
+        error::Error::new(error::Kind::UpstreamCrashed, message)
+    }
+
+    fn unreachable(&self) -> error::Error {
+        let message = format!("upstream {} cannot be reached", self.side.instance.id);
+        error::Error::new(error::Kind::NoUpstream, message)
+    }
+}
+
+/// Cancels an attempt at a side, as far as the side can be reached. One that cannot is left to its
+/// own deadline and to the end of its sessions.
+pub async fn cancel(entry: &entry::Entry, side: &sides::Side, attempt: id::AttemptId) {
+    let cx = transport::context(entry.settings.upstream.connect_timeout);
+    let call = |client: side::SideClient| async move { client.cancel(cx, attempt).await };
+    let _unreachable = entry.sides.pool.call(side.instance.side, call).await;
+}
+
+/// Tells a side that an attempt's answer is durable. If that is lost, the side forgets it by age.
+pub async fn forget(entry: &entry::Entry, side: &sides::Side, attempt: id::AttemptId) {
+    let cx = transport::context(entry.settings.upstream.connect_timeout);
+    let call = |client: side::SideClient| async move { client.forget(cx, attempt).await };
+    let _unreachable = entry.sides.pool.call(side.instance.side, call).await;
+}
--- /dev/null
+++ b/fw-entry/tests/entry/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the entry.
+
+mod attempt_table;
+mod splice_runs;
