fw-store: an answer without a revision is no answer

Cause: the gateway leaves out zero values, so a body such as {} read as an empty store or as a failed comparison. Change: every answer must carry the store's revision, a lease its id and time. Conclusion: garbage in place of an answer leaves a write in doubt and a read failed.

--- a/fw-store/src/client.rs
+++ b/fw-store/src/client.rs
@@ -134,7 +134,7 @@
         let lease: codec::RawLease = self
             .unary("lease_grant", LEASE_GRANT, &req, Repeat::Write)
             .await?;
-        lease_of(lease)
+        lease_of(&lease)
     }
 
     /// Renews a lease.
@@ -149,8 +149,9 @@
             .unary("lease_keep_alive", LEASE_KEEP_ALIVE, &req, Repeat::Read)
             .await?;
         match line.result {
-            Some(lease) if lease.ttl.0 > 0 => lease_of(lease),
-            Some(_) => Err(Error::LeaseGone { id }),
+            Some(lease) if lease.id.0 != id => Err(codec::malformed("ID", &lease.id.0)),
+            Some(lease) if lease.ttl.0 == 0 => Err(Error::LeaseGone { id }),
+            Some(lease) => lease_of(&lease),
             None => Err(refusal(200, line.error.unwrap_or_default())),
         }
     }
@@ -323,12 +324,17 @@
     }
 }
 
-fn lease_of(raw: codec::RawLease) -> Result<kv::Lease> {
-    let secs = u64::try_from(raw.ttl.0).map_err(|err| codec::malformed("TTL", &err))?;
-    Ok(kv::Lease {
-        id: raw.id.0,
-        ttl: Duration::from_secs(secs),
-    })
+fn lease_of(raw: &codec::RawLease) -> Result<kv::Lease> {
+    if raw.id.0 == 0 {
+        return Err(codec::malformed("ID", &raw.id.0));
+    }
+    match u64::try_from(raw.ttl.0) {
+        Ok(secs @ 1..) => Ok(kv::Lease {
+            id: raw.id.0,
+            ttl: Duration::from_secs(secs),
+        }),
+        _ => Err(codec::malformed("TTL", &raw.ttl.0)),
+    }
 }
 
 fn refusal(status: u16, raw: codec::RawError) -> Error {
--- a/fw-store/src/codec.rs
+++ b/fw-store/src/codec.rs
@@ -36,7 +36,20 @@
 #[derive(Debug, Default, Deserialize)]
 #[serde(default)]
 pub(crate) struct Header {
-    pub revision: Int,
+    revision: Int,
+}
+
+impl Header {
+    /// The store's revision, which every answer has.
+    ///
+    /// A body such as `{}`, which something between the two ends may answer, would otherwise read
+    /// as "no such keys" or "the comparison failed", as the gateway leaves out zero values.
+    pub fn revision(&self) -> Result<i64> {
+        match self.revision.0 {
+            revision @ 1.. => Ok(revision),
+            other => Err(malformed("header.revision", &other)),
+        }
+    }
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -142,10 +155,11 @@
 
 impl RawRanged {
     pub(crate) fn decode(self) -> Result<kv::Ranged> {
+        let revision = self.header.revision()?;
         let kvs = self.kvs.into_iter().map(RawKv::decode);
         Ok(kv::Ranged {
             kvs: kvs.collect::<Result<_>>()?,
-            revision: self.header.revision.0,
+            revision,
             more: self.more,
         })
     }
@@ -169,10 +183,11 @@
 
 impl RawTxnOutcome {
     pub(crate) fn decode(self) -> Result<kv::TxnOutcome> {
+        let revision = self.header.revision()?;
         let responses = self.responses.into_iter().map(RawReply::decode);
         Ok(kv::TxnOutcome {
             succeeded: self.succeeded,
-            revision: self.header.revision.0,
+            revision,
             responses: responses.collect::<Result<_>>()?,
         })
     }
--- a/fw-store/src/watch.rs
+++ b/fw-store/src/watch.rs
@@ -165,7 +165,7 @@
         if message.canceled {
             return ended(&message.cancel_reason);
         }
-        let revision = message.header.revision.0;
+        let revision = message.header.revision()?;
         if message.created && message.events.is_empty() {
             // Earlier changes may still be on their way, unless the watch starts from now.
             if self.next_revision == 0 {
