--- a/foxtailweir/tests/foxtailweir/main.rs
+++ b/foxtailweir/tests/foxtailweir/main.rs
@@ -2,6 +2,7 @@
 #![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 mod command_line;
+mod operating_page;
 mod record_commands;
 mod standin;
 
