fw-check: recorded histories and the checker of ten promises

Cause: whether concurrent runs keep what must hold can only be judged over a record of what callers, upstreams and operators saw. Change: typed events, a recorder for many threads, JSON lines, and one check for each promise, whose verdict is held, violated with the entries that show it, or not observed, with what the record can't tell. Conclusion: real entries and sides can be run against it.

--- /dev/null
+++ b/fw-check/src/index.rs
@@ -0,0 +1,298 @@
+//! The calls, runs and turns of a record, and which run belongs to which turn.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use fw_base::digest::Digest;
+use fw_base::error;
+use fw_base::id;
+
+use crate::event;
+use crate::event::Entry;
+use crate::event::Event;
+
+/// What a call asks for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Asked<'a> {
+    Turn(&'a event::TurnSent),
+    Plain(&'a event::PlainSent),
+}
+
+/// How a call ended, as its caller saw it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum End {
+    Answered {
+        answer: Digest,
+        whole: bool,
+        tokens: id::Tokens,
+    },
+    Refused {
+        kind: error::Kind,
+        ran: error::Ran,
+    },
+    Lost {
+        sent: bool,
+        by_caller: bool,
+    },
+}
+
+/// One call.
+#[derive(Debug)]
+pub(crate) struct Call<'a> {
+    /// Where it was sent, as an index into the record.
+    pub sent: usize,
+    pub asked: Asked<'a>,
+    /// Where and how it ended.
+    pub end: Option<(usize, End)>,
+}
+
+impl Call<'_> {
+    /// Whether its caller was told, or saw for itself, that it did not run.
+    pub fn is_not_run(&self) -> bool {
+        match self.end {
+            Some((_, End::Refused { ran, .. })) => ran == error::Ran::No,
+            Some((_, End::Lost { sent, .. })) => !sent,
+            _ => false,
+        }
+    }
+}
+
+/// One run at an upstream.
+#[derive(Debug)]
+pub(crate) struct Run<'a> {
+    pub started: usize,
+    pub upstream: &'a id::UpstreamId,
+    pub work: &'a event::Work,
+    /// Where it ended, and its answer.
+    pub ended: Option<(usize, Option<Digest>)>,
+    /// The turns that it may have been for: more than one if texts are not unique.
+    pub turns: Vec<TurnKey<'a>>,
+}
+
+/// Names a turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct TurnKey<'a> {
+    pub program: &'a id::ProgramId,
+    pub turn: id::Turn,
+}
+
+/// What is known of a turn.
+#[derive(Debug, Default)]
+pub(crate) struct Turn<'a> {
+    /// The messages that it added; several if it was sent with others after a refusal.
+    pub messages: Vec<&'a [Digest]>,
+    /// Answers that its callers got.
+    pub told: Vec<Digest>,
+    /// Answers that runs made.
+    pub made: Vec<Digest>,
+}
+
+/// Whether a prompt or a history is that of a program.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fit {
+    Yes,
+    No,
+    Unknown,
+}
+
+/// The calls, runs and turns of a record.
+#[derive(Debug, Default)]
+pub(crate) struct Index<'a> {
+    pub calls: BTreeMap<event::CallId, Call<'a>>,
+    pub runs: Vec<Run<'a>>,
+    pub turns: BTreeMap<TurnKey<'a>, Turn<'a>>,
+}
+
+impl<'a> Index<'a> {
+    pub fn new(entries: &'a [Entry]) -> Self {
+        let mut index = Self::default();
+        index.add_calls(entries);
+        index.add_runs(entries);
+        index.add_turns();
+        index.add_owners();
+        index
+    }
+
+    /// Whether `messages` are the history of `program` through `last`, from what its callers and
+    /// the upstreams saw.
+    pub fn fit(&self, program: &id::ProgramId, last: id::Turn, messages: &[Digest]) -> Fit {
+        let mut rest = messages;
+        for turn in 1..=last {
+            let Some(known) = self.turns.get(&TurnKey { program, turn }) else {
+                return Fit::Unknown;
+            };
+            let answers = match (known.told.is_empty(), known.made.is_empty()) {
+                (false, _) => &known.told,
+                (true, false) => &known.made,
+                (true, true) => return Fit::Unknown,
+            };
+            let added = known.messages.iter().find(|m| rest.starts_with(m));
+            let after = added.and_then(|added| rest[added.len()..].split_first());
+            match after {
+                Some((answer, after)) if answers.contains(answer) => rest = after,
+                _ => return Fit::No,
+            }
+        }
+        match rest.is_empty() {
+            true => Fit::Yes,
+            false => Fit::No,
+        }
+    }
+
+    /// Whether a prompt is that of a turn: its program's history, then the turn's messages.
+    pub fn fit_prompt(&self, key: TurnKey<'_>, prompt: &[Digest]) -> Fit {
+        let Some(turn) = self.turns.get(&key) else {
+            return Fit::Unknown;
+        };
+        let before = turn.messages.iter().filter_map(|m| prompt.strip_suffix(*m));
+        let fits: Vec<_> = before
+            .map(|before| self.fit(key.program, key.turn.saturating_sub(1), before))
+            .collect();
+        if fits.contains(&Fit::Yes) {
+            Fit::Yes
+        } else if fits.contains(&Fit::Unknown) {
+            Fit::Unknown
+        } else {
+            Fit::No
+        }
+    }
+
+    /// The turn that `run` was for, if that is certain.
+    pub fn owner(&self, run: &Run<'a>) -> Option<TurnKey<'a>> {
+        match run.turns.as_slice() {
+            [only] => Some(*only),
+            _ => None,
+        }
+    }
+
+    fn add_calls(&mut self, entries: &'a [Entry]) {
+        for (at, entry) in entries.iter().enumerate() {
+            let (call, end) = match &entry.event {
+                Event::TurnSent(sent) => {
+                    self.add_call(sent.call, at, Asked::Turn(sent));
+                    continue;
+                }
+                Event::PlainSent(sent) => {
+                    self.add_call(sent.call, at, Asked::Plain(sent));
+                    continue;
+                }
+                Event::Answered {
+                    call,
+                    answer,
+                    whole,
+                    tokens,
+                } => {
+                    let (answer, whole, tokens) = (*answer, *whole, *tokens);
+                    let end = End::Answered {
+                        answer,
+                        whole,
+                        tokens,
+                    };
+                    (call, end)
+                }
+                Event::Refused { call, kind, ran } => {
+                    let (kind, ran) = (*kind, *ran);
+                    (call, End::Refused { kind, ran })
+                }
+                Event::Lost {
+                    call,
+                    sent,
+                    by_caller,
+                } => {
+                    let (sent, by_caller) = (*sent, *by_caller);
+                    (call, End::Lost { sent, by_caller })
+                }
+                _ => continue,
+            };
+            if let Some(call) = self.calls.get_mut(call) {
+                call.end.get_or_insert((at, end));
+            }
+        }
+    }
+
+    fn add_call(&mut self, id: event::CallId, sent: usize, asked: Asked<'a>) {
+        let end = None;
+        self.calls.insert(id, Call { sent, asked, end });
+    }
+
+    fn add_runs(&mut self, entries: &'a [Entry]) {
+        let mut places = HashMap::new();
+        for (at, entry) in entries.iter().enumerate() {
+            match &entry.event {
+                Event::RunStarted {
+                    run,
+                    upstream,
+                    work,
+                } => {
+                    places.insert(*run, self.runs.len());
+                    self.runs.push(Run {
+                        started: at,
+                        upstream,
+                        work,
+                        ended: None,
+                        turns: Vec::new(),
+                    });
+                }
+                Event::RunEnded { run, answer } => {
+                    if let Some(place) = places.get(run) {
+                        self.runs[*place].ended = Some((at, *answer));
+                    }
+                }
+                _ => (),
+            }
+        }
+    }
+
+    fn add_turns(&mut self) {
+        for call in self.calls.values() {
+            let Asked::Turn(sent) = call.asked else {
+                continue;
+            };
+            let key = TurnKey {
+                program: &sent.program,
+                turn: sent.turn,
+            };
+            let turn = self.turns.entry(key).or_default();
+            if !turn.messages.contains(&sent.messages.as_slice()) {
+                turn.messages.push(&sent.messages);
+            }
+            if let Some((_, End::Answered { answer, .. })) = call.end {
+                turn.told.push(answer);
+            }
+        }
+    }
+
+    /// Finds the turns of runs: by the last messages of the prompt and, where these are not
+    /// unique, by the history before them. A run's answer may enter that history, so the turns are
+    /// gone through in order.
+    fn add_owners(&mut self) {
+        let mut by_last: HashMap<Digest, Vec<TurnKey<'a>>> = HashMap::new();
+        for (key, turn) in &self.turns {
+            for last in turn.messages.iter().filter_map(|m| m.last()) {
+                by_last.entry(*last).or_default().push(*key);
+            }
+        }
+        for place in 0..self.runs.len() {
+            let event::Work::Turn(prompt) = self.runs[place].work else {
+                continue;
+            };
+            let last = prompt.last().and_then(|last| by_last.get(last));
+            let mut keys = last.cloned().unwrap_or_default();
+            if keys.len() > 1 {
+                let fitting = keys.iter().copied();
+                let fitting: Vec<_> = fitting
+                    .filter(|key| self.fit_prompt(*key, prompt) != Fit::No)
+                    .collect();
+                // None fits: all stay, as those it may have been meant for.
+                if !fitting.is_empty() {
+                    keys = fitting;
+                }
+            }
+            let answer = self.runs[place].ended.and_then(|(_, answer)| answer);
+            if let ([only], Some(answer)) = (keys.as_slice(), answer) {
+                self.turns.entry(*only).or_default().made.push(answer);
+            }
+            self.runs[place].turns = keys;
+        }
+    }
+}
--- /dev/null
+++ b/fw-check/src/promise/budget.rs
@@ -0,0 +1,76 @@
+//! A program's answered turns, their tokens and its charges stay within its budget.
+
+use std::collections::BTreeMap;
+
+use fw_base::id;
+
+use crate::check::Tally;
+use crate::event::Entry;
+use crate::event::Event;
+use crate::index::Asked;
+use crate::index::End;
+use crate::index::Index;
+
+pub(crate) fn check(entries: &[Entry], index: &Index<'_>) -> Tally {
+    let mut tally = Tally::default();
+    let mut unlimited = 0;
+    for (at, entry) in entries.iter().enumerate() {
+        let Event::BudgetSet {
+            program,
+            tokens,
+            turns,
+        } = &entry.event
+        else {
+            continue;
+        };
+        let answered = answered(index, program);
+        let used: id::Tokens = answered.values().sum();
+        let charged = charged(entries, program);
+        if tokens.is_none() && turns.is_none() {
+            unlimited += 1;
+        }
+        if let Some(most) = *tokens {
+            tally.expect(used <= most, &[at], || {
+                format!("{program} was answered with {used} tokens; its budget is {most}")
+            });
+            tally.expect(charged <= most, &[at], || {
+                format!("{program} was charged {charged} tokens; its budget is {most}")
+            });
+        }
+        if let Some(most) = *turns {
+            let count = answered.len();
+            tally.expect(count <= most as usize, &[at], || {
+                format!("{program} was answered {count} turns; its budget is {most}")
+            });
+        }
+    }
+    tally.unknown(unlimited, "programs without a limit");
+    tally
+}
+
+/// The tokens of each answered turn. A turn answered again is counted once.
+fn answered(index: &Index<'_>, program: &id::ProgramId) -> BTreeMap<id::Turn, id::Tokens> {
+    let mut turns = BTreeMap::new();
+    for call in index.calls.values() {
+        let Asked::Turn(sent) = call.asked else {
+            continue;
+        };
+        if let (true, Some((_, End::Answered { tokens, .. }))) =
+            (sent.program == *program, call.end)
+        {
+            turns.insert(sent.turn, tokens);
+        }
+    }
+    turns
+}
+
+fn charged(entries: &[Entry], program: &id::ProgramId) -> id::Tokens {
+    let charges = entries.iter().map(|entry| match &entry.event {
+        Event::Charged {
+            program: to,
+            tokens,
+        } if to == program => *tokens,
+        _ => 0,
+    });
+    charges.sum()
+}
--- /dev/null
+++ b/fw-check/src/promise/history.rs
@@ -0,0 +1,115 @@
+//! Each prompt and each history read is that of its program, through the last answered turn.
+
+use fw_base::id;
+
+use crate::check::Tally;
+use crate::event::Entry;
+use crate::event::Event;
+use crate::event::Work;
+use crate::index::Asked;
+use crate::index::End;
+use crate::index::Fit;
+use crate::index::Index;
+use crate::index::TurnKey;
+
+pub(crate) fn check(entries: &[Entry], index: &Index<'_>) -> Tally {
+    let mut tally = Tally::default();
+    check_told(index, &mut tally);
+    check_prompts(index, &mut tally);
+    check_reads(entries, index, &mut tally);
+    tally
+}
+
+/// A turn has one answer, however often it is sent.
+fn check_told(index: &Index<'_>, tally: &mut Tally) {
+    for (key, turn) in &index.turns {
+        let is_same = turn.told.windows(2).all(|pair| pair[0] == pair[1]);
+        if !is_same {
+            let TurnKey { program, turn } = key;
+            let what = format!("turn {turn} of {program} was answered in two ways");
+            tally.violated(&answers_of(index, *key), what);
+        }
+    }
+}
+
+fn answers_of(index: &Index<'_>, key: TurnKey<'_>) -> Vec<usize> {
+    let calls = index.calls.values();
+    let of_turn = calls.filter(|c| turn_of(&c.asked, key.program) == Some(key.turn));
+    let ends = of_turn.filter_map(|call| call.end);
+    let answers = ends.filter(|(_, end)| matches!(end, End::Answered { .. }));
+    answers.map(|(at, _)| at).collect()
+}
+
+fn check_prompts(index: &Index<'_>, tally: &mut Tally) {
+    let (mut foreign, mut undecided) = (0, 0);
+    for run in &index.runs {
+        let Work::Turn(prompt) = run.work else {
+            continue;
+        };
+        let fits = run.turns.iter().map(|key| index.fit_prompt(*key, prompt));
+        let fits: Vec<_> = fits.collect();
+        if fits.is_empty() {
+            foreign += 1;
+        } else if fits.contains(&Fit::Yes) {
+            tally.held();
+        } else if fits.contains(&Fit::Unknown) {
+            undecided += 1;
+        } else {
+            let TurnKey { program, turn } = run.turns[0];
+            let what = format!("turn {turn} of {program} ran with another history");
+            tally.violated(&[run.started], what);
+        }
+    }
+    tally.unknown(foreign, "runs of turns that no recorded caller sent");
+    tally.unknown(undecided, "runs after a turn whose answer was not recorded");
+}
+
+fn check_reads(entries: &[Entry], index: &Index<'_>, tally: &mut Tally) {
+    let mut undecided = 0;
+    for (at, entry) in entries.iter().enumerate() {
+        let Event::HistoryRead { program, messages } = &entry.event else {
+            continue;
+        };
+        let answered = last_answered(index, program, at);
+        let sent = last_sent(index, program, at);
+        // A turn whose answer is still on its way may or may not be in the history yet.
+        let fits = (answered..=sent).map(|last| index.fit(program, last, messages));
+        let fits: Vec<_> = fits.collect();
+        if fits.contains(&Fit::Yes) {
+            tally.held();
+        } else if fits.contains(&Fit::Unknown) {
+            undecided += 1;
+        } else {
+            let what =
+                format!("the history of {program} is not that of its {answered} answered turns");
+            tally.violated(&[at], what);
+        }
+    }
+    tally.unknown(
+        undecided,
+        "histories read after a turn whose answer was not recorded",
+    );
+}
+
+/// The last turn that was answered before `at`; 0 for none.
+fn last_answered(index: &Index<'_>, program: &id::ProgramId, at: usize) -> id::Turn {
+    let turns = index.calls.values().filter_map(|call| {
+        let is_answered = matches!(call.end, Some((end, End::Answered { .. })) if end < at);
+        turn_of(&call.asked, program).filter(|_| is_answered)
+    });
+    turns.max().unwrap_or(0)
+}
+
+/// The last turn that was sent before `at`; 0 for none.
+fn last_sent(index: &Index<'_>, program: &id::ProgramId, at: usize) -> id::Turn {
+    let calls = index.calls.values().filter(|call| call.sent < at);
+    let turns = calls.filter_map(|call| turn_of(&call.asked, program));
+    turns.max().unwrap_or(0)
+}
+
+fn turn_of(asked: &Asked<'_>, program: &id::ProgramId) -> Option<id::Turn> {
+    match asked {
+        Asked::Turn(sent) if sent.program == *program => Some(sent.turn),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/fw-check/src/promise/once.rs
@@ -0,0 +1,52 @@
+//! A call that is not idempotent runs at most once, however often it is sent.
+//!
+//! The same request under another key is another call, so a request may run as often as there are
+//! keys under which it was sent and not refused as not run.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use smol_str::SmolStr;
+
+use crate::check::Tally;
+use crate::event::Work;
+use crate::index::Asked;
+use crate::index::Index;
+
+/// The calls that carry one request.
+#[derive(Default)]
+struct Group<'a> {
+    indices: Vec<usize>,
+    keys: BTreeSet<Option<&'a SmolStr>>,
+}
+
+pub(crate) fn check(index: &Index<'_>) -> Tally {
+    let mut tally = Tally::default();
+    let mut groups: BTreeMap<[u8; 32], Group<'_>> = BTreeMap::new();
+    for call in index.calls.values() {
+        let Asked::Plain(sent) = call.asked else {
+            continue;
+        };
+        if sent.idempotent {
+            continue;
+        }
+        let group = groups.entry(*sent.request.as_bytes()).or_default();
+        group.indices.push(call.sent);
+        if !call.is_not_run() {
+            group.keys.insert(sent.key.as_ref());
+        }
+    }
+    for (request, group) in groups {
+        let runs = index.runs.iter().filter(|run| match run.work {
+            Work::Plain(ran) => *ran.as_bytes() == request,
+            Work::Turn(_) => false,
+        });
+        let started: Vec<_> = runs.map(|run| run.started).collect();
+        let (count, most) = (started.len(), group.keys.len());
+        let indices = [group.indices, started].concat();
+        tally.expect(count <= most, &indices, || {
+            format!("a call that is not idempotent ran {count} times under {most} keys")
+        });
+    }
+    tally
+}
--- /dev/null
+++ b/fw-check/src/promise/records.rs
@@ -0,0 +1,171 @@
+//! An accepted set of records is in force in every process within a bound, and no process goes
+//! back to an older one, also over its restarts.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use fw_base::digest::Digest;
+use fw_base::id;
+use smol_str::SmolStr;
+
+use crate::check::Options;
+use crate::check::Tally;
+use crate::event::Entry;
+use crate::event::Event;
+use crate::event::ProcessId;
+
+/// What one process was seen to have in force.
+struct Seen<'a> {
+    at: usize,
+    time: Duration,
+    revision: id::Revision,
+    values: Option<&'a BTreeMap<SmolStr, Digest>>,
+}
+
+type Sightings<'a> = BTreeMap<&'a ProcessId, Vec<Seen<'a>>>;
+
+pub(crate) fn check(entries: &[Entry], opts: &Options) -> Tally {
+    let mut tally = Tally::default();
+    let sightings = sightings(entries);
+    check_reverts(&sightings, &mut tally);
+    check_values(entries, &sightings, &mut tally);
+    let gone = gone(entries);
+    let mut unseen = 0;
+    for (accepted, entry) in entries.iter().enumerate() {
+        let Event::RecordAccepted { revision, .. } = entry.event else {
+            continue;
+        };
+        let by = entry.at + opts.in_force_within;
+        for (process, seen) in &sightings {
+            let mut late = seen.iter().filter(|seen| seen.time > by);
+            let stale = late.clone().find(|seen| seen.revision < revision);
+            let in_time = seen
+                .iter()
+                .any(|seen| seen.at > accepted && seen.time <= by && seen.revision >= revision);
+            match stale {
+                Some(stale) => {
+                    let within = opts.in_force_within;
+                    let what = format!(
+                        "{process} did not have revision {revision} in force {within:?} after it \
+                         was accepted"
+                    );
+                    tally.violated(&[accepted, stale.at], what);
+                }
+                None if in_time || late.next().is_some() => tally.held(),
+                None if gone.contains(process) => (),
+                None => unseen += 1,
+            }
+        }
+    }
+    tally.unknown(
+        unseen,
+        "times that a process was not asked again after a record was accepted",
+    );
+    tally
+}
+
+fn check_reverts(sightings: &Sightings<'_>, tally: &mut Tally) {
+    for (process, seen) in sightings {
+        for pair in seen.windows(2) {
+            let [before, after] = pair else { continue };
+            tally.expect(
+                before.revision <= after.revision,
+                &[before.at, after.at],
+                || {
+                    let (old, new) = (after.revision, before.revision);
+                    format!("{process} went back from revision {new} to {old}")
+                },
+            );
+        }
+    }
+}
+
+/// A set in force holds the accepted value of each record as of its revision, or one that was put
+/// without an answer.
+fn check_values(entries: &[Entry], sightings: &Sightings<'_>, tally: &mut Tally) {
+    for (process, seen) in sightings {
+        for (seen, values) in seen
+            .iter()
+            .filter_map(|s| s.values.map(|values| (s, values)))
+        {
+            for (name, accepted) in accepted_by(entries, seen.revision) {
+                let in_force = values.get(name).copied();
+                let is_accepted = in_force == accepted.value;
+                let is_kept = is_accepted || is_doubtful(entries, name, in_force);
+                tally.expect(is_kept, &[accepted.at, seen.at], || {
+                    let revision = seen.revision;
+                    format!("{process} has another {name} in force at {revision} than accepted")
+                });
+            }
+        }
+    }
+}
+
+/// A change that was accepted.
+struct Accepted {
+    at: usize,
+    revision: id::Revision,
+    value: Option<Digest>,
+}
+
+/// The last accepted change of each record up to `until`.
+fn accepted_by(entries: &[Entry], until: id::Revision) -> BTreeMap<&SmolStr, Accepted> {
+    let mut last: BTreeMap<&SmolStr, Accepted> = BTreeMap::new();
+    for (at, entry) in entries.iter().enumerate() {
+        let Event::RecordAccepted {
+            revision,
+            name,
+            value,
+        } = &entry.event
+        else {
+            continue;
+        };
+        let accepted = Accepted {
+            at,
+            revision: *revision,
+            value: *value,
+        };
+        let is_newer = last.get(name).is_none_or(|old| old.revision < *revision);
+        if *revision <= until && is_newer {
+            last.insert(name, accepted);
+        }
+    }
+    last
+}
+
+fn is_doubtful(entries: &[Entry], name: &SmolStr, value: Option<Digest>) -> bool {
+    entries.iter().any(|entry| match &entry.event {
+        Event::RecordDoubtful { name: n, value: v } => n == name && *v == value,
+        _ => false,
+    })
+}
+
+fn sightings(entries: &[Entry]) -> Sightings<'_> {
+    let mut sightings = Sightings::new();
+    for (at, entry) in entries.iter().enumerate() {
+        let Event::RecordInForce {
+            process,
+            revision,
+            values,
+        } = &entry.event
+        else {
+            continue;
+        };
+        sightings.entry(process).or_default().push(Seen {
+            at,
+            time: entry.at,
+            revision: *revision,
+            values: values.as_ref(),
+        });
+    }
+    sightings
+}
+
+fn gone(entries: &[Entry]) -> BTreeSet<&ProcessId> {
+    let names = entries.iter().filter_map(|entry| match &entry.event {
+        Event::Crashed { process } | Event::ShutdownEnded { process, .. } => Some(process),
+        _ => None,
+    });
+    names.collect()
+}
--- /dev/null
+++ b/fw-check/src/promise/refusal.rs
@@ -0,0 +1,77 @@
+//! A call that was refused as not run did not run.
+//!
+//! Several calls may carry the same request, and a run does not say which of them it was for. So a
+//! run counts against a refusal only if no other call can explain it: one sent before the run
+//! began, and not refused as not run itself.
+
+use fw_base::error::Ran;
+
+use crate::check::Tally;
+use crate::event::Work;
+use crate::index::Asked;
+use crate::index::Call;
+use crate::index::End;
+use crate::index::Index;
+use crate::index::Run;
+
+pub(crate) fn check(index: &Index<'_>) -> Tally {
+    let mut tally = Tally::default();
+    let calls: Vec<&Call<'_>> = index.calls.values().collect();
+    check_table(&calls, &mut tally);
+    for call in calls.iter().filter(|call| call.is_not_run()) {
+        let runs = index.runs.iter().filter(|run| may_be_of(run, call));
+        let unexplained = runs.into_iter().find(|run| {
+            let explains = |other: &&&Call<'_>| !other.is_not_run() && may_be_of(run, other);
+            calls.iter().find(explains).is_none()
+        });
+        let end = call.end.map(|(end, _)| end);
+        let mut indices = vec![call.sent];
+        indices.extend(end);
+        indices.extend(unexplained.map(|run| run.started));
+        tally.expect(unexplained.is_none(), &indices, || {
+            "a call was refused as not run, and ran".to_owned()
+        });
+    }
+    let is_maybe = |call: &&&Call<'_>| match call.end {
+        Some((_, End::Refused { ran, .. })) => ran == Ran::Maybe,
+        Some((_, End::Lost { sent, .. })) => sent,
+        Some((_, End::Answered { .. })) => false,
+        None => true,
+    };
+    let maybe = calls.iter().filter(is_maybe).count();
+    tally.unknown(
+        maybe,
+        "calls without a certain outcome: each may or may not have run",
+    );
+    tally
+}
+
+/// What a caller is told must be what the table of error kinds says.
+fn check_table(calls: &[&Call<'_>], tally: &mut Tally) {
+    for call in calls {
+        let Some((end, End::Refused { kind, ran })) = call.end else {
+            continue;
+        };
+        let row = kind.row();
+        if ran != row.ran {
+            let what = format!("{} was told as {ran:?}, not {:?}", row.label, row.ran);
+            tally.violated(&[call.sent, end], what);
+        }
+    }
+}
+
+/// Whether `run` may have been for `call`: it runs the same request and began after the sending.
+fn may_be_of(run: &Run<'_>, call: &Call<'_>) -> bool {
+    let is_same = match (call.asked, run.work) {
+        (Asked::Turn(sent), Work::Turn(prompt)) => {
+            let is_turn = run
+                .turns
+                .iter()
+                .any(|key| *key.program == sent.program && key.turn == sent.turn);
+            is_turn && prompt.ends_with(&sent.messages)
+        }
+        (Asked::Plain(sent), Work::Plain(request)) => sent.request == *request,
+        _ => false,
+    };
+    is_same && call.sent < run.started
+}
--- /dev/null
+++ b/fw-check/src/promise/shutdown.rs
@@ -0,0 +1,92 @@
+//! No call is broken off by a process that stops gracefully.
+
+use crate::check::Tally;
+use crate::event::Entry;
+use crate::event::Event;
+use crate::event::ProcessId;
+use crate::index::Asked;
+use crate::index::Call;
+use crate::index::End;
+use crate::index::Index;
+
+/// The part of the record that one shutdown answers for.
+struct Span {
+    begun: usize,
+    last_sent: usize,
+    crashed: usize,
+}
+
+pub(crate) fn check(entries: &[Entry], index: &Index<'_>) -> Tally {
+    let mut tally = Tally::default();
+    let mut unfinished = 0;
+    for (begun, entry) in entries.iter().enumerate() {
+        let Event::ShutdownBegun { process } = &entry.event else {
+            continue;
+        };
+        let crashed = crash_after(entries, process, begun).unwrap_or(entries.len());
+        let ended = end_after(entries, process, begun);
+        let span = Span {
+            begun,
+            // What is sent later goes to the next process of that name.
+            last_sent: ended.map_or(crashed, |(ended, _)| ended.min(crashed)),
+            crashed,
+        };
+        check_calls(index, process, span, &mut tally);
+        match ended {
+            Some((ended, cut_off)) => tally.expect(cut_off == 0, &[begun, ended], || {
+                format!("{process} stopped with {cut_off} requests under way")
+            }),
+            None => unfinished += 1,
+        }
+    }
+    tally.unknown(unfinished, "shutdowns whose end is not in the record");
+    tally
+}
+
+/// Calls to `process` that were under way during `span`.
+fn check_calls(index: &Index<'_>, process: &ProcessId, span: Span, tally: &mut Tally) {
+    let is_under_way = |call: &&Call<'_>| {
+        let ends = span.begun..span.crashed;
+        let ends_within = call.end.is_some_and(|(end, _)| ends.contains(&end));
+        receiver(call) == process && call.sent < span.last_sent && ends_within
+    };
+    for call in index.calls.values().filter(is_under_way) {
+        let Some((end, how)) = call.end else { continue };
+        let is_cut_off = match how {
+            End::Lost { sent, by_caller } => sent && !by_caller,
+            End::Answered { whole, .. } => !whole,
+            End::Refused { .. } => false,
+        };
+        let indices = [span.begun, call.sent, end];
+        tally.expect(!is_cut_off, &indices, || {
+            format!("{process} cut off a call while it stopped gracefully")
+        });
+    }
+}
+
+fn receiver<'a>(call: &Call<'a>) -> &'a ProcessId {
+    match call.asked {
+        Asked::Turn(sent) => &sent.to,
+        Asked::Plain(sent) => &sent.to,
+    }
+}
+
+fn crash_after(entries: &[Entry], process: &ProcessId, begun: usize) -> Option<usize> {
+    let is_crash = |entry: &Entry| match &entry.event {
+        Event::Crashed { process: crashed } => crashed == process,
+        _ => false,
+    };
+    let found = entries.iter().skip(begun).position(is_crash);
+    found.map(|after| begun + after)
+}
+
+fn end_after(entries: &[Entry], process: &ProcessId, begun: usize) -> Option<(usize, u32)> {
+    let mut after = entries.iter().enumerate().skip(begun);
+    after.find_map(|(at, entry)| match &entry.event {
+        Event::ShutdownEnded {
+            process: ended,
+            cut_off,
+        } if ended == process => Some((at, *cut_off)),
+        _ => None,
+    })
+}
--- a/fw-check/tests/check/main.rs
+++ b/fw-check/tests/check/main.rs
@@ -1,4 +1,8 @@
 //! Tests of the specification, of the history checker and of the pages that name code.
 #![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+mod forged_records;
+mod good_records;
+mod record_lines;
 mod spec_models;
+mod story;
