--- /dev/null
+++ b/fw-local/examples/capacity/wire.rs
@@ -0,0 +1,121 @@
+//! Control messages: heartbeats to sides, statuses between entries.
+
+use fw_wire::peer;
+use fw_wire::side;
+
+use crate::process;
+use crate::slope;
+
+/// Heartbeats a second: watched sides, two each.
+const HEARTBEATS: f64 = 12_000.0 * 12.0 / 380.0 * 2.0;
+/// Statuses a second: two asked and, on average, two answered, twice a second.
+const STATUSES: f64 = 8.0;
+/// Shards renewed in a heartbeat: those of this entry with sessions at that side.
+const RENEWED: usize = 2;
+
+/// The rows of this role.
+pub fn measure() -> Vec<slope::Row> {
+    vec![
+        bytes(
+            "entry",
+            "bytes of a heartbeat and its answer",
+            heartbeat_bytes,
+            HEARTBEATS,
+            "758 heartbeats a second: B/s",
+        ),
+        bytes(
+            "entry",
+            "bytes of a status between entries",
+            status_bytes,
+            STATUSES,
+            "8 statuses a second: B/s",
+        ),
+        heartbeat_time(),
+    ]
+}
+
+fn bytes(
+    role: &'static str,
+    what: &'static str,
+    of: fn() -> usize,
+    target: f64,
+    target_note: &'static str,
+) -> slope::Row {
+    let point = |count: usize| {
+        let total: usize = (0..count).map(|_| of()).sum();
+        (count as f64, total as f64)
+    };
+    slope::Row {
+        role,
+        what,
+        unit: "B",
+        points: [100, 200, 400, 800].into_iter().map(point).collect(),
+        target,
+        target_note,
+    }
+}
+
+fn heartbeat() -> (String, String) {
+    let req = side::Heartbeat {
+        from: "entry-0123456789abcdef".into(),
+        revision: 1_234_567,
+        shards: (0..RENEWED).map(|n| (n as u16 + 1000, 1_234_567)).collect(),
+        cache_seen: 123_456,
+        ..side::Heartbeat::default()
+    };
+    let reply = side::HeartbeatReply {
+        upstream: "worker-12345".into(),
+        service: "agent-llm".into(),
+        place: "surat-hall-a".into(),
+        incarnation: u64::MAX,
+        ..side::HeartbeatReply::default()
+    };
+    let text = |value: serde_json::Result<String>| value.unwrap_or_default();
+    (
+        text(serde_json::to_string(&req)),
+        text(serde_json::to_string(&reply)),
+    )
+}
+
+fn heartbeat_bytes() -> usize {
+    let (req, reply) = heartbeat();
+    req.len() + reply.len()
+}
+
+fn status_bytes() -> usize {
+    let status = peer::PeerStatus {
+        entry: "entry-0123456789abcdef".into(),
+        place: "surat-hall-a".into(),
+        revision: 1_234_567,
+        sides_revision: 1_234_567,
+        sides: 379,
+        shards: 11,
+        programs: 368,
+        leaving: false,
+    };
+    serde_json::to_string(&status).map_or(0, |text| text.len())
+}
+
+fn heartbeat_time() -> slope::Row {
+    let point = |count: usize| {
+        let busy = process::busy(|| {
+            for _ in 0..count {
+                let (_, reply) = heartbeat();
+                let read = serde_json::from_str::<side::HeartbeatReply>(&reply);
+                std::hint::black_box(read.is_ok());
+            }
+        });
+        (count as f64, busy.as_secs_f64() * 1e6)
+    };
+    slope::Row {
+        role: "entry",
+        what: "processor time to write a heartbeat and read its answer, system calls apart",
+        unit: "us",
+        points: [2_000, 4_000, 8_000, 16_000]
+            .into_iter()
+            .map(point)
+            .collect(),
+        target: HEARTBEATS,
+        target_note: "758 heartbeats a second: us of each second",
+    }
+}
