fw-wire, fw-entry: heartbeats that fit the control budget at the size to design for

Cause: 528 bytes a heartbeat, two a second, 12 watchers a worker: 400 KB a second for each entry against 15 allowed (example capacity). Ruled out: postcard on the wire, which would save more but which processes of different versions cannot read during a rolling restart. Change: usual fields are left out, times are microseconds, who the side is only when the entry does not know; 4 watchers a worker instead of 12, and all in a fleet of up to 128; at most 28 heartbeats a second, so the interval grows from 0.5 s to 4.5 s at 126 sides. A side at a reused address is told by its name. Conclusion: a side without work of an entry is heard every 4.5 s at that size; one with work is heard by its answers.

--- a/fw-conf/src/entry.rs
+++ b/fw-conf/src/entry.rs
@@ -134,14 +134,18 @@
         connect_timeout: Duration = ms(500), codec::time(ms(10)..=secs(30));
         /// Time between two heartbeats to one side.
         heartbeat_interval: Duration = ms(500), codec::time(ms(20)..=secs(30));
+        /// Most heartbeats that this entry sends in a second; with many upstreams the interval grows.
+        heartbeats_per_second: u32 = 28, codec::number(1..=100_000);
         /// Heartbeats without an answer after which a connection is replaced.
         missed_heartbeats: u32 = 3, codec::number(1..=100);
         /// How long a read waits at the side for the next event of an attempt.
         read_wait: Duration = secs(1), codec::time(ms(10)..=secs(30));
         /// Entries of an upstream's own place that send it heartbeats and calls.
-        watchers_near: usize = 8, codec::number(1..=1024);
+        watchers_near: usize = 3, codec::number(1..=1024);
         /// Entries of other places that send an upstream heartbeats and calls.
-        watchers_far: usize = 4, codec::number(1..=1024);
+        watchers_far: usize = 1, codec::number(0..=1024);
+        /// With no more upstreams than this, every entry sends heartbeats and calls to all.
+        watch_all: usize = 128, codec::number(0..=100_000);
     }
 }
 
--- a/fw-entry/src/connection/heartbeat.rs
+++ b/fw-entry/src/connection/heartbeat.rs
@@ -18,26 +18,40 @@
 
 /// Sends heartbeats to `side` until the future is dropped.
 pub async fn run(entry: Arc<entry::Entry>, side: Arc<sides::Side>) {
-    let interval = entry.settings.upstream.heartbeat_interval;
-    let mut ticks = tokio::time::interval(interval);
-    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
-        ticks.tick().await;
+        let interval = interval(&entry);
         beat(&entry, &side, interval).await;
+        tokio::time::sleep(interval).await;
     }
 }
 
+/// The set interval, or a longer one where so many sides are watched that their heartbeats would
+/// exceed what control may spend. A side with work under way is heard by its answers as well.
+fn interval(entry: &entry::Entry) -> Duration {
+    let upstream = &entry.settings.upstream;
+    let sides = u32::try_from(entry.sides.len()).unwrap_or(u32::MAX);
+    let spread = Duration::from_secs(u64::from(sides)) / upstream.heartbeats_per_second;
+    upstream.heartbeat_interval.max(spread)
+}
+
 async fn beat(entry: &entry::Entry, side: &sides::Side, interval: Duration) {
     let req = request(entry, side);
     let cx = transport::context(interval);
     let addr = side.instance.side;
     let call = |client: side::SideClient| async move { client.heartbeat(cx, req).await };
     match entry.sides.pool.call(addr, call).await {
+        Ok(reply) if is_someone_else(side, &reply) => missed(entry, side),
         Ok(reply) => answered(entry, side, reply).await,
         Err(_) => missed(entry, side),
     }
 }
 
+/// A lagging instance list may name an address that another instance has by now. Its load, cache
+/// and health would be booked on the wrong upstream, and its work sent to the wrong service.
+fn is_someone_else(side: &sides::Side, reply: &side::HeartbeatReply) -> bool {
+    !reply.upstream.is_empty() && reply.upstream != side.instance.id
+}
+
 fn request(entry: &entry::Entry, side: &sides::Side) -> side::Heartbeat {
     let state = side.state();
     let fence = |shard: &id::ShardId| Some((*shard, entry.keeper.fence(*shard)?));
@@ -47,6 +61,7 @@
         revision: entry.records.revision(),
         shards: state.shards.iter().filter_map(fence).collect(),
         cache_seen: state.cache_seen,
+        known: state.incarnation,
         gone: state.asked.into_iter().filter(gone).collect(),
     }
 }
--- a/fw-entry/src/connection/sides.rs
+++ b/fw-entry/src/connection/sides.rs
@@ -171,6 +171,16 @@
         self.sides.lock().values().map(Arc::clone).collect()
     }
 
+    /// How many sides there are.
+    pub fn len(&self) -> usize {
+        self.sides.lock().len()
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Takes over a new instance list, cut down to the instances that this entry watches.
     ///
     /// An instance that the list lacks is kept while it answers heartbeats: the list lags.
--- a/fw-entry/src/process/members.rs
+++ b/fw-entry/src/process/members.rs
@@ -47,6 +47,9 @@
 
 /// The instances that this entry is to watch: all in a small fleet, its part in a large one.
 fn watched(entry: &entry::Entry, list: Vec<sides::Instance>) -> Vec<sides::Instance> {
+    if list.len() <= entry.settings.upstream.watch_all {
+        return list;
+    }
     let entries = entry.peer_list.members(entry);
     let options = subset::Options {
         near: entry.settings.upstream.watchers_near,
--- a/fw-wire/src/side.rs
+++ b/fw-wire/src/side.rs
@@ -31,52 +31,95 @@
     async fn release(req: Release);
 }
 
+/// Leaves fields with their usual value out of messages. Heartbeats are most of what control sends:
+/// in an idle fleet nearly all of their fields are usual.
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
+
+/// Times of load reports as whole microseconds: a third of the bytes of seconds and nanoseconds.
+mod micros {
+    use std::time::Duration;
+
+    use serde::Deserialize;
+    use serde::Deserializer;
+    use serde::Serializer;
+
+    pub fn serialize<S: Serializer>(time: &Duration, ser: S) -> Result<S::Ok, S::Error> {
+        ser.serialize_u64(u64::try_from(time.as_micros()).unwrap_or(u64::MAX))
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(de: D) -> Result<Duration, D::Error> {
+        u64::deserialize(de).map(Duration::from_micros)
+    }
+}
+
 /// A heartbeat.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// The entry.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub from: id::EntryId,
     /// Revision of the records in force there.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub revision: id::Revision,
     /// Shards kept by the entry in which it knows of sessions at this side, with the fencing number
     /// of each. The side frees the sessions of shards that no heartbeat renews.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub shards: Vec<(id::ShardId, id::Fence)>,
     /// Sequence number of the last cache change received from this side; 0 for none.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub cache_seen: u64,
+    /// The incarnation that the entry knows; the side leaves out who it is if that is still right.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub known: u64,
     /// Which of the programs that the side asked after ([`HeartbeatReply::asked`]) are gone.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub gone: Vec<id::ProgramId>,
 }
 
 /// What the side says of itself.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct HeartbeatReply {
-    /// The upstream beside the side.
+    /// The upstream beside the side; empty, as are service and place, if the entry knows them.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub upstream: id::UpstreamId,
     /// Its service.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub service: id::ServiceId,
     /// Its place.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub place: id::PlaceId,
     /// Drawn at random when the side started: another number means that attempts were lost.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub incarnation: u64,
     /// Revision of the records in force at the side.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub revision: id::Revision,
     /// The upstream is leaving and gets no new work.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub leaving: bool,
     /// The upstream does not answer.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub down: bool,
     /// How busy it is.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub load: Load,
     /// Sequence number after `cache`.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub cache_seq: u64,
     /// `cache` starts anew: forget what was known of this side's cache.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub cache_reset: bool,
     /// Cache changes since [`Heartbeat::cache_seen`].
+    #[serde(default, skip_serializing_if = "is_default")]
     pub cache: Vec<CacheChange>,
     /// Idle programs of the sender's shards: does the keeper still know them?
+    #[serde(default, skip_serializing_if = "is_default")]
     pub asked: Vec<id::ProgramId>,
     /// Shards with sessions here that this heartbeat did not renew. Their keeper, if it is the
     /// sender, renews them from now on: it may have taken them over without knowing of sessions.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub unrenewed: Vec<id::ShardId>,
 }
 
@@ -84,24 +127,34 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Load {
     /// Attempts waiting in the side's queue.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub queued: u32,
     /// Attempts in the engine.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub running: u32,
     /// Prompt tokens that wait for prefill, in the queue and in the engine.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub prefill: id::Tokens,
     /// Time from arrival at the side to release into the engine, smoothed.
+    #[serde(default, skip_serializing_if = "is_default", with = "micros")]
     pub delay: Duration,
     /// Time between tokens of one stream, smoothed.
+    #[serde(default, skip_serializing_if = "is_default", with = "micros")]
     pub step: Duration,
     /// Prefill speed in tokens a second, smoothed; 0 if not known yet.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub prefill_rate: u64,
     /// Tokens of engine cache in use.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub cache_used: id::Tokens,
     /// Tokens of engine cache there are; 0 if not known.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub cache_size: id::Tokens,
     /// Most attempts that the engine runs together; 0 if not known.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub batch: u32,
     /// Age of the engine's own report.
+    #[serde(default, skip_serializing_if = "is_default", with = "micros")]
     pub age: Duration,
 }
 
--- a/fw-wire/tests/wire/message_forms.rs
+++ b/fw-wire/tests/wire/message_forms.rs
@@ -17,6 +17,32 @@
     expect_that!(read, ok(anything()));
 }
 
+// Heartbeats go to thousands of sides, most of them idle: one that spelled out every field would
+// cost a node more than all of its control may. What is usual is left out and read back as usual.
+#[gtest]
+fn a_usual_heartbeat_is_small_and_reads_back() {
+    let reply = side::HeartbeatReply {
+        incarnation: 7,
+        ..side::HeartbeatReply::default()
+    };
+    let text = serde_json::to_string(&reply).unwrap();
+    expect_that!(text.len(), lt(40));
+    let read: side::HeartbeatReply = serde_json::from_str(&text).unwrap();
+    expect_that!(read.incarnation, eq(7));
+    expect_that!(read.load, eq(side::Load::default()));
+}
+
+#[gtest]
+fn load_reports_keep_their_times() {
+    let load = side::Load {
+        delay: std::time::Duration::from_micros(1_234_567),
+        ..side::Load::default()
+    };
+    let text = serde_json::to_string(&load).unwrap();
+    let read: side::Load = serde_json::from_str(&text).unwrap();
+    expect_that!(read, eq(load));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..Default::default() })]
 
