foxtailweir: serve runs the entry

Cause: serve ended before the entry, which was not there yet. Change: settings, logs, metrics recorder with upkeep, start, graceful stop by SIGTERM or SIGINT, end at once by a second signal (code 1).

--- a/foxtailweir/src/lib.rs
+++ b/foxtailweir/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod command;
 pub mod demo;
 pub mod logs;
+pub mod serve;
--- a/foxtailweir/tests/foxtailweir/main.rs
+++ b/foxtailweir/tests/foxtailweir/main.rs
@@ -3,6 +3,7 @@
 
 mod command_line;
 mod operating_page;
+mod real_entry;
 mod record_commands;
 mod standin;
 
