--- a/foxtailweir-side/src/main.rs
+++ b/foxtailweir-side/src/main.rs
@@ -1,3 +1,97 @@
-//! Placeholder until the command line lands.
+//! The process beside each upstream: command line, logs and signals.
 
-fn main() {}
+use std::path::Path;
+use std::process::ExitCode;
+
+use fw_conf::shared;
+use fw_conf::side;
+use getopts::Options;
+use tokio::signal::unix;
+use tracing_subscriber::EnvFilter;
+
+/// Exit code for wrong arguments or settings.
+const USAGE: u8 = 2;
+
+const BRIEF: &str = "Usage: foxtailweir-side [check] --settings FILE
+
+Runs beside one upstream until SIGTERM or SIGINT, then finishes what is under way.
+With `check` it only checks the settings file.";
+
+fn main() -> ExitCode {
+    let mut options = Options::new();
+    options.optopt("s", "settings", "the settings file, in INI format", "FILE");
+    options.optflag("h", "help", "print this help");
+    let matches = match options.parse(std::env::args().skip(1)) {
+        Ok(matches) => matches,
+        Err(err) => return usage(&options, &err.to_string()),
+    };
+    if matches.opt_present("help") {
+        println!("{}", options.usage(BRIEF));
+        return ExitCode::SUCCESS;
+    }
+    let only_check = match matches.free.as_slice() {
+        [] => false,
+        [command] if command == "check" => true,
+        [other, ..] => return usage(&options, &format!("unknown command `{other}`")),
+    };
+    let Some(file) = matches.opt_str("settings") else {
+        return usage(&options, "`--settings FILE` is required");
+    };
+    match side::Settings::load(Path::new(&file)) {
+        Ok(_) if only_check => {
+            println!("{file}: no faults found");
+            ExitCode::SUCCESS
+        }
+        Ok(settings) => serve(settings),
+        Err(err) => {
+            eprintln!("{err}");
+            ExitCode::from(USAGE)
+        }
+    }
+}
+
+fn usage(options: &Options, why: &str) -> ExitCode {
+    eprintln!("{why}\n\n{}", options.usage(BRIEF));
+    ExitCode::from(USAGE)
+}
+
+fn serve(settings: side::Settings) -> ExitCode {
+    log(&settings.log);
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(err) => return failed(&err.to_string()),
+    };
+    match runtime.block_on(fw_side::run(settings, signalled())) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => failed("work under way did not end within `drain_timeout`"),
+        Err(err) => failed(&err.to_string()),
+    }
+}
+
+fn failed(why: &str) -> ExitCode {
+    eprintln!("foxtailweir-side: {why}");
+    ExitCode::FAILURE
+}
+
+fn log(cfg: &shared::Log) {
+    let filter = EnvFilter::new(cfg.level.as_str());
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr);
+    match cfg.format {
+        shared::Format::Human => builder.init(),
+        shared::Format::Json => builder.json().init(),
+    }
+}
+
+/// Waits for SIGTERM or SIGINT; for good, if signals cannot be received.
+async fn signalled() {
+    let term = unix::signal(unix::SignalKind::terminate());
+    let Ok(mut term) = term else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+}
--- a/fw-fake/src/engine/http.rs
+++ b/fw-fake/src/engine/http.rs
@@ -87,6 +87,7 @@
         Err(err) => return refuse(StatusCode::BAD_REQUEST, &err.to_string()),
     };
     if is_poisonous(&life, &parsed) {
+        life.count_run(digest::Digest::EMPTY.extend_all(&parsed.messages));
         life.shared.control.crash();
         std::future::pending::<()>().await;
     }
--- a/fw-fake/src/engine/life.rs
+++ b/fw-fake/src/engine/life.rs
@@ -237,7 +237,7 @@
         let id = req.id.clone();
         let sequence = Sequence::new(req, 0);
         let stream = sequence.stream.clone();
-        self.count_run(&sequence);
+        self.count_run(sequence.digest);
         state.streams.insert(id, stream.clone());
         state.waiting.push_back(sequence);
         self.shared.under_way.fetch_add(1, Ordering::SeqCst);
@@ -245,12 +245,10 @@
         stream
     }
 
-    fn count_run(&self, sequence: &Sequence) {
+    /// Counts a run of the prompt with this digest.
+    pub(super) fn count_run(&self, digest: digest::Digest) {
         let mut counts = self.shared.counts.lock();
-        *counts
-            .runs
-            .entry(String::from(sequence.digest))
-            .or_default() += 1;
+        *counts.runs.entry(String::from(digest)).or_default() += 1;
     }
 
     /// The state as it is now.
--- /dev/null
+++ b/fw-side/src/connection/calls.rs
@@ -0,0 +1,196 @@
+//! The tarpc service that entries call.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use fw_base::error;
+use fw_base::id;
+use fw_wire::attempt;
+use fw_wire::side;
+use tarpc::context;
+
+use crate::process::attempts;
+use crate::process::core;
+use crate::process::fences;
+use crate::process::histories;
+use crate::process::poll;
+use crate::refuse;
+use crate::request::body;
+
+/// The service, as one connection sees it.
+#[derive(Clone, Debug)]
+pub struct Calls {
+    core: Arc<core::Core>,
+}
+
+impl Calls {
+    /// The service over `core`.
+    pub fn new(core: Arc<core::Core>) -> Self {
+        Self { core }
+    }
+
+    fn check_fence(&self, shard: id::ShardId, fence: id::Fence) -> Result<(), error::Error> {
+        match self.core.fences.renew(shard, fence, Instant::now()) {
+            fences::Check::Current => Ok(()),
+            fences::Check::Stale { newest } => {
+                let why = format!(
+                    "fencing number {fence} of shard {shard} is older than {newest}: \
+                     another entry keeps the shard"
+                );
+                Err(refuse::with(error::Kind::StaleFence, why))
+            }
+        }
+    }
+
+    /// The whole prompt, or `None` if its base is not held here.
+    ///
+    /// The digest is computed again from the text that goes to the engine. Guards against a
+    /// history that was mixed with another on its way or in memory here: the digest that the
+    /// keeper's journal committed would not match.
+    fn prompt(&self, req: &mut side::Start) -> Result<Option<histories::Prompt>, error::Error> {
+        let Some(mut prompt) = self.core.histories.get(&req.program, req.base) else {
+            return Ok(None);
+        };
+        for message in std::mem::take(&mut req.messages) {
+            prompt.push(message);
+        }
+        if prompt.digest() != req.digest {
+            let why = format!(
+                "the messages have digest {}, not {}: send the program's own history",
+                prompt.digest(),
+                req.digest
+            );
+            return Err(refuse::with(error::Kind::HistoryMismatch, why));
+        }
+        Ok(Some(prompt))
+    }
+
+    fn accept(&self, mut req: side::Start) -> Result<side::StartReply, error::Error> {
+        if self.core.attempts.get(req.attempt).is_some() {
+            return Ok(side::StartReply::Accepted);
+        }
+        if req.shard != id::shard_of(&req.program) {
+            let why = format!("`shard` {} is not that of `program`", req.shard);
+            return Err(refuse::with(error::Kind::BadRequest, why));
+        }
+        self.check_fence(req.shard, req.fence)?;
+        self.core.admits()?;
+        body::check_params(&req.params)?;
+        let Some(prompt) = self.prompt(&mut req)? else {
+            metrics::counter!("fw_side_need_history_total").increment(1);
+            return Ok(side::StartReply::NeedHistory);
+        };
+        self.queue(req, prompt)?;
+        Ok(side::StartReply::Accepted)
+    }
+
+    fn queue(&self, req: side::Start, prompt: histories::Prompt) -> Result<(), error::Error> {
+        let held = self.core.changes.held(&req.program);
+        let missing = req.prompt_tokens.saturating_sub(held);
+        let before = self.core.attempts.of_program(&req.program);
+        let attempt = attempts::Attempt::new(req, prompt, Instant::now());
+        let attempt = Arc::new(attempt);
+        let push = || self.core.line.push(&attempt, missing);
+        let inserted = self.core.attempts.insert(attempt.clone(), push)?;
+        if inserted == attempts::Insert::New {
+            self.supersede(&before);
+            self.core.work.notify_one();
+        }
+        Ok(())
+    }
+
+    /// Ends earlier attempts of the program. A program has one turn under way at a time, so its
+    /// keeper has given those up, or has lost the shard and cannot commit them.
+    fn supersede(&self, before: &[Arc<attempts::Attempt>]) {
+        for attempt in before {
+            metrics::counter!("fw_side_superseded_total").increment(1);
+            let why = "the program's keeper started another attempt";
+            self.core.cancel(attempt, why);
+        }
+    }
+}
+
+impl side::Side for Calls {
+    async fn heartbeat(self, _: context::Context, req: side::Heartbeat) -> side::HeartbeatReply {
+        let now = Instant::now();
+        let core = &self.core;
+        let renewed = poll::renew(core, &req.shards, now);
+        for program in &req.gone {
+            if renewed.contains(&id::shard_of(program)) {
+                core.sessions.free(program, now);
+                core.histories.remove(program);
+            }
+        }
+        core.orders.notify_one();
+        let since = core.changes.since(req.cache_seen);
+        let cfg = &core.opts.settings.instance;
+        side::HeartbeatReply {
+            upstream: cfg.id.clone(),
+            service: cfg.service.clone(),
+            place: cfg.place.clone(),
+            incarnation: core.incarnation,
+            revision: core.records.revision(),
+            leaving: core.is_leaving(),
+            down: core.is_down(),
+            load: core.load(now),
+            cache_seq: since.seq,
+            cache_reset: since.reset,
+            cache: since.changes,
+            asked: core.sessions.ask(&renewed, core.opts.ask_after, now),
+            unrenewed: core.sessions.unrenewed(&renewed),
+        }
+    }
+
+    async fn records(self, _: context::Context, req: side::Records) -> id::Revision {
+        self.core.offer(&req);
+        self.core.records.revision()
+    }
+
+    async fn start(self, _: context::Context, req: side::Start) -> side::StartReply {
+        match self.accept(req) {
+            Ok(reply) => reply,
+            Err(err) => side::StartReply::Refused(err),
+        }
+    }
+
+    async fn read(self, _: context::Context, req: attempt::Read) -> attempt::ReadReply {
+        match self.core.attempts.get(req.attempt) {
+            Some(attempt) => {
+                let wait = req.wait.min(self.core.opts.max_wait);
+                attempt.read(req.offset, wait).await
+            }
+            None => attempt::ReadReply {
+                events: Vec::new(),
+                state: attempt::State::Unknown,
+            },
+        }
+    }
+
+    async fn cancel(self, _: context::Context, attempt: id::AttemptId) -> bool {
+        let Some(attempt) = self.core.attempts.get(attempt) else {
+            return false;
+        };
+        if !attempt.is_ended() {
+            self.core.cancel(&attempt, "the keeper cancelled the turn");
+        }
+        true
+    }
+
+    async fn forget(self, _: context::Context, attempt: id::AttemptId) {
+        self.core.attempts.forget(attempt);
+    }
+
+    async fn release(self, _: context::Context, req: side::Release) {
+        let now = Instant::now();
+        for (program, fence) in &req.programs {
+            let shard = id::shard_of(program);
+            if self.core.fences.check(shard, *fence) == fences::Check::Current {
+                self.core.sessions.free(program, now);
+                self.core.histories.remove(program);
+            } else {
+                metrics::counter!("fw_side_stale_releases_total").increment(1);
+            }
+        }
+        self.core.orders.notify_one();
+    }
+}
--- /dev/null
+++ b/fw-side/src/connection/web.rs
@@ -0,0 +1,112 @@
+//! The HTTP port: health, metrics, the order to leave, and the plain lane.
+
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router;
+use axum::extract::Request;
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::response::Response;
+use axum::routing;
+use hyper::server::conn::http1;
+use hyper_util::rt;
+use hyper_util::service::TowerToHyperService;
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use crate::process::core;
+use crate::request::plain;
+
+/// Longest wait for the head of a request on an open connection.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Pause after a failure to accept, such as too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What the HTTP port serves from.
+#[derive(Clone, Debug)]
+pub struct Web {
+    /// The side.
+    pub core: Arc<core::Core>,
+    /// The lane of plain calls.
+    pub plain: plain::Lane,
+    /// Renders `/metrics`.
+    pub metrics: PrometheusHandle,
+}
+
+/// The routes. Every path that is not the side's own goes to the upstream.
+pub fn router(web: Web) -> Router {
+    Router::new()
+        .route("/healthz", routing::get(StatusCode::OK))
+        .route("/readyz", routing::get(ready))
+        .route("/metrics", routing::get(render))
+        .route("/leave", routing::post(leave))
+        .fallback(forward)
+        .with_state(web)
+}
+
+/// Serves connections until `closing`, then lets those under way end. Dropped, it ends them all.
+pub async fn serve(listener: TcpListener, web: Web, closing: CancellationToken) {
+    let router = router(web);
+    let mut connections = JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = closing.cancelled() => break,
+        };
+        match accepted {
+            Ok((socket, _)) => {
+                let serve = serve_one(socket, router.clone(), closing.clone());
+                connections.spawn(serve);
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+        while connections.try_join_next().is_some() {}
+    }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
+}
+
+async fn serve_one(socket: TcpStream, router: Router, closing: CancellationToken) {
+    // Without it the answer's last part may wait for an acknowledgement.
+    let _ = socket.set_nodelay(true);
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(rt::TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT);
+    let service = TowerToHyperService::new(router);
+    let mut connection = pin!(builder.serve_connection(rt::TokioIo::new(socket), service));
+    // A connection that fails has told its peer already.
+    tokio::select! {
+        _ = connection.as_mut() => {}
+        () = closing.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            let _ = connection.await;
+        }
+    }
+}
+
+async fn ready(State(web): State<Web>) -> StatusCode {
+    if web.core.is_leaving() || web.core.is_down() {
+        return StatusCode::SERVICE_UNAVAILABLE;
+    }
+    StatusCode::OK
+}
+
+async fn render(State(web): State<Web>) -> String {
+    web.metrics.render()
+}
+
+async fn leave(State(web): State<Web>) -> StatusCode {
+    web.core.leave();
+    StatusCode::ACCEPTED
+}
+
+async fn forward(State(web): State<Web>, req: Request) -> Response {
+    plain::forward(&web.core, &web.plain, req).await
+}
--- /dev/null
+++ b/fw-side/src/process/attempts.rs
@@ -0,0 +1,175 @@
+//! The attempts that the side knows, under way and finished.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use fw_base::error;
+use fw_base::id;
+use fw_wire::attempt;
+use fw_wire::buffer;
+use fw_wire::side;
+use parking_lot::Mutex;
+use tokio_util::sync::CancellationToken;
+
+use super::histories;
+
+/// One attempt.
+#[derive(Debug)]
+pub struct Attempt {
+    /// What was asked; its messages were moved into `prompt`.
+    pub start: side::Start,
+    /// The whole prompt.
+    pub prompt: histories::Prompt,
+    /// When it arrived.
+    pub arrived: Instant,
+    /// The events and the end.
+    pub buffer: buffer::Buffer,
+    /// Stops the run. The end is in `buffer` before this is cancelled.
+    pub stop: CancellationToken,
+    ended: Mutex<Option<Instant>>,
+    fetched: AtomicBool,
+}
+
+impl Attempt {
+    /// An attempt that waits.
+    pub fn new(start: side::Start, prompt: histories::Prompt, arrived: Instant) -> Self {
+        Self {
+            start,
+            prompt,
+            arrived,
+            buffer: buffer::Buffer::new(),
+            stop: CancellationToken::new(),
+            ended: Mutex::default(),
+            fetched: AtomicBool::new(false),
+        }
+    }
+
+    /// When the caller's deadline passes.
+    pub fn deadline(&self) -> Instant {
+        self.arrived + self.start.deadline
+    }
+
+    /// Ends the attempt; the first end stands.
+    pub fn end(&self, state: attempt::State) {
+        self.buffer.end(state);
+        self.ended.lock().get_or_insert_with(Instant::now);
+    }
+
+    /// Ends the attempt with an error and stops its run.
+    pub fn abort(&self, err: error::Error) {
+        self.end(attempt::State::Failed(err));
+        self.stop.cancel();
+    }
+
+    /// Whether it has ended.
+    pub fn is_ended(&self) -> bool {
+        self.ended.lock().is_some()
+    }
+
+    /// Reads events by offset.
+    pub async fn read(&self, offset: u32, wait: Duration) -> attempt::ReadReply {
+        let reply = self.buffer.read(offset, wait).await;
+        if reply.state.is_final() {
+            self.fetched.store(true, Ordering::Release);
+        }
+        reply
+    }
+
+    /// Whether its end still has to reach a reader.
+    fn is_owed(&self) -> bool {
+        !self.fetched.load(Ordering::Acquire)
+    }
+}
+
+/// What became of an offered attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Insert {
+    /// It is new.
+    New,
+    /// It was known already.
+    Known,
+}
+
+/// Attempts by id. One lock: an engine takes a few calls a second, and no lock is held while a
+/// message is read or written.
+#[derive(Debug, Default)]
+pub struct Attempts {
+    inner: Mutex<HashMap<id::AttemptId, Arc<Attempt>>>,
+}
+
+impl Attempts {
+    /// The attempt with this id.
+    pub fn get(&self, id: id::AttemptId) -> Option<Arc<Attempt>> {
+        self.inner.lock().get(&id).cloned()
+    }
+
+    /// Adds an attempt if it is not known and `accept` allows it. Both happen under one lock, so
+    /// that a call sent twice is queued once.
+    ///
+    /// # Errors
+    ///
+    /// The error of `accept`.
+    pub fn insert(
+        &self,
+        attempt: Arc<Attempt>,
+        accept: impl FnOnce() -> Result<(), error::Error>,
+    ) -> Result<Insert, error::Error> {
+        let mut inner = self.inner.lock();
+        let id = attempt.start.attempt;
+        if inner.contains_key(&id) {
+            return Ok(Insert::Known);
+        }
+        accept()?;
+        inner.insert(id, attempt);
+        Ok(Insert::New)
+    }
+
+    /// Forgets a finished attempt; one under way stays.
+    pub fn forget(&self, id: id::AttemptId) {
+        let mut inner = self.inner.lock();
+        if inner.get(&id).is_some_and(|attempt| attempt.is_ended()) {
+            inner.remove(&id);
+        }
+    }
+
+    /// Every attempt that has not ended.
+    pub fn under_way(&self) -> Vec<Arc<Attempt>> {
+        let inner = self.inner.lock();
+        let open = inner.values().filter(|attempt| !attempt.is_ended());
+        open.cloned().collect()
+    }
+
+    /// Attempts of `program` that have not ended.
+    pub fn of_program(&self, program: &id::ProgramId) -> Vec<Arc<Attempt>> {
+        let mut open = self.under_way();
+        open.retain(|attempt| attempt.start.program == *program);
+        open
+    }
+
+    /// Attempts that are under way, or whose end no reader has seen.
+    pub fn owed(&self) -> usize {
+        let inner = self.inner.lock();
+        inner.values().filter(|attempt| attempt.is_owed()).count()
+    }
+
+    /// Drops answers older than `keep`, and the oldest beyond `max`; returns how many.
+    pub fn sweep(&self, keep: Duration, max: usize, now: Instant) -> usize {
+        let mut inner = self.inner.lock();
+        let ends = inner.iter();
+        let mut ends: Vec<_> = ends
+            .filter_map(|(id, attempt)| Some(((*attempt.ended.lock())?, *id)))
+            .collect();
+        ends.sort_unstable();
+        let beyond = ends.len().saturating_sub(max);
+        let old = ends.partition_point(|(at, _)| now.saturating_duration_since(*at) > keep);
+        let dropped = beyond.max(old);
+        for (_, id) in &ends[..dropped] {
+            inner.remove(id);
+        }
+        dropped
+    }
+}
--- /dev/null
+++ b/fw-side/src/process/core.rs
@@ -0,0 +1,291 @@
+//! The state of a side that all its parts share.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use fw_base::error;
+use fw_plan::queue;
+use fw_record::holder;
+use fw_record::set;
+use fw_wire::side;
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+use tokio::sync::Semaphore;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::attempts;
+use super::changes;
+use super::engine;
+use super::fences;
+use super::histories;
+use super::line;
+use super::meter;
+use super::once;
+use super::sessions;
+use crate::options;
+use crate::refuse;
+
+/// Where a side stands in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// It takes work.
+    Serving,
+    /// It takes no new work and finishes what is under way.
+    Leaving,
+}
+
+/// The shared state.
+#[derive(Debug)]
+pub struct Core {
+    /// What the side was started with.
+    pub opts: options::Options,
+    /// Drawn at random at the start.
+    pub incarnation: u64,
+    /// Fencing numbers by shard.
+    pub fences: fences::Fences,
+    /// Attempts under way and finished.
+    pub attempts: attempts::Attempts,
+    /// Hot histories.
+    pub histories: histories::Histories,
+    /// Programs with engine memory.
+    pub sessions: sessions::Sessions,
+    /// The view of the engine's cache.
+    pub changes: changes::Changes,
+    /// The engine's pace.
+    pub meter: meter::Meter,
+    /// The queue before the engine.
+    pub line: line::Line,
+    /// At-most-once plain calls.
+    pub once: once::Once,
+    /// Places for plain calls.
+    pub plain: Arc<Semaphore>,
+    /// The engine.
+    pub engine: engine::Client,
+    /// The records in force.
+    pub records: holder::Holder,
+    /// Wakes the loop that releases from the queue.
+    pub work: Notify,
+    /// Wakes the loop that sends orders to free memory.
+    pub orders: Notify,
+    /// Runs under way.
+    pub runs: TaskTracker,
+    /// The HTTP port closes.
+    pub closing: CancellationToken,
+    /// The side was dropped: runs end without a word, as in a crash.
+    pub dead: CancellationToken,
+    phase: watch::Sender<Phase>,
+    engine_leaves: AtomicBool,
+    down: AtomicBool,
+    crashes: AtomicU64,
+    /// The newest revision that a set was refused for, so that a broken set is logged once.
+    refused_set: Mutex<i64>,
+}
+
+impl Core {
+    /// The state of a side that was just started.
+    pub fn new(opts: options::Options) -> Self {
+        let cfg = &opts.settings;
+        let line = line::Options {
+            queue: queue::Options {
+                capacity: cfg.queue.max_length,
+                ..queue::Options::default()
+            },
+            batch: cfg.engine.batch,
+            window: cfg.queue.window,
+        };
+        let pauses = sessions::Pauses {
+            first: opts.release_pause,
+            longest: opts.release_pause_max,
+        };
+        Self {
+            incarnation: rand::random(),
+            fences: fences::Fences::default(),
+            attempts: attempts::Attempts::default(),
+            histories: histories::Histories::new(cfg.sessions.history_memory),
+            sessions: sessions::Sessions::new(pauses),
+            changes: changes::Changes::default(),
+            meter: meter::Meter::default(),
+            line: line::Line::new(line),
+            once: once::Once::new(opts.keep_once, opts.max_once),
+            plain: Arc::new(Semaphore::new(opts.plain_concurrency)),
+            engine: engine::Client::new(&cfg.engine),
+            records: holder::Holder::default(),
+            work: Notify::new(),
+            orders: Notify::new(),
+            runs: TaskTracker::new(),
+            closing: CancellationToken::new(),
+            dead: CancellationToken::new(),
+            phase: watch::Sender::new(Phase::Serving),
+            engine_leaves: AtomicBool::new(false),
+            down: AtomicBool::new(false),
+            crashes: AtomicU64::new(0),
+            refused_set: Mutex::new(0),
+            opts,
+        }
+    }
+
+    /// Whether new work is refused because the side or its upstream leaves.
+    pub fn is_leaving(&self) -> bool {
+        *self.phase.borrow() == Phase::Leaving || self.engine_leaves.load(Ordering::Acquire)
+    }
+
+    /// Whether the upstream does not answer.
+    pub fn is_down(&self) -> bool {
+        self.down.load(Ordering::Acquire)
+    }
+
+    /// Takes no new work from now on.
+    pub fn leave(&self) {
+        if self.phase.send_replace(Phase::Leaving) == Phase::Serving {
+            tracing::info!("leaving: no new work is taken");
+        }
+    }
+
+    /// What the engine says of its own leaving.
+    pub fn engine_leaves(&self, leaves: bool) {
+        if self.engine_leaves.swap(leaves, Ordering::AcqRel) != leaves {
+            tracing::info!(leaves, "the engine says whether it leaves");
+        }
+    }
+
+    /// The upstream answers.
+    pub fn up(&self) {
+        if self.down.swap(false, Ordering::AcqRel) {
+            tracing::info!("the upstream answers again");
+            self.work.notify_one();
+        }
+    }
+
+    /// The upstream is gone. Every attempt under way ends at once, with the truth about whether
+    /// it ran; the side itself runs none again, since the request may be what crashed it.
+    pub fn crashed(&self, why: &str) {
+        if !self.down.swap(true, Ordering::AcqRel) {
+            tracing::warn!(why, "the upstream is down");
+            self.lose_memory();
+        }
+        self.abort_all(why);
+    }
+
+    /// The engine was restarted: it answers, but lost its memory and what it ran.
+    pub fn restarted(&self) {
+        // What ended at the crash was counted then; only a quick restart is news.
+        if !self.is_down() {
+            tracing::warn!("the engine was restarted");
+            self.lose_memory();
+            self.abort_all("it was restarted");
+        }
+    }
+
+    /// How often the upstream was found to have lost its memory.
+    pub fn crashes(&self) -> u64 {
+        self.crashes.load(Ordering::Acquire)
+    }
+
+    fn lose_memory(&self) {
+        metrics::counter!("fw_side_upstream_crashes_total").increment(1);
+        self.crashes.fetch_add(1, Ordering::AcqRel);
+        self.changes.reset();
+        self.sessions.lost();
+    }
+
+    fn abort_all(&self, why: &str) {
+        for attempt in self.attempts.under_way() {
+            let err = if self.line.remove(attempt.start.attempt) {
+                refuse::with(
+                    error::Kind::NoUpstream,
+                    format!("the engine is down ({why}); the turn was not sent to it"),
+                )
+            } else {
+                refuse::with(
+                    error::Kind::UpstreamCrashed,
+                    format!("the engine crashed under the turn: {why}"),
+                )
+            };
+            attempt.abort(err);
+        }
+    }
+
+    /// Cancels an attempt that has not ended.
+    pub fn cancel(&self, attempt: &attempts::Attempt, why: &str) {
+        self.line.remove(attempt.start.attempt);
+        attempt.abort(refuse::with(error::Kind::Cancelled, why));
+        self.work.notify_one();
+    }
+
+    /// Refuses new work while the upstream cannot take it.
+    ///
+    /// # Errors
+    ///
+    /// `UpstreamLeaving` or `NoUpstream`.
+    pub fn admits(&self) -> Result<(), error::Error> {
+        if self.is_leaving() {
+            let why = "the upstream is leaving; send to another";
+            return Err(refuse::with(error::Kind::UpstreamLeaving, why));
+        }
+        if self.is_down() {
+            let retry = self.opts.settings.engine.load_poll;
+            let why = "the upstream does not answer; send to another";
+            return Err(refuse::with(error::Kind::NoUpstream, why).with_retry_after(retry));
+        }
+        Ok(())
+    }
+
+    /// Puts a newer set of records in force; an older or unreadable one changes nothing.
+    pub fn offer(&self, records: &side::Records) {
+        if records.revision <= self.records.revision() {
+            return;
+        }
+        match set::Set::from_json(&records.set) {
+            Ok(set) => {
+                self.records.offer(set);
+            }
+            Err(err) => self.refuse_set(records.revision, &err),
+        }
+    }
+
+    fn refuse_set(&self, revision: i64, err: &serde_json::Error) {
+        metrics::counter!("fw_side_records_refused_total").increment(1);
+        let mut last = self.refused_set.lock();
+        if *last < revision {
+            *last = revision;
+            tracing::warn!(revision, %err, "a set of records cannot be read");
+        }
+    }
+
+    /// The load to report.
+    pub fn load(&self, now: Instant) -> side::Load {
+        let fill = self.line.fill();
+        side::Load {
+            queued: fill.queued,
+            running: fill.running,
+            prefill: fill.prefill,
+            delay: fill.delay,
+            ..self.meter.load(now)
+        }
+    }
+
+    /// Whether nothing is under way and every answer has reached a reader.
+    pub fn is_drained(&self) -> bool {
+        let plain = self.opts.plain_concurrency - self.plain.available_permits();
+        self.attempts.owed() == 0 && self.runs.is_empty() && plain == 0
+    }
+
+    /// Waits until [`Core::is_drained`], at most for `within`; false if that passed.
+    pub async fn drained(&self, within: Duration) -> bool {
+        const PAUSE: Duration = Duration::from_millis(10);
+        let deadline = Instant::now() + within;
+        while !self.is_drained() {
+            if Instant::now() >= deadline {
+                return false;
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        true
+    }
+}
--- /dev/null
+++ b/fw-side/src/process/engine.rs
@@ -0,0 +1,235 @@
+//! Client of the engine beside the side.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use fw_base::id;
+use fw_conf::side;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper::header;
+use hyper::http;
+use serde::Deserialize;
+use serde_json::json;
+
+/// Header with the request's own name, for cancelling and resuming.
+const REQUEST_ID: &str = "x-request-id";
+/// Header with the program whose prefix cache the request uses.
+const PROGRAM: &str = "x-program";
+
+/// Longest wait for a short answer, such as a load report.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Most bytes read of an error's body.
+const MAX_ERROR_BODY: usize = 2_048;
+
+/// What the engine reports of itself. Unknown fields are ignored, missing ones are 0.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+#[serde(default)]
+pub struct Report {
+    /// Another number means that the engine was restarted.
+    pub incarnation: u64,
+    /// Tokens of cache in use.
+    pub cache_used: id::Tokens,
+    /// Tokens of cache there are.
+    pub cache_size: id::Tokens,
+    /// Most requests that run together.
+    pub batch: u32,
+    /// Age of the report when it was given, in milliseconds.
+    pub age_ms: u64,
+    /// The engine is leaving.
+    pub leaving: bool,
+}
+
+/// A change of the engine's cache.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub struct CacheEvent {
+    /// Position in the engine's log, from 1; a jump means that events are missing.
+    pub seq: u64,
+    /// The program.
+    pub program: id::ProgramId,
+    /// Tokens held from now on.
+    pub tokens: id::Tokens,
+}
+
+#[derive(Deserialize)]
+struct CacheEvents {
+    events: Vec<CacheEvent>,
+}
+
+/// Whether an order reached the engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// The engine carried it out, or there was nothing to do.
+    Confirmed,
+    /// No answer, or a refusal.
+    Unconfirmed,
+}
+
+/// Pools of connections to the engine: one for streams, one for short calls.
+#[derive(Debug)]
+pub struct Client {
+    base: String,
+    streams: fw_http::Client,
+    control: fw_http::Client,
+    fresh: fw_http::Options,
+}
+
+impl Client {
+    /// A client of the engine in `cfg`.
+    pub fn new(cfg: &side::Engine) -> Self {
+        let streams = fw_http::Options {
+            connect_timeout: cfg.connect_timeout,
+            head_timeout: cfg.first_token_timeout,
+            ..fw_http::Options::default()
+        };
+        let control = fw_http::Options {
+            connect_timeout: cfg.connect_timeout,
+            head_timeout: CONTROL_TIMEOUT,
+            body_timeout: CONTROL_TIMEOUT,
+            ..fw_http::Options::default()
+        };
+        let fresh = fw_http::Options {
+            connect_timeout: cfg.connect_timeout,
+            head_timeout: cfg.between_tokens_timeout,
+            ..fw_http::Options::default()
+        };
+        Self {
+            base: base_of(cfg.address),
+            fresh,
+            streams: fw_http::Client::new(streams),
+            control: fw_http::Client::new(control),
+        }
+    }
+
+    /// Sends a chat completion named `id`.
+    ///
+    /// # Errors
+    ///
+    /// As [`fw_http::Client::stream`].
+    pub async fn complete(
+        &self,
+        id: &str,
+        program: &id::ProgramId,
+        body: Bytes,
+    ) -> Result<http::Response<Incoming>, fw_http::Error> {
+        let req = http::Request::post(format!("{}/v1/chat/completions", self.base))
+            .header(header::CONTENT_TYPE, "application/json")
+            .header(REQUEST_ID, id)
+            .header(PROGRAM, program.as_str())
+            .body(Full::from(body));
+        self.send(req).await
+    }
+
+    /// Reads on the stream of the completion `id`, from the chunk at `offset`, over a connection
+    /// that is not the silent one.
+    ///
+    /// # Errors
+    ///
+    /// As [`fw_http::Client::stream`].
+    pub async fn resume(
+        &self,
+        id: &str,
+        offset: usize,
+    ) -> Result<http::Response<Incoming>, fw_http::Error> {
+        let uri = format!("{}/streams/{id}?offset={offset}", self.base);
+        // A connection of the pool may be as silent as the one that is given up.
+        let req = http::Request::get(uri)
+            .header(header::CONNECTION, "close")
+            .body(Full::default());
+        let fresh = fw_http::Client::new(self.fresh.clone());
+        match req {
+            Ok(req) => fresh.stream(req).await,
+            Err(source) => Err(fw_http::Error::Build { source }),
+        }
+    }
+
+    /// Cancels the completion `id`.
+    pub async fn cancel(&self, id: &str) -> Order {
+        self.order("/cancel", &json!({ "id": id })).await
+    }
+
+    /// Frees the memory of `program`. `fence` is for engines that check it.
+    pub async fn release(&self, program: &id::ProgramId, fence: id::Fence) -> Order {
+        let body = json!({ "program": program, "fence": fence });
+        self.order("/cache/release", &body).await
+    }
+
+    /// Fetches the load report.
+    ///
+    /// # Errors
+    ///
+    /// As [`fw_http::Client::get`], and when the answer is no report.
+    pub async fn load(&self) -> Result<Report, fw_http::Error> {
+        let answer = self.control.get(&format!("{}/load", self.base)).await?;
+        parse(&answer.body)
+    }
+
+    /// Fetches the cache events after `from`.
+    ///
+    /// # Errors
+    ///
+    /// As [`fw_http::Client::get`], and when the answer is malformed.
+    pub async fn cache_events(&self, from: u64) -> Result<Vec<CacheEvent>, fw_http::Error> {
+        let uri = format!("{}/cache/events?from={from}", self.base);
+        let answer = self.control.get(&uri).await?;
+        let events: CacheEvents = parse(&answer.body)?;
+        Ok(events.events)
+    }
+
+    async fn send(
+        &self,
+        req: Result<http::Request<Full<Bytes>>, http::Error>,
+    ) -> Result<http::Response<Incoming>, fw_http::Error> {
+        match req {
+            Ok(req) => self.streams.stream(req).await,
+            Err(source) => Err(fw_http::Error::Build { source }),
+        }
+    }
+
+    async fn order(&self, path: &str, body: &serde_json::Value) -> Order {
+        let uri = format!("{}{path}", self.base);
+        match self.control.post_json(&uri, body).await {
+            Ok(answer) if answer.status.is_success() => Order::Confirmed,
+            // What the engine does not know needs neither cancelling nor freeing.
+            Ok(answer) if answer.status == http::StatusCode::NOT_FOUND => Order::Confirmed,
+            _ => Order::Unconfirmed,
+        }
+    }
+}
+
+/// Whether nobody listens at the address, which a slow engine never shows.
+pub fn is_refused(err: &fw_http::Error) -> bool {
+    let fw_http::Error::Connect { source, .. } = err else {
+        return false;
+    };
+    let mut cause: Option<&(dyn std::error::Error + 'static)> = Some(source);
+    while let Some(err) = cause {
+        let io = err.downcast_ref::<std::io::Error>();
+        if io.is_some_and(|io| io.kind() == std::io::ErrorKind::ConnectionRefused) {
+            return true;
+        }
+        cause = err.source();
+    }
+    false
+}
+
+/// The first bytes of an error's body, as text.
+pub async fn error_text(body: Incoming) -> String {
+    let whole = Limited::new(body, MAX_ERROR_BODY).collect();
+    match tokio::time::timeout(CONTROL_TIMEOUT, whole).await {
+        Ok(Ok(body)) => String::from_utf8_lossy(&body.to_bytes()).into_owned(),
+        _ => String::new(),
+    }
+}
+
+fn base_of(addr: SocketAddr) -> String {
+    format!("http://{addr}")
+}
+
+fn parse<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, fw_http::Error> {
+    serde_json::from_slice(body).map_err(|source| fw_http::Error::Json { source })
+}
--- /dev/null
+++ b/fw-side/src/process/meter.rs
@@ -0,0 +1,88 @@
+//! How busy the upstream is, from its own late reports and from what passes through the side.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use fw_base::id;
+use fw_wire::side;
+use parking_lot::Mutex;
+
+use super::engine;
+
+/// Weight of the newest sample in smoothed values.
+const SMOOTHING: f64 = 0.1;
+
+/// Uncached prompt tokens below which a first token's time says little about prefill.
+const MIN_PREFILL_SAMPLE: id::Tokens = 256;
+
+#[derive(Debug, Default)]
+struct Inner {
+    report: engine::Report,
+    reported: Option<Instant>,
+    step: f64,
+    prefill_rate: f64,
+}
+
+/// Smoothed measurements.
+#[derive(Debug, Default)]
+pub struct Meter {
+    inner: Mutex<Inner>,
+}
+
+impl Meter {
+    /// Takes in a report of the engine.
+    pub fn report(&self, report: engine::Report, now: Instant) {
+        let mut inner = self.inner.lock();
+        inner.report = report;
+        inner.reported = Some(now);
+    }
+
+    /// Takes in the time between two tokens of one stream.
+    pub fn step(&self, took: Duration) {
+        let mut inner = self.inner.lock();
+        inner.step = smoothed(inner.step, took.as_secs_f64());
+    }
+
+    /// Takes in the time to a first token after `tokens` of prefill.
+    pub fn prefill(&self, tokens: id::Tokens, took: Duration) {
+        if tokens < MIN_PREFILL_SAMPLE || took.is_zero() {
+            return;
+        }
+        let mut inner = self.inner.lock();
+        let rate = tokens as f64 / took.as_secs_f64();
+        inner.prefill_rate = smoothed(inner.prefill_rate, rate);
+    }
+
+    /// Time between tokens, smoothed; zero if none was measured.
+    pub fn step_time(&self) -> Duration {
+        Duration::from_secs_f64(self.inner.lock().step)
+    }
+
+    /// Most calls that the engine runs together, as it says; 0 if it has not said.
+    pub fn batch(&self) -> u32 {
+        self.inner.lock().report.batch
+    }
+
+    /// The load with what only the engine and the measurements tell; the rest is zero.
+    pub fn load(&self, now: Instant) -> side::Load {
+        let inner = self.inner.lock();
+        let since = inner.reported.map(|at| now.saturating_duration_since(at));
+        let age = Duration::from_millis(inner.report.age_ms);
+        side::Load {
+            step: Duration::from_secs_f64(inner.step),
+            prefill_rate: inner.prefill_rate as u64,
+            cache_used: inner.report.cache_used,
+            cache_size: inner.report.cache_size,
+            batch: inner.report.batch,
+            age: since.unwrap_or_default() + age,
+            ..side::Load::default()
+        }
+    }
+}
+
+fn smoothed(old: f64, new: f64) -> f64 {
+    if old == 0.0 {
+        return new;
+    }
+    old + (new - old) * SMOOTHING
+}
--- /dev/null
+++ b/fw-side/src/process/serve.rs
@@ -0,0 +1,174 @@
+//! Starts a side, and stops it without cutting off what is under way.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::OnceLock;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use fw_conf::side;
+use fw_wire::side::Side as _;
+use fw_wire::transport;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use metrics_exporter_prometheus::PrometheusHandle;
+use tarpc::server;
+use tarpc::server::Channel;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+
+use super::core;
+use super::poll;
+use crate::connection::calls;
+use crate::connection::web;
+use crate::options;
+use crate::refuse;
+use crate::request::plain;
+
+/// Time between two sweeps of the metrics recorder.
+const METRICS_UPKEEP: Duration = Duration::from_secs(5);
+
+/// Time for connections to send what was handed to them, when the side stops.
+const FLUSH: Duration = Duration::from_millis(400);
+
+/// A running side. Dropped, it stops at once, as a crash does.
+#[derive(Debug)]
+pub struct Side {
+    core: Arc<core::Core>,
+    calls: SocketAddr,
+    http: SocketAddr,
+    tasks: JoinSet<()>,
+    web: JoinSet<()>,
+}
+
+impl Drop for Side {
+    fn drop(&mut self) {
+        self.core.dead.cancel();
+    }
+}
+
+impl Side {
+    /// Binds the addresses of the settings and starts to serve.
+    ///
+    /// # Errors
+    ///
+    /// When an address cannot be bound.
+    pub async fn spawn(opts: options::Options) -> io::Result<Self> {
+        let listen = &opts.settings.listen;
+        let calls = TcpListener::bind(listen.calls).await?;
+        let http = TcpListener::bind(listen.http).await?;
+        let metrics = opts.metrics.clone().unwrap_or_else(recorder);
+        refuse::register();
+        let core = Arc::new(core::Core::new(opts));
+        let mut side = Self {
+            calls: calls.local_addr()?,
+            http: http.local_addr()?,
+            tasks: JoinSet::new(),
+            web: JoinSet::new(),
+            core,
+        };
+        side.serve(calls, http, metrics);
+        side.poll();
+        Ok(side)
+    }
+
+    /// Where entries call.
+    pub fn calls(&self) -> SocketAddr {
+        self.calls
+    }
+
+    /// Where plain calls and `/metrics` are served.
+    pub fn http(&self) -> SocketAddr {
+        self.http
+    }
+
+    /// The state, for tests and the demo.
+    pub fn core(&self) -> &Arc<core::Core> {
+        &self.core
+    }
+
+    /// Takes no new work, finishes what is under way and stops. Returns whether all of it ended
+    /// within the drain timeout of the settings.
+    pub async fn stop(mut self) -> bool {
+        self.core.leave();
+        let within = self.core.opts.settings.shutdown.drain_timeout;
+        let drained = self.core.drained(within).await;
+        if !drained {
+            tracing::warn!(?within, "work under way did not end in time");
+        }
+        self.core.closing.cancel();
+        // Answers are handed to connections by now, and may not have left them yet.
+        let _ = tokio::time::timeout(FLUSH, self.web.join_next()).await;
+        tokio::time::sleep(FLUSH / 4).await;
+        self.tasks.shutdown().await;
+        drained
+    }
+
+    fn serve(&mut self, calls: TcpListener, http: TcpListener, metrics: PrometheusHandle) {
+        let service = calls::Calls::new(self.core.clone());
+        self.tasks.spawn(async move {
+            transport::accept(calls, |connection: transport::SideTransport| {
+                server::BaseChannel::with_defaults(connection)
+                    .execute(service.clone().serve())
+                    .for_each_concurrent(None, |answer| answer)
+            })
+            .await;
+        });
+        let cfg = &self.core.opts.settings.engine;
+        let web = web::Web {
+            core: self.core.clone(),
+            plain: plain::Lane::new(cfg.address, cfg.connect_timeout),
+            metrics: metrics.clone(),
+        };
+        self.web
+            .spawn(web::serve(http, web, self.core.closing.clone()));
+        self.tasks.spawn(async move {
+            loop {
+                tokio::time::sleep(METRICS_UPKEEP).await;
+                metrics.run_upkeep();
+            }
+        });
+    }
+
+    fn poll(&mut self) {
+        let core = &self.core;
+        self.tasks.spawn(poll::release(core.clone()));
+        self.tasks.spawn(poll::watch(core.clone()));
+        self.tasks.spawn(poll::sweep(core.clone()));
+        if core.opts.settings.engine.kind == side::Kind::Llm {
+            self.tasks.spawn(poll::follow_cache(core.clone()));
+            self.tasks.spawn(poll::free(core.clone()));
+        }
+    }
+}
+
+/// Runs a side until `shutdown` comes, then stops it. Returns whether all work under way ended.
+///
+/// # Errors
+///
+/// When an address cannot be bound.
+pub async fn run(settings: side::Settings, shutdown: impl Future<Output = ()>) -> io::Result<bool> {
+    let side = Side::spawn(options::Options {
+        settings,
+        ..options::Options::default()
+    })
+    .await?;
+    tracing::info!(calls = %side.calls(), http = %side.http(), "serving");
+    shutdown.await;
+    Ok(side.stop().await)
+}
+
+/// The recorder of this process, installed by the first side in it. If the process has another
+/// recorder already, `/metrics` of the side stays empty and that other one has the counters.
+fn recorder() -> PrometheusHandle {
+    static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
+    let install = || {
+        let recorder = PrometheusBuilder::new().build_recorder();
+        let handle = recorder.handle();
+        // It fails only where another recorder is installed.
+        let _ = metrics::set_global_recorder(recorder);
+        handle
+    };
+    HANDLE.get_or_init(install).clone()
+}
--- /dev/null
+++ b/fw-side/src/request/answer.rs
@@ -0,0 +1,191 @@
+//! The assistant's message, put together from the chunks of a stream.
+
+use std::collections::BTreeMap;
+
+use fw_base::chat;
+use serde::Deserialize;
+use serde_json::Value;
+use serde_json::json;
+
+/// The parts of a `chat.completion.chunk` that the side reads.
+#[derive(Debug, Deserialize)]
+struct Chunk {
+    #[serde(default)]
+    choices: Vec<Choice>,
+    #[serde(default)]
+    usage: Option<Usage>,
+    #[serde(default)]
+    error: Option<Value>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Choice {
+    #[serde(default)]
+    delta: Delta,
+    #[serde(default)]
+    finish_reason: Option<String>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct Delta {
+    #[serde(default)]
+    content: Option<String>,
+    #[serde(default)]
+    refusal: Option<String>,
+    #[serde(default)]
+    tool_calls: Vec<ToolPart>,
+}
+
+#[derive(Debug, Deserialize)]
+struct ToolPart {
+    #[serde(default)]
+    index: u32,
+    #[serde(default)]
+    id: Option<String>,
+    #[serde(default)]
+    function: FunctionPart,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct FunctionPart {
+    #[serde(default)]
+    name: Option<String>,
+    #[serde(default)]
+    arguments: Option<String>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Usage {
+    #[serde(default)]
+    prompt_tokens: u64,
+    #[serde(default)]
+    completion_tokens: u64,
+    #[serde(default)]
+    prompt_tokens_details: Option<Details>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Details {
+    #[serde(default)]
+    cached_tokens: u64,
+}
+
+#[derive(Debug, Default)]
+struct ToolCall {
+    id: String,
+    name: String,
+    arguments: String,
+}
+
+/// What a chunk was.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// A part of the answer, to be passed on.
+    Part {
+        /// It carries text or a tool call.
+        has_content: bool,
+    },
+    /// The usage alone, which travels with the end of the attempt.
+    Usage,
+    /// An error of the engine in the midst of the stream.
+    Error(String),
+    /// Not a chunk.
+    Malformed(String),
+}
+
+/// An answer so far.
+#[derive(Debug, Default)]
+pub struct Answer {
+    content: String,
+    refusal: String,
+    tools: BTreeMap<u32, ToolCall>,
+    finish_reason: Option<String>,
+    usage: chat::Usage,
+}
+
+impl Answer {
+    /// Takes in one chunk.
+    pub fn take(&mut self, text: &str) -> Taken {
+        let chunk: Chunk = match serde_json::from_str(text) {
+            Ok(chunk) => chunk,
+            Err(err) => return Taken::Malformed(err.to_string()),
+        };
+        if let Some(err) = chunk.error {
+            return Taken::Error(err.to_string());
+        }
+        if let Some(usage) = &chunk.usage {
+            let details = usage.prompt_tokens_details.as_ref();
+            self.usage = chat::Usage {
+                prompt: usage.prompt_tokens,
+                cached: details.map_or(0, |details| details.cached_tokens),
+                completion: usage.completion_tokens,
+            };
+        }
+        let Some(choice) = chunk.choices.into_iter().next() else {
+            return Taken::Usage;
+        };
+        let has_content = self.take_delta(choice.delta);
+        self.finish_reason = choice.finish_reason.or(self.finish_reason.take());
+        Taken::Part { has_content }
+    }
+
+    fn take_delta(&mut self, delta: Delta) -> bool {
+        let content = delta.content.unwrap_or_default();
+        let refusal = delta.refusal.unwrap_or_default();
+        let has_text = !content.is_empty() || !refusal.is_empty();
+        let has_tools = !delta.tool_calls.is_empty();
+        self.content.push_str(&content);
+        self.refusal.push_str(&refusal);
+        for part in delta.tool_calls {
+            let call = self.tools.entry(part.index).or_default();
+            call.id.push_str(&part.id.unwrap_or_default());
+            let function = part.function;
+            call.name.push_str(&function.name.unwrap_or_default());
+            call.arguments
+                .push_str(&function.arguments.unwrap_or_default());
+        }
+        has_text || has_tools
+    }
+
+    /// Token counts, once the engine gave them.
+    pub fn usage(&self) -> chat::Usage {
+        self.usage
+    }
+
+    /// Why generation ended, if it did.
+    pub fn finish_reason(&self) -> Option<&str> {
+        self.finish_reason.as_deref()
+    }
+
+    /// The message as it enters the history.
+    ///
+    /// # Errors
+    ///
+    /// As [`chat::Message::from_value`].
+    pub fn message(&self) -> Result<chat::Message, chat::ParseError> {
+        let mut message = json!({ "role": "assistant" });
+        // Client libraries send a message without text back with `content` null or absent, and
+        // both are dropped in canonical form; an empty text beside tool calls is as good as none.
+        if !self.content.is_empty() || self.tools.is_empty() {
+            message["content"] = json!(self.content);
+        }
+        if !self.refusal.is_empty() {
+            message["refusal"] = json!(self.refusal);
+        }
+        if !self.tools.is_empty() {
+            let calls: Vec<_> = self.tools.values().map(ToolCall::to_value).collect();
+            message["tool_calls"] = json!(calls);
+        }
+        chat::Message::from_value(message)
+    }
+}
+
+impl ToolCall {
+    fn to_value(&self) -> Value {
+        json!({
+            "id": self.id,
+            "type": "function",
+            "function": { "name": self.name, "arguments": self.arguments },
+        })
+    }
+}
--- /dev/null
+++ b/fw-side/src/request/events.rs
@@ -0,0 +1,67 @@
+//! Server-sent events of a stream, cut out of its bytes as they come.
+
+use bytes::BytesMut;
+
+/// Largest event, in bytes.
+const MAX_EVENT: usize = 4 << 20;
+
+/// What the bytes so far hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// The data of an event.
+    Data(String),
+    /// The event that ends the stream.
+    Done,
+    /// More bytes are needed.
+    Incomplete,
+    /// An event is too large, or is no UTF-8.
+    Malformed,
+}
+
+/// Bytes that were not cut into events yet.
+#[derive(Debug, Default)]
+pub struct Events {
+    buf: BytesMut,
+    /// Bytes of `buf` that are known to hold no line end.
+    scanned: usize,
+}
+
+impl Events {
+    /// Appends bytes.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.buf.extend_from_slice(bytes);
+    }
+
+    /// Cuts out the next event. Each is one `data:` line, as OpenAI's API sends it; comments,
+    /// empty lines and other fields are skipped.
+    pub fn cut(&mut self) -> Next {
+        while let Some(len) = self.line_end() {
+            let line = self.buf.split_to(len + 1);
+            self.scanned = 0;
+            let Ok(line) = std::str::from_utf8(&line) else {
+                return Next::Malformed;
+            };
+            match line.trim_end().strip_prefix("data:").map(str::trim_start) {
+                Some("[DONE]") => return Next::Done,
+                Some(data) => return Next::Data(data.to_owned()),
+                None => {}
+            }
+        }
+        if self.buf.len() > MAX_EVENT {
+            return Next::Malformed;
+        }
+        Next::Incomplete
+    }
+
+    fn line_end(&mut self) -> Option<usize> {
+        let unseen = &self.buf[self.scanned..];
+        let found = unseen.iter().position(|byte| *byte == b'\n');
+        match found {
+            Some(at) => Some(self.scanned + at),
+            None => {
+                self.scanned = self.buf.len();
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/fw-side/src/request/mod.rs
@@ -0,0 +1,7 @@
+//! What lives for one request.
+
+pub mod answer;
+pub mod body;
+pub mod events;
+pub mod plain;
+pub mod run;
--- /dev/null
+++ b/fw-side/src/request/run.rs
@@ -0,0 +1,345 @@
+//! One run of an attempt in the engine.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use fw_base::chat;
+use fw_base::error;
+use fw_base::id;
+use fw_wire::attempt;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::http;
+
+use super::answer;
+use super::body;
+use super::events;
+use crate::process::attempts;
+use crate::process::core;
+use crate::process::engine;
+use crate::refuse;
+
+/// Times that a cancellation is sent until the engine confirms it.
+const CANCEL_TRIES: u32 = 5;
+/// Pause between them.
+const CANCEL_PAUSE: Duration = Duration::from_millis(200);
+
+/// How a run went over its connections to the engine.
+#[derive(Debug)]
+enum Fault {
+    /// No connection was made, so no byte was sent.
+    Unsent {
+        /// Nobody listens: the engine is not there.
+        refused: bool,
+    },
+    /// The engine went away, or lost what it was doing.
+    Crashed(String),
+    /// The engine's answer, or its lack, ends this attempt only.
+    Failed(error::Error),
+}
+
+/// A run under way.
+struct Run<'a> {
+    core: &'a core::Core,
+    attempt: &'a attempts::Attempt,
+    name: String,
+    released: Instant,
+    answer: answer::Answer,
+    /// The engine answered, so it has the request.
+    accepted: bool,
+    /// Events received from the engine.
+    received: usize,
+    first: Option<Instant>,
+    last: Option<Instant>,
+}
+
+/// Runs `attempt`, which was released from the queue, and ends it. Never sends it twice.
+pub async fn run(core: Arc<core::Core>, attempt: Arc<attempts::Attempt>) {
+    let start = &attempt.start;
+    core.sessions
+        .begin(&start.program, start.shard, Instant::now());
+    attempt.buffer.running();
+    let mut run = Run {
+        name: name_of(start.attempt),
+        core: &core,
+        attempt: &attempt,
+        released: Instant::now(),
+        answer: answer::Answer::default(),
+        accepted: false,
+        received: 0,
+        first: None,
+        last: None,
+    };
+    let deadline = tokio::time::Instant::from_std(attempt.deadline());
+    let outcome = tokio::select! {
+        outcome = run.drive() => Some(outcome),
+        () = attempt.stop.cancelled() => None,
+        () = core.dead.cancelled() => return,
+        () = tokio::time::sleep_until(deadline) => Some(Err(Fault::Failed(refuse::with(
+            error::Kind::DeadlineExceeded,
+            "the caller's deadline passed while the turn ran; allow more time",
+        )))),
+    };
+    let needs_cancel = !matches!(outcome, Some(Ok(())));
+    run.conclude(outcome);
+    if needs_cancel {
+        cancel(&core, &run.name).await;
+    }
+    // Only now is the place in the engine free again: a request that runs on there would share
+    // the batch with the next one, unseen by the queue.
+    core.sessions.end(&start.program, Instant::now());
+    core.line.done(start.attempt);
+    core.work.notify_one();
+}
+
+/// The engine's name of an attempt's request.
+fn name_of(attempt: id::AttemptId) -> String {
+    format!("{attempt:016x}")
+}
+
+async fn cancel(core: &core::Core, name: &str) {
+    for _ in 0..CANCEL_TRIES {
+        if core.is_down() || core.engine.cancel(name).await == engine::Order::Confirmed {
+            return;
+        }
+        tokio::time::sleep(CANCEL_PAUSE).await;
+    }
+    metrics::counter!("fw_side_cancels_unconfirmed_total").increment(1);
+}
+
+impl Run<'_> {
+    /// Sends the request once and takes in its stream until it is whole.
+    async fn drive(&mut self) -> Result<(), Fault> {
+        let start = &self.attempt.start;
+        let opts = body::Options {
+            model: &start.model,
+            max_tokens: start.max_tokens,
+            params: &start.params,
+        };
+        let body = body::write(&opts, self.attempt.prompt.messages()).map_err(Fault::Failed)?;
+        let sent = self.core.engine.complete(&self.name, &start.program, body);
+        let mut next = match sent.await {
+            Ok(head) => Some(accepted(head).await?),
+            Err(err) if err.is_unsent() => {
+                let refused = engine::is_refused(&err);
+                return Err(Fault::Unsent { refused });
+            }
+            // The connection is of no use any more, but the engine may have the request.
+            Err(_) => None,
+        };
+        self.accepted = next.is_some();
+        let mut silent = 0;
+        loop {
+            let before = self.received;
+            if let Some(body) = next.take()
+                && self.follow(body).await?
+            {
+                return Ok(());
+            }
+            silent = if self.received > before {
+                0
+            } else {
+                silent + 1
+            };
+            if silent > self.core.opts.resumes {
+                return Err(self.timed_out());
+            }
+            next = self.resume().await?;
+        }
+    }
+
+    /// Takes in one connection's part of the stream; true when the answer is whole, false when
+    /// the connection broke or went silent.
+    async fn follow(&mut self, mut body: Incoming) -> Result<bool, Fault> {
+        let mut events = events::Events::default();
+        loop {
+            loop {
+                match events.cut() {
+                    events::Next::Data(data) => self.take(data)?,
+                    events::Next::Done => return self.whole().map(|()| true),
+                    events::Next::Incomplete => break,
+                    events::Next::Malformed => {
+                        return Err(failed("the engine's stream is malformed"));
+                    }
+                }
+            }
+            let patience = self.patience();
+            let Ok(Some(Ok(frame))) = tokio::time::timeout(patience, body.frame()).await else {
+                return Ok(false);
+            };
+            if let Some(bytes) = frame.data_ref() {
+                events.feed(bytes);
+            }
+        }
+    }
+
+    /// How long the stream may be silent.
+    fn patience(&self) -> Duration {
+        let cfg = &self.core.opts.settings.engine;
+        match self.first {
+            None => cfg.first_token_timeout,
+            Some(_) => cfg.between_tokens_timeout,
+        }
+    }
+
+    /// Reads the stream on over a new connection.
+    ///
+    /// Guards against a connection that went silent for good while new ones work: the caller
+    /// would wait for ever, and sending the request again would run the turn twice. The engine
+    /// knows the request by its name and gives the chunks from the offset on.
+    async fn resume(&self) -> Result<Option<Incoming>, Fault> {
+        metrics::counter!("fw_side_resumes_total").increment(1);
+        let head = match self.core.engine.resume(&self.name, self.received).await {
+            Ok(head) => head,
+            Err(err) if engine::is_refused(&err) => {
+                return Err(Fault::Crashed("it refuses connections".into()));
+            }
+            Err(_) => return Ok(None),
+        };
+        if head.status() == http::StatusCode::NOT_FOUND {
+            return Err(self.unknown_to_engine());
+        }
+        accepted(head).await.map(Some)
+    }
+
+    /// An engine that took the request and does not know it any more was restarted. One that never
+    /// answered may not have got it, or may have been restarted too: that concerns this turn only.
+    fn unknown_to_engine(&self) -> Fault {
+        let why = "it does not know the request";
+        if self.accepted {
+            return Fault::Crashed(why.into());
+        }
+        Fault::Failed(refuse::with(
+            error::Kind::UpstreamCrashed,
+            "the connection to the engine failed, and the engine does not know the request",
+        ))
+    }
+
+    fn take(&mut self, data: String) -> Result<(), Fault> {
+        self.received += 1;
+        match self.answer.take(&data) {
+            answer::Taken::Part { has_content } => {
+                if has_content {
+                    self.note_token();
+                }
+                self.attempt.buffer.push([attempt::Event::from(data)]);
+                Ok(())
+            }
+            answer::Taken::Usage => Ok(()),
+            answer::Taken::Error(why) => Err(failed(&format!("the engine says: {why}"))),
+            answer::Taken::Malformed(why) => {
+                Err(failed(&format!("the engine sent no valid chunk: {why}")))
+            }
+        }
+    }
+
+    fn note_token(&mut self) {
+        let now = Instant::now();
+        if let Some(last) = self.last {
+            self.core.meter.step(now - last);
+        }
+        self.last = Some(now);
+        if self.first.is_none() {
+            self.first = Some(now);
+            self.core.line.prefilled(self.attempt.start.attempt);
+            self.core.work.notify_one();
+        }
+    }
+
+    fn whole(&self) -> Result<(), Fault> {
+        match self.answer.finish_reason() {
+            Some(_) => Ok(()),
+            None => Err(failed(
+                "the engine ended the stream without a finish reason",
+            )),
+        }
+    }
+
+    fn timed_out(&self) -> Fault {
+        Fault::Failed(refuse::with(
+            error::Kind::UpstreamTimeout,
+            "the engine stopped sending, and reading on over new connections brought nothing",
+        ))
+    }
+
+    fn conclude(&self, outcome: Option<Result<(), Fault>>) {
+        match outcome {
+            Some(Ok(())) => self.finish(),
+            Some(Err(Fault::Unsent { refused })) => {
+                let why = "no connection to the engine is made; nothing was sent";
+                self.fail(refuse::with(error::Kind::NoUpstream, why));
+                if refused {
+                    self.core.crashed("it refuses connections");
+                }
+            }
+            Some(Err(Fault::Crashed(why))) => {
+                self.fail(refuse::with(
+                    error::Kind::UpstreamCrashed,
+                    format!("the engine crashed under the turn: {why}"),
+                ));
+                self.core.crashed(&why);
+            }
+            Some(Err(Fault::Failed(err))) => self.fail(err),
+            // Whoever stopped the run ended the attempt before.
+            None => {}
+        }
+    }
+
+    fn fail(&self, err: error::Error) {
+        self.attempt.end(attempt::State::Failed(err));
+    }
+
+    fn finish(&self) {
+        let message = match self.answer.message() {
+            Ok(message) => message,
+            Err(err) => return self.fail(refuse::with(error::Kind::Internal, err.to_string())),
+        };
+        let usage = self.answer.usage();
+        let first = self.first.unwrap_or_else(Instant::now);
+        let first_token = first.saturating_duration_since(self.released);
+        let missed = usage.prompt.saturating_sub(usage.cached);
+        self.core.meter.prefill(missed, first_token);
+        self.remember(&message, usage);
+        let finish = attempt::Finish {
+            message,
+            finish_reason: self.answer.finish_reason().unwrap_or("stop").to_owned(),
+            usage,
+            queued: self
+                .released
+                .saturating_duration_since(self.attempt.arrived),
+            first_token,
+            ran: self.released.elapsed(),
+        };
+        metrics::histogram!("fw_side_first_token_seconds").record(first_token.as_secs_f64());
+        metrics::counter!("fw_side_prefilled_tokens_total").increment(missed);
+        metrics::counter!("fw_side_cached_tokens_total").increment(usage.cached);
+        self.attempt.end(attempt::State::Done(Box::new(finish)));
+    }
+
+    /// Keeps the history for the next turn, and notes what the engine's cache holds of it now;
+    /// the engine's own events say so later.
+    fn remember(&self, message: &chat::Message, usage: chat::Usage) {
+        let program = &self.attempt.start.program;
+        let mut prompt = self.attempt.prompt.clone();
+        prompt.push(message.clone());
+        self.core.histories.put(program, prompt);
+        self.core
+            .changes
+            .note(program, usage.prompt + usage.completion);
+    }
+}
+
+/// The stream of an answer whose status is good.
+async fn accepted(head: http::Response<Incoming>) -> Result<Incoming, Fault> {
+    let status = head.status();
+    if status.is_success() {
+        return Ok(head.into_body());
+    }
+    let text = engine::error_text(head.into_body()).await;
+    Err(failed(&format!("the engine answered {status}: {text}")))
+}
+
+fn failed(why: &str) -> Fault {
+    Fault::Failed(refuse::with(error::Kind::UpstreamError, why))
+}
--- /dev/null
+++ b/fw-side/tests/side/engine_faults.rs
@@ -0,0 +1,137 @@
+//! Crashes, silence and errors of the engine under a turn.
+
+use std::time::Duration;
+
+use fw_base::error;
+use fw_fake::engine;
+use fw_wire::attempt;
+use fw_wire::side;
+use googletest::prelude::*;
+
+use crate::rig;
+
+// An editor waits for a page and nothing comes any more: the connection between side and engine
+// went silent in the midst of the answer, while the engine works on and new connections work.
+// The side must read on over a new connection; sent again, the turn would run twice.
+#[gtest]
+#[tokio::test]
+async fn a_silent_engine_stream_is_resumed() {
+    let mut opts = rig::options();
+    opts.settings.engine.between_tokens_timeout = Duration::from_millis(200);
+    let rig = rig::Rig::with(rig::slow(), opts).await;
+    let start = rig::first_turn("p", 1, "hello");
+    rig.start_streaming(&start).await;
+    rig.engine.silence();
+    let reply = rig.read_all(1).await;
+    let attempt::State::Done(finish) = reply.state else {
+        panic!("not whole: {:?}", reply.state);
+    };
+    expect_that!(
+        finish.message.content(),
+        eq(engine::answer_to(start.digest, 400).as_str())
+    );
+    expect_that!(reply.events.len(), eq(402));
+    expect_that!(rig.engine.runs(start.digest), eq(1));
+    expect_that!(rig.engine.counts().resumed, gt(0));
+}
+
+// The engine's process dies under several turns. Their keepers must hear so at once, and that the
+// turns may have run; heartbeats say that the upstream is down, and new turns are refused as not
+// run until it is back.
+#[gtest]
+#[tokio::test]
+async fn a_crash_fails_every_turn_under_way() {
+    let rig = rig::Rig::new(rig::slow()).await;
+    for attempt in 1..4 {
+        let program = format!("p{attempt}");
+        let start = rig::first_turn(&program, attempt, &program);
+        rig.start_streaming(&start).await;
+    }
+    rig.engine.crash();
+    for attempt in 1..4 {
+        let state = rig.read_all(attempt).await.state;
+        expect_that!(rig::failure(&state), some(eq(error::Kind::UpstreamCrashed)));
+    }
+    let beat = rig.heartbeat(side::Heartbeat::default()).await;
+    expect_true!(beat.down);
+    let refused = rig.start(&rig::first_turn("late", 9, "late")).await;
+    expect_that!(rig::refusal(&refused), some(eq(error::Kind::NoUpstream)));
+
+    rig.engine.restart().unwrap();
+    let core = rig.side.core().clone();
+    rig::until("the side sees the engine again", || !core.is_down()).await;
+    rig.turn(&rig::first_turn("late", 10, "late")).await;
+}
+
+// A single request crashes each engine that runs it. The side must not send it again when the
+// engine is back, and must say that it may have run, so that its keeper can suspect it.
+#[gtest]
+#[tokio::test]
+async fn a_poison_request_is_not_run_again() {
+    let rig = rig::Rig::new(engine::Options {
+        restart_after: Some(Duration::from_millis(50)),
+        ..rig::quick()
+    })
+    .await;
+    rig.engine.poison(Some("venom"));
+    let start = rig::first_turn("p", 1, "venom");
+    rig.start(&start).await;
+    let state = rig.read_all(1).await.state;
+    expect_that!(rig::failure(&state), some(eq(error::Kind::UpstreamCrashed)));
+    let core = rig.side.core().clone();
+    rig::until("the engine is back", || !core.is_down()).await;
+    rig.start(&start).await;
+    expect_that!(rig.engine.runs(start.digest), eq(1));
+    expect_that!(
+        rig.turn(&rig::first_turn("q", 2, "healthy"))
+            .await
+            .usage
+            .completion,
+        eq(24)
+    );
+}
+
+// The engine accepts connections and answers nothing. A caller must not wait for ever, and
+// heartbeats say that it is down.
+#[gtest]
+#[tokio::test]
+async fn a_frozen_engine_counts_as_down() {
+    let rig = rig::Rig::new(rig::slow()).await;
+    let start = rig::first_turn("p", 1, "hello");
+    rig.start_streaming(&start).await;
+    rig.engine.freeze(true);
+    let state = rig.read_all(1).await.state;
+    expect_that!(rig::failure(&state), some(eq(error::Kind::UpstreamCrashed)));
+    expect_true!(rig.heartbeat(side::Heartbeat::default()).await.down);
+}
+
+// The engine answers a request with an error. Only that turn fails.
+#[gtest]
+#[tokio::test]
+async fn an_error_status_fails_one_turn() {
+    let rig = rig::Rig::new(rig::quick()).await;
+    rig.engine.fail_with(Some(500));
+    rig.start(&rig::first_turn("p", 1, "hello")).await;
+    let state = rig.read_all(1).await.state;
+    expect_that!(rig::failure(&state), some(eq(error::Kind::UpstreamError)));
+    rig.engine.fail_with(None);
+    rig.turn(&rig::first_turn("p", 2, "hello")).await;
+}
+
+// A turn runs past its caller's deadline. It ends, and the engine stops working on it.
+#[gtest]
+#[tokio::test]
+async fn a_turn_past_its_deadline_is_stopped() {
+    let rig = rig::Rig::new(rig::slow()).await;
+    let start = side::Start {
+        deadline: Duration::from_millis(500),
+        ..rig::first_turn("p", 1, "hello")
+    };
+    rig.start(&start).await;
+    let state = rig.read_all(1).await.state;
+    expect_that!(
+        rig::failure(&state),
+        some(eq(error::Kind::DeadlineExceeded))
+    );
+    rig::until("the engine is idle", || rig.engine.under_way() == 0).await;
+}
--- /dev/null
+++ b/fw-side/tests/side/fencing_check.rs
@@ -0,0 +1,69 @@
+//! Keepers that act on a shard they have lost.
+
+use fw_base::error;
+use fw_base::id;
+use fw_fake::engine;
+use fw_wire::side;
+use fw_wire::transport;
+use googletest::prelude::*;
+
+use crate::rig;
+
+/// An engine that ignores fencing numbers.
+fn unchecked() -> engine::Options {
+    engine::Options {
+        checks_fence: false,
+        ..rig::quick()
+    }
+}
+
+// A keeper is paused, loses its shard to another entry, wakes and starts a turn as if nothing had
+// happened. The engine would run it: the side must refuse it as not run.
+#[gtest]
+#[tokio::test]
+async fn a_stale_keeper_is_refused() {
+    let rig = rig::Rig::new(unchecked()).await;
+    let newer = rig::FENCE + 1;
+    rig.heartbeat(rig::renewing("p", newer)).await;
+    let stale = rig::first_turn("p", 1, "hello");
+    let reply = rig.start(&stale).await;
+    expect_that!(rig::refusal(&reply), some(eq(error::Kind::StaleFence)));
+    expect_that!(rig.engine.runs(stale.digest), eq(0));
+    let current = side::Start {
+        fence: newer,
+        ..stale
+    };
+    rig.turn(&current).await;
+}
+
+// The same keeper wakes and orders the program's memory to be freed, under its successor's hands.
+#[gtest]
+#[tokio::test]
+async fn a_stale_keeper_frees_no_memory() {
+    let rig = rig::Rig::new(unchecked()).await;
+    rig.turn(&rig::first_turn("p", 1, "hello")).await;
+    rig.heartbeat(rig::renewing("p", rig::FENCE + 1)).await;
+    for (fence, left) in [(rig::FENCE, 1), (rig::FENCE + 1, 0)] {
+        let req = side::Release {
+            programs: vec![("p".into(), fence)],
+        };
+        let cx = transport::context(rig::LONG);
+        rig.client.release(cx, req).await.unwrap();
+        expect_that!(rig.side.core().sessions.len(), eq(left));
+    }
+    rig::until("the memory is free", || rig.engine.held().is_empty()).await;
+}
+
+// A message names a shard that its program does not hash to. The check of another shard's number
+// would let it pass.
+#[gtest]
+#[tokio::test]
+async fn a_wrong_shard_is_refused() {
+    let rig = rig::Rig::new(rig::quick()).await;
+    let start = side::Start {
+        shard: (id::shard_of("p") + 1) % id::SHARDS,
+        ..rig::first_turn("p", 1, "hello")
+    };
+    let reply = rig.start(&start).await;
+    expect_that!(rig::refusal(&reply), some(eq(error::Kind::BadRequest)));
+}
--- /dev/null
+++ b/fw-side/tests/side/main.rs
@@ -0,0 +1,13 @@
+//! Tests of the side against stand-in upstreams, over real sockets.
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod cancel_turn;
+mod engine_faults;
+mod engine_memory;
+mod fencing_check;
+mod leave_drain;
+mod overload_refusal;
+mod plain_lane;
+mod records_force;
+mod rig;
+mod stream_path;
--- /dev/null
+++ b/fw-side/tests/side/records_force.rs
@@ -0,0 +1,38 @@
+//! Records that entries hand to the side.
+
+use fw_record::document;
+use fw_record::key;
+use fw_record::set;
+use fw_wire::side;
+use fw_wire::transport;
+use googletest::prelude::*;
+
+use crate::rig;
+
+fn set_at(revision: i64) -> side::Records {
+    let name = key::Name::new(key::Kind::Team, "officers");
+    let doc = document::Document::parse(name, br#"{"schema": 2, "share": 2.0}"#).unwrap();
+    let set = set::Set::from_documents(revision, vec![(revision, doc)]);
+    side::Records {
+        revision,
+        set: set.to_json().into(),
+    }
+}
+
+// Two entries hand their records to the side; the one that lags comes last. A change that is in
+// force must not revert.
+#[gtest]
+#[tokio::test]
+async fn an_older_set_changes_nothing() {
+    let rig = rig::Rig::new(rig::quick()).await;
+    let offer = |records| rig.client.records(transport::context(rig::LONG), records);
+    expect_that!(offer(set_at(7)).await.unwrap(), eq(7));
+    expect_that!(offer(set_at(5)).await.unwrap(), eq(7));
+    let torn = side::Records {
+        revision: 9,
+        set: "{\"torn\":".into(),
+    };
+    expect_that!(offer(torn).await.unwrap(), eq(7));
+    let beat = rig.heartbeat(side::Heartbeat::default()).await;
+    expect_that!(beat.revision, eq(7));
+}
--- /dev/null
+++ b/fw-side/tests/side/stream_path.rs
@@ -0,0 +1,149 @@
+//! A turn from start to its whole answer, and the turns after it.
+
+use fw_base::digest;
+use fw_base::error;
+use fw_fake::engine;
+use fw_wire::attempt;
+use fw_wire::side;
+use fw_wire::transport;
+use googletest::prelude::*;
+
+use crate::rig;
+
+#[gtest]
+#[tokio::test]
+async fn an_answer_is_streamed_whole() {
+    let rig = rig::Rig::new(rig::quick()).await;
+    let start = rig::first_turn("p", 1, "hello");
+    assert!(matches!(
+        rig.start(&start).await,
+        side::StartReply::Accepted
+    ));
+    let reply = rig.read_all(1).await;
+    let attempt::State::Done(finish) = reply.state else {
+        panic!("not whole: {:?}", reply.state);
+    };
+    // A chunk for the role, one for each of 24 tokens and one for the end.
+    expect_that!(reply.events.len(), eq(26));
+    expect_that!(
+        finish.message.content(),
+        eq(engine::answer_to(start.digest, 24).as_str())
+    );
+    expect_that!(finish.finish_reason, eq("stop"));
+    expect_that!(finish.usage.completion, eq(24));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_later_turn_needs_only_its_new_messages() {
+    let rig = rig::Rig::new(rig::quick()).await;
+    let first = rig::first_turn("p", 1, "hello");
+    let answer = rig.turn(&first).await;
+    let second = rig::next_turn(&first, &answer.message, 2, "more");
+    let answer = rig.turn(&second).await;
+    expect_that!(
+        answer.message.content(),
+        eq(engine::answer_to(second.digest, 24).as_str())
+    );
+    expect_that!(answer.usage.cached, gt(0));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_history_that_is_not_held_is_asked_for() {
+    let rig = rig::Rig::new(rig::quick()).await;
+    let first = rig::first_turn("p", 1, "hello");
+    let answer = fw_base::chat::Message::text("assistant", "from elsewhere");
+    let second = rig::next_turn(&first, &answer, 2, "more");
+    let reply = rig.start(&second).await;
+    expect_true!(matches!(reply, side::StartReply::NeedHistory));
+    expect_that!(rig.engine.runs(second.digest), eq(0));
+}
+
+// A turn was answered, but its commit failed, and the keeper runs it again on the older history.
+// The side holds a longer history by then; it must run the turn on the part that was committed.
+#[gtest]
+#[tokio::test]
+async fn a_turn_that_was_not_committed_runs_on_the_older_history() {
+    let rig = rig::Rig::new(rig::quick()).await;
+    let first = rig::first_turn("p", 1, "hello");
+    let answer = rig.turn(&first).await;
+    let lost = rig::next_turn(&first, &answer.message, 2, "lost");
+    rig.turn(&lost).await;
+    let again = rig::next_turn(&first, &answer.message, 3, "again");
+    let answer = rig.turn(&again).await;
+    expect_that!(
+        answer.message.content(),
+        eq(engine::answer_to(again.digest, 24).as_str())
+    );
+}
+
+// The keeper's call to start a turn is answered, the answer is lost, and it calls again.
+// The turn must run once.
+#[gtest]
+#[tokio::test]
+async fn the_same_attempt_started_twice_runs_once() {
+    let rig = rig::Rig::new(rig::quick()).await;
+    let start = rig::first_turn("p", 1, "hello");
+    for _ in 0..3 {
+        rig.start(&start).await;
+    }
+    rig.read_all(1).await;
+    rig.start(&start).await;
+    expect_that!(rig.engine.runs(start.digest), eq(1));
+}
+
+// The keeper's connection to the side goes silent in the midst of an answer. It connects anew and
+// reads on from the next event: the whole answer must be there, and the turn must not run again.
+#[gtest]
+#[tokio::test]
+async fn a_reader_attaches_again_by_offset() {
+    let mut rig = rig::Rig::new(rig::slow()).await;
+    let start = rig::first_turn("p", 1, "hello");
+    rig.start_streaming(&start).await;
+    let before = rig.read(1, 0).await.events;
+    let again = transport::connect_side(rig.side.calls(), rig::LONG).await;
+    rig.client = again.unwrap();
+    let mut whole = before.clone();
+    loop {
+        let reply = rig.read(1, whole.len() as u32).await;
+        whole.extend(reply.events);
+        if reply.state.is_final() {
+            break;
+        }
+    }
+    expect_that!(whole, eq(&rig.read_all(1).await.events));
+    expect_that!(whole.len(), eq(402));
+    expect_that!(rig.engine.runs(start.digest), eq(1));
+}
+
+// Two programs' messages are mixed up on their way: a turn comes with the digest of one history
+// and the messages of another. An officer would see another claimant's case; the side must refuse.
+#[gtest]
+#[tokio::test]
+async fn messages_of_a_foreign_history_are_refused() {
+    let rig = rig::Rig::new(rig::quick()).await;
+    let mine = rig::first_turn("p", 1, "mine");
+    let foreign = side::Start {
+        messages: rig::first_turn("q", 2, "foreign").messages,
+        ..mine.clone()
+    };
+    let reply = rig.start(&foreign).await;
+    expect_that!(rig::refusal(&reply), some(eq(error::Kind::HistoryMismatch)));
+    let sent = digest::Digest::EMPTY.extend_all(&foreign.messages);
+    expect_that!(rig.engine.runs(sent), eq(0));
+}
+
+// A finished answer is kept until its keeper made it durable, and not longer.
+#[gtest]
+#[tokio::test]
+async fn an_answer_is_kept_until_it_is_forgotten() {
+    let rig = rig::Rig::new(rig::quick()).await;
+    rig.turn(&rig::first_turn("p", 1, "hello")).await;
+    let kept = rig.read_all(1).await;
+    expect_true!(matches!(kept.state, attempt::State::Done(_)));
+    let cx = transport::context(rig::LONG);
+    rig.client.forget(cx, 1).await.unwrap();
+    let gone = rig.read_all(1).await;
+    expect_true!(matches!(gone.state, attempt::State::Unknown));
+}
