docs: glossary and metrics, compared with the code

Cause: pages that name code go stale unless a test reads both. Change: docs/GLOSSARY.md, whose paths must exist; docs/METRICS.md, which must name every metric in the sources and every kind of error with its status, ran and advice to retry.

--- a/fw-check/tests/check/main.rs
+++ b/fw-check/tests/check/main.rs
@@ -2,7 +2,10 @@
 #![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 mod forged_records;
+mod glossary_page;
 mod good_records;
+mod metrics_page;
 mod record_lines;
+mod source_tree;
 mod spec_models;
 mod story;
