fw-fake: a relay whose open connections fall silent

Cause: nothing showed that the store client survives pooled connections that something in between has forgotten. Change: a TCP relay with that fault, and a test of the client through it.

--- a/fw-fake/src/lib.rs
+++ b/fw-fake/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod engine;
 pub mod instances;
 pub mod plain;
+pub mod relay;
 pub mod store;
--- /dev/null
+++ b/fw-fake/src/relay.rs
@@ -0,0 +1,133 @@
+//! A TCP relay whose open connections can fall silent for good while new ones work, as when a
+//! firewall or address translator between the two ends forgets them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::task::JoinSet;
+
+/// Bytes passed on at a time.
+const CHUNK: usize = 16 << 10;
+
+/// A running relay. Clones share it; it stops when the last one is dropped.
+#[derive(Clone, Debug)]
+pub struct Relay {
+    running: Arc<Running>,
+}
+
+#[derive(Debug)]
+struct Running {
+    addr: SocketAddr,
+    shared: Arc<Shared>,
+    /// Aborted on drop.
+    _tasks: JoinSet<()>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    /// Connections of an earlier epoch are silent.
+    epoch: AtomicU64,
+    accepted: AtomicU64,
+    swallowed: AtomicU64,
+}
+
+impl Relay {
+    /// Starts a relay to `target` on a loopback port that the system chooses.
+    ///
+    /// # Errors
+    ///
+    /// When no port can be bound.
+    pub async fn start(target: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let addr = listener.local_addr()?;
+        let shared = Arc::new(Shared::default());
+        let mut tasks = JoinSet::new();
+        tasks.spawn(accept(listener, target, Arc::clone(&shared)));
+        let running = Arc::new(Running {
+            addr,
+            shared,
+            _tasks: tasks,
+        });
+        Ok(Self { running })
+    }
+
+    /// Its address.
+    pub fn addr(&self) -> SocketAddr {
+        self.running.addr
+    }
+
+    /// Silences for good all connections that are open now.
+    pub fn silence(&self) {
+        self.running.shared.epoch.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Connections accepted so far.
+    pub fn accepted(&self) -> u64 {
+        self.running.shared.accepted.load(Ordering::Relaxed)
+    }
+
+    /// Silent connections on which the caller has sent something, counted once each.
+    pub fn swallowed(&self) -> u64 {
+        self.running.shared.swallowed.load(Ordering::Relaxed)
+    }
+}
+
+async fn accept(listener: TcpListener, target: SocketAddr, shared: Arc<Shared>) {
+    let mut connections = JoinSet::new();
+    while let Ok((caller, _)) = listener.accept().await {
+        shared.accepted.fetch_add(1, Ordering::Relaxed);
+        connections.spawn(connect(caller, target, Arc::clone(&shared)));
+        while connections.try_join_next().is_some() {}
+    }
+}
+
+async fn connect(caller: TcpStream, target: SocketAddr, shared: Arc<Shared>) {
+    let Ok(server) = TcpStream::connect(target).await else {
+        return;
+    };
+    let epoch = shared.epoch.load(Ordering::Relaxed);
+    let (from_caller, to_caller) = caller.into_split();
+    let (from_server, to_server) = server.into_split();
+    let there = pass(from_caller, to_server, epoch, &shared, true);
+    let back = pass(from_server, to_caller, epoch, &shared, false);
+    tokio::join!(there, back);
+}
+
+/// Passes bytes on until the end, or swallows them once the connection is silent. A silent
+/// connection also hides that the other end has closed.
+async fn pass(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    epoch: u64,
+    shared: &Shared,
+    counts: bool,
+) {
+    let mut buf = vec![0; CHUNK];
+    let mut has_swallowed = false;
+    loop {
+        let read = from.read(&mut buf).await.unwrap_or(0);
+        let is_silent = shared.epoch.load(Ordering::Relaxed) != epoch;
+        if is_silent && read > 0 && counts && !has_swallowed {
+            shared.swallowed.fetch_add(1, Ordering::Relaxed);
+            has_swallowed = true;
+        }
+        match (read, is_silent) {
+            (0, true) if !counts => return std::future::pending().await,
+            (0, _) => return,
+            (_, true) => (),
+            (_, false) => {
+                if to.write_all(&buf[..read]).await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
--- a/fw-store/tests/store/main.rs
+++ b/fw-store/tests/store/main.rs
@@ -5,6 +5,7 @@
 mod lease_life;
 mod lost_answers;
 mod read_write;
+mod silent_connections;
 mod watch_events;
 
 use std::time::Duration;
