foxtailweir: a count that shrinks is not everywhere

Cause: with one of two real entries cut off from the store, records put said 'in force at 1 of 2', then, after about 5 s, 'in force at 1 of 1' and success: the entry's lease had lapsed, while it went on with the old records. Conclusion: the command tells the truth; that the change does not reach the entry by its peers is for fw-entry.

--- a/foxtailweir/src/command/wait.rs
+++ b/foxtailweir/src/command/wait.rs
@@ -26,7 +26,9 @@
 /// Waits until records of `revision` are in force in all processes, and shows the progress.
 ///
 /// An entry that does not answer for a moment does not end the wait: the change is accepted
-/// whatever happens here.
+/// whatever happens here. Nor does a count that shrinks: an entry that is cut off from the store
+/// drops out of the list of entries while it still answers callers by its old records, so that
+/// "1 of 1" would be reported although one of two goes without the change.
 pub async fn until_in_force(
     client: &admin::Client,
     revision: id::Revision,
@@ -35,11 +37,13 @@
 ) -> Outcome {
     let end = Instant::now() + timeout;
     let mut shown = String::new();
+    let mut most = 1;
     loop {
         let line = match client.in_force(revision).await {
             Ok(state) => {
-                let line = describe(&state);
-                if state.in_force == state.of && state.of > 0 {
+                most = most.max(state.of);
+                let line = describe(&state, most);
+                if state.in_force == most {
                     io.note(line);
                     return Outcome::Everywhere;
                 }
@@ -58,7 +62,8 @@
     }
 }
 
-fn describe(state: &admin::InForce) -> String {
+/// One line; `most` is the largest number of processes seen.
+fn describe(state: &admin::InForce, most: usize) -> String {
     let admin::InForce {
         in_force,
         of,
@@ -72,5 +77,9 @@
     if waiting.len() > NAMES {
         line.push_str(&format!(" and {} more", waiting.len() - NAMES));
     }
+    if *of < most {
+        let gone = most - of;
+        line.push_str(&format!("; {gone} seen before no longer listed"));
+    }
     line
 }
--- a/foxtailweir/tests/foxtailweir/record_commands.rs
+++ b/foxtailweir/tests/foxtailweir/record_commands.rs
@@ -44,6 +44,23 @@
     expect_true!(entry.store.get("/fw/records/team/t").is_some());
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn shrinking_count_is_not_taken_for_everywhere() {
+    // One of three entries is cut off from the store. It goes on answering callers by its old
+    // records, while its lease lapses and it drops out of the list of entries. An operator who is
+    // told "2 of 2" takes the change for done.
+    let entry = standin::start_with(2, true).await;
+    let path = file("drops.json", TEAM);
+    let line = format!("records put {path} --timeout 2s --entry {}", entry.addr);
+    let ran = run_beside(line).await;
+    expect_eq!(ran.exit, exit::Exit::Failure);
+    expect_that!(
+        ran.err,
+        contains_substring("in force at 2 of 2; 1 seen before no longer")
+    );
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn get_prints_what_put_takes() {
--- a/foxtailweir/tests/foxtailweir/standin.rs
+++ b/foxtailweir/tests/foxtailweir/standin.rs
@@ -37,10 +37,20 @@
     in_force: AtomicUsize,
     /// Most of them that it ever reaches.
     reach: usize,
+    /// Whether the others drop out of the list after a while.
+    drops: bool,
 }
 
+/// Questions after which processes drop out of the list.
+const DROP_AFTER: usize = 4;
+
 /// Starts one whose changes reach `reach` of three processes.
 pub async fn start(reach: usize) -> Entry {
+    start_with(reach, false).await
+}
+
+/// As [`start`]; the processes that are not reached drop out of the list if `drops`.
+pub async fn start_with(reach: usize, drops: bool) -> Entry {
     let store = store::Store::start(store::Options::default())
         .await
         .unwrap();
@@ -51,6 +61,7 @@
         }),
         in_force: AtomicUsize::new(0),
         reach,
+        drops,
     });
     let app = Router::new()
         .route("/admin/records", any(records))
@@ -87,8 +98,12 @@
 async fn in_force(State(shared): State<Arc<Shared>>) -> Json<Value> {
     let asked = shared.in_force.fetch_add(1, Ordering::Relaxed);
     let count = asked.min(shared.reach);
-    let waiting: Vec<_> = (count..PROCESSES).map(|n| format!("entry-{n}")).collect();
-    Json(json!({ "revision": 1, "in_force": count, "of": PROCESSES, "waiting": waiting }))
+    let listed = match shared.drops && asked > DROP_AFTER {
+        true => shared.reach,
+        false => PROCESSES,
+    };
+    let waiting: Vec<_> = (count..listed).map(|n| format!("entry-{n}")).collect();
+    Json(json!({ "revision": 1, "in_force": count, "of": listed, "waiting": waiting }))
 }
 
 async fn programs() -> Json<Value> {
