--- a/fw-check/tests/check/metrics_page.rs
+++ b/fw-check/tests/check/metrics_page.rs
@@ -45,6 +45,12 @@
     expect_that!(missing, is_empty());
 }
 
+#[gtest]
+fn each_metric_on_the_page_is_in_the_code() {
+    let missing: Vec<_> = on_page().difference(&in_code()).cloned().collect();
+    expect_that!(missing, is_empty());
+}
+
 #[gtest]
 fn each_kind_of_error_is_on_the_page_as_in_its_table() {
     let page = page();
