fw-check: find the runs of a call by its request, in one place

Cause: two checks matched calls with runs on their own, each over all runs. Change: the index keeps the runs of each turn and request; a test that another program's call with the same words explains no run. Conclusion: one rule says which runs a call may have had.

--- a/fw-check/src/index.rs
+++ b/fw-check/src/index.rs
@@ -101,6 +101,10 @@
     pub calls: BTreeMap<event::CallId, Call<'a>>,
     pub runs: Vec<Run<'a>>,
     pub turns: BTreeMap<TurnKey<'a>, Turn<'a>>,
+    /// Places in `runs` by the turn that they may have been for.
+    turn_runs: HashMap<TurnKey<'a>, Vec<usize>>,
+    /// Places in `runs` by the plain request.
+    plain_runs: HashMap<Digest, Vec<usize>>,
 }
 
 impl<'a> Index<'a> {
@@ -110,9 +114,23 @@
         index.add_runs(entries);
         index.add_turns();
         index.add_owners();
+        index.add_places();
         index
     }
 
+    /// The runs of the request that `call` carries, be they for this call or another one.
+    pub fn runs_of(&self, call: &Call<'a>) -> impl Iterator<Item = &Run<'a>> {
+        let places = match call.asked {
+            Asked::Turn(sent) => self.turn_runs.get(&TurnKey {
+                program: &sent.program,
+                turn: sent.turn,
+            }),
+            Asked::Plain(sent) => self.plain_runs.get(&sent.request),
+        };
+        let places = places.map(Vec::as_slice).unwrap_or_default();
+        places.iter().map(|place| &self.runs[*place])
+    }
+
     /// Whether `messages` are the history of `program` through `last`, from what its callers and
     /// the upstreams saw.
     pub fn fit(&self, program: &id::ProgramId, last: id::Turn, messages: &[Digest]) -> Fit {
@@ -295,4 +313,15 @@
             self.runs[place].turns = keys;
         }
     }
+
+    fn add_places(&mut self) {
+        for (place, run) in self.runs.iter().enumerate() {
+            if let event::Work::Plain(request) = run.work {
+                self.plain_runs.entry(*request).or_default().push(place);
+            }
+            for key in &run.turns {
+                self.turn_runs.entry(*key).or_default().push(place);
+            }
+        }
+    }
 }
--- a/fw-check/src/promise/answer.rs
+++ b/fw-check/src/promise/answer.rs
@@ -3,13 +3,9 @@
 use fw_base::digest::Digest;
 
 use crate::check::Tally;
-use crate::event::Work;
-use crate::index::Asked;
-use crate::index::Call;
 use crate::index::End;
 use crate::index::Index;
 use crate::index::Run;
-use crate::index::TurnKey;
 
 pub(crate) fn check(index: &Index<'_>) -> Tally {
     let mut tally = Tally::default();
@@ -23,10 +19,9 @@
             tally.violated(&[call.sent, end], what);
             continue;
         }
-        let mut runs = index.runs.iter().filter(|run| is_run_of(run, call));
-        let is_seen = runs.clone().next().is_some();
+        let mut runs = index.runs_of(call);
         let is_own = runs.any(|run| made(run, end) == Some(answer));
-        if !is_seen && index.runs.is_empty() {
+        if index.runs.is_empty() {
             unseen += 1;
             continue;
         }
@@ -41,17 +36,6 @@
     run.ended.filter(|(ended, _)| *ended < at)?.1
 }
 
-fn is_run_of(run: &Run<'_>, call: &Call<'_>) -> bool {
-    match (call.asked, run.work) {
-        (Asked::Turn(sent), Work::Turn(_)) => run.turns.contains(&TurnKey {
-            program: &sent.program,
-            turn: sent.turn,
-        }),
-        (Asked::Plain(sent), Work::Plain(request)) => sent.request == *request,
-        _ => false,
-    }
-}
-
 fn crossed(index: &Index<'_>, answer: Digest) -> String {
     let makes = |run: &&Run<'_>| run.ended.is_some_and(|(_, made)| made == Some(answer));
     match index.runs.iter().find(makes) {
--- a/fw-check/src/promise/refusal.rs
+++ b/fw-check/src/promise/refusal.rs
@@ -13,13 +13,14 @@
 use crate::index::End;
 use crate::index::Index;
 use crate::index::Run;
+use crate::index::TurnKey;
 
 pub(crate) fn check(index: &Index<'_>) -> Tally {
     let mut tally = Tally::default();
     let calls: Vec<&Call<'_>> = index.calls.values().collect();
     check_table(&calls, &mut tally);
     for call in calls.iter().filter(|call| call.is_not_run()) {
-        let runs = index.runs.iter().filter(|run| may_be_of(run, call));
+        let runs = index.runs_of(call).filter(|run| may_be_of(run, call));
         let unexplained = runs.into_iter().find(|run| {
             let explains = |other: &&&Call<'_>| !other.is_not_run() && may_be_of(run, other);
             calls.iter().find(explains).is_none()
@@ -60,14 +61,13 @@
     }
 }
 
-/// Whether `run` may have been for `call`: it runs the same request and began after the sending.
+/// Whether `run` may have been for `call`: it runs the same request, with the same messages if a
+/// turn was sent with others before, and began after the sending.
 fn may_be_of(run: &Run<'_>, call: &Call<'_>) -> bool {
     let is_same = match (call.asked, run.work) {
         (Asked::Turn(sent), Work::Turn(prompt)) => {
-            let is_turn = run
-                .turns
-                .iter()
-                .any(|key| *key.program == sent.program && key.turn == sent.turn);
+            let (program, turn) = (&sent.program, sent.turn);
+            let is_turn = run.turns.contains(&TurnKey { program, turn });
             is_turn && prompt.ends_with(&sent.messages)
         }
         (Asked::Plain(sent), Work::Plain(request)) => sent.request == *request,
--- a/fw-check/tests/check/forged_records.rs
+++ b/fw-check/tests/check/forged_records.rs
@@ -173,6 +173,21 @@
     expect_only(&story, Promise::Refusal);
 }
 
+#[gtest]
+fn another_program_with_the_same_words_explains_nothing() {
+    // Two programs end a turn with the same words. That one's call was lost is no excuse for
+    // running the other's, which was refused: the histories tell the two apart.
+    let mut story = Story::default();
+    story.turn("p", 1).turn("q", 1);
+    let [p, q] = ["p", "q"].map(|program| story.send_words(program, 2, "same words"));
+    story.lose(p);
+    let mut prompt = story::history("q", 1);
+    prompt.push(story::digest("same words"));
+    story.start(prompt);
+    story.refuse(q, Kind::Overloaded);
+    expect_only(&story, Promise::Refusal);
+}
+
 #[gtest]
 fn an_error_that_contradicts_its_kind_is_found() {
     let mut story = Story::default();
--- a/fw-check/tests/check/story.rs
+++ b/fw-check/tests/check/story.rs
@@ -60,6 +60,15 @@
     }
 
     pub fn send(&mut self, program: &str, turn: id::Turn) -> event::CallId {
+        self.send_message(program, turn, question(program, turn))
+    }
+
+    /// Sends a turn whose text other programs may use too.
+    pub fn send_words(&mut self, program: &str, turn: id::Turn, text: &str) -> event::CallId {
+        self.send_message(program, turn, digest(text))
+    }
+
+    fn send_message(&mut self, program: &str, turn: id::Turn, message: Digest) -> event::CallId {
         let call = self.id();
         self.push(Event::TurnSent(event::TurnSent {
             call,
@@ -67,7 +76,7 @@
             to: "entry-1".into(),
             program: program.into(),
             turn,
-            messages: vec![question(program, turn)],
+            messages: vec![message],
         }));
         call
     }
