fw-local: a whole system on loopback; fw-keep: shards move in small groups

Cause: the thin path needs a test across processes, and its first run showed that two entries started together leave shards without a keeper for seconds: 2,048 were handed over at once and taken at once, so each was without a keeper until the last had moved. Change: system with entries, sides, engines, tools, store and instance list; shards are taken, loaded and handed over 60 at a time.

--- a/fw-keep/src/keeper/member.rs
+++ b/fw-keep/src/keeper/member.rs
@@ -17,6 +17,10 @@
 use crate::keeper::lease::Backoff;
 use crate::keeper::load;
 
+/// Shards taken or handed over at a time. Between two keepers nobody answers for a shard: moved all
+/// together, each of thousands would be without a keeper until the last one has moved.
+const MOVED: usize = 60;
+
 /// When this entry may take shards that it did not keep before.
 struct Grace {
     /// Whether a lease was held before the one in force.
@@ -114,12 +118,17 @@
     if absent.is_empty() || !grace.is_over() {
         return;
     }
-    let wants = absent
-        .into_iter()
-        .map(|shard| acquire::Want { shard, head: None });
-    let outcome = acquire::run(inner, wants.collect()).await;
-    tracing::info!(taken = outcome.taken.len(), "shards taken");
-    load::run(inner, outcome.taken).await;
+    let mut taken = 0;
+    for part in absent.chunks(MOVED) {
+        let wants = part.iter().map(|shard| acquire::Want {
+            shard: *shard,
+            head: None,
+        });
+        let outcome = acquire::run(inner, wants.collect()).await;
+        taken += outcome.taken.len();
+        load::run(inner, outcome.taken).await;
+    }
+    tracing::info!(taken, "shards taken");
 }
 
 impl Grace {
@@ -168,9 +177,11 @@
         kept.is_leaving = true;
         true
     };
-    let leaving: Vec<id::ShardId> = shards.into_iter().filter(quiet).collect();
-    if !leaving.is_empty() {
-        close::release(inner, leaving).await;
+    for part in shards.chunks(MOVED) {
+        let leaving: Vec<id::ShardId> = part.iter().copied().filter(quiet).collect();
+        if !leaving.is_empty() {
+            close::release(inner, leaving).await;
+        }
     }
 }
 
--- a/fw-local/src/caller.rs
+++ b/fw-local/src/caller.rs
@@ -44,7 +44,7 @@
 impl Default for Chat {
     fn default() -> Self {
         Self {
-            model: "m".to_owned(),
+            model: crate::system::MODEL.to_owned(),
             messages: Vec::new(),
             stream: false,
             max_tokens: None,
--- /dev/null
+++ b/fw-local/tests/local/rig.rs
@@ -0,0 +1,73 @@
+//! What the tests share.
+
+use std::net::SocketAddr;
+use std::ops::Deref;
+use std::ops::DerefMut;
+
+use fw_local::caller;
+use fw_local::system;
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::Semaphore;
+use tokio::sync::SemaphorePermit;
+
+/// Systems that run at a time. Leases and heartbeats go by real time: on a machine that is kept
+/// busy by many systems at once they would lapse, and tests would fail for want of processor time.
+const SYSTEMS: usize = 3;
+
+static PLACES: Semaphore = Semaphore::const_new(SYSTEMS);
+
+/// A system of a test, and its place among those that run at a time.
+pub struct Rig {
+    system: system::System,
+    _place: SemaphorePermit<'static>,
+}
+
+impl Deref for Rig {
+    type Target = system::System;
+
+    fn deref(&self) -> &Self::Target {
+        &self.system
+    }
+}
+
+impl DerefMut for Rig {
+    fn deref_mut(&mut self) -> &mut Self::Target {
+        &mut self.system
+    }
+}
+
+/// A system of the usual shape.
+pub async fn system() -> Rig {
+    with(system::Options::default()).await
+}
+
+/// A system of a given shape.
+pub async fn with(opts: system::Options) -> Rig {
+    let place = PLACES.acquire().await.expect("the semaphore stays open");
+    let system = system::System::start(opts).await;
+    Rig {
+        system: system.expect("a system on loopback"),
+        _place: place,
+    }
+}
+
+/// A user's message.
+pub fn user(text: &str) -> Value {
+    json!({ "role": "user", "content": text })
+}
+
+/// A streamed request with one message.
+pub fn ask(text: &str) -> caller::Chat {
+    caller::Chat {
+        messages: vec![user(text)],
+        stream: true,
+        max_tokens: Some(12),
+        ..caller::Chat::default()
+    }
+}
+
+/// Sends a request to `addr`.
+pub async fn chat(addr: SocketAddr, chat: &caller::Chat) -> caller::Answer {
+    caller::Caller::new().chat(addr, chat).await
+}
