fw-entry: newer records come from the entry that has them before the store

Cause: an entry cut off from the store heard of newer records with every status and still served its callers by the old ones. Change: it asks the entries whose status names a newer revision, then the store.

--- a/fw-entry/src/version/watch.rs
+++ b/fw-entry/src/version/watch.rs
@@ -29,6 +29,9 @@
 /// Without an answer from the watcher for this long, an entry watches by itself.
 const WATCHER_PATIENCE: Duration = Duration::from_millis(1200);
 
+/// Most entries asked for newer records before the store is.
+const PEERS_ASKED: usize = 3;
+
 /// How often a watcher looks whether it still is to watch.
 const ROLE_CHECK: Duration = Duration::from_secs(2);
 
@@ -98,7 +101,34 @@
     }
 }
 
+/// Takes newer records from an entry that has them, or else from the store.
 async fn read(entry: &entry::Entry) {
+    let before = entry.records.revision();
+    ask_newer(entry).await;
+    if entry.records.revision() == before {
+        read_store(entry).await;
+    }
+}
+
+/// Asks an entry that acts on newer records for them.
+///
+/// An entry that is cut off from the store, while others are not, would otherwise hear of newer
+/// records with every status and still serve its callers by the old ones. It also spares the
+/// store a read by every entry after every change.
+async fn ask_newer(entry: &entry::Entry) {
+    let statuses = entry.peer_list.statuses().into_iter();
+    let newer = statuses.filter(|status| status.revision > entry.records.revision());
+    let newer: Vec<_> = newer.map(|status| status.entry).collect();
+    let others = peers::others(entry).into_iter();
+    let newer = others.filter(|(id, _)| newer.contains(id));
+    for (_, addr) in newer.take(PEERS_ASKED) {
+        if ask(entry, addr).await {
+            return;
+        }
+    }
+}
+
+async fn read_store(entry: &entry::Entry) {
     let outcome = match load::all(&entry.store, &entry.records.current()).await {
         Ok(set) => {
             entry.records.holder.offer(set);
