fw-plan: measure the decisions in a queueing loop

Change: the example `policy` drives the real modules with fake engines, agent programs and plain requests at both users' sizes, and writes docs/POLICY.md and its plot. Latencies are of a cohort of programs that is followed to its end, so that growing queues are not hidden. Placement takes its own calls out of the reports and smooths the others' part; the plain lane aims at 8 ms.

--- /dev/null
+++ b/fw-plan/examples/policy/main.rs
@@ -0,0 +1,150 @@
+//! Measures the decisions against their baselines in a small queueing loop.
+//!
+//! `cargo run --release -p fw-plan --example policy` runs all and writes the measured part of
+//! `docs/POLICY.md` and its plot. With arguments such as `admit.target=0.05 load=0.95` it runs the
+//! product's policy alone with these options and prints what came of it.
+
+use std::path::Path;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+mod page;
+mod plot;
+mod sim;
+mod trial;
+
+use sim::policy;
+use sim::stats;
+use sim::trace;
+use sim::world;
+
+/// Offered load as a multiple of capacity.
+const LOADS: [f64; 6] = [0.5, 0.8, 0.95, 1.0, 1.2, 2.0];
+const SEED: u64 = 1;
+const THREADS: usize = 4;
+/// Programs that arrive from `WARM` to `LAST` are followed until `END`.
+const WARM: Duration = Duration::from_secs(60);
+const LAST: Duration = Duration::from_secs(140);
+const END: Duration = Duration::from_secs(300);
+
+/// Load at which faults are brought about.
+const FAULT_LOAD: f64 = 0.8;
+
+/// What happens to the engines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Scene {
+    Steady,
+    /// Each step of one engine takes three times as long, all the time.
+    Slow,
+    /// One engine crashes every 8 s and is back 4 s later.
+    Flap,
+}
+
+/// One user under one policy at one load.
+#[derive(Clone, Debug)]
+struct Cell {
+    shape: trace::Shape,
+    policy: policy::Policy,
+    load: f64,
+    scene: Scene,
+}
+
+/// What a cell gave.
+#[derive(Clone, Debug)]
+struct Row {
+    cell: Cell,
+    stats: stats::Stats,
+}
+
+impl Scene {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Steady => "steady",
+            Self::Slow => "one engine three times as slow",
+            Self::Flap => "one engine crashes every 8 s",
+        }
+    }
+
+    fn script(self) -> Vec<(Duration, world::Action)> {
+        match self {
+            Self::Steady => Vec::new(),
+            Self::Slow => vec![(Duration::ZERO, world::Action::Slow(0, 3.0))],
+            Self::Flap => (0..END.as_secs())
+                .step_by(8)
+                .flat_map(|second| {
+                    let crash = (Duration::from_secs(second), world::Action::Crash(0));
+                    let up = (Duration::from_secs(second + 4), world::Action::Up(0));
+                    [crash, up]
+                })
+                .collect(),
+        }
+    }
+}
+
+fn main() -> std::io::Result<()> {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    if !args.is_empty() {
+        trial::print(&run_all(&trial::cells(&args)));
+        return Ok(());
+    }
+    let rows = run_all(&all_cells());
+    trial::print(&rows);
+    let docs = Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs");
+    plot::write(&rows, &docs.join("policy.svg"))?;
+    page::write(&rows, &docs.join("POLICY.md"))
+}
+
+fn all_cells() -> Vec<Cell> {
+    let mut cells = Vec::new();
+    for shape in [trace::SURATWALA, trace::FAIRGROUND] {
+        for policy in policy::Policy::all(&shape) {
+            let steady = LOADS.map(|load| (load, Scene::Steady));
+            let faults = [Scene::Slow, Scene::Flap].map(|scene| (FAULT_LOAD, scene));
+            for (load, scene) in steady.into_iter().chain(faults) {
+                cells.push(Cell {
+                    shape: shape.clone(),
+                    policy: policy.clone(),
+                    load,
+                    scene,
+                });
+            }
+        }
+    }
+    cells
+}
+
+fn run_all(cells: &[Cell]) -> Vec<Row> {
+    let next = AtomicUsize::new(0);
+    let results = Mutex::new(vec![None; cells.len()]);
+    std::thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| work(cells, &next, &results));
+        }
+    });
+    let results = results.into_inner().expect("no worker panicked");
+    let rows = cells.iter().cloned().zip(results.into_iter().flatten());
+    rows.map(|(cell, stats)| Row { cell, stats }).collect()
+}
+
+fn work(cells: &[Cell], next: &AtomicUsize, results: &Mutex<Vec<Option<stats::Stats>>>) {
+    while let Some((index, cell)) = {
+        let index = next.fetch_add(1, Ordering::Relaxed);
+        cells.get(index).map(|cell| (index, cell))
+    } {
+        let stats = world::run(world::Setup {
+            shape: cell.shape.clone(),
+            policy: cell.policy.clone(),
+            programs: cell.shape.programs(cell.load, END, SEED),
+            plain_load: cell.load,
+            seed: SEED,
+            warm: WARM,
+            last: LAST,
+            end: END,
+            script: cell.scene.script(),
+        });
+        let mut results = results.lock().expect("no worker panics with the lock");
+        results[index] = Some(stats);
+    }
+}
--- /dev/null
+++ b/fw-plan/examples/policy/page.rs
@@ -0,0 +1,141 @@
+//! The measured part of `docs/POLICY.md`, between two marks; the rest of the page is kept.
+
+use std::fmt::Write;
+use std::fs;
+use std::io;
+use std::path::Path;
+
+use crate::Row;
+use crate::Scene;
+use crate::sim::trace;
+
+const BEGIN: &str = "<!-- measured: begin -->";
+const END: &str = "<!-- measured: end -->";
+
+/// Replaces the measured part of the page at `path`.
+pub fn write(rows: &[Row], path: &Path) -> io::Result<()> {
+    let page = fs::read_to_string(path)?;
+    let marked = page.split_once(BEGIN).and_then(|(before, rest)| {
+        let (_, after) = rest.split_once(END)?;
+        Some((before, after))
+    });
+    let Some((before, after)) = marked else {
+        let message = format!("{} lacks `{BEGIN}` or `{END}`", path.display());
+        return Err(io::Error::other(message));
+    };
+    let measured = measured(rows).expect("writing to a string does not fail");
+    fs::write(path, format!("{before}{BEGIN}\n\n{measured}\n{END}{after}"))
+}
+
+fn measured(rows: &[Row]) -> Result<String, std::fmt::Error> {
+    let mut text = String::new();
+    for shape in [trace::SURATWALA, trace::FAIRGROUND] {
+        let of_shape = rows.iter().filter(|row| row.cell.shape.name == shape.name);
+        let of_shape: Vec<&Row> = of_shape.collect();
+        writeln!(text, "### {}\n", shape.name)?;
+        writeln!(
+            text,
+            "Capacity: {:.1} programs a second.\n",
+            shape.capacity()
+        )?;
+        let (steady, faults): (Vec<&Row>, Vec<&Row>) = of_shape
+            .into_iter()
+            .partition(|row| row.cell.scene == Scene::Steady);
+        table(&mut text, &steady)?;
+        goals(&mut text, &steady)?;
+        for scene in [Scene::Slow, Scene::Flap] {
+            writeln!(text, "With {}:\n", scene.name())?;
+            let of_scene = faults.iter().filter(|row| row.cell.scene == scene);
+            let of_scene: Vec<&Row> = of_scene.copied().collect();
+            table(&mut text, &of_scene)?;
+        }
+    }
+    Ok(text)
+}
+
+fn table(text: &mut String, rows: &[&Row]) -> std::fmt::Result {
+    writeln!(
+        text,
+        "| policy | load | program p50 | p95 | p99 | p95 without tool pauses | wasted cache \
+         | finished programs/s | their turns/s | refused | lost | under way at the end \
+         | plain p99 | plain refused |"
+    )?;
+    writeln!(
+        text,
+        "|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|"
+    )?;
+    for Row { cell, stats } in rows {
+        write!(text, "| {} | {:.0} %", cell.policy.name, cell.load * 100.0)?;
+        for quantile in [0.5, 0.95, 0.99] {
+            write!(text, " | {:.2} s", stats.program(quantile))?;
+        }
+        write!(text, " | {:.2} s", stats.waited(0.95))?;
+        write!(text, " | {:.1} %", stats.waste() * 100.0)?;
+        write!(text, " | {:.1}", stats.goodput())?;
+        write!(text, " | {:.0}", stats.finished_turns())?;
+        write!(text, " | {:.1} %", stats.refused_part() * 100.0)?;
+        write!(text, " | {:.1} %", stats.lost_part() * 100.0)?;
+        write!(text, " | {}", stats.unfinished)?;
+        write!(text, " | {:.0} ms", stats.plain(0.99))?;
+        writeln!(text, " | {:.1} % |", stats.plain_refused_part() * 100.0)?;
+    }
+    writeln!(text)
+}
+
+fn goals(text: &mut String, rows: &[&Row]) -> std::fmt::Result {
+    let of = |policy: &str, load: f64| {
+        let found = rows
+            .iter()
+            .find(|row| row.cell.policy.name == policy && row.cell.load == load);
+        &found.expect("every policy runs at every load").stats
+    };
+    let ours = |load| of("foxtailweir", load);
+    let fewest = of("fewest outstanding, FCFS", 0.95);
+    writeln!(text, "| goal | bound | measured | |\n|---|--:|--:|---|")?;
+    let mut line = |goal: &str, bound: f64, value: f64| {
+        let verdict = if value <= bound { "met" } else { "**missed**" };
+        writeln!(text, "| {goal} | {bound:.2} | {value:.2} | {verdict} |")
+    };
+    line(
+        "program p95 at 95 % against fewest outstanding, FCFS",
+        0.5,
+        ours(0.95).program(0.95) / fewest.program(0.95),
+    )?;
+    line(
+        "the same without tool pauses",
+        0.5,
+        ours(0.95).waited(0.95) / fewest.waited(0.95),
+    )?;
+    for load in crate::LOADS {
+        let others = rows.iter().filter(|row| row.cell.load == load);
+        let others = others.filter(|row| row.cell.policy.name != "foxtailweir");
+        let p95 = others.map(|row| row.stats.program(0.95));
+        let best = p95.fold(f64::INFINITY, f64::min);
+        let goal = format!(
+            "program p95 at {:.0} % against the best baseline",
+            load * 100.0
+        );
+        line(&goal, 1.0, ours(load).program(0.95) / best)?;
+    }
+    line(
+        "wasted cache at 95 % against cache-blind",
+        1.0 / 3.0,
+        ours(0.95).waste() / of("cache-blind", 0.95).waste(),
+    )?;
+    line(
+        "goodput at 100 % against that at 200 %, programs",
+        1.0 / 0.95,
+        ours(1.0).goodput() / ours(2.0).goodput(),
+    )?;
+    line(
+        "the same in turns of finished programs",
+        1.0 / 0.95,
+        ours(1.0).finished_turns() / ours(2.0).finished_turns(),
+    )?;
+    line(
+        "plain p99 at 200 % against 50 %",
+        1.5,
+        ours(2.0).plain(0.99) / ours(0.5).plain(0.99),
+    )?;
+    writeln!(text)
+}
--- /dev/null
+++ b/fw-plan/examples/policy/sim/engine.rs
@@ -0,0 +1,302 @@
+//! A fake model engine: continuous batching, chunked prefill and a prefix cache of limited size
+//! that evicts the least recently used. It knows no priorities.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use fw_base::id;
+
+/// Most jobs that run together.
+pub const BATCH: usize = 16;
+/// Prompt tokens computed in one step, at most.
+const CHUNK: id::Tokens = 512;
+/// Seconds of a step without any job.
+const STEP: f64 = 0.0025;
+/// Seconds that each job in the batch adds to a step.
+const PER_JOB: f64 = 0.000_03;
+/// Seconds that each prompt token adds to a step.
+pub const PER_PREFILL_TOKEN: f64 = 0.000_01;
+/// Tokens that the cache holds.
+pub const CACHE: id::Tokens = 250_000;
+
+/// Seconds of one step.
+pub fn step_seconds(jobs: usize, prefill: id::Tokens) -> f64 {
+    STEP + jobs as f64 * PER_JOB + prefill as f64 * PER_PREFILL_TOKEN
+}
+
+/// A job as it is handed to the engine.
+#[derive(Clone, Debug)]
+pub struct Work {
+    pub attempt: u64,
+    pub program: usize,
+    pub prompt: id::Tokens,
+    pub output: id::Tokens,
+    /// It fails after this many tokens of its answer.
+    pub fails_at: Option<id::Tokens>,
+}
+
+#[derive(Debug)]
+struct Active {
+    work: Work,
+    started: Duration,
+    cached: id::Tokens,
+    prefill_left: id::Tokens,
+    generated: id::Tokens,
+    /// Prompt tokens computed in the step under way.
+    chunk: id::Tokens,
+}
+
+/// A job that left the engine.
+#[derive(Clone, Debug)]
+pub struct Left {
+    pub work: Work,
+    pub started: Duration,
+    /// Prompt tokens that were found in the cache.
+    pub cached: id::Tokens,
+    pub failed: bool,
+}
+
+/// What a step brought about.
+#[derive(Debug, Default)]
+pub struct Progress {
+    pub left: Vec<Left>,
+    /// Attempts whose prefill ended.
+    pub prefilled: Vec<u64>,
+}
+
+/// A program's prefix in the cache.
+#[derive(Debug, Default)]
+struct Prefix {
+    tokens: id::Tokens,
+    used: u64,
+    pins: u32,
+}
+
+/// The prefix cache.
+#[derive(Debug, Default)]
+pub struct Cache {
+    prefixes: HashMap<usize, Prefix>,
+    by_use: BTreeMap<u64, usize>,
+    clock: u64,
+    pub used: id::Tokens,
+    /// Programs evicted since they were last asked for.
+    pub evicted: Vec<usize>,
+}
+
+#[derive(Debug)]
+pub struct Engine {
+    pub cache: Cache,
+    waiting: VecDeque<Work>,
+    active: Vec<Active>,
+    /// Multiplies each step's time.
+    pub slowness: f64,
+    pub up: bool,
+    pub stepping: bool,
+    /// Seconds of a step, smoothed.
+    pub step: f64,
+    pub busy: Duration,
+}
+
+impl Engine {
+    pub fn new() -> Self {
+        Self {
+            cache: Cache::default(),
+            waiting: VecDeque::new(),
+            active: Vec::new(),
+            slowness: 1.0,
+            up: true,
+            stepping: false,
+            step: STEP,
+            busy: Duration::ZERO,
+        }
+    }
+
+    pub fn jobs(&self) -> usize {
+        self.active.len()
+    }
+
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    pub fn prefill(&self) -> id::Tokens {
+        self.active.iter().map(|job| job.prefill_left).sum()
+    }
+
+    pub fn admit(&mut self, work: Work) {
+        self.waiting.push_back(work);
+    }
+
+    /// Takes a job out, whether it waits or runs.
+    pub fn cancel(&mut self, attempt: u64) {
+        self.waiting.retain(|work| work.attempt != attempt);
+        if let Some(at) = self
+            .active
+            .iter()
+            .position(|job| job.work.attempt == attempt)
+        {
+            let job = self.active.swap_remove(at);
+            let computed = job.work.prompt - job.prefill_left + job.generated;
+            self.cache.unpin(job.work.program, computed);
+        }
+    }
+
+    /// All jobs and the cache are lost; returns the jobs.
+    pub fn crash(&mut self) -> Vec<Work> {
+        self.cache = Cache::default();
+        let active = self.active.drain(..).map(|job| job.work);
+        active.chain(self.waiting.drain(..)).collect()
+    }
+
+    /// Starts a step, if there is work, and says how long it takes.
+    pub fn begin_step(&mut self, now: Duration) -> Option<Duration> {
+        if !self.up || self.stepping {
+            return None;
+        }
+        self.fill(now);
+        if self.active.is_empty() {
+            return None;
+        }
+        let mut chunk_left = CHUNK;
+        for job in &mut self.active {
+            job.chunk = job.prefill_left.min(chunk_left);
+            chunk_left -= job.chunk;
+        }
+        self.stepping = true;
+        let seconds = step_seconds(self.active.len(), CHUNK - chunk_left) * self.slowness;
+        self.step += (seconds - self.step) * 0.01;
+        let step = Duration::from_secs_f64(seconds);
+        self.busy += step;
+        Some(step)
+    }
+
+    pub fn end_step(&mut self) -> Progress {
+        self.stepping = false;
+        let mut progress = Progress::default();
+        let mut index = 0;
+        while index < self.active.len() {
+            let job = &mut self.active[index];
+            job.advance(&mut progress);
+            if !job.is_done() {
+                index += 1;
+                continue;
+            }
+            let job = self.active.remove(index);
+            progress.left.push(self.finish(job));
+        }
+        progress
+    }
+
+    fn fill(&mut self, now: Duration) {
+        while self.active.len() < BATCH {
+            let Some(work) = self.waiting.pop_front() else {
+                return;
+            };
+            let cached = self.cache.pin(work.program, work.prompt + work.output);
+            let cached = cached.min(work.prompt);
+            self.active.push(Active {
+                started: now,
+                cached,
+                // The last token of a prompt is always computed.
+                prefill_left: (work.prompt - cached).max(1),
+                generated: 0,
+                chunk: 0,
+                work,
+            });
+        }
+    }
+
+    fn finish(&mut self, job: Active) -> Left {
+        let tokens = job.work.prompt + job.generated;
+        self.cache.unpin(job.work.program, tokens);
+        Left {
+            failed: job.work.fails_at.is_some(),
+            started: job.started,
+            cached: job.cached,
+            work: job.work,
+        }
+    }
+}
+
+impl Active {
+    fn advance(&mut self, progress: &mut Progress) {
+        if self.prefill_left > 0 {
+            self.prefill_left -= self.chunk;
+            if self.prefill_left == 0 {
+                self.generated = 1;
+                progress.prefilled.push(self.work.attempt);
+            }
+        } else {
+            self.generated += 1;
+        }
+    }
+
+    fn is_done(&self) -> bool {
+        let until = self.work.fails_at.unwrap_or(self.work.output);
+        self.prefill_left == 0 && self.generated >= until
+    }
+}
+
+impl Cache {
+    pub fn held(&self, program: usize) -> id::Tokens {
+        self.prefixes
+            .get(&program)
+            .map_or(0, |prefix| prefix.tokens)
+    }
+
+    /// A job starts that needs `tokens` in the end; returns what is held already.
+    fn pin(&mut self, program: usize, tokens: id::Tokens) -> id::Tokens {
+        let prefix = self.prefixes.entry(program).or_default();
+        let held = prefix.tokens;
+        prefix.pins += 1;
+        self.by_use.remove(&prefix.used);
+        self.resize(program, tokens.max(held));
+        self.evict();
+        held
+    }
+
+    fn unpin(&mut self, program: usize, tokens: id::Tokens) {
+        self.clock += 1;
+        let Some(prefix) = self.prefixes.get_mut(&program) else {
+            return;
+        };
+        prefix.pins = prefix.pins.saturating_sub(1);
+        prefix.used = self.clock;
+        self.by_use.insert(self.clock, program);
+        self.resize(program, tokens);
+        self.evict();
+    }
+
+    /// Frees a program's prefix, unless a job uses it.
+    pub fn free(&mut self, program: usize) {
+        let Some(prefix) = self.prefixes.get(&program) else {
+            return;
+        };
+        if prefix.pins == 0 {
+            self.used -= prefix.tokens;
+            self.by_use.remove(&prefix.used);
+            self.prefixes.remove(&program);
+        }
+    }
+
+    fn resize(&mut self, program: usize, tokens: id::Tokens) {
+        if let Some(prefix) = self.prefixes.get_mut(&program) {
+            self.used = self.used - prefix.tokens + tokens;
+            prefix.tokens = tokens;
+        }
+    }
+
+    fn evict(&mut self) {
+        while self.used > CACHE {
+            let Some((_, program)) = self.by_use.pop_first() else {
+                return;
+            };
+            if let Some(prefix) = self.prefixes.remove(&program) {
+                self.used -= prefix.tokens;
+            }
+            self.evicted.push(program);
+        }
+    }
+}
--- /dev/null
+++ b/fw-plan/examples/policy/sim/stats.rs
@@ -0,0 +1,132 @@
+//! What callers received.
+
+use std::time::Duration;
+
+use fw_base::id;
+use hdrhistogram::Histogram;
+
+/// Largest value that the histograms tell from larger ones.
+const LARGEST: u64 = 1_000_000_000;
+
+/// Sums over the measured part of one run.
+#[derive(Clone, Debug)]
+pub struct Stats {
+    /// Latency of finished programs in milliseconds, tool pauses included.
+    pub programs: Histogram<u64>,
+    /// The same without the tool pauses, which no policy can shorten.
+    pub waited: Histogram<u64>,
+    /// Programs of the cohort that were still under way at the end; their latency until then is
+    /// among the others.
+    pub unfinished: u64,
+    /// Programs finished.
+    pub finished: u64,
+    /// Turns of finished programs, without their sub-agents'.
+    pub finished_turns: u64,
+    /// Finished programs by team.
+    pub finished_by_team: Vec<u64>,
+    /// Latency of answered plain requests in microseconds.
+    pub plain: Histogram<u64>,
+    pub plain_refused: u64,
+    /// New programs whose caller gave up after refusals.
+    pub refused: u64,
+    /// Programs under way that a caller lost: a turn was not answered in time.
+    pub lost: u64,
+    /// Refusals answered, to new programs and to turns.
+    pub new_refusals: u64,
+    pub turn_refusals: u64,
+    /// Longest time from a call to its refusal.
+    pub slowest_refusal: Duration,
+    /// Attempts sent to sides.
+    pub attempts: u64,
+    /// Turns started.
+    pub turns: u64,
+    /// History tokens that had been cached somewhere before.
+    pub reusable: id::Tokens,
+    /// Of these, those that were computed again.
+    pub recomputed: id::Tokens,
+    /// Turns of each upstream.
+    pub by_upstream: Vec<u64>,
+    pub measured: Duration,
+}
+
+impl Stats {
+    pub fn new(teams: usize, upstreams: usize) -> Self {
+        let histogram = || Histogram::new_with_bounds(1, LARGEST, 3).expect("sound bounds");
+        Self {
+            programs: histogram(),
+            waited: histogram(),
+            unfinished: 0,
+            finished: 0,
+            finished_turns: 0,
+            finished_by_team: vec![0; teams],
+            plain: histogram(),
+            plain_refused: 0,
+            refused: 0,
+            lost: 0,
+            new_refusals: 0,
+            turn_refusals: 0,
+            slowest_refusal: Duration::ZERO,
+            attempts: 0,
+            turns: 0,
+            reusable: 0,
+            recomputed: 0,
+            by_upstream: vec![0; upstreams],
+            measured: Duration::ZERO,
+        }
+    }
+
+    /// A program took `latency`, `waited` of it without tool pauses.
+    pub fn took(&mut self, latency: Duration, waited: Duration) {
+        self.programs.saturating_record(latency.as_millis() as u64);
+        self.waited.saturating_record(waited.as_millis() as u64);
+    }
+
+    /// Seconds of program latency at a quantile.
+    pub fn program(&self, quantile: f64) -> f64 {
+        self.programs.value_at_quantile(quantile) as f64 / 1e3
+    }
+
+    /// Seconds of program latency without tool pauses at a quantile.
+    pub fn waited(&self, quantile: f64) -> f64 {
+        self.waited.value_at_quantile(quantile) as f64 / 1e3
+    }
+
+    /// Turns of finished programs a second.
+    pub fn finished_turns(&self) -> f64 {
+        self.finished_turns as f64 / self.measured.as_secs_f64()
+    }
+
+    /// Milliseconds of plain latency at a quantile.
+    pub fn plain(&self, quantile: f64) -> f64 {
+        self.plain.value_at_quantile(quantile) as f64 / 1e3
+    }
+
+    /// Finished programs a second.
+    pub fn goodput(&self) -> f64 {
+        self.finished as f64 / self.measured.as_secs_f64()
+    }
+
+    /// Part of the reusable history that was computed again.
+    pub fn waste(&self) -> f64 {
+        self.recomputed as f64 / self.reusable.max(1) as f64
+    }
+
+    /// Part of the programs that were refused for good.
+    pub fn refused_part(&self) -> f64 {
+        part(self.refused, self.programs.len() + self.lost)
+    }
+
+    /// Part of the started programs that were lost.
+    pub fn lost_part(&self) -> f64 {
+        part(self.lost, self.programs.len() + self.refused)
+    }
+
+    /// Part of the plain requests that were refused.
+    pub fn plain_refused_part(&self) -> f64 {
+        part(self.plain_refused, self.plain.len())
+    }
+}
+
+fn part(some: u64, others: u64) -> f64 {
+    some as f64 / (some + others).max(1) as f64
+}
--- a/fw-plan/src/admit.rs
+++ b/fw-plan/src/admit.rs
@@ -99,7 +99,7 @@
     fn default() -> Self {
         Self {
             target: Duration::from_millis(150),
-            plain_target: Duration::from_millis(2),
+            plain_target: Duration::from_millis(8),
             interval: Duration::from_millis(250),
             initial: 256.0,
             plain_initial: 64.0,
--- a/fw-plan/src/place.rs
+++ b/fw-plan/src/place.rs
@@ -165,6 +165,8 @@
     sent_tokens: id::Tokens,
     /// Sent and not settled, by this process.
     outstanding: u32,
+    /// Attempts there that other processes sent, smoothed over reports.
+    others: f64,
 }
 
 /// One cached prefix.
@@ -194,6 +196,8 @@
 const FIRST_SERVICE: f64 = 0.5;
 /// Weight of the newest sample in smoothed times.
 const SMOOTHING: f64 = 0.05;
+/// Weight of the newest report in the others' part of a load.
+const REPORT_SMOOTHING: f64 = 0.3;
 /// Prefill speed before an upstream reports its own, in tokens a second.
 const FIRST_PREFILL_RATE: u64 = 20_000;
 /// Step time before an upstream reports its own.
@@ -240,6 +244,7 @@
             sent: VecDeque::new(),
             sent_tokens: 0,
             outstanding: 0,
+            others: 0.0,
         };
         let index = match self.free.pop() {
             Some(index) => {
@@ -335,6 +340,7 @@
         upstream.load = load;
         // What was sent before the report was made is contained in it.
         upstream.drop_sent(now.saturating_sub(load.age));
+        upstream.learn_others();
     }
 
     /// This process sent a call that needs `tokens` of prefill.
@@ -447,11 +453,20 @@
             0 => FIRST_BATCH,
             batch => batch,
         };
-        let known = self.load.queued + self.load.running;
-        // The report may be older than what this process knows by itself.
-        let there = (known + self.sent.len() as u32).max(self.outstanding);
-        let ahead = (there + 1).saturating_sub(batch);
-        f64::from(ahead) * service / f64::from(batch)
+        // What this process sent is known to it exactly; only the others' part is a report old.
+        let there = f64::from(self.outstanding) + self.others;
+        let ahead = (there + 1.0 - f64::from(batch)).max(0.0);
+        ahead * service / f64::from(batch)
+    }
+
+    /// Takes this process's own part out of a report. The rest changes less from report to report
+    /// than the sum does, and is smoothed, so that a report taken at a busy moment neither
+    /// attracts nor repels every call until the next one.
+    fn learn_others(&mut self) {
+        let reported = f64::from(self.load.queued + self.load.running);
+        let own = self.outstanding.saturating_sub(self.sent.len() as u32);
+        let others = (reported - f64::from(own)).max(0.0);
+        self.others = toward(self.others, others, REPORT_SMOOTHING);
     }
 
     fn prefill(&self, tokens: id::Tokens) -> f64 {
