fw-plan: leave a cache only for a clear gain, and rank caches by an early return

Cause: programs left their caches for gains smaller than the error of the expected delay, and caches were freed at 90 % of the memory by a chance of return within 30 s, which nearly every program has: the least recently used ones would have been the better choice. Change: a program moves only for 300 ms (was 20 ms); return counts within 2 s (was 30 s) from 98 % of the memory on (was 90 %); long histories count less; the first report of an upstream is taken whole (a test found that it was smoothed in from zero).

--- a/fw-plan/src/keep.rs
+++ b/fw-plan/src/keep.rs
@@ -22,6 +22,9 @@
 /// Observations after which all counts are halved, so that old pauses fade.
 const FADE: u32 = 4_096;
 
+/// How much more a long history counts than its part of the memory under [`Weight::Latency`].
+const LENGTH_POWER: f64 = 0.25;
+
 /// What the operator's records weigh more.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Weight {
@@ -50,8 +53,8 @@
     fn default() -> Self {
         Self {
             weight: Weight::default(),
-            pressure: 0.9,
-            horizon: Duration::from_secs(30),
+            pressure: 0.98,
+            horizon: Duration::from_secs(2),
             least_chance: 0.02,
         }
     }
@@ -152,7 +155,7 @@
     let chance = pauses.chance(paused.paused, options.horizon);
     match options.weight {
         Weight::Cache => chance,
-        Weight::Latency => chance * (paused.tokens.max(1) as f64).sqrt(),
+        Weight::Latency => chance * (paused.tokens.max(1) as f64).powf(LENGTH_POWER),
     }
 }
 
--- a/fw-plan/src/place.rs
+++ b/fw-plan/src/place.rs
@@ -53,7 +53,7 @@
     fn default() -> Self {
         Self {
             choices: 2,
-            margin: Duration::from_millis(20),
+            margin: Duration::from_millis(300),
             margin_part: 0.1,
             cache_weight: 1.0,
             output: 100,
@@ -165,8 +165,8 @@
     sent_tokens: id::Tokens,
     /// Sent and not settled, by this process.
     outstanding: u32,
-    /// Attempts there that other processes sent, smoothed over reports.
-    others: f64,
+    /// Attempts there that other processes sent, smoothed over reports; `None` before the first.
+    others: Option<f64>,
 }
 
 /// One cached prefix.
@@ -244,7 +244,7 @@
             sent: VecDeque::new(),
             sent_tokens: 0,
             outstanding: 0,
-            others: 0.0,
+            others: None,
         };
         let index = match self.free.pop() {
             Some(index) => {
@@ -454,7 +454,7 @@
             batch => batch,
         };
         // What this process sent is known to it exactly; only the others' part is a report old.
-        let there = f64::from(self.outstanding) + self.others;
+        let there = f64::from(self.outstanding) + self.others.unwrap_or(0.0);
         let ahead = (there + 1.0 - f64::from(batch)).max(0.0);
         ahead * service / f64::from(batch)
     }
@@ -466,7 +466,8 @@
         let reported = f64::from(self.load.queued + self.load.running);
         let own = self.outstanding.saturating_sub(self.sent.len() as u32);
         let others = (reported - f64::from(own)).max(0.0);
-        self.others = toward(self.others, others, REPORT_SMOOTHING);
+        let before = self.others.unwrap_or(others);
+        self.others = Some(toward(before, others, REPORT_SMOOTHING));
     }
 
     fn prefill(&self, tokens: id::Tokens) -> f64 {
