--- a/fw-plan/examples/policy/sim/policy.rs
+++ b/fw-plan/examples/policy/sim/policy.rs
@@ -8,6 +8,11 @@
 
 use super::trace;
 
+/// Name of the product's policy.
+pub const PRODUCT: &str = "foxtailweir";
+/// Name of the one that differs from it in retries only.
+pub const NO_BUDGET: &str = "no retry budget";
+
 /// Where work goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Place {
@@ -44,7 +49,7 @@
 impl Default for Policy {
     fn default() -> Self {
         Self {
-            name: "foxtailweir",
+            name: PRODUCT,
             place: Place::Delay,
             ordered: true,
             budget: true,
@@ -95,7 +100,7 @@
                 ..Self::of(shape)
             },
             Self {
-                name: "no retry budget",
+                name: NO_BUDGET,
                 budget: false,
                 ..Self::of(shape)
             },
--- a/fw-plan/examples/policy/sim/stats.rs
+++ b/fw-plan/examples/policy/sim/stats.rs
@@ -81,6 +81,35 @@
         self.waited.saturating_record(waited.as_millis() as u64);
     }
 
+    /// Adds another run's sums.
+    pub fn merge(&mut self, other: &Self) {
+        let same = "histograms of one shape";
+        self.programs.add(&other.programs).expect(same);
+        self.waited.add(&other.waited).expect(same);
+        self.plain.add(&other.plain).expect(same);
+        let teams = other.finished_by_team.iter();
+        for (sum, part) in self.finished_by_team.iter_mut().zip(teams) {
+            *sum += part;
+        }
+        for (sum, part) in self.by_upstream.iter_mut().zip(&other.by_upstream) {
+            *sum += part;
+        }
+        self.unfinished += other.unfinished;
+        self.finished += other.finished;
+        self.finished_turns += other.finished_turns;
+        self.plain_refused += other.plain_refused;
+        self.refused += other.refused;
+        self.lost += other.lost;
+        self.new_refusals += other.new_refusals;
+        self.turn_refusals += other.turn_refusals;
+        self.slowest_refusal = self.slowest_refusal.max(other.slowest_refusal);
+        self.attempts += other.attempts;
+        self.turns += other.turns;
+        self.reusable += other.reusable;
+        self.recomputed += other.recomputed;
+        self.measured += other.measured;
+    }
+
     /// Seconds of program latency at a quantile.
     pub fn program(&self, quantile: f64) -> f64 {
         self.programs.value_at_quantile(quantile) as f64 / 1e3
@@ -106,6 +135,11 @@
         self.finished as f64 / self.measured.as_secs_f64()
     }
 
+    /// Attempts sent for each turn admitted.
+    pub fn attempts_per_turn(&self) -> f64 {
+        self.attempts as f64 / self.turns.max(1) as f64
+    }
+
     /// Part of the reusable history that was computed again.
     pub fn waste(&self) -> f64 {
         self.recomputed as f64 / self.reusable.max(1) as f64
--- a/fw-plan/examples/policy/sim/world.rs
+++ b/fw-plan/examples/policy/sim/world.rs
@@ -23,6 +23,8 @@
 
 /// One-way delay between any two processes.
 const NET: Duration = Duration::from_micros(500);
+/// How long plain requests run before they are measured.
+const PLAIN_WARM: Duration = Duration::from_secs(20);
 /// How often sides report.
 const HEARTBEAT: Duration = Duration::from_millis(250);
 /// How long a caller waits for one turn.
@@ -30,7 +32,7 @@
 /// How often the caller of a new program tries.
 const TRIES: u32 = 3;
 /// Part of the attempts that fail in the engine.
-const FAILS: f64 = 0.002;
+pub const FAILS: f64 = 0.002;
 /// Part of the cache events that are lost.
 const CACHE_GAPS: f64 = 0.05;
 /// Entries of each user.
@@ -64,6 +66,8 @@
     Slow(usize, f64),
     Crash(usize),
     Up(usize),
+    /// This part of the attempts fails in the engine from now on.
+    Fails(f64),
 }
 
 #[derive(Debug)]
@@ -141,6 +145,7 @@
     place: id::PlaceId,
     programs: Vec<Program>,
     attempts: Vec<Attempt>,
+    fails: f64,
     stats: stats::Stats,
 }
 
@@ -187,6 +192,7 @@
             place,
             programs: Vec::new(),
             attempts: Vec::new(),
+            fails: FAILS,
             setup,
         }
     }
@@ -206,7 +212,8 @@
             self.after(first.at, Event::Arrive(0));
         }
         if self.setup.plain_load > 0.0 {
-            self.after(Duration::ZERO, Event::PlainArrive);
+            let first = self.setup.warm.saturating_sub(PLAIN_WARM);
+            self.after(first, Event::PlainArrive);
         }
     }
 
@@ -642,7 +649,7 @@
             return self.after(NET, Event::Failed(attempt, crashed()));
         }
         let turn = &program.turns[program.turn];
-        let fails = self.rng.random_bool(FAILS);
+        let fails = self.rng.random_bool(self.fails);
         let work = engine::Work {
             attempt,
             program: record.program,
@@ -766,6 +773,7 @@
     fn act(&mut self, action: Action) {
         match action {
             Action::Slow(engine, factor) => self.sides[engine].engine.slowness = factor,
+            Action::Fails(part) => self.fails = part,
             Action::Up(engine) => {
                 self.sides[engine].engine.up = true;
                 self.pump(engine);
@@ -786,6 +794,9 @@
     // Plain requests.
 
     fn plain_arrive(&mut self) {
+        if self.now >= self.setup.last {
+            return;
+        }
         let capacity = self.plains.len() as f64 * plain::SLOTS as f64 / plain::SERVICE;
         let rate = capacity * self.setup.plain_load;
         let gap = trace::exponential(1.0 / rate, &mut self.rng);
--- a/fw-plan/examples/policy/trial.rs
+++ b/fw-plan/examples/policy/trial.rs
@@ -18,7 +18,7 @@
         if value(args, "user").is_some_and(|user| user != shape.name) {
             continue;
         }
-        let name = value(args, "policy").unwrap_or("foxtailweir");
+        let name = value(args, "policy").unwrap_or(policy::PRODUCT);
         let policies = policy::Policy::all(&shape).into_iter();
         for mut policy in policies.filter(|policy| policy.name == name) {
             for arg in args {
@@ -52,6 +52,7 @@
         print!(" | refused {:4.1} %", stats.refused_part() * 100.0);
         print!(" lost {:4.1} %", stats.lost_part() * 100.0);
         print!(" left {:4}", stats.unfinished);
+        print!(" attempts {:4.2}", stats.attempts_per_turn());
         print!(" turns refused {:5}", stats.turn_refusals);
         print!(" | plain p99 {:7.1} ms", stats.plain(0.99));
         println!(" refused {:4.1} %", stats.plain_refused_part() * 100.0);
@@ -75,6 +76,7 @@
     match value(args, "scene") {
         Some("slow") => Scene::Slow,
         Some("flap") => Scene::Flap,
+        Some("storm") => Scene::Storm,
         _ => Scene::Steady,
     }
 }
--- a/fw-plan/src/admit.rs
+++ b/fw-plan/src/admit.rs
@@ -98,7 +98,7 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            target: Duration::from_millis(150),
+            target: Duration::from_millis(80),
             plain_target: Duration::from_millis(8),
             interval: Duration::from_millis(250),
             initial: 256.0,
