fw-plan: judge an upstream's failures against those of all

Cause: while half of all attempts failed for 20 s, three failures in a row were common by chance; a third of the engines was ejected, and the rest was overloaded. Change: the failures in a row that eject grow with the failure rate of all upstreams, so that chance alone gives them once in 1000.

--- a/fw-plan/src/health.rs
+++ b/fw-plan/src/health.rs
@@ -11,7 +11,9 @@
 //! *Rule:* what an upstream says of itself (leaving) and what this process sees (failures, missed
 //! heartbeats) go before the list, which only adds to it. Failures in a row eject an upstream for
 //! a time that doubles with each ejection and is forgotten slowly, so that a flapping one is
-//! dampened. At most [`Options::max_ejected`] of the upstreams are ejected: beyond that the cause
+//! dampened. How many in a row depends on how often calls fail everywhere: while half of all calls
+//! fail, three in a row say nothing about an upstream, and ejecting it would only take capacity
+//! from a service in trouble. At most [`Options::max_ejected`] of the upstreams are ejected: beyond that the cause
 //! is more likely here or common to all, and using them is better than using none. Being slow is
 //! no failure: placement sees it as a longer delay. An upstream that returns starts at a small
 //! weight that grows, so that a herd does not knock it over again.
@@ -21,11 +23,15 @@
 
 use fw_base::id;
 
+use crate::toward;
+
 /// When upstreams are ejected and how they return.
 #[derive(Clone, Debug)]
 pub struct Options {
-    /// Failures or missed heartbeats in a row that eject.
+    /// Failures or missed heartbeats in a row that eject, at least.
     pub failures: u32,
+    /// How unlikely the failures in a row must be at the failure rate of all upstreams.
+    pub chance: f64,
     /// Length of the first ejection.
     pub eject: Duration,
     /// Longest ejection.
@@ -46,6 +52,7 @@
     fn default() -> Self {
         Self {
             failures: 3,
+            chance: 0.001,
             eject: Duration::from_secs(2),
             eject_max: Duration::from_secs(60),
             forgive: Duration::from_secs(60),
@@ -144,14 +151,22 @@
 pub struct Health {
     options: Options,
     upstreams: HashMap<id::UpstreamId, Upstream>,
+    /// Part of what was seen of all upstreams that were failures, smoothed.
+    failing: f64,
 }
 
+/// Weight of the newest observation in the failure rate of all upstreams.
+const SMOOTHING: f64 = 0.01;
+/// Failure rate beyond which no more failures in a row are asked for.
+const MOST_FAILING: f64 = 0.7;
+
 impl Health {
     /// Without upstreams.
     pub fn new(options: Options) -> Self {
         Self {
             options,
             upstreams: HashMap::new(),
+            failing: 0.0,
         }
     }
 
@@ -173,18 +188,31 @@
 
     /// This process saw something of `upstream`.
     pub fn seen(&mut self, now: Duration, upstream: &id::UpstreamId, seen: Seen) {
+        let needed = self.needed();
         let known = self.upstreams.entry(upstream.clone());
         let known = known.or_insert_with(|| Upstream::new(now));
         match seen {
             Seen::Answered => known.answer(now),
             Seen::Leaving => known.leaving = true,
             Seen::Failed => known.failures += 1,
-            Seen::Down => known.failures = known.failures.max(self.options.failures),
+            Seen::Down => known.failures = known.failures.max(needed),
         }
-        let fails = known.failures >= self.options.failures;
+        let fails = known.failures >= needed;
         if fails && !known.is_ejected(now) {
             self.eject(now, upstream);
         }
+        match seen {
+            Seen::Answered => self.failing = toward(self.failing, 0.0, SMOOTHING),
+            Seen::Failed => self.failing = toward(self.failing, 1.0, SMOOTHING),
+            Seen::Down | Seen::Leaving => {}
+        }
+    }
+
+    /// Failures in a row that eject, given how often calls to all upstreams fail.
+    fn needed(&self) -> u32 {
+        let failing = self.failing.clamp(f64::MIN_POSITIVE, MOST_FAILING);
+        let unlikely = self.options.chance.ln() / failing.ln();
+        self.options.failures.max(unlikely.ceil() as u32)
     }
 
     /// An upstream of this name started anew: it neither leaves nor fails any more.
