fw-side: bounded answers, late reports, and calls that cannot order the side or engine

Cause: kept answers held their prompts and had no bound in bytes; an engine with late load reports counted as down while its streams went on; a forwarded POST /leave reached the side itself, and a plain call could free another program's engine memory; heartbeats named every shard with sessions. Change: a bound in bytes, prompts dropped at the end, tokens count as signs of life, forwarded calls always go to the upstream, an engine takes plain calls to two paths only, and only shards without a recent renewal are named.

--- a/fw-fake/src/engine/http.rs
+++ b/fw-fake/src/engine/http.rs
@@ -55,6 +55,7 @@
 fn router(life: Arc<life::Life>) -> Router {
     Router::new()
         .route("/v1/chat/completions", routing::post(complete))
+        .route("/v1/models", routing::get(models))
         .route("/cancel", routing::post(cancel))
         .route("/streams/{id}", routing::get(resume))
         .route("/load", routing::get(load))
@@ -186,6 +187,11 @@
     .into_response()
 }
 
+async fn models() -> Response {
+    let model = json!({ "id": "m", "object": "model", "created": 0, "owned_by": "fake" });
+    Json(json!({ "object": "list", "data": [model] })).into_response()
+}
+
 #[derive(Deserialize)]
 struct Cancel {
     id: SmolStr,
--- a/fw-side/src/connection/calls.rs
+++ b/fw-side/src/connection/calls.rs
@@ -17,6 +17,10 @@
 use crate::refuse;
 use crate::request::body;
 
+/// Part of the session time after which a shard without renewal is named in heartbeats: early
+/// enough for its new keeper to renew it in time.
+const UNRENEWED_PART: u32 = 4;
+
 /// The service, as one connection sees it.
 #[derive(Clone, Debug)]
 pub struct Calls {
@@ -124,6 +128,7 @@
         core.orders.notify_one();
         let since = core.changes.since(req.cache_seen);
         let cfg = &core.opts.settings.instance;
+        let unrenewed_after = core.opts.settings.sessions.ttl / UNRENEWED_PART;
         side::HeartbeatReply {
             upstream: cfg.id.clone(),
             service: cfg.service.clone(),
@@ -137,7 +142,7 @@
             cache_reset: since.reset,
             cache: since.changes,
             asked: core.sessions.ask(&renewed, core.opts.ask_after, now),
-            unrenewed: core.sessions.unrenewed(&renewed),
+            unrenewed: core.sessions.unrenewed(&core.fences, unrenewed_after, now),
         }
     }
 
--- a/fw-side/src/connection/web.rs
+++ b/fw-side/src/connection/web.rs
@@ -8,6 +8,7 @@
 use axum::extract::Request;
 use axum::extract::State;
 use axum::http::StatusCode;
+use axum::middleware;
 use axum::response::Response;
 use axum::routing;
 use hyper::server::conn::http1;
@@ -47,6 +48,7 @@
         .route("/metrics", routing::get(render))
         .route("/leave", routing::post(leave))
         .fallback(forward)
+        .layer(middleware::from_fn_with_state(web.clone(), bypass))
         .with_state(web)
 }
 
@@ -91,6 +93,15 @@
     }
 }
 
+/// Forwards every call of an entry, which has the header `x-fw-attempt`, also where its path is one
+/// of the side's own: a caller's `POST /leave` must not make the side leave.
+async fn bypass(State(web): State<Web>, req: Request, next: middleware::Next) -> Response {
+    if req.headers().contains_key(plain::ATTEMPT) {
+        return plain::forward(&web.core, &web.plain, req).await;
+    }
+    next.run(req).await
+}
+
 async fn ready(State(web): State<Web>) -> StatusCode {
     if web.core.is_leaving() || web.core.is_down() {
         return StatusCode::SERVICE_UNAVAILABLE;
--- a/fw-side/src/options.rs
+++ b/fw-side/src/options.rs
@@ -22,6 +22,8 @@
     pub ask_after: Duration,
     /// How long a finished answer is kept for its keeper.
     pub keep_answer: Duration,
+    /// Most bytes of finished answers that are kept.
+    pub answer_bytes: usize,
     /// Longest time that a read waits for an event.
     pub max_wait: Duration,
     /// First pause before an unconfirmed release is sent again.
@@ -46,6 +48,7 @@
             failed_polls: 3,
             ask_after: Duration::from_secs(30),
             keep_answer: Duration::from_secs(600),
+            answer_bytes: 32 << 20,
             max_wait: Duration::from_secs(30),
             release_pause: Duration::from_millis(200),
             release_pause_max: Duration::from_secs(10),
--- a/fw-side/src/process/attempts.rs
+++ b/fw-side/src/process/attempts.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -17,13 +18,26 @@
 
 use super::histories;
 
+/// Memory of one event besides its text, in bytes.
+const EVENT_OVERHEAD: usize = 32;
+
+/// Bounds of the answers that are kept.
+#[derive(Clone, Copy, Debug)]
+pub struct Keep {
+    /// Longest time that an answer is kept.
+    pub time: Duration,
+    /// Most answers.
+    pub count: usize,
+    /// Most bytes of their events.
+    pub bytes: usize,
+}
+
 /// One attempt.
 #[derive(Debug)]
 pub struct Attempt {
     /// What was asked; its messages were moved into `prompt`.
     pub start: side::Start,
-    /// The whole prompt.
-    pub prompt: histories::Prompt,
+    prompt: Mutex<histories::Prompt>,
     /// When it arrived.
     pub arrived: Instant,
     /// The events and the end.
@@ -31,6 +45,7 @@
     /// Stops the run. The end is in `buffer` before this is cancelled.
     pub stop: CancellationToken,
     ended: Mutex<Option<Instant>>,
+    bytes: AtomicUsize,
     fetched: AtomicBool,
 }
 
@@ -39,15 +54,28 @@
     pub fn new(start: side::Start, prompt: histories::Prompt, arrived: Instant) -> Self {
         Self {
             start,
-            prompt,
+            prompt: Mutex::new(prompt),
             arrived,
             buffer: buffer::Buffer::new(),
             stop: CancellationToken::new(),
             ended: Mutex::default(),
+            bytes: AtomicUsize::new(0),
             fetched: AtomicBool::new(false),
         }
     }
 
+    /// Takes out the whole prompt, for the run; it is empty from then on.
+    pub fn take_prompt(&self) -> histories::Prompt {
+        std::mem::take(&mut *self.prompt.lock())
+    }
+
+    /// Appends an event.
+    pub fn push(&self, event: attempt::Event) {
+        let bytes = event.len() + EVENT_OVERHEAD;
+        self.bytes.fetch_add(bytes, Ordering::Relaxed);
+        self.buffer.push([event]);
+    }
+
     /// When the caller's deadline passes.
     pub fn deadline(&self) -> Instant {
         self.arrived + self.start.deadline
@@ -57,6 +85,8 @@
     pub fn end(&self, state: attempt::State) {
         self.buffer.end(state);
         self.ended.lock().get_or_insert_with(Instant::now);
+        // An answer is kept for long, and its prompt would keep a history from being evicted.
+        drop(self.take_prompt());
     }
 
     /// Ends the attempt with an error and stops its run.
@@ -156,20 +186,29 @@
         inner.values().filter(|attempt| attempt.is_owed()).count()
     }
 
-    /// Drops answers older than `keep`, and the oldest beyond `max`; returns how many.
-    pub fn sweep(&self, keep: Duration, max: usize, now: Instant) -> usize {
+    /// Drops answers that are too old, and the oldest of those that are too many or too large;
+    /// returns how many.
+    pub fn sweep(&self, keep: Keep, now: Instant) -> usize {
         let mut inner = self.inner.lock();
-        let ends = inner.iter();
-        let mut ends: Vec<_> = ends
-            .filter_map(|(id, attempt)| Some(((*attempt.ended.lock())?, *id)))
-            .collect();
+        let mut ends = Vec::new();
+        for (id, attempt) in inner.iter() {
+            if let Some(at) = *attempt.ended.lock() {
+                ends.push((at, *id, attempt.bytes.load(Ordering::Relaxed)));
+            }
+        }
         ends.sort_unstable();
-        let beyond = ends.len().saturating_sub(max);
-        let old = ends.partition_point(|(at, _)| now.saturating_duration_since(*at) > keep);
-        let dropped = beyond.max(old);
-        for (_, id) in &ends[..dropped] {
-            inner.remove(id);
+        let mut count = ends.len();
+        let mut bytes: usize = ends.iter().map(|(_, _, bytes)| bytes).sum();
+        let before = count;
+        for (at, id, size) in ends {
+            let is_old = now.saturating_duration_since(at) > keep.time;
+            if !is_old && count <= keep.count && bytes <= keep.bytes {
+                break;
+            }
+            inner.remove(&id);
+            count -= 1;
+            bytes -= size;
         }
-        dropped
+        before - count
     }
 }
--- a/fw-side/src/process/meter.rs
+++ b/fw-side/src/process/meter.rs
@@ -19,6 +19,7 @@
 struct Inner {
     report: engine::Report,
     reported: Option<Instant>,
+    token: Option<Instant>,
     step: f64,
     prefill_rate: f64,
 }
@@ -37,6 +38,17 @@
         inner.reported = Some(now);
     }
 
+    /// Notes that some stream brought a token.
+    pub fn token(&self, now: Instant) {
+        self.inner.lock().token = Some(now);
+    }
+
+    /// Whether some stream brought a token within the last `within`.
+    pub fn is_streaming(&self, now: Instant, within: Duration) -> bool {
+        let token = self.inner.lock().token;
+        token.is_some_and(|at| now.saturating_duration_since(at) < within)
+    }
+
     /// Takes in the time between two tokens of one stream.
     pub fn step(&self, took: Duration) {
         let mut inner = self.inner.lock();
--- a/fw-side/src/process/poll.rs
+++ b/fw-side/src/process/poll.rs
@@ -11,6 +11,7 @@
 use fw_base::id;
 use fw_conf::side;
 
+use super::attempts;
 use super::core;
 use super::engine;
 use super::line;
@@ -65,6 +66,7 @@
 /// Watches whether the upstream answers, and how busy it is.
 pub async fn watch(core: Arc<core::Core>) {
     let every = core.opts.settings.engine.load_poll;
+    let patience = core.opts.settings.engine.between_tokens_timeout;
     let mut failed = 0;
     let mut incarnation = None;
     loop {
@@ -80,6 +82,8 @@
                 core.up();
             }
             Look::Refused => core.crashed("it refuses connections"),
+            // A busy engine may be late with its report while its streams go on.
+            Look::Silent if core.meter.is_streaming(Instant::now(), patience) => {}
             Look::Silent => {
                 failed += 1;
                 if failed >= core.opts.failed_polls {
@@ -195,6 +199,11 @@
 /// Ends sessions that no keeper renews, and drops old answers.
 pub async fn sweep(core: Arc<core::Core>) {
     let cfg = &core.opts.settings.sessions;
+    let keep = attempts::Keep {
+        time: core.opts.keep_answer,
+        count: cfg.answers_kept,
+        bytes: core.opts.answer_bytes,
+    };
     let every = SWEEP.min(cfg.ttl / 4);
     loop {
         tokio::time::sleep(every).await;
@@ -204,9 +213,7 @@
             metrics::counter!("fw_side_sessions_lapsed_total").increment(lapsed as u64);
             core.orders.notify_one();
         }
-        let dropped = core
-            .attempts
-            .sweep(core.opts.keep_answer, cfg.answers_kept, now);
+        let dropped = core.attempts.sweep(keep, now);
         metrics::counter!("fw_side_answers_dropped_total").increment(dropped as u64);
         gauges(&core);
     }
--- a/fw-side/src/process/sessions.rs
+++ b/fw-side/src/process/sessions.rs
@@ -170,12 +170,18 @@
         asked
     }
 
-    /// Shards with sessions that are not among `renewed`.
-    pub fn unrenewed(&self, renewed: &HashSet<id::ShardId>) -> Vec<id::ShardId> {
+    /// Shards with sessions that no heartbeat renewed within the last `within`.
+    pub fn unrenewed(
+        &self,
+        fences: &fences::Fences,
+        within: Duration,
+        now: Instant,
+    ) -> Vec<id::ShardId> {
         let inner = self.inner.lock();
-        let shards = inner.sessions.values().map(|session| session.shard);
-        let others: HashSet<_> = shards.filter(|shard| !renewed.contains(shard)).collect();
-        others.into_iter().take(MAX_UNRENEWED).collect()
+        let shards: HashSet<_> = inner.sessions.values().map(|s| s.shard).collect();
+        let is_old = |shard: &id::ShardId| fences.age(*shard, now).is_none_or(|age| age > within);
+        let old = shards.into_iter().filter(is_old);
+        old.take(MAX_UNRENEWED).collect()
     }
 
     /// Programs whose memory is to be freed now. Each is due again after a growing pause, until
--- a/fw-side/src/request/plain.rs
+++ b/fw-side/src/request/plain.rs
@@ -19,6 +19,7 @@
 use futures_util::stream;
 use fw_base::error;
 use fw_base::id;
+use fw_conf::side;
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt;
@@ -50,6 +51,9 @@
     HeaderName::from_static("keep-alive"),
 ];
 
+/// Paths of a model engine that plain calls may reach.
+const ENGINE_PATHS: [&str; 2] = ["/v1/models", "/v1/embeddings"];
+
 /// The body of an answer stopped coming.
 #[derive(Debug, Snafu)]
 #[snafu(display("the upstream sent nothing for {after:?}"))]
@@ -116,6 +120,7 @@
     req: Request,
 ) -> Result<Response, error::Error> {
     let terms = terms(core, req.headers())?;
+    check_path(core, req.uri().path())?;
     core.admits()?;
     let place = place(core, terms.within).await?;
     // The upstream may have begun to leave while the call waited for its place.
@@ -132,6 +137,19 @@
     }
 }
 
+/// Lets only calls that generate nothing and order nothing through to a model engine.
+///
+/// Guards against a route that covers the engine's own paths: a caller could cancel others'
+/// requests or free their memory, or fill the batch past the queue.
+fn check_path(core: &core::Core, path: &str) -> Result<(), error::Error> {
+    let is_engine = core.opts.settings.engine.kind == side::Kind::Llm;
+    if !is_engine || ENGINE_PATHS.contains(&path) {
+        return Ok(());
+    }
+    let why = format!("a model engine takes plain calls to {ENGINE_PATHS:?} only, not `{path}`");
+    Err(refuse::with(error::Kind::UnknownRoute, why))
+}
+
 fn terms(core: &core::Core, headers: &HeaderMap) -> Result<Terms, error::Error> {
     let attempt = parsed(headers, &ATTEMPT, |text| {
         id::AttemptId::from_str_radix(text, 16).ok()
--- a/fw-side/src/request/run.rs
+++ b/fw-side/src/request/run.rs
@@ -18,6 +18,7 @@
 use crate::process::attempts;
 use crate::process::core;
 use crate::process::engine;
+use crate::process::histories;
 use crate::refuse;
 
 /// Times that a cancellation is sent until the engine confirms it.
@@ -43,6 +44,7 @@
 struct Run<'a> {
     core: &'a core::Core,
     attempt: &'a attempts::Attempt,
+    prompt: histories::Prompt,
     name: String,
     released: Instant,
     answer: answer::Answer,
@@ -64,6 +66,7 @@
         name: name_of(start.attempt),
         core: &core,
         attempt: &attempt,
+        prompt: attempt.take_prompt(),
         released: Instant::now(),
         answer: answer::Answer::default(),
         accepted: false,
@@ -117,7 +120,7 @@
             max_tokens: start.max_tokens,
             params: &start.params,
         };
-        let body = body::write(&opts, self.attempt.prompt.messages()).map_err(Fault::Failed)?;
+        let body = body::write(&opts, self.prompt.messages()).map_err(Fault::Failed)?;
         let sent = self.core.engine.complete(&self.name, &start.program, body);
         let mut next = match sent.await {
             Ok(head) => Some(accepted(head).await?),
@@ -223,7 +226,7 @@
                 if has_content {
                     self.note_token();
                 }
-                self.attempt.buffer.push([attempt::Event::from(data)]);
+                self.attempt.push(attempt::Event::from(data));
                 Ok(())
             }
             answer::Taken::Usage => Ok(()),
@@ -236,6 +239,7 @@
 
     fn note_token(&mut self) {
         let now = Instant::now();
+        self.core.meter.token(now);
         if let Some(last) = self.last {
             self.core.meter.step(now - last);
         }
@@ -321,7 +325,7 @@
     /// the engine's own events say so later.
     fn remember(&self, message: &chat::Message, usage: chat::Usage) {
         let program = &self.attempt.start.program;
-        let mut prompt = self.attempt.prompt.clone();
+        let mut prompt = self.prompt.clone();
         prompt.push(message.clone());
         self.core.histories.put(program, prompt);
         self.core
