foxtailweir: tests of changes that reach an entry cut off from the store

Cause: lets an entry take newer records from others; nothing showed that it works. Change: two entries, a port of the store each; one port hangs, a record is put by the other entry; once at once, for either of them, and once after the lease of the cut-off entry has lapsed. Measured: real_entry's 3 tests pass three times over, all 21 tests of foxtailweir pass; without the question to the entries that have newer records both new tests fail. Conclusion: a change reaches every entry that reaches another. An entry whose lease lapsed is still left out of the count of the others.

--- a/foxtailweir/tests/foxtailweir/real_entry.rs
+++ b/foxtailweir/tests/foxtailweir/real_entry.rs
@@ -24,10 +24,11 @@
     task: JoinHandle<bool>,
 }
 
-async fn start(store: &store::Store) -> Entry {
+/// Starts an entry that reaches the store by one of its ports.
+async fn start(store: &store::Store, port: usize) -> Entry {
     let mut settings = entry::Settings::default();
-    let endpoints = store.endpoints();
-    settings.store.endpoints = endpoints.iter().map(|e| e.parse().unwrap()).collect();
+    settings.store.endpoints = vec![store.endpoint(port).parse().unwrap()];
+    settings.keeper.lease_ttl = Duration::from_secs(1);
     settings.listen.admin.set_port(0);
     settings.shutdown.drain_timeout = Duration::from_secs(2);
     let (started_tx, started) = oneshot::channel();
@@ -43,16 +44,21 @@
     Entry { addrs, stop, task }
 }
 
-/// Waits until the entry knows of `count` processes.
-async fn know(entry: &Entry, count: usize) {
+/// Waits until what the entry reports of records of `revision` is as wanted.
+async fn reports(entry: &Entry, revision: i64, wanted: impl Fn(&admin::InForce) -> bool) {
     let client = admin::Client::new(entry.addrs.admin.to_string());
-    let known = async {
-        while client.in_force(0).await.unwrap().of < count {
+    let reported = async {
+        while !wanted(&client.in_force(revision).await.unwrap()) {
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
     };
-    let known = tokio::time::timeout(PATIENCE, known).await;
-    known.expect("entries find each other");
+    let reported = tokio::time::timeout(PATIENCE, reported).await;
+    reported.expect("the entry reports what is wanted");
+}
+
+/// Waits until the entry knows of `count` processes.
+async fn know(entry: &Entry, count: usize) {
+    reports(entry, 0, |state| state.of == count).await;
 }
 
 #[gtest]
@@ -61,8 +67,8 @@
     let store = store::Store::start(store::Options::default())
         .await
         .unwrap();
-    let first = start(&store).await;
-    let second = start(&store).await;
+    let first = start(&store, 0).await;
+    let second = start(&store, 0).await;
     know(&first, 2).await;
     let path = file(
         "real.json",
@@ -83,3 +89,57 @@
         expect_true!(entry.task.await.unwrap());
     }
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn change_reaches_an_entry_that_is_cut_off_from_the_store() {
+    // One of two entries cannot reach the store any more, but other entries and its callers. A
+    // record is changed through the other entry. The first hears of the newer revision with every
+    // status it exchanges; if it only ever asked the store for the records, it would go on with
+    // the old ones for as long as the cut lasts.
+    let opts = store::Options {
+        ports: 2,
+        ..store::Options::default()
+    };
+    for cut in [0, 1] {
+        let store = store::Store::start(opts.clone()).await.unwrap();
+        let entries = [start(&store, 0).await, start(&store, 1).await];
+        know(&entries[0], 2).await;
+        know(&entries[1], 2).await;
+        store.faults(cut, |f| f.outage = Some(store::Outage::Hang));
+        let path = file(
+            &format!("cut{cut}.json"),
+            r#"{"kind": "team", "name": "real", "record": {"schema": 2, "share": 2}}"#,
+        );
+        let admin = entries[1 - cut].addrs.admin;
+        let line = format!("records put {path} --timeout 20s -e {admin}");
+        let put = run_beside(line).await;
+        expect_eq!(put.exit, exit::Exit::Success, "{}", put.err);
+        expect_that!(put.err, contains_substring("in force at 2 of 2"));
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn change_reaches_an_entry_whose_lease_lapsed_in_the_cut() {
+    // As before, but the cut lasts: the entry's lease lapses and the others do not list it any
+    // more. It still serves its callers, so it must still learn of changes by asking them.
+    let opts = store::Options {
+        ports: 2,
+        ..store::Options::default()
+    };
+    let store = store::Store::start(opts).await.unwrap();
+    let cut = start(&store, 0).await;
+    let other = start(&store, 1).await;
+    know(&cut, 2).await;
+    know(&other, 2).await;
+    store.faults(0, |f| f.outage = Some(store::Outage::Hang));
+    know(&other, 1).await;
+    let path = file(
+        "lapsed.json",
+        r#"{"kind": "team", "name": "real", "record": {"schema": 2, "share": 2}}"#,
+    );
+    let put = run_beside(format!("records put {path} -e {}", other.addrs.admin)).await;
+    let revision = put.out.trim().parse().unwrap();
+    reports(&cut, revision, |state| state.waiting.is_empty()).await;
+}
