--- a/fw-record/tests/record/bad_input.rs
+++ b/fw-record/tests/record/bad_input.rs
@@ -8,10 +8,14 @@
 use fw_store::kv;
 use googletest::prelude::*;
 use proptest::prelude::*;
+use proptest::test_runner;
 use serde_json::Map;
 use serde_json::Value;
 use serde_json::json;
 
+/// Seed of the generated records.
+const SEED: u64 = 1;
+
 fn refusal(kind: key::Kind, json: &Value) -> String {
     let name = key::Name::new(kind, "a");
     let result = document::Document::from_operator(name, json.to_string().as_bytes());
@@ -200,7 +204,18 @@
     prop::sample::select(key::Kind::ALL.to_vec())
 }
 
+/// Each case from a fixed seed; `PROPTEST_CASES` sets how many.
+fn config() -> test_runner::Config {
+    test_runner::Config {
+        failure_persistence: None,
+        rng_seed: test_runner::RngSeed::Fixed(SEED),
+        ..test_runner::Config::default()
+    }
+}
+
 proptest! {
+    #![proptest_config(config())]
+
     #[test]
     fn bytes_never_panic(bytes in prop::collection::vec(any::<u8>(), 0..200), kind in any_kind()) {
         let name = key::Name::new(kind, "a");
--- a/fw-store/tests/store/bad_answers.rs
+++ b/fw-store/tests/store/bad_answers.rs
@@ -19,6 +19,9 @@
 /// Generated answers in each property test; each is a call over a socket.
 const CASES: u32 = 200;
 
+/// Seed of the generated answers.
+const SEED: u64 = 1;
+
 fn write() -> kv::Txn {
     kv::Txn {
         then: vec![kv::Op::put("/a", "1")],
@@ -166,6 +169,7 @@
     let config = test_runner::Config {
         cases: CASES,
         failure_persistence: None,
+        rng_seed: test_runner::RngSeed::Fixed(SEED),
         ..test_runner::Config::default()
     };
     let mut runner = test_runner::TestRunner::new(config);
