Turns that only a side holds are recovered by their shard's next keeper

Cause: during a store outage an answer is given once keeper and side hold it. Ruled out: waiting for the store without end (an outage would stop every program); the fenced keeper handing over by itself (it may be dead). Change: a side names shards of held answers in its heartbeats; the new keeper asks for them (Side::held), commits those that continue the history, by digest, and serves the shard only once every reachable side was heard. Conclusion: what is still lost is an answer whose keeper and side both die in an outage.

--- a/fw-entry/src/connection/heartbeat.rs
+++ b/fw-entry/src/connection/heartbeat.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use fw_base::id;
 use fw_plan::health;
@@ -10,6 +11,7 @@
 use fw_wire::transport;
 use tracing::info;
 
+use super::recover;
 use super::sides;
 use crate::process::entry;
 
@@ -34,14 +36,15 @@
     upstream.heartbeat_interval.max(spread)
 }
 
-async fn beat(entry: &entry::Entry, side: &sides::Side, interval: Duration) {
+async fn beat(entry: &Arc<entry::Entry>, side: &Arc<sides::Side>, interval: Duration) {
     let req = request(entry, side);
+    let sent = Instant::now();
     let cx = transport::context(interval);
     let addr = side.instance.side;
     let call = |client: side::SideClient| async move { client.heartbeat(cx, req).await };
     match entry.sides.pool.call(addr, call).await {
         Ok(reply) if is_someone_else(side, &reply) => missed(entry, side),
-        Ok(reply) => answered(entry, side, reply).await,
+        Ok(reply) => answered(entry, side, reply, sent).await,
         Err(_) => missed(entry, side),
     }
 }
@@ -75,7 +78,12 @@
     see(entry, side, health::Seen::Failed);
 }
 
-async fn answered(entry: &entry::Entry, side: &sides::Side, reply: side::HeartbeatReply) {
+async fn answered(
+    entry: &Arc<entry::Entry>,
+    side: &Arc<sides::Side>,
+    reply: side::HeartbeatReply,
+    sent: Instant,
+) {
     note_incarnation(entry, side, &reply);
     note_load(entry, side, &reply);
     note_cache(entry, side, &reply);
@@ -85,19 +93,24 @@
         _ => health::Seen::Answered,
     };
     see(entry, side, seen);
-    let was_reachable = side.update(|state| {
+    let mine = |shard: &id::ShardId| entry.keeper.fence(*shard).is_some();
+    let (was_reachable, recovering) = side.update(|state| {
         state.revision = reply.revision;
         state.cache_seen = reply.cache_seq;
         state.asked = reply.asked;
-        state
-            .shards
-            .retain(|shard| entry.keeper.fence(*shard).is_some());
-        let mine = |shard: &id::ShardId| entry.keeper.fence(*shard).is_some();
-        state
-            .shards
-            .extend(reply.unrenewed.into_iter().filter(mine));
-        std::mem::replace(&mut state.reachable, true)
+        state.heard = Some(sent);
+        state.shards.retain(mine);
+        state.recovering.retain(|shard, _| mine(shard));
+        for shard in reply.unrenewed.into_iter().filter(mine) {
+            state.shards.insert(shard);
+            state.recovering.entry(shard).or_insert(0);
+        }
+        let recovering: Vec<_> = state.recovering.keys().copied().collect();
+        (std::mem::replace(&mut state.reachable, true), recovering)
     });
+    if !recovering.is_empty() {
+        recover::run(Arc::clone(entry), Arc::clone(side), recovering).await;
+    }
     if !was_reachable {
         info!(upstream = %side.instance.id, "side answers");
     }
--- a/fw-entry/src/connection/mod.rs
+++ b/fw-entry/src/connection/mod.rs
@@ -3,4 +3,5 @@
 pub mod heartbeat;
 pub mod listen;
 pub mod pool;
+pub mod recover;
 pub mod sides;
--- a/fw-entry/src/connection/sides.rs
+++ b/fw-entry/src/connection/sides.rs
@@ -1,10 +1,12 @@
 //! The sides that this entry works with, and what it knows of their upstreams.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use fw_base::id;
 use fw_plan::health;
@@ -93,6 +95,11 @@
     pub shards: BTreeSet<id::ShardId>,
     /// Programs that the side asked after.
     pub asked: Vec<id::ProgramId>,
+    /// When the last heartbeat that was answered was sent.
+    pub heard: Option<Instant>,
+    /// Shards of which the side holds turns that are not in the journal, and how often it was
+    /// asked for them.
+    pub recovering: BTreeMap<id::ShardId, u32>,
     /// The last heartbeat was answered.
     pub reachable: bool,
 }
--- a/fw-entry/src/process/entry.rs
+++ b/fw-entry/src/process/entry.rs
@@ -23,6 +23,7 @@
 use super::explain;
 use super::peers;
 use crate::connection::pool;
+use crate::connection::recover;
 use crate::connection::sides;
 use crate::version::records;
 
@@ -111,6 +112,12 @@
         self.settings.keeper.lease_ttl * 2
     }
 
+    /// The fencing number of `shard`, if it is kept here and all that is held of it is known.
+    pub fn serving(&self, shard: id::ShardId) -> Option<id::Fence> {
+        let fence = self.keeper.fence(shard)?;
+        recover::is_complete(self, shard).then_some(fence)
+    }
+
     /// Whether the keeper of `program`, if this is it, knows that its engine memory may be freed.
     pub fn is_gone(&self, program: &id::ProgramId) -> bool {
         let shard = self.keeper.shard_of(program);
--- a/fw-entry/src/turn/program.rs
+++ b/fw-entry/src/turn/program.rs
@@ -73,6 +73,9 @@
 /// Answers [`query`] at the keeper.
 pub fn look(entry: &entry::Entry, req: &peer::Query) -> peer::QueryReply {
     let shard = entry.keeper.shard_of(&req.program);
+    if entry.serving(shard).is_none() {
+        return peer::QueryReply::NotKeeper;
+    }
     let found = entry.keeper.with_shard(shard, |shard| {
         let program = shard.program(&req.program).ok_or_else(unknown)?;
         if *program.team() != req.team {
@@ -91,6 +94,9 @@
 /// until they have freed the program's engine memory.
 pub async fn finish(entry: &entry::Entry, req: &peer::Query) -> peer::QueryReply {
     let shard = entry.keeper.shard_of(&req.program);
+    if entry.serving(shard).is_none() {
+        return peer::QueryReply::NotKeeper;
+    }
     let now = keeper::now();
     let ended = entry
         .keeper
--- a/fw-entry/src/turn/run.rs
+++ b/fw-entry/src/turn/run.rs
@@ -263,6 +263,7 @@
             share: self.plan.share,
             attained: self.attained(),
             prompt_tokens: self.run.prompt_tokens,
+            single: self.req.single,
             alone: current.alone,
         })
     }
--- a/fw-entry/src/turn/submit.rs
+++ b/fw-entry/src/turn/submit.rs
@@ -109,7 +109,7 @@
 
 fn take_in(entry: &Arc<entry::Entry>, req: peer::Submit) -> peer::SubmitReply {
     let shard = entry.keeper.shard_of(&req.program);
-    let Some(fence) = entry.keeper.fence(shard) else {
+    let Some(fence) = entry.serving(shard) else {
         return peer::SubmitReply::NotKeeper;
     };
     let plan = match plan::Plan::new(entry, &req, shard, fence) {
@@ -146,7 +146,7 @@
             peer::History::Delta => program::History::Delta,
         },
         messages: req.messages.clone(),
-        params: params_digest(req),
+        params: params_digest(&req.model, &req.params),
         attempt: rand::rng().random(),
         max_tokens: Some(plan.max_tokens),
         limits: plan.limits,
@@ -163,8 +163,8 @@
 }
 
 /// What else makes a turn another turn: the model and the caller's other fields.
-fn params_digest(req: &peer::Submit) -> digest::Digest {
-    digest::Digest::of_bytes(format!("{}\n{}", req.model, req.params).as_bytes())
+pub fn params_digest(model: &id::ModelId, params: &str) -> digest::Digest {
+    digest::Digest::of_bytes(format!("{model}\n{params}").as_bytes())
 }
 
 fn start(
--- a/fw-keep/src/keeper/mod.rs
+++ b/fw-keep/src/keeper/mod.rs
@@ -274,6 +274,13 @@
         slot.serving().map(|kept| kept.writer.fence())
     }
 
+    /// Since when `shard` is kept here, if it is.
+    pub fn kept_since(&self, shard: id::ShardId) -> Option<Instant> {
+        let slot = self.inner.slots.get(usize::from(shard))?;
+        let mut slot = slot.lock();
+        slot.serving().map(|kept| kept.since)
+    }
+
     /// The other live entries and where to reach them.
     pub fn entries(&self) -> Vec<(id::EntryId, SmolStr)> {
         self.inner.table.read().entries()
--- a/fw-keep/src/keeper/slot.rs
+++ b/fw-keep/src/keeper/slot.rs
@@ -1,5 +1,7 @@
 //! The place of one shard at this entry.
 
+use std::time::Instant;
+
 use tokio::sync::watch;
 
 use crate::journal::writer::Writer;
@@ -23,6 +25,8 @@
     pub(super) writer: Writer,
     /// Tells this time of keeping the shard from any other.
     pub(super) incarnation: u64,
+    /// Since when it is kept.
+    pub(super) since: Instant,
     /// It is being handed over and serves no more.
     pub(super) is_leaving: bool,
     /// Position up to which changes are in the store.
@@ -35,6 +39,7 @@
             shard,
             writer,
             incarnation: rand::random(),
+            since: Instant::now(),
             is_leaving: false,
             progress: watch::Sender::new(0),
         }
--- a/fw-keep/src/program.rs
+++ b/fw-keep/src/program.rs
@@ -116,6 +116,25 @@
     pub time_left: Option<Duration>,
 }
 
+/// A turn that was answered under an earlier keeper and is not in the journal.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Held {
+    /// The program's team.
+    pub team: id::TeamId,
+    /// Its number.
+    pub turn: id::Turn,
+    /// The attempt that ran it.
+    pub attempt: id::AttemptId,
+    /// The whole prompt.
+    pub prompt: Vec<chat::Message>,
+    /// Digest of what else makes it the turn that it is.
+    pub params: Digest,
+    /// The answer.
+    pub answer: Answer,
+    /// Time that it ran.
+    pub ran: Duration,
+}
+
 /// The answer of a turn.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Answer {
@@ -395,6 +414,39 @@
         turn.turn == self.turn() + 1 && turn.base == self.digest
     }
 
+    /// The turn that was answered under an earlier keeper, if it continues the history and nothing
+    /// is under way.
+    pub(crate) fn resume(&self, held: Held) -> Option<Turn> {
+        let is_next = held.turn == self.turn() + 1 && held.team == self.team;
+        if !is_next || self.status() != Status::Idle {
+            return None;
+        }
+        let messages = held.prompt.get(self.history.len()..)?.to_vec();
+        let prompt = self.digest.extend_all(&messages);
+        // Digests chain over all messages, so equal ones mean that the held prompt begins with
+        // this very history.
+        if prompt != Digest::EMPTY.extend_all(&held.prompt) {
+            return None;
+        }
+        let usage = held.answer.usage;
+        Some(Turn {
+            committed: Committed {
+                turn: held.turn,
+                attempt: held.attempt,
+                base: self.digest,
+                prompt,
+                params: held.params,
+                answer: held.answer,
+            },
+            messages,
+            spent: ledger::Amount {
+                turns: 1,
+                tokens: usage.prompt.saturating_add(usage.completion),
+                time: held.ran,
+            },
+        })
+    }
+
     /// Applies a turn that was finished here or read from the journal.
     pub fn apply(&mut self, turn: &Turn, now: Duration) {
         self.history.extend_from_slice(&turn.messages);
--- a/fw-keep/src/shard.rs
+++ b/fw-keep/src/shard.rs
@@ -42,6 +42,17 @@
     pub position: Position,
 }
 
+/// What became of a turn that was held outside of the journal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Recovered {
+    /// It is committed now.
+    Applied,
+    /// It is in the journal already, or does not continue the history.
+    Obsolete,
+    /// A turn before it is missing.
+    Gap,
+}
+
 /// How long what is finished is kept.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Retention {
@@ -234,6 +245,46 @@
         let known = self.programs.get_mut(program)?;
         let turn = known.finish(attempt, answer, now)?;
         let committed = turn.committed.clone();
+        let position = self.push_turn(program, turn, now);
+        Some(Finished {
+            committed,
+            position,
+        })
+    }
+
+    /// Commits a turn that was answered under an earlier keeper and did not reach the journal.
+    ///
+    /// The answer may have been given to its caller: another one for the same turn would not fit
+    /// what the caller holds.
+    pub fn recover(
+        &mut self,
+        program: &id::ProgramId,
+        held: program::Held,
+        now: Duration,
+    ) -> Recovered {
+        let fresh = Program::new(held.team.clone(), None, now);
+        let known = self.programs.get(program).unwrap_or(&fresh);
+        if known.turn() + 1 < held.turn {
+            return Recovered::Gap;
+        }
+        let Some(turn) = known.resume(held) else {
+            return Recovered::Obsolete;
+        };
+        let known = self.programs.entry(program.clone()).or_insert(fresh);
+        known.apply(&turn, now);
+        self.push_turn(program, turn, now);
+        Recovered::Applied
+    }
+
+    /// Enters a turn of a known program into the journal.
+    fn push_turn(
+        &mut self,
+        program: &id::ProgramId,
+        turn: program::Turn,
+        now: Duration,
+    ) -> Position {
+        let known = self.programs.get(program);
+        let known = known.expect("the turn was applied to the program");
         let entry = Entry::Turn {
             program: program.clone(),
             team: known.team().clone(),
@@ -241,11 +292,7 @@
             turn: Box::new(turn),
             at: now,
         };
-        let position = self.push(entry);
-        Some(Finished {
-            committed,
-            position,
-        })
+        self.push(entry)
     }
 
     /// Gives up the turn of `attempt`; false if that attempt is not under way.
--- /dev/null
+++ b/fw-keep/tests/keep/held_turns.rs
@@ -0,0 +1,113 @@
+//! Turns that were answered under an earlier keeper and are in no journal.
+
+use std::time::Duration;
+
+use fw_base::chat;
+use fw_base::digest::Digest;
+use fw_base::id;
+use fw_keep::program;
+use fw_keep::shard;
+use googletest::prelude::*;
+
+const NOW: Duration = Duration::from_secs(1_000);
+
+fn answer(text: &str) -> program::Answer {
+    program::Answer {
+        message: chat::Message::text("assistant", text),
+        finish_reason: "stop".to_owned(),
+        usage: chat::Usage::default(),
+    }
+}
+
+/// Turn `turn` of a program whose caller says `ask n` and whose answers are `answer n`.
+fn held(turn: id::Turn) -> program::Held {
+    let before = (1..turn).flat_map(|n| [ask(n), reply(n)]);
+    program::Held {
+        team: "team".into(),
+        turn,
+        attempt: u64::from(turn),
+        prompt: before.chain([ask(turn)]).collect(),
+        params: Digest::EMPTY,
+        answer: answer(&format!("answer {turn}")),
+        ran: Duration::from_secs(1),
+    }
+}
+
+fn ask(turn: id::Turn) -> chat::Message {
+    chat::Message::text("user", &format!("ask {turn}"))
+}
+
+fn reply(turn: id::Turn) -> chat::Message {
+    chat::Message::text("assistant", &format!("answer {turn}"))
+}
+
+#[gtest]
+fn held_turns_continue_the_history() {
+    let mut shard = shard::Shard::new(0);
+    let program: id::ProgramId = "p".into();
+    for turn in 1..=3 {
+        let recovered = shard.recover(&program, held(turn), NOW);
+        expect_that!(recovered, eq(shard::Recovered::Applied));
+    }
+    let known = shard.program(&program).unwrap();
+    expect_that!(known.turn(), eq(3));
+    expect_that!(known.history().len(), eq(6));
+    expect_that!(shard.pending(), eq(3));
+}
+
+// Two sides hold a turn each, and the one with the later turn is heard first. Applied at once, it
+// would stand on a history that lacks a turn; it has to wait.
+#[gtest]
+fn a_turn_waits_for_the_one_before_it() {
+    let mut shard = shard::Shard::new(0);
+    let program: id::ProgramId = "p".into();
+    expect_that!(
+        shard.recover(&program, held(2), NOW),
+        eq(shard::Recovered::Gap)
+    );
+    expect_that!(
+        shard.recover(&program, held(1), NOW),
+        eq(shard::Recovered::Applied)
+    );
+    expect_that!(
+        shard.recover(&program, held(2), NOW),
+        eq(shard::Recovered::Applied)
+    );
+}
+
+#[gtest]
+fn a_turn_of_the_journal_is_obsolete() {
+    let mut shard = shard::Shard::new(0);
+    let program: id::ProgramId = "p".into();
+    shard.recover(&program, held(1), NOW);
+    expect_that!(
+        shard.recover(&program, held(1), NOW),
+        eq(shard::Recovered::Obsolete)
+    );
+    expect_that!(shard.pending(), eq(1));
+}
+
+// A side holds an answer of an attempt that was given up: the turn ran again elsewhere and went
+// into the journal with another answer. The held turn after it stands on a history that never was.
+#[gtest]
+fn a_turn_of_another_history_is_not_mixed_in() {
+    let mut shard = shard::Shard::new(0);
+    let program: id::ProgramId = "p".into();
+    let other = program::Held {
+        answer: answer("another answer"),
+        ..held(1)
+    };
+    shard.recover(&program, other, NOW);
+    expect_that!(
+        shard.recover(&program, held(2), NOW),
+        eq(shard::Recovered::Obsolete)
+    );
+    let foreign = program::Held {
+        team: "others".into(),
+        ..held(2)
+    };
+    expect_that!(
+        shard.recover(&program, foreign, NOW),
+        eq(shard::Recovered::Obsolete)
+    );
+}
--- a/fw-keep/tests/keep/main.rs
+++ b/fw-keep/tests/keep/main.rs
@@ -4,6 +4,7 @@
 mod claim_steps;
 mod commit_answers;
 mod fleet;
+mod held_turns;
 mod journal_replay;
 mod keeper_claims;
 mod keeper_handover;
--- /dev/null
+++ b/fw-local/tests/local/crashed_parts.rs
@@ -0,0 +1,167 @@
+//! Engines, sides and entries that die between and under turns.
+
+use std::time::Duration;
+
+use fw_base::error;
+use fw_fake::engine;
+use fw_local::agent;
+use fw_local::caller;
+use fw_local::system;
+use googletest::prelude::*;
+
+use super::rig;
+
+/// An engine slow enough to be crashed in the middle of an answer.
+fn slow() -> system::Options {
+    system::Options {
+        engine: engine::Options {
+            step: Duration::from_millis(20),
+            ..engine::Options::default()
+        },
+        ..system::Options::default()
+    }
+}
+
+fn long(text: &str) -> caller::Chat {
+    caller::Chat {
+        max_tokens: Some(60),
+        ..rig::ask(text)
+    }
+}
+
+/// Waits until some engine runs a request, and says which.
+async fn busy_engine(system: &system::System) -> usize {
+    for _ in 0..500 {
+        let busy = system
+            .engines
+            .iter()
+            .position(|w| w.upstream.under_way() > 0);
+        if let Some(engine) = busy {
+            return engine;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("no engine got the request");
+}
+
+// A shopkeeper watches a page being drafted when the engine behind it crashes. The turn runs again
+// on another engine; the text goes on where it stopped, and is what an undisturbed run gives.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_survives_its_engine() {
+    let system = rig::with(slow()).await;
+    let undisturbed = rig::chat(system.callers(0), &long("draft")).await;
+    let addr = system.callers(0);
+    let task = tokio::spawn(async move { rig::chat(addr, &long("draft")).await });
+    let engine = busy_engine(&system).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    system.engines[engine].upstream.crash();
+    let answer = task.await.unwrap();
+    expect_that!(answer.kind, none());
+    expect_true!(answer.is_ok());
+    expect_that!(answer.text, eq(&undisturbed.text));
+}
+
+// The same, but the side beside the engine dies, so that nobody says what became of the turn.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_survives_its_side() {
+    let mut system = rig::with(slow()).await;
+    let addr = system.callers(0);
+    let task = tokio::spawn(async move { rig::chat(addr, &long("draft")).await });
+    let engine = busy_engine(&system).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    system.kill_side(engine);
+    let answer = task.await.unwrap();
+    expect_that!(answer.kind, none());
+    expect_true!(answer.is_ok());
+}
+
+// A case officer's program has two turns behind it when the entry that keeps it dies. The balancer
+// sends the third turn to another entry. It must be answered with the whole history in place.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_program_survives_its_keeper() {
+    let mut system = rig::system().await;
+    let opts = agent::Options {
+        turns: 2,
+        delta: true,
+        end: false,
+        ..agent::Options::default()
+    };
+    let caller = caller::Caller::new();
+    let programs: Vec<_> = (0..8).map(|n| format!("case-{n}")).collect();
+    for program in &programs {
+        let opts = agent::Options {
+            program: program.clone(),
+            ..opts.clone()
+        };
+        let outcome = agent::run(&caller, &system.balancer(), &opts).await;
+        expect_true!(outcome.finished);
+    }
+    system.kill_entry(0);
+    for program in &programs {
+        let chat = caller::Chat {
+            headers: vec![
+                ("x-program", program.clone()),
+                ("x-turn", "3".to_owned()),
+                ("x-history", "delta".to_owned()),
+            ],
+            ..rig::ask("offer")
+        };
+        let answer = rig::chat(system.callers(1), &chat).await;
+        expect_that!(answer.kind, none());
+        expect_that!(answer.turn, some(eq(3)));
+        let path = format!("/v1/programs/{program}");
+        let known = caller
+            .plain(system.callers(1), "GET", &path, &[], "".into())
+            .await;
+        expect_that!(known.body["history"].as_array().map(Vec::len), some(eq(6)));
+    }
+}
+
+// The keeper dies while it runs a turn that came in through another entry. The caller's connection
+// is not with the dead one: it must get its whole answer, a lease later.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_turn_survives_its_keeper() {
+    let mut system = rig::with(slow()).await;
+    let other = system.entries[1].as_ref().unwrap().entry().clone();
+    let mut names = (0..).map(|n| format!("turn-{n}"));
+    let kept_by_0 = |name: &String| other.keeper.fence(other.keeper.shard_of(name)).is_none();
+    let program = names.find(kept_by_0).unwrap();
+    let addr = system.callers(1);
+    let chat = caller::Chat {
+        headers: vec![("x-program", program)],
+        ..long("draft")
+    };
+    let task = tokio::spawn(async move { rig::chat(addr, &chat).await });
+    busy_engine(&system).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    system.kill_entry(0);
+    let answer = task.await.unwrap();
+    expect_that!(answer.kind, none());
+    expect_true!(answer.is_ok());
+}
+
+// One request crashes each engine that runs it, and its caller sends it again. It is tried once
+// more, alone; then it is quarantined, and the third engine lives to answer the others.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_poison_request_is_quarantined() {
+    let system = rig::system().await;
+    for worker in &system.engines {
+        worker.upstream.poison(Some("poison"));
+    }
+    let poison = caller::Chat {
+        headers: vec![("x-program", "bad".to_owned())],
+        ..rig::ask("poison")
+    };
+    let mut kinds = Vec::new();
+    for _ in 0..4 {
+        kinds.extend(rig::chat(system.callers(0), &poison).await.kind);
+    }
+    expect_that!(kinds.last(), some(eq(&error::Kind::Quarantined)));
+    let good = rig::chat(system.callers(0), &rig::ask("good")).await;
+    expect_that!(good.kind, none());
+}
--- /dev/null
+++ b/fw-local/tests/local/store_outages.rs
@@ -0,0 +1,130 @@
+//! The platform's store down or slow while calls go on.
+
+use std::time::Duration;
+
+use fw_base::error;
+use fw_fake::store;
+use fw_local::agent;
+use fw_local::caller;
+use googletest::prelude::*;
+
+use super::rig;
+
+/// An outage longer than every lease of the test's system.
+const OUTAGE: Duration = Duration::from_millis(3500);
+
+// The store is away for longer than the keepers' leases. Programs go on all the while; when it is
+// back, every turn answered meanwhile is in the journal: another entry knows it after a take-over.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn programs_go_on_and_are_kept() {
+    let mut system = rig::system().await;
+    let caller = caller::Caller::new();
+    let opts = agent::Options {
+        program: "outage".to_owned(),
+        turns: 6,
+        pause: OUTAGE / 8,
+        delta: true,
+        end: false,
+        ..agent::Options::default()
+    };
+    let addrs = system.balancer();
+    let task = tokio::spawn(async move { agent::run(&caller, &addrs, &opts).await });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    system.store.set_outage(Some(store::Outage::Hang));
+    tokio::time::sleep(OUTAGE).await;
+    system.store.set_outage(None);
+    let outcome = task.await.unwrap();
+    expect_true!(outcome.finished);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    expect_true!(system.stop_entry(0).await);
+    let caller = caller::Caller::new();
+    let known = caller
+        .plain(
+            system.callers(1),
+            "GET",
+            "/v1/programs/outage",
+            &[],
+            "".into(),
+        )
+        .await;
+    expect_that!(known.body["turn"].as_u64(), some(eq(6)));
+    expect_that!(known.body["history"].as_array(), some(eq(&outcome.history)));
+}
+
+// The store is away while a case officer's program makes two turns; its keeper and the side hold the
+// answers that the officer has seen. Then the keeper dies, before the store is back. Its successor
+// finds a journal without these turns: it must have them from the sides, or the officer's next turn
+// continues a history that the system does not know.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_survive_their_keeper_in_an_outage() {
+    let mut system = rig::system().await;
+    let other = system.entries[1].as_ref().unwrap().entry().clone();
+    let mut names = (0..).map(|n| format!("held-{n}"));
+    let kept_by_0 = |name: &String| other.keeper.fence(other.keeper.shard_of(name)).is_none();
+    let program = names.find(kept_by_0).unwrap();
+    let turn = |turn: u32| caller::Chat {
+        headers: vec![
+            ("x-program", program.clone()),
+            ("x-turn", turn.to_string()),
+            ("x-history", "delta".to_owned()),
+        ],
+        ..rig::ask(&format!("offer {turn}"))
+    };
+    expect_true!(rig::chat(system.callers(0), &turn(1)).await.is_ok());
+    system.store.set_outage(Some(store::Outage::Refuse));
+    expect_true!(rig::chat(system.callers(0), &turn(2)).await.is_ok());
+    let third = rig::chat(system.callers(0), &turn(3)).await;
+    expect_true!(third.is_ok());
+    system.kill_entry(0);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    system.store.set_outage(None);
+    let mut fourth = rig::chat(system.callers(1), &turn(4)).await;
+    for _ in 0..10 {
+        if fourth.kind != Some(error::Kind::KeeperUnavailable) {
+            break;
+        }
+        fourth = rig::chat(system.callers(1), &turn(4)).await;
+    }
+    expect_that!(fourth.kind, none());
+    let path = format!("/v1/programs/{program}");
+    let caller = caller::Caller::new();
+    let known = caller
+        .plain(system.callers(1), "GET", &path, &[], "".into())
+        .await;
+    expect_that!(known.body["turn"].as_u64(), some(eq(4)));
+    expect_that!(
+        known.body["history"][5]["content"].as_str(),
+        some(eq(third.text.as_str()))
+    );
+}
+
+// Without the store no claim can be made durable, so a publish request could run twice. It must be
+// refused as not run, at once, and with a time to come back; lookups are answered.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn keyed_calls_are_refused_as_not_run() {
+    let system = rig::system().await;
+    let caller = caller::Caller::new();
+    system.store.set_outage(Some(store::Outage::Refuse));
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let headers = [("idempotency-key", "page-9".to_owned())];
+    let refused = caller
+        .plain(system.callers(0), "POST", "/publish", &headers, "{}".into())
+        .await;
+    expect_that!(refused.ran, some(eq(error::Ran::No)));
+    expect_that!(refused.retry_after, some(anything()));
+    expect_that!(system.tools[0].upstream.runs_of("page-9"), eq(0));
+    let read = caller
+        .plain(system.callers(0), "GET", "/case/7", &[], "".into())
+        .await;
+    expect_that!(read.status, eq(200));
+    system.store.set_outage(None);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let accepted = caller
+        .plain(system.callers(0), "POST", "/publish", &headers, "{}".into())
+        .await;
+    expect_that!(accepted.status, eq(200));
+    expect_that!(system.tools[0].upstream.runs_of("page-9"), eq(1));
+}
--- a/fw-side/src/connection/calls.rs
+++ b/fw-side/src/connection/calls.rs
@@ -1,5 +1,6 @@
 //! The tarpc service that entries call.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -12,6 +13,7 @@
 use crate::process::attempts;
 use crate::process::core;
 use crate::process::fences;
+use crate::process::held;
 use crate::process::histories;
 use crate::process::poll;
 use crate::refuse;
@@ -115,6 +117,21 @@
     }
 }
 
+impl Calls {
+    /// Shards whose sessions nobody renews, and those with held answers that the sender of a
+    /// heartbeat did not renew. The new keeper of either has to hear of them: else the sessions are
+    /// freed, and the answers lost.
+    fn unrenewed(&self, renewed: &HashSet<id::ShardId>, now: Instant) -> Vec<id::ShardId> {
+        let core = &self.core;
+        let within = core.opts.settings.sessions.ttl / UNRENEWED_PART;
+        let mut shards = core.sessions.unrenewed(&core.fences, within, now);
+        shards.extend(held::shards(&core.attempts, renewed));
+        shards.sort_unstable();
+        shards.dedup();
+        shards
+    }
+}
+
 impl side::Side for Calls {
     async fn heartbeat(self, _: context::Context, req: side::Heartbeat) -> side::HeartbeatReply {
         let now = Instant::now();
@@ -129,7 +146,6 @@
         core.orders.notify_one();
         let since = core.changes.since(req.cache_seen);
         let cfg = &core.opts.settings.instance;
-        let unrenewed_after = core.opts.settings.sessions.ttl / UNRENEWED_PART;
         let who = match req.known == core.incarnation {
             true => side::HeartbeatReply::default(),
             false => side::HeartbeatReply {
@@ -149,7 +165,7 @@
             cache_reset: since.reset,
             cache: since.changes,
             asked: core.sessions.ask(&renewed, core.opts.ask_after, now),
-            unrenewed: core.sessions.unrenewed(&core.fences, unrenewed_after, now),
+            unrenewed: self.unrenewed(&renewed, now),
             ..who
         }
     }
@@ -193,6 +209,15 @@
         self.core.attempts.forget(attempt);
     }
 
+    async fn held(self, _: context::Context, req: side::HeldQuery) -> side::HeldReply {
+        let current = req.shards.into_iter().filter(|(shard, fence)| {
+            let checked = self.check_fence(*shard, *fence);
+            checked.is_ok()
+        });
+        let shards: HashSet<_> = current.map(|(shard, _)| shard).collect();
+        held::reply(&self.core.attempts, &shards)
+    }
+
     async fn release(self, _: context::Context, req: side::Release) {
         let now = Instant::now();
         for (program, fence) in &req.programs {
--- a/fw-side/src/process/attempts.rs
+++ b/fw-side/src/process/attempts.rs
@@ -100,6 +100,14 @@
         self.ended.lock().is_some()
     }
 
+    /// The whole answer, if it has ended with one.
+    pub fn finish(&self) -> Option<attempt::Finish> {
+        match self.buffer.state() {
+            attempt::State::Done(finish) => Some(*finish),
+            _ => None,
+        }
+    }
+
     /// Reads events by offset.
     pub async fn read(&self, offset: u32, wait: Duration) -> attempt::ReadReply {
         let reply = self.buffer.read(offset, wait).await;
@@ -173,6 +181,14 @@
         open.cloned().collect()
     }
 
+    /// Every attempt that has ended whole and was not forgotten.
+    pub fn done(&self) -> Vec<Arc<Attempt>> {
+        let inner = self.inner.lock();
+        let ended = inner.values().filter(|attempt| attempt.is_ended());
+        let done = ended.filter(|attempt| attempt.finish().is_some());
+        done.cloned().collect()
+    }
+
     /// Attempts of `program` that have not ended.
     pub fn of_program(&self, program: &id::ProgramId) -> Vec<Arc<Attempt>> {
         let mut open = self.under_way();
--- /dev/null
+++ b/fw-side/src/process/held.rs
@@ -0,0 +1,60 @@
+//! Answers that no keeper has made durable.
+//!
+//! While the store does not answer, a finished turn is held by its keeper and by the side, so that
+//! either may die. A keeper that takes over a shard finds in the journal all but those turns, and
+//! asks the sides for them.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use fw_base::id;
+use fw_wire::side;
+
+use super::attempts;
+
+/// Bytes of prompts in one reply: a third of the largest message, which JSON may double.
+const MAX_BYTES: usize = 8 << 20;
+
+/// Shards of held answers named in one heartbeat.
+const MAX_SHARDS: usize = 64;
+
+/// Shards with held answers that are not among `renewed`.
+pub fn shards(attempts: &attempts::Attempts, renewed: &HashSet<id::ShardId>) -> Vec<id::ShardId> {
+    let held = attempts.done();
+    let shards = held.iter().filter(|held| !held.start.single);
+    let shards = shards.map(|held| held.start.shard);
+    let others: HashSet<_> = shards.filter(|shard| !renewed.contains(shard)).collect();
+    others.into_iter().take(MAX_SHARDS).collect()
+}
+
+/// The held answers of `shards`, those of one program in the order of its turns.
+pub fn reply(attempts: &attempts::Attempts, shards: &HashSet<id::ShardId>) -> side::HeldReply {
+    let mut held = attempts.done();
+    held.retain(|held| shards.contains(&held.start.shard) && !held.start.single);
+    held.sort_by_key(|held| held.start.turn);
+    let mut reply = side::HeldReply::default();
+    let mut bytes = 0;
+    for attempt in held {
+        bytes += attempt.prompt.bytes();
+        if bytes > MAX_BYTES && !reply.turns.is_empty() {
+            reply.more = true;
+            break;
+        }
+        reply.turns.extend(describe(&attempt));
+    }
+    reply
+}
+
+fn describe(attempt: &Arc<attempts::Attempt>) -> Option<side::Held> {
+    let start = &attempt.start;
+    Some(side::Held {
+        attempt: start.attempt,
+        program: start.program.clone(),
+        team: start.team.clone(),
+        turn: start.turn,
+        model: start.model.clone(),
+        params: Arc::clone(&start.params),
+        prompt: attempt.prompt.messages().to_vec(),
+        finish: attempt.finish()?,
+    })
+}
--- a/fw-side/src/process/mod.rs
+++ b/fw-side/src/process/mod.rs
@@ -5,6 +5,7 @@
 pub mod core;
 pub mod engine;
 pub mod fences;
+pub mod held;
 pub mod histories;
 pub mod line;
 pub mod meter;
--- a/fw-side/tests/side/rig.rs
+++ b/fw-side/tests/side/rig.rs
@@ -172,6 +172,7 @@
         share: 1.0,
         attained: Duration::ZERO,
         prompt_tokens: 10,
+        single: false,
         alone: false,
     }
 }
--- a/fw-wire/src/side.rs
+++ b/fw-wire/src/side.rs
@@ -27,6 +27,8 @@
     async fn cancel(attempt: id::AttemptId) -> bool;
     /// Forgets a finished attempt, which is durable now.
     async fn forget(attempt: id::AttemptId);
+    /// Finished turns that no keeper has made durable, of shards that the sender keeps now.
+    async fn held(req: HeldQuery) -> HeldReply;
     /// Frees the engine memory of programs that ended or moved away.
     async fn release(req: Release);
 }
@@ -117,7 +119,7 @@
     /// Idle programs of the sender's shards: does the keeper still know them?
     #[serde(default, skip_serializing_if = "is_default")]
     pub asked: Vec<id::ProgramId>,
-    /// Shards with sessions here that this heartbeat did not renew. Their keeper, if it is the
+    /// Shards with sessions or held answers here that this heartbeat did not renew. Their keeper, if it is the
     /// sender, renews them from now on: it may have taken them over without knowing of sessions.
     #[serde(default, skip_serializing_if = "is_default")]
     pub unrenewed: Vec<id::ShardId>,
@@ -215,6 +217,9 @@
     pub attained: Duration,
     /// Estimate of the prompt's tokens.
     pub prompt_tokens: id::Tokens,
+    /// The program ends with this turn and is kept nowhere.
+    #[serde(default)]
+    pub single: bool,
     /// Runs alone in the engine: it is suspected of having crashed another upstream.
     pub alone: bool,
 }
@@ -230,6 +235,43 @@
     Refused(error::Error),
 }
 
+/// Asks for held turns.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct HeldQuery {
+    /// Shards that the sender keeps, with the fencing number of each.
+    pub shards: Vec<(id::ShardId, id::Fence)>,
+}
+
+/// Held turns, in the order of their numbers.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct HeldReply {
+    /// The turns.
+    pub turns: Vec<Held>,
+    /// There are more, to be asked for when these are forgotten.
+    pub more: bool,
+}
+
+/// A turn that was answered under an earlier keeper and is not known to be in the journal.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Held {
+    /// The attempt, to be forgotten once the turn is durable or known to be obsolete.
+    pub attempt: id::AttemptId,
+    /// The program.
+    pub program: id::ProgramId,
+    /// Its team.
+    pub team: id::TeamId,
+    /// The turn.
+    pub turn: id::Turn,
+    /// The model.
+    pub model: id::ModelId,
+    /// The caller's other fields.
+    pub params: Arc<str>,
+    /// The whole prompt.
+    pub prompt: Vec<chat::Message>,
+    /// The answer.
+    pub finish: attempt::Finish,
+}
+
 /// Frees engine memory.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Release {
