fw-side: held answers carry their own turn only

Cause: a side drops a prompt when its answer ends, so that old answers do not keep histories from being evicted; held answers still sent the whole prompt. Change: a start names the committed history and how many messages the turn adds; those stay with the answer and prove by digest that they continue the keeper's history.

--- a/fw-entry/src/connection/recover.rs
+++ b/fw-entry/src/connection/recover.rs
@@ -130,7 +130,8 @@
         team: held.team,
         turn: held.turn,
         attempt: held.attempt,
-        prompt: held.prompt,
+        base: held.base,
+        messages: held.messages,
         params: submit::params_digest(&held.model, &held.params),
         answer: program::Answer {
             message: held.finish.message,
--- a/fw-entry/src/turn/run.rs
+++ b/fw-entry/src/turn/run.rs
@@ -256,6 +256,8 @@
             base: self.run.base,
             messages: self.run.messages.clone(),
             digest: self.run.digest,
+            committed: self.run.base,
+            added: u32::try_from(self.run.messages.len()).unwrap_or(u32::MAX),
             params: Arc::clone(&self.req.params),
             max_tokens: self.max_tokens,
             deadline: self.time_limit().saturating_sub(self.arrived.elapsed()),
--- a/fw-keep/src/program.rs
+++ b/fw-keep/src/program.rs
@@ -125,8 +125,10 @@
     pub turn: id::Turn,
     /// The attempt that ran it.
     pub attempt: id::AttemptId,
-    /// The whole prompt.
-    pub prompt: Vec<chat::Message>,
+    /// Digest of the history before it.
+    pub base: Digest,
+    /// The messages that it adds.
+    pub messages: Vec<chat::Message>,
     /// Digest of what else makes it the turn that it is.
     pub params: Digest,
     /// The answer.
@@ -418,16 +420,12 @@
     /// is under way.
     pub(crate) fn resume(&self, held: Held) -> Option<Turn> {
         let is_next = held.turn == self.turn() + 1 && held.team == self.team;
-        if !is_next || self.status() != Status::Idle {
-            return None;
-        }
-        let messages = held.prompt.get(self.history.len()..)?.to_vec();
-        let prompt = self.digest.extend_all(&messages);
-        // Digests chain over all messages, so equal ones mean that the held prompt begins with
-        // this very history.
-        if prompt != Digest::EMPTY.extend_all(&held.prompt) {
+        // Digests chain over all messages: an equal one means the very same history.
+        let continues = held.base == self.digest;
+        if !is_next || !continues || self.status() != Status::Idle {
             return None;
         }
+        let prompt = self.digest.extend_all(&held.messages);
         let usage = held.answer.usage;
         Some(Turn {
             committed: Committed {
@@ -438,7 +436,7 @@
                 params: held.params,
                 answer: held.answer,
             },
-            messages,
+            messages: held.messages,
             spent: ledger::Amount {
                 turns: 1,
                 tokens: usage.prompt.saturating_add(usage.completion),
--- a/fw-keep/tests/keep/held_turns.rs
+++ b/fw-keep/tests/keep/held_turns.rs
@@ -21,12 +21,13 @@
 
 /// Turn `turn` of a program whose caller says `ask n` and whose answers are `answer n`.
 fn held(turn: id::Turn) -> program::Held {
-    let before = (1..turn).flat_map(|n| [ask(n), reply(n)]);
+    let before: Vec<_> = (1..turn).flat_map(|n| [ask(n), reply(n)]).collect();
     program::Held {
         team: "team".into(),
         turn,
         attempt: u64::from(turn),
-        prompt: before.chain([ask(turn)]).collect(),
+        base: Digest::EMPTY.extend_all(&before),
+        messages: vec![ask(turn)],
         params: Digest::EMPTY,
         answer: answer(&format!("answer {turn}")),
         ran: Duration::from_secs(1),
--- a/fw-side/examples/overhead.rs
+++ b/fw-side/examples/overhead.rs
@@ -238,6 +238,8 @@
         turn: 1,
         model: "m".into(),
         base: digest::Digest::EMPTY,
+        committed: digest::Digest::EMPTY,
+        added: 1,
         digest: digest::Digest::EMPTY.extend_all(&messages),
         messages,
         params: Arc::from("{}"),
@@ -247,6 +249,7 @@
         share: 1.0,
         attained: Duration::ZERO,
         prompt_tokens: 260,
+        single: false,
         alone: false,
     }
 }
--- a/fw-side/src/process/attempts.rs
+++ b/fw-side/src/process/attempts.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use fw_base::chat;
 use fw_base::error;
 use fw_base::id;
 use fw_wire::attempt;
@@ -38,6 +39,8 @@
     /// What was asked; its messages were moved into `prompt`.
     pub start: side::Start,
     prompt: Mutex<histories::Prompt>,
+    /// The messages that the turn adds to the history; kept to its end and beyond, with the answer.
+    pub added: Vec<chat::Message>,
     /// When it arrived.
     pub arrived: Instant,
     /// The events and the end.
@@ -52,7 +55,10 @@
 impl Attempt {
     /// An attempt that waits.
     pub fn new(start: side::Start, prompt: histories::Prompt, arrived: Instant) -> Self {
+        let messages = prompt.messages();
+        let before = messages.len().saturating_sub(start.added as usize);
         Self {
+            added: messages[before..].to_vec(),
             start,
             prompt: Mutex::new(prompt),
             arrived,
--- a/fw-side/src/process/held.rs
+++ b/fw-side/src/process/held.rs
@@ -12,7 +12,7 @@
 
 use super::attempts;
 
-/// Bytes of prompts in one reply: a third of the largest message, which JSON may double.
+/// Bytes of messages in one reply: a third of the largest message, which JSON may double.
 const MAX_BYTES: usize = 8 << 20;
 
 /// Shards of held answers named in one heartbeat.
@@ -35,7 +35,8 @@
     let mut reply = side::HeldReply::default();
     let mut bytes = 0;
     for attempt in held {
-        bytes += attempt.prompt.bytes();
+        let texts = attempt.added.iter().map(|message| message.as_str().len());
+        bytes += texts.sum::<usize>();
         if bytes > MAX_BYTES && !reply.turns.is_empty() {
             reply.more = true;
             break;
@@ -54,7 +55,8 @@
         turn: start.turn,
         model: start.model.clone(),
         params: Arc::clone(&start.params),
-        prompt: attempt.prompt.messages().to_vec(),
+        base: start.committed,
+        messages: attempt.added.clone(),
         finish: attempt.finish()?,
     })
 }
--- a/fw-side/tests/side/rig.rs
+++ b/fw-side/tests/side/rig.rs
@@ -163,6 +163,8 @@
         turn: 1,
         model: "m".into(),
         base: digest::Digest::EMPTY,
+        committed: digest::Digest::EMPTY,
+        added: 1,
         messages,
         digest,
         params: Arc::from("{}"),
--- a/fw-wire/src/side.rs
+++ b/fw-wire/src/side.rs
@@ -203,6 +203,10 @@
     pub messages: Vec<chat::Message>,
     /// Digest of the whole prompt: `base` extended by `messages`.
     pub digest: digest::Digest,
+    /// Digest of the history before the turn, whether the side holds that or not.
+    pub committed: digest::Digest,
+    /// How many messages, at the end of the prompt, the turn adds to that history.
+    pub added: u32,
     /// The caller's other fields: a JSON object as text.
     pub params: Arc<str>,
     /// Most tokens to generate.
@@ -266,8 +270,10 @@
     pub model: id::ModelId,
     /// The caller's other fields.
     pub params: Arc<str>,
-    /// The whole prompt.
-    pub prompt: Vec<chat::Message>,
+    /// Digest of the history before it.
+    pub base: digest::Digest,
+    /// The messages that it adds.
+    pub messages: Vec<chat::Message>,
     /// The answer.
     pub finish: attempt::Finish,
 }
