--- a/fw-plan/src/admit.rs
+++ b/fw-plan/src/admit.rs
@@ -181,8 +181,10 @@
         *held = held.saturating_add(1);
     }
 
-    /// A started call ended, after waiting `queue_delay` in queues; every started call must be
-    /// reported, however it ended.
+    /// A started call ended, after losing `queue_delay` to other calls: its wait in queues, and,
+    /// where the caller of this knows it, the prefill of history that had been cached before.
+    /// The latter makes the limit answer to engines whose cache is too small for the programs
+    /// under way as well. Every started call must be reported, however it ended.
     pub fn finished(
         &mut self,
         now: Duration,
