fw-keep: tests for the guards that could be removed unnoticed

Cause: of 28 guards removed one at a time, 7 were missed by all tests. Conclusion: guards stand as tested.

--- a/fw-keep/tests/keep/journal_replay.rs
+++ b/fw-keep/tests/keep/journal_replay.rs
@@ -388,3 +388,21 @@
     journal.take_over(small());
     expect_that!(journal.shard.programs().count(), eq(0));
 }
+
+/// A segment of a holder that had lost the shard stands after one of its successor. No holder could
+/// have written it, so it is not applied, and what it may have pushed out is in doubt.
+#[gtest]
+fn a_segment_of_an_older_holder_is_foreign() {
+    let mut journal = Journal::new(small());
+    journal.turn("p", 1, "ask");
+    journal.commit();
+    let fence = journal.writer.fence();
+    journal.writer.set_fence(fence - 1);
+    journal.turn("p", 2, "ask");
+    let job = journal.job();
+    journal.write(Job { fence, ..job }, usize::MAX);
+    expect_that!(
+        journal.damage(),
+        elements_are![pat!(Corrupt::Foreign { .. })]
+    );
+}
--- a/fw-keep/tests/keep/keeper_takeover.rs
+++ b/fw-keep/tests/keep/keeper_takeover.rs
@@ -173,3 +173,76 @@
     };
     fleet::until("a knows", || a.owner(theirs) == owner).await;
 }
+
+/// An entry's calls take effect and none of their answers arrives, just as it takes its shards. The
+/// store names it as their keeper, so nobody else may take them; it must find out and serve them.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn shards_whose_acquisition_was_not_answered_are_served() {
+    let fleet = Fleet::start(1).await;
+    let opts = keeper::Options {
+        settle: Duration::from_millis(300),
+        ..Fleet::options("a")
+    };
+    let a = keeper::Keeper::open(fleet.client(0), opts);
+    let registered = keys::entry(fleet::ROOT, "a");
+    fleet::until("a is registered", || fleet.store.get(&registered).is_some()).await;
+    fleet
+        .store
+        .faults(0, |faults| faults.lose_probability = 1.0);
+    fleet::until_kept(&a, 16).await;
+}
+
+/// The keys of an entry's shards vanish while it holds changes that the store lacks, as when its
+/// lease is revoked by mistake. It must take the shards again with what it has in memory: read from
+/// the store, they would lack the turns whose callers wait.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_keeper_whose_keys_vanished_goes_on_with_what_it_has() {
+    let fleet = Fleet::start(1).await;
+    let opts = keeper::Options {
+        window: Duration::from_millis(1_500),
+        ..Fleet::options("a")
+    };
+    let a = keeper::Keeper::open(fleet.client(0), opts);
+    fleet::until_kept(&a, 16).await;
+    let ticket = fleet::turn(&a, "p", 1);
+    let owners: Vec<String> = (0..16).map(|s| keys::owner(fleet::ROOT, s)).collect();
+    for owner in &owners {
+        fleet.store.delete(owner);
+    }
+    let are_back = || owners.iter().all(|owner| fleet.store.get(owner).is_some());
+    fleet::until("a holds them again", are_back).await;
+    a.set_window(Duration::ZERO);
+    let mut done = a.durable(ticket).await;
+    for _ in 0..20 {
+        if done != Err(keeper::Error::StoreUnavailable) {
+            break;
+        }
+        done = a.durable(ticket).await;
+    }
+    expect_that!(done, ok(anything()));
+}
+
+/// An entry is cut off; its successor serves a turn and is then itself replaced, so that the shards
+/// are free when the first one is back. Its memory is out of date though nobody holds them: serving
+/// from it would answer the next turn on a history that lacks one.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_keeper_that_comes_back_to_free_shards_reads_them_anew() {
+    let fleet = Fleet::start(2).await;
+    let a = fleet.keeper("a", 0);
+    fleet::until_kept(&a, 16).await;
+    a.durable(fleet::turn(&a, "p", 1)).await.unwrap();
+    fleet.store.faults(0, |faults| {
+        faults.outage = Some(fw_fake::store::Outage::Hang)
+    });
+    let b = fleet.keeper("b", 1);
+    fleet::until_kept(&b, 16).await;
+    b.durable(fleet::turn(&b, "p", 2)).await.unwrap();
+    b.close().await;
+    fleet.store.faults(0, |faults| faults.outage = None);
+    let turns = || fleet::standing(&a, "p").map(|(turns, _)| turns);
+    fleet::until("a has the second turn", || turns() == Some(2)).await;
+    fleet::until_kept(&a, 16).await;
+}
--- a/fw-keep/tests/keep/program_turns.rs
+++ b/fw-keep/tests/keep/program_turns.rs
@@ -247,3 +247,21 @@
     expect_that!(restored.history(), eq(program.history()));
     expect_that!(restored.ledger().spent(), eq(program.ledger().spent()));
 }
+
+/// A program's retention is over, or its history was lost in an outage, and its caller sends turn 5.
+/// Taken for a new program, it would run on an empty history and answer as if nothing was said.
+#[gtest]
+fn an_unknown_program_begins_with_its_first_turn_only() {
+    let mut shard = fw_keep::shard::Shard::new(0);
+    let later = shard.begin(&"p".into(), fleet::delta(5, "ask 5", 7), NOW);
+    expect_that!(kind(later), some(eq(Kind::UnknownProgram)));
+    let based = Begin {
+        turn: None,
+        base: Some(Digest::of_bytes(b"history")),
+        ..fleet::delta(1, "ask", 7)
+    };
+    let based = shard.begin(&"p".into(), based, NOW);
+    expect_that!(kind(based), some(eq(Kind::UnknownProgram)));
+    let first = shard.begin(&"p".into(), fleet::delta(1, "ask 1", 7), NOW);
+    expect_that!(first, pat!(Outcome::Run(anything())));
+}
