--- a/fw-keep/examples/recovery.rs
+++ b/fw-keep/examples/recovery.rs
@@ -369,13 +369,11 @@
     let since = Instant::now();
     let mut stored = 0;
     for name in &names {
-        loop {
-            let Some(keeper) = fleet.keeper_of(name) else {
+        while let Some(keeper) = fleet.keeper_of(name) {
+            let Ok(changed) = keeper.with_program(name, |_| ()) else {
                 break;
             };
-            let ticket = keeper.with_program(name, |_| ());
-            let Ok(ticket) = ticket else { break };
-            if keeper.durable(ticket.ticket).await.is_ok() {
+            if keeper.durable(changed.ticket).await.is_ok() {
                 stored += 1;
                 break;
             }
--- a/fw-keep/src/keeper/flush.rs
+++ b/fw-keep/src/keeper/flush.rs
@@ -6,6 +6,7 @@
 
 use fw_base::id;
 use fw_store::kv;
+use tokio::time::Instant;
 
 use crate::commit::Commit;
 use crate::commit::Reply;
@@ -30,11 +31,17 @@
 
 pub(super) async fn run(inner: Arc<Inner>) {
     let mut lease = inner.lease.subscribe();
+    let mut last: Option<Instant> = None;
     loop {
         tokio::select! {
             () = inner.dirtied.notified() => {
-                let window = *inner.window.lock();
-                tokio::time::sleep(window).await;
+                if let Some(last) = last {
+                    // The first change after a quiet time goes at once; those close behind share
+                    // the next call. So the rate is bounded and a lone turn need not wait.
+                    let window = *inner.window.lock();
+                    tokio::time::sleep_until(last + window).await;
+                }
+                last = Some(Instant::now());
                 let round = collect(&inner);
                 write(&inner, round).await;
             }
--- a/fw-keep/src/keeper/mod.rs
+++ b/fw-keep/src/keeper/mod.rs
@@ -60,7 +60,7 @@
     pub shards: id::ShardId,
     /// Time after which a silent entry's shards are free.
     pub ttl: Duration,
-    /// Time that a change waits for others to share its store call.
+    /// Least time from one group commit to the next, for changes to share a store call.
     pub window: Duration,
     /// Longest wait of [`Keeper::durable`].
     pub durable_wait: Duration,
@@ -274,7 +274,7 @@
         .with_retry_after(self.inner.opts.ttl)
     }
 
-    /// Changes how long a change waits for others to share its store call.
+    /// Changes the least time from one group commit to the next.
     pub fn set_window(&self, window: Duration) {
         *self.inner.window.lock() = window;
     }
--- a/fw-keep/tests/keep/keeper_takeover.rs
+++ b/fw-keep/tests/keep/keeper_takeover.rs
@@ -108,6 +108,33 @@
     expect_that!(segments.count(), eq(4));
 }
 
+/// A hundred editors are busy at once. A store call for each turn would use up the store's rate,
+/// which every other entry needs as well; their turns share calls, at most one in each window.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn turns_of_one_window_share_a_store_call() {
+    let fleet = Fleet::start(1).await;
+    let opts = keeper::Options {
+        window: Duration::from_millis(400),
+        durable_wait: Duration::from_secs(10),
+        ..Fleet::options("a")
+    };
+    let a = keeper::Keeper::open(fleet.client(0), opts);
+    fleet::until_kept(&a, 16).await;
+    a.durable(fleet::turn(&a, "first", 1)).await.unwrap();
+    let before = fleet.store.counts().writes;
+    let mut tickets = Vec::new();
+    for n in 0..100 {
+        tickets.push(fleet::turn(&a, &format!("p{n}"), 1));
+        tokio::time::sleep(Duration::from_millis(3)).await;
+    }
+    for ticket in tickets {
+        a.durable(ticket).await.unwrap();
+    }
+    // On a slow machine the hundred turns take several windows.
+    expect_that!(fleet.store.counts().writes - before, le(10));
+}
+
 /// Somebody cut a segment short. The programs of other shards must not notice, and those of its
 /// own get a clear error instead of a history with a hole.
 #[gtest]
@@ -206,7 +233,9 @@
     };
     let a = keeper::Keeper::open(fleet.client(0), opts);
     fleet::until_kept(&a, 16).await;
-    let ticket = fleet::turn(&a, "p", 1);
+    // The first change goes to the store at once, the next one waits for the window.
+    a.durable(fleet::turn(&a, "p", 1)).await.unwrap();
+    let ticket = fleet::turn(&a, "p", 2);
     let owners: Vec<String> = (0..16).map(|s| keys::owner(fleet::ROOT, s)).collect();
     for owner in &owners {
         fleet.store.delete(owner);
