fw-keep: turns of the measurement take an engine's time

Cause: programs whose turns follow each other without a pause wait a whole window for each, which no real program does. Change: 40 to 200 ms of engine time for each turn, the same in each run.

--- a/fw-keep/examples/recovery.rs
+++ b/fw-keep/examples/recovery.rs
@@ -32,6 +32,8 @@
 const WINDOW: Duration = Duration::from_millis(50);
 /// How long the store takes for each call.
 const STORE_DELAY: Duration = Duration::from_millis(2);
+/// How long an engine takes for a turn: between these bounds.
+const ENGINE: (Duration, Duration) = (Duration::from_millis(40), Duration::from_millis(200));
 /// How long each load lasts.
 const SPAN: Duration = Duration::from_secs(4);
 /// Turns a second, all entries together.
@@ -190,9 +192,17 @@
     Ok(load)
 }
 
+/// The engine's time for one turn, the same in each run.
+async fn engine(name: &str, number: u32) {
+    let digest = Digest::of_bytes(format!("{name}/{number}").as_bytes());
+    let share = f64::from(digest.as_bytes()[0]) / f64::from(u8::MAX);
+    tokio::time::sleep(ENGINE.0 + (ENGINE.1 - ENGINE.0).mul_f64(share)).await;
+}
+
 async fn grouped_program(fleet: &Fleet, name: &str) -> Vec<Duration> {
     let mut waits = Vec::new();
     for number in 1..=TURNS {
+        engine(name, number).await;
         let Some(keeper) = fleet.keeper_of(name) else {
             break;
         };
@@ -216,6 +226,7 @@
     let fence = fleet.store.get(&owner).map_or(0, |kv| kv.create_revision);
     let mut waits = Vec::new();
     for number in 1..=TURNS {
+        engine(name, number).await;
         let begun = Instant::now();
         let value = Digest::of_bytes(name.as_bytes()).to_string().repeat(45);
         let txn = kv::Txn {
