--- a/fw-keep/src/keeper/mod.rs
+++ b/fw-keep/src/keeper/mod.rs
@@ -16,6 +16,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 use std::time::SystemTime;
 
 use fw_base::digest::Digest;
