fw-plan: grounds of the figures at each module's head

Change: doc comments only. Measured: nothing new; figures are those of docs/POLICY.md. Conclusion: none.

--- a/fw-plan/src/budget.rs
+++ b/fw-plan/src/budget.rs
@@ -9,6 +9,8 @@
 //! *Rule:* a turn reserves its worst case before it runs, and the difference is given back when
 //! it is settled. A sub-agent draws on a loan that its parent's ledger reserved, so the two may
 //! be kept by different processes and still never exceed the parent's limits.
+//!
+//! *Grounds:* the bounds are the operator's; the module has no figures of its own.
 
 use std::time::Duration;
 
--- a/fw-plan/src/hedge.rs
+++ b/fw-plan/src/hedge.rs
@@ -8,6 +8,9 @@
 //! *Rule:* only idempotent plain reads; the copy is sent once the call has taken longer than
 //! [`Options::quantile`] of recent ones, so about that share of calls is doubled at most, and each
 //! copy spends the service's retry budget as well.
+//!
+//! *Grounds:* the 95th percentile doubles at most one call in twenty, which a service at 80 % load
+//! still takes.
 
 use std::time::Duration;
 
--- a/fw-plan/src/keep.rs
+++ b/fw-plan/src/keep.rs
@@ -10,6 +10,10 @@
 //! that has paused for so long returns within the horizon, times the prefill time it would cost
 //! anew, divided by the memory it holds, ranks the programs; under pressure the lowest go first.
 //! [`Weight`] sets what prefill is counted in: the caller's wait or the engine's work.
+//!
+//! *Grounds:* `docs/POLICY.md`: a horizon of 2 s is about how long a cache under pressure keeps an
+//! unused prefix, and wastes less than 30 s, in which nearly every program returns. Freeing early
+//! leaves memory unused: from 98 % on wasted less than from 90 % on.
 
 use std::time::Duration;
 
--- a/fw-plan/src/place.rs
+++ b/fw-plan/src/place.rs
@@ -14,6 +14,10 @@
 //! cache and a sample of others ("two choices", which avoids herds and costs O(1)). A program
 //! leaves its cache only where that is better by a margin.
 //!
+//! *Grounds:* `docs/POLICY.md`: a margin of 300 ms in place of 20 ms halved the wasted cache, because
+//! smaller gains are within the error of the expected delay; 4 or 9 choices in place of 2 changed
+//! nothing beyond the noise.
+//!
 //! *Cost:* upstreams are interned to indices; a choice reads a handful of them whatever their
 //! number.
 
--- a/fw-plan/src/poison.rs
+++ b/fw-plan/src/poison.rs
@@ -11,6 +11,10 @@
 //! quarantined and refused until that expires. A suspect that survives is cleared. Several crashes
 //! in company convict as well, for copies that were under way before the first crash.
 //!
+//! *Grounds:* two crashes are the fewest that can tell the cause from its neighbours. Suspicion lasts
+//! for the minutes in which callers repeat a request; a quarantine for an hour, after which one more
+//! engine is risked in case that the engines were mended.
+//!
 //! Memory is bounded: beyond [`Options::capacity`] the oldest suspicion is dropped.
 
 use std::collections::HashMap;
--- a/fw-plan/src/queue.rs
+++ b/fw-plan/src/queue.rs
@@ -16,6 +16,11 @@
 //! At most one long prefill runs at a time. A turn that is suspected of crashing engines runs
 //! alone.
 //!
+//! *Grounds:* with queues of seconds, p95 was 51 s by least attained service and 99 s in order of
+//! arrival within a team (`docs/POLICY.md`, trials). An aging of 0.5 with a cap of 60 s lets nobody be
+//! overtaken for longer than two minutes. A long prompt is one whose prefill takes as long as tens
+//! of steps. Releasing short turns behind a long prefill was tried and made them wait longer.
+//!
 //! *Cost:* push, pop and remove are O(log n).
 
 use std::collections::BTreeMap;
--- a/fw-plan/src/subset.rs
+++ b/fw-plan/src/subset.rs
@@ -11,6 +11,9 @@
 //! few of its own place and a few of others. Every process that knows the same members gets the
 //! same answer without asking anyone; an entry that leaves moves only what it watched, and every
 //! upstream has the same number of watchers whatever happens.
+//!
+//! *Grounds:* 12 watchers outlive the loss of a place and of several entries of their own; at the
+//! size to design for an entry then watches 380 upstreams in place of 12,000.
 
 use fw_base::id;
 use xxhash_rust::xxh3;
--- a/fw-plan/src/window.rs
+++ b/fw-plan/src/window.rs
@@ -10,6 +10,9 @@
 //! `entries / rate` apart; and while the store is slower than usual, at least as far apart as it
 //! takes to answer, so that a slow store is not sent more. A lone turn after a quiet time is
 //! committed at once.
+//!
+//! *Grounds:* 200 of the several hundred writes a second that the store takes, for all entries; at 380
+//! entries that is a commit each 1.9 s, below the longest delay.
 
 use std::time::Duration;
 
