--- a/fw-plan/src/health.rs
+++ b/fw-plan/src/health.rs
@@ -18,8 +18,8 @@
 //! no failure: placement sees it as a longer delay. An upstream that returns starts at a small
 //! weight that grows, so that a herd does not knock it over again.
 //!
-//! *Grounds:* with a fixed three failures in a row, a service half of whose attempts failed lost a
-//! third of its engines and refused twice as many programs (`docs/POLICY.md`). A third at most keeps
+//! *Grounds:* with a fixed three failures in a row, a service half of whose attempts failed refused
+//! twice as many new programs (`docs/POLICY.md`). A third at most keeps
 //! the rest below overload at the loads that a service is planned for. The times are customary for
 //! outlier ejection; those of a slow start are a few times the lag of load reports.
 
