Settings that do something: keepers are chosen, commits are paced, the rest is dropped

Change: [keeper] enabled says whether an entry takes shards, commits are spaced by fw_plan::window from the store's latency and the number of keepers, hedge_delay and missed_heartbeats reach their decisions; shards, header_timeout, waiting_limit and the side's checks_fencing are gone: idle_timeout bounds a head already, nothing waits for admission, and the side checks fencing numbers in front of every engine.

--- a/fw-conf/src/entry.rs
+++ b/fw-conf/src/entry.rs
@@ -93,10 +93,9 @@
 schema::section! {
     /// The keeper orders programs' turns and makes them durable, for the shards that it leases.
     Keeper in "keeper" {
-        /// Whether this entry keeps shards at all.
+        /// Whether this entry keeps shards. In a large fleet only some should: the keepers share the
+        /// store's writes for commits.
         enabled: bool = true, codec::Flag;
-        /// Most shards that this entry keeps.
-        shards: id::ShardId = id::SHARDS, codec::number(1..=id::SHARDS);
         /// Time after which the shards of a dead entry may be taken over.
         lease_ttl: Duration = secs(5), codec::time(secs(1)..=secs(60));
         /// Shortest wait for further turns before a group of them is committed.
@@ -120,10 +119,8 @@
         deadline_default: Duration = secs(120), codec::time(ms(100)..=secs(3600));
         /// Most time that a caller may ask for.
         deadline_max: Duration = secs(600), codec::time(ms(100)..=secs(3600));
-        /// Time after which a connection without a request is closed.
+        /// Longest wait for a request's head; a connection without a request is closed then.
         idle_timeout: Duration = secs(75), codec::time(secs(1)..=secs(3600));
-        /// Longest wait for a request's head.
-        header_timeout: Duration = secs(10), codec::time(ms(100)..=secs(300));
     }
 }
 
@@ -136,7 +133,7 @@
         heartbeat_interval: Duration = ms(500), codec::time(ms(20)..=secs(30));
         /// Most heartbeats that this entry sends in a second; with many upstreams the interval grows.
         heartbeats_per_second: u32 = 28, codec::number(1..=100_000);
-        /// Heartbeats without an answer after which a connection is replaced.
+        /// Heartbeats or calls in a row that fail before an upstream gets no new work for a while.
         missed_heartbeats: u32 = 3, codec::number(1..=100);
         /// How long a read waits at the side for the next event of an attempt.
         read_wait: Duration = secs(1), codec::time(ms(10)..=secs(30));
@@ -158,14 +155,12 @@
         limit_min: u32 = 4, codec::number(1..=100_000);
         /// Most calls under way that the learned limit grows to.
         limit_max: u32 = 4096, codec::number(1..=1_000_000);
-        /// Most calls that wait for admission.
-        waiting_limit: u32 = 4096, codec::number(0..=1_000_000);
         /// Retries that each first attempt pays for.
         retry_ratio: f64 = 0.1, codec::number(0.0..=1.0);
         /// Whether a slow idempotent read is sent to a second upstream.
         hedge: bool = true, codec::Flag;
-        /// Shortest wait before such a read is sent again.
-        hedge_delay: Duration = ms(20), codec::time(ms(1)..=secs(30));
+        /// Shortest wait before such a read is sent again, once its usual latency is known.
+        hedge_delay: Duration = ms(2), codec::time(ms(1)..=secs(30));
     }
 }
 
--- a/fw-conf/src/side.rs
+++ b/fw-conf/src/side.rs
@@ -74,9 +74,6 @@
         kind: Kind = Kind::Llm, codec::choice(KINDS);
         /// Where it listens for HTTP requests.
         address: SocketAddr = ANY_LOOPBACK, codec::Address, required;
-        /// Whether it refuses orders that carry an old fencing number. The side checks the number
-        /// in either case.
-        checks_fencing: bool = false, codec::Flag;
         /// Most calls that it runs together; 0 if it is not known before its first load report.
         batch: u32 = 0, codec::number(0..=65_536);
         /// Longest wait for a connection.
--- a/fw-entry/src/connection/sides.rs
+++ b/fw-entry/src/connection/sides.rs
@@ -61,7 +61,7 @@
     fn new(options: &Options) -> Self {
         Self {
             view: place::View::new(),
-            health: health::Health::new(health::Options::default()),
+            health: health::Health::new(options.health.clone()),
             retry: retry::Budget::new(options.retry.clone()),
             hedge: hedge::Hedge::new(options.hedge.clone()),
         }
@@ -121,6 +121,8 @@
 pub struct Options {
     /// Longest wait for a connection.
     pub connect_timeout: Duration,
+    /// When upstreams get no new work.
+    pub health: health::Options,
     /// Retries inside the system.
     pub retry: retry::Options,
     /// Hedging of plain reads.
--- a/fw-entry/src/process/serve.rs
+++ b/fw-entry/src/process/serve.rs
@@ -13,6 +13,8 @@
 use fw_conf::entry as conf;
 use fw_keep::keeper;
 use fw_plan::admit;
+use fw_plan::health;
+use fw_plan::hedge;
 use fw_plan::poison;
 use fw_plan::retry;
 use fw_wire::transport;
@@ -250,11 +252,18 @@
         poison: Mutex::new(poison::Poison::new(poison::Options::default())),
         sides: sides::Sides::new(sides::Options {
             connect_timeout: settings.upstream.connect_timeout,
+            health: health::Options {
+                failures: settings.upstream.missed_heartbeats,
+                ..health::Options::default()
+            },
             retry: retry::Options {
                 ratio: settings.plan.retry_ratio,
                 ..retry::Options::default()
             },
-            ..sides::Options::default()
+            hedge: hedge::Options {
+                min: settings.plan.hedge_delay,
+                ..hedge::Options::default()
+            },
         }),
         peer_list: peers::Peers::default(),
         peers: pool::Pool::new(settings.upstream.connect_timeout),
@@ -284,8 +293,10 @@
     keeper::Options {
         entry: id.clone(),
         address: advertise.to_string().into(),
+        keeps: settings.keeper.enabled,
         ttl: settings.keeper.lease_ttl,
         window: settings.keeper.commit_window_min,
+        window_max: settings.keeper.commit_window_max,
         durable_wait: settings.keeper.commit_wait,
         max_pending: settings.keeper.pending_limit,
         ..keeper::Options::default()
--- a/fw-keep/src/keeper/flush.rs
+++ b/fw-keep/src/keeper/flush.rs
@@ -38,8 +38,7 @@
                 if let Some(last) = last {
                     // The first change after a quiet time goes at once; those close behind share
                     // the next call. So the rate is bounded and a lone turn need not wait.
-                    let window = *inner.window.lock();
-                    tokio::time::sleep_until(last + window).await;
+                    tokio::time::sleep_until(last + spacing(&inner)).await;
                 }
                 last = Some(Instant::now());
                 let round = collect(&inner);
@@ -54,6 +53,14 @@
     }
 }
 
+/// Least time between two commits: longer the slower the store answers, and the more entries share
+/// its writes.
+fn spacing(inner: &Inner) -> Duration {
+    let keepers = u32::try_from(inner.table.read().keepers().count()).unwrap_or(u32::MAX);
+    let shared = inner.pacing.lock().spacing(keepers);
+    shared.max(*inner.window.lock())
+}
+
 /// Takes the pending changes of every changed shard and plans their journal segments.
 fn collect(inner: &Inner) -> Round {
     let dirty = std::mem::take(&mut *inner.dirty.lock());
@@ -121,9 +128,11 @@
 }
 
 async fn send(inner: &Inner, txn: &kv::Txn) -> Reply {
+    let sent = Instant::now();
     match inner.store.txn(txn).await {
         Ok(outcome) => {
             inner.note_contact();
+            inner.pacing.lock().observe(sent.elapsed());
             Reply::Answer(outcome)
         }
         Err(err) if err.may_have_applied() => {
--- a/fw-keep/src/keeper/inner.rs
+++ b/fw-keep/src/keeper/inner.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use fw_base::id;
+use fw_plan::window;
 use fw_store::kv;
 use parking_lot::Mutex;
 use parking_lot::RwLock;
@@ -37,6 +38,7 @@
     /// When the store answered last.
     pub(super) contact: Mutex<Instant>,
     pub(super) window: Mutex<Duration>,
+    pub(super) pacing: Mutex<window::Window>,
     pub(super) closing: watch::Sender<bool>,
 }
 
@@ -55,6 +57,10 @@
             lease: watch::Sender::new(0),
             contact: Mutex::new(Instant::now()),
             window,
+            pacing: Mutex::new(window::Window::new(window::Options {
+                max: opts.window_max,
+                ..window::Options::default()
+            })),
             closing: watch::Sender::new(false),
             opts,
         }
--- a/fw-keep/src/keeper/lease.rs
+++ b/fw-keep/src/keeper/lease.rs
@@ -66,6 +66,7 @@
     }
     let value = EntryValue {
         address: inner.opts.address.clone(),
+        keeps: inner.opts.keeps,
     };
     let put = kv::Op::Put {
         key: keys::entry(&inner.opts.root, &inner.opts.entry),
--- a/fw-keep/src/keeper/member.rs
+++ b/fw-keep/src/keeper/member.rs
@@ -101,7 +101,7 @@
 
 async fn act(inner: &Inner, grace: &mut Grace) {
     let lease = *inner.lease.borrow();
-    if lease == 0 || inner.is_closing() {
+    if lease == 0 || inner.is_closing() || !inner.opts.keeps {
         return;
     }
     grace.note(lease, inner.opts.ttl);
--- a/fw-keep/src/keeper/mod.rs
+++ b/fw-keep/src/keeper/mod.rs
@@ -57,12 +57,17 @@
     pub address: SmolStr,
     /// Prefix of all keys in the store.
     pub root: SmolStr,
+    /// Whether this entry takes shards. In a large fleet only some do: the store's writes for
+    /// commits are shared by those that keep shards.
+    pub keeps: bool,
     /// Number of shards, at most [`id::SHARDS`]; the same at all entries and for good.
     pub shards: id::ShardId,
     /// Time after which a silent entry's shards are free.
     pub ttl: Duration,
     /// Least time from one group commit to the next, for changes to share a store call.
     pub window: Duration,
+    /// Longest such time, reached when many entries share the store.
+    pub window_max: Duration,
     /// Longest wait of [`Keeper::durable`].
     pub durable_wait: Duration,
     /// Longest wait of [`Keeper::close`] for the last changes to reach the store.
@@ -87,9 +92,11 @@
             entry: id::EntryId::default(),
             address: SmolStr::default(),
             root: SmolStr::new_static("/foxtailweir/"),
+            keeps: true,
             shards: id::SHARDS,
             ttl: Duration::from_secs(3),
             window: Duration::from_millis(20),
+            window_max: Duration::from_secs(4),
             durable_wait: Duration::from_secs(5),
             close_wait: Duration::from_secs(10),
             settle: Duration::from_millis(50),
--- a/fw-keep/src/keeper/table.rs
+++ b/fw-keep/src/keeper/table.rs
@@ -19,6 +19,14 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct EntryValue {
     pub(super) address: SmolStr,
+    /// Whether it takes shards.
+    #[serde(default = "yes")]
+    pub(super) keeps: bool,
+}
+
+/// Entries of versions before the setting all take shards.
+fn yes() -> bool {
+    true
 }
 
 /// Value of a shard keeper's key.
@@ -49,7 +57,7 @@
 /// The table.
 #[derive(Debug)]
 pub(super) struct Table {
-    entries: BTreeMap<id::EntryId, SmolStr>,
+    entries: BTreeMap<id::EntryId, EntryValue>,
     owners: Vec<Option<Holder>>,
     free_since: Vec<Instant>,
     /// Entries that left shards lying, and until when they get no more.
@@ -95,7 +103,7 @@
     pub(super) fn entries(&self) -> Vec<(id::EntryId, SmolStr)> {
         let entries = self.entries.iter();
         entries
-            .map(|(id, addr)| (id.clone(), addr.clone()))
+            .map(|(id, value)| (id.clone(), value.address.clone()))
             .collect()
     }
 
@@ -111,9 +119,9 @@
         };
         let entry = holder.value.entry.clone();
         match self.entries.get(&entry) {
-            Some(address) => Owner::Other {
+            Some(value) => Owner::Other {
                 entry,
-                address: address.clone(),
+                address: value.address.clone(),
             },
             None => Owner::Nobody,
         }
@@ -155,13 +163,19 @@
         balance::plan(me, &self.view())
     }
 
+    /// The live entries that take shards.
+    pub(super) fn keepers(&self) -> impl Iterator<Item = &id::EntryId> {
+        let keepers = self.entries.iter().filter(|(_, value)| value.keeps);
+        keepers.map(|(entry, _)| entry)
+    }
+
     fn view(&self) -> balance::View<'_> {
         let owners = self.owners.iter().map(|owner| {
             let holder = owner.as_ref()?;
             Some(holder.value.entry.as_str())
         });
         balance::View {
-            entries: self.entries.keys().map(SmolStr::as_str).collect(),
+            entries: self.keepers().map(SmolStr::as_str).collect(),
             passive: self.passive.keys().map(SmolStr::as_str).collect(),
             owners: owners.collect(),
         }
@@ -173,7 +187,7 @@
                 let Ok(value) = serde_json::from_slice::<EntryValue>(&kv.value) else {
                     return false;
                 };
-                let before = self.entries.insert(entry.into(), value.address);
+                let before = self.entries.insert(entry.into(), value);
                 before.is_none()
             }
             Some(keys::Live::Shard(shard)) if usize::from(shard) < self.owners.len() => {
--- a/fw-keep/tests/keep/main.rs
+++ b/fw-keep/tests/keep/main.rs
@@ -9,6 +9,7 @@
 mod keeper_claims;
 mod keeper_handover;
 mod keeper_outage;
+mod keeper_roles;
 mod keeper_takeover;
 mod memory_store;
 mod program_budget;
