fw-side: tests of racing starts, a measurement of its overhead and of a long history

Cause: a start sent over two connections at once was guarded but not tested; what the side costs was not known. Change: a test that offers one attempt twice; example overhead, which runs the side as its own process and prints a table against going straight to the stand-ins.

--- a/fw-side/examples/overhead.rs
+++ b/fw-side/examples/overhead.rs
@@ -193,9 +193,8 @@
 }
 
 /// Time to the first event through the side; the answer is read to its end.
-async fn side_turn(client: side::SideClient, number: u64) -> Outcome<Duration> {
+async fn side_turn(client: &side::SideClient, start: side::Start) -> Outcome<Duration> {
     let began = Instant::now();
-    let start = start(number);
     let program = start.program.clone();
     let attempt = start.attempt;
     let reply = client.start(transport::context(LONG), start).await?;
@@ -254,6 +253,51 @@
     }
 }
 
+/// Prints what a program with a history of 750,000 tokens costs: a first turn that carries it all,
+/// and a second one that carries only its new message.
+async fn long_history() -> Outcome<()> {
+    const MESSAGES: u64 = 400;
+    const MESSAGE_BYTES: usize = 7_500;
+    let engine = engine::Engine::spawn(engine::Options {
+        prefill: Duration::ZERO,
+        cache: 1_000_000,
+        chunk: 1_000_000,
+        ..engine::Options::default()
+    })?;
+    let process = Process::spawn("llm", engine.addr(), "long").await?;
+    let client = transport::connect_side(process.calls, LONG).await?;
+    let text = "x".repeat(MESSAGE_BYTES);
+    let message = |_| chat::Message::text("user", &text);
+    let messages: Vec<_> = (0..MESSAGES).map(message).collect();
+    let before = process.memory()?;
+    let mut turn = side::Start {
+        digest: digest::Digest::EMPTY.extend_all(&messages),
+        messages,
+        prompt_tokens: 750_000,
+        ..start(1)
+    };
+    let first = side_turn(&client, turn.clone()).await?;
+    let after_first = process.memory()?;
+    let answer = engine::answer_to(turn.digest, 8);
+    let base = turn
+        .digest
+        .extend(&chat::Message::text("assistant", &answer));
+    turn.messages = vec![chat::Message::text("user", "more")];
+    turn.digest = base.extend_all(&turn.messages);
+    turn.base = base;
+    turn.attempt = 2;
+    turn.turn = 2;
+    let second = side_turn(&client, turn).await?;
+    let after_second = process.memory()?;
+    println!(
+        "history of {MESSAGES} messages, {} MB: RSS {before:.1} MB before, {after_first:.1} MB \
+         after the first turn ({first:.1?} to the first token), {after_second:.1} MB after the \
+         second ({second:.1?})",
+        MESSAGES as usize * MESSAGE_BYTES / 1_000_000,
+    );
+    Ok(())
+}
+
 /// One line of the table.
 fn row(table: &mut String, what: &str, width: u64, direct: &Times, through: &Times, cost: &Cost) {
     let (d50, s50) = (direct.at(0.5), through.at(0.5));
@@ -337,7 +381,8 @@
         let client = transport::connect_side(process.calls, LONG).await?;
         let from = first_number;
         let through = measure(width, turns, move |number| {
-            side_turn(client.clone(), from + number)
+            let client = client.clone();
+            async move { side_turn(&client, start(from + number)).await }
         })
         .await?;
         first_number += turns;
@@ -357,6 +402,7 @@
          | side p99 ms | ratio | side CPU us/call | side RSS MB |\n\
          |---|---|---|---|---|---|---|---|---|---|\n",
     );
+    long_history().await?;
     plain_rows(&mut table).await?;
     turn_rows(&mut table).await?;
     println!("{table}");
--- a/fw-side/tests/side/stream_path.rs
+++ b/fw-side/tests/side/stream_path.rs
@@ -1,8 +1,13 @@
 //! A turn from start to its whole answer, and the turns after it.
 
+use std::sync::Arc;
+use std::time::Instant;
+
 use fw_base::digest;
 use fw_base::error;
 use fw_fake::engine;
+use fw_side::process::attempts;
+use fw_side::process::histories;
 use fw_wire::attempt;
 use fw_wire::side;
 use fw_wire::transport;
@@ -93,6 +98,25 @@
     expect_that!(rig.engine.runs(start.digest), eq(1));
 }
 
+// The two calls to start a turn arrive over two connections at one moment, and both find that the
+// attempt is not known yet. Only one may reach the queue.
+#[gtest]
+fn of_two_racing_starts_one_is_queued() {
+    let attempts = attempts::Attempts::default();
+    let mut queued = 0;
+    for _ in 0..2 {
+        let start = rig::first_turn("p", 1, "hello");
+        let prompt = histories::Prompt::default();
+        let attempt = attempts::Attempt::new(start, prompt, Instant::now());
+        let push = || {
+            queued += 1;
+            Ok(())
+        };
+        attempts.insert(Arc::new(attempt), push).unwrap();
+    }
+    expect_that!(queued, eq(1));
+}
+
 // The keeper's connection to the side goes silent in the midst of an answer. It connects anew and
 // reads on from the next event: the whole answer must be there, and the turn must not run again.
 #[gtest]
