--- a/fw-check/src/event.rs
+++ b/fw-check/src/event.rs
@@ -230,6 +230,12 @@
     Digest::of_bytes(message.as_str().as_bytes())
 }
 
+/// The digest that stands for a plain request: its method, path with query, and body.
+pub fn request_of(method: &str, path: &str, body: &[u8]) -> Digest {
+    let head = format!("{method} {path}\n");
+    Digest::of_bytes(&[head.as_bytes(), body].concat())
+}
+
 mod micros {
     use std::time::Duration;
 
--- a/fw-fake/src/engine/cache.rs
+++ b/fw-fake/src/engine/cache.rs
@@ -11,6 +11,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::notes;
+
 /// Most cache events kept for readers.
 const MAX_EVENTS: usize = 10_000;
 
@@ -47,6 +49,7 @@
     programs: HashMap<id::ProgramId, Entry>,
     order: BTreeMap<u64, id::ProgramId>,
     events: VecDeque<Event>,
+    notes: Option<notes::Notes>,
 }
 
 #[derive(Debug)]
@@ -62,10 +65,11 @@
 }
 
 impl Cache {
-    pub(super) fn new(size: id::Tokens, gap: u64) -> Self {
+    pub(super) fn new(size: id::Tokens, gap: u64, notes: Option<notes::Notes>) -> Self {
         Self {
             size,
             gap,
+            notes,
             ..Self::default()
         }
     }
@@ -86,7 +90,7 @@
 
     /// Holds `marks` for `program`, and evicts others for it.
     pub(super) fn put(&mut self, program: &id::ProgramId, marks: Vec<Mark>) {
-        self.forget(program);
+        let was_held = self.forget(program);
         let entry = Entry {
             marks,
             used_at: self.clock,
@@ -94,6 +98,9 @@
         let tokens = entry.tokens();
         if tokens > self.size {
             self.publish(program, 0);
+            if let Some(notes) = self.notes.as_ref().filter(|_| was_held) {
+                notes.memory_freed(program);
+            }
             return;
         }
         while self.used + tokens > self.size {
@@ -106,6 +113,9 @@
         self.order.insert(self.clock, program.clone());
         self.clock += 1;
         self.programs.insert(program.clone(), entry);
+        if let Some(notes) = self.notes.as_ref().filter(|_| !was_held) {
+            notes.memory_held(program);
+        }
         self.publish(program, tokens);
     }
 
@@ -114,6 +124,9 @@
         let held = self.forget(program);
         if held {
             self.publish(program, 0);
+            if let Some(notes) = &self.notes {
+                notes.memory_freed(program);
+            }
         }
         held
     }
--- a/fw-fake/src/engine/life.rs
+++ b/fw-fake/src/engine/life.rs
@@ -12,6 +12,7 @@
 
 use fw_base::digest;
 use fw_base::id;
+use fw_check::event;
 use parking_lot::Mutex;
 use serde::Serialize;
 use serde_json::json;
@@ -23,6 +24,7 @@
 use super::answer;
 use super::cache;
 use super::http;
+use crate::notes;
 
 /// Finished streams kept for resumption.
 const MAX_STREAMS: usize = 4_096;
@@ -112,6 +114,8 @@
     pub(super) model: String,
     pub(super) marks: Vec<cache::Mark>,
     pub(super) tokens: u32,
+    /// What to note of the run, if it is recorded.
+    pub(super) work: Option<event::Work>,
 }
 
 #[derive(Debug)]
@@ -124,6 +128,10 @@
     to_prefill: id::Tokens,
     made: u32,
     message_digest: digest::Digest,
+    /// Digest of the answer as the record of a run has it.
+    answer: digest::Digest,
+    /// The run in the record, if there is one.
+    run: Option<event::RunId>,
 }
 
 impl Sequence {
@@ -141,6 +149,8 @@
             to_prefill: prompt - cached,
             made: 0,
             message_digest: digest.extend(&message),
+            answer: event::digest_of(&message),
+            run: None,
             req,
         }
     }
@@ -201,6 +211,7 @@
     shared.lives.fetch_add(1, Ordering::SeqCst);
     shared.held.lock().clear();
     shared.under_way.store(0, Ordering::SeqCst);
+    let _noted = notes::Life(shared.opts.notes.clone());
     let life = Arc::new(Life::new(shared));
     tokio::select! {
         () = http::serve(listener, life.clone()) => {}
@@ -211,7 +222,11 @@
 
 impl Life {
     fn new(shared: Arc<Shared>) -> Self {
-        let cache = cache::Cache::new(shared.opts.cache, shared.opts.cache_gap);
+        let cache = cache::Cache::new(
+            shared.opts.cache,
+            shared.opts.cache_gap,
+            shared.opts.notes.clone(),
+        );
         Self {
             state: Mutex::new(State {
                 waiting: VecDeque::new(),
@@ -235,9 +250,10 @@
             return stream.clone();
         }
         let id = req.id.clone();
-        let sequence = Sequence::new(req, 0);
+        let mut sequence = Sequence::new(req, 0);
         let stream = sequence.stream.clone();
         self.count_run(sequence.digest);
+        sequence.run = self.note_start(sequence.req.work.take());
         state.streams.insert(id, stream.clone());
         state.waiting.push_back(sequence);
         self.shared.under_way.fetch_add(1, Ordering::SeqCst);
@@ -245,6 +261,18 @@
         stream
     }
 
+    /// Notes that a run begins, if runs are recorded.
+    pub(super) fn note_start(&self, work: Option<event::Work>) -> Option<event::RunId> {
+        let notes = self.shared.opts.notes.as_ref()?;
+        Some(notes.run_started(work?))
+    }
+
+    fn note_end(&self, sequence: &Sequence, answer: Option<digest::Digest>) {
+        if let (Some(notes), Some(run)) = (&self.shared.opts.notes, sequence.run) {
+            notes.run_ended(run, answer);
+        }
+    }
+
     /// Counts a run of the prompt with this digest.
     pub(super) fn count_run(&self, digest: digest::Digest) {
         let mut counts = self.shared.counts.lock();
@@ -348,6 +376,7 @@
             if sequence.to_prefill > 0 || !sequence.step() {
                 return true;
             }
+            self.note_end(sequence, Some(sequence.answer));
             sequence.finish();
             if let Some(program) = &sequence.req.program {
                 state.cache.put(program, sequence.marks_after());
@@ -366,6 +395,7 @@
             .collect();
         for (was_running, sequence) in all {
             if sequence.stream.cancelled.load(Ordering::SeqCst) {
+                self.note_end(&sequence, None);
                 self.end(state, &sequence);
             } else if was_running {
                 state.running.push(sequence);
--- a/fw-fake/src/engine/mod.rs
+++ b/fw-fake/src/engine/mod.rs
@@ -28,6 +28,8 @@
 use parking_lot::Mutex;
 use smol_str::SmolStr;
 
+use crate::notes;
+
 pub use answer::text as answer_to;
 pub use answer::tokens_of;
 
@@ -56,6 +58,8 @@
     pub answer: u32,
     /// How long a crashed engine stays down; it stays down for good if this is absent.
     pub restart_after: Option<Duration>,
+    /// Where runs, memory and crashes are noted; nowhere if absent.
+    pub notes: Option<notes::Notes>,
 }
 
 impl Default for Options {
@@ -72,6 +76,7 @@
             checks_fence: true,
             answer: 24,
             restart_after: None,
+            notes: None,
         }
     }
 }
@@ -133,7 +138,8 @@
     /// # Errors
     ///
     /// When no port can be bound.
-    pub fn spawn(opts: Options) -> io::Result<Self> {
+    pub fn spawn(mut opts: Options) -> io::Result<Self> {
+        opts.notes = opts.notes.map(notes::Notes::named);
         let shared = Arc::new(Shared {
             control: process::Control::new(opts.restart_after),
             opts,
@@ -151,6 +157,12 @@
         self.process.addr()
     }
 
+    /// The engine's name in the record of a run, if there is one.
+    pub fn noted_as(&self) -> Option<&id::UpstreamId> {
+        let notes = self.shared.opts.notes.as_ref();
+        notes.map(|notes| &notes.upstream)
+    }
+
     /// Drops all connections and refuses new ones. The cache and all streams are lost.
     pub fn crash(&self) {
         self.process.crash();
--- a/fw-fake/src/lib.rs
+++ b/fw-fake/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod engine;
 pub mod instances;
+pub mod notes;
 pub mod plain;
 pub mod relay;
 pub mod store;
--- a/fw-fake/src/plain.rs
+++ b/fw-fake/src/plain.rs
@@ -18,10 +18,13 @@
 use axum::response::Response;
 use bytes::Bytes;
 use futures_util::FutureExt;
+use fw_base::digest;
+use fw_check::event;
 use parking_lot::Mutex;
 use smol_str::SmolStr;
 
 use crate::engine::process;
+use crate::notes;
 
 /// Header with the caller's idempotency key.
 const KEY: &str = "idempotency-key";
@@ -36,6 +39,8 @@
     pub delay: Duration,
     /// How long a crashed service stays down; for good if absent.
     pub restart_after: Option<Duration>,
+    /// Where runs and crashes are noted; nowhere if absent.
+    pub notes: Option<notes::Notes>,
 }
 
 /// What goes wrong with the next requests.
@@ -73,6 +78,7 @@
     delay: Mutex<Duration>,
     fault: Mutex<Fault>,
     runs: Mutex<Vec<Run>>,
+    notes: Option<notes::Notes>,
 }
 
 /// A running stand-in service; dropped, it crashes for good.
@@ -92,6 +98,7 @@
         let shared = Arc::new(Shared {
             control: process::Control::new(opts.restart_after),
             delay: Mutex::new(opts.delay),
+            notes: opts.notes.map(notes::Notes::named),
             ..Shared::default()
         });
         let lives = shared.clone();
@@ -143,6 +150,7 @@
 }
 
 async fn serve(listener: TcpListener, shared: Arc<Shared>) {
+    let _noted = notes::Life(shared.notes.clone());
     let router = Router::new()
         .fallback(answer)
         .layer(DefaultBodyLimit::disable())
@@ -173,6 +181,10 @@
         body: body.slice(..body.len().min(KEPT_BODY)),
     };
     shared.runs.lock().push(run);
+    let noted = shared.notes.as_ref().map(|notes| {
+        let request = event::request_of(method.as_str(), &uri.to_string(), &body);
+        (notes, notes.run_started(event::Work::Plain(request)))
+    });
     let delay = *shared.delay.lock();
     if !delay.is_zero() {
         tokio::time::sleep(delay).await;
@@ -180,7 +192,12 @@
     match fault {
         Fault::Hang => std::future::pending().await,
         Fault::CrashAfter => crash(&shared).await,
-        _ => echo(&headers, body),
+        _ => {
+            if let Some((notes, run)) = noted {
+                notes.run_ended(run, Some(digest::Digest::of_bytes(&body)));
+            }
+            echo(&headers, body)
+        }
     }
 }
 
--- /dev/null
+++ b/fw-local/src/faults.rs
@@ -0,0 +1,313 @@
+//! Faults drawn from a seed, brought about in a running system and healed again.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fw_check::event::Event;
+use fw_check::recorder;
+use fw_fake::plain;
+use fw_fake::store;
+use rand::RngExt;
+use rand_pcg::Pcg64;
+use tokio::task::JoinSet;
+
+use crate::caller;
+use crate::history::doors;
+use crate::system;
+
+/// Most faults of a schedule.
+const MOST: usize = 3;
+/// When the first faults begin, and the last, in milliseconds.
+const BEGIN_MS: std::ops::Range<u64> = 300..2_500;
+/// How long a fault lasts, in milliseconds.
+const LAST_MS: std::ops::Range<u64> = 300..2_500;
+/// Delay of a slow store.
+const STORE_DELAY: Duration = Duration::from_millis(150);
+/// How much slower a slow engine is.
+const ENGINE_FACTOR: f32 = 8.0;
+/// How far a lagging instance list is behind.
+const LIST_LAG: Duration = Duration::from_secs(2);
+/// Time between two looks whether a new entry is ready.
+const READY_POLL: Duration = Duration::from_millis(50);
+/// Most such looks.
+const READY_LOOKS: usize = 400;
+
+/// Something that goes wrong. Numbers are indices into the system.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// An entry crashes; another one is started later.
+    KillEntry(usize),
+    /// An entry is stopped gracefully; another one is started later.
+    StopEntry(usize),
+    /// The side of an engine crashes, and starts again at other addresses.
+    KillSide(usize),
+    /// An engine crashes and starts again.
+    CrashEngine(usize),
+    /// An engine takes requests and does nothing.
+    FreezeEngine(usize),
+    /// The streams that an engine has open fall silent.
+    SilenceEngine(usize),
+    /// An engine is slow.
+    SlowEngine(usize),
+    /// An engine loses orders to free memory.
+    LoseReleases(usize),
+    /// An engine leaves for good.
+    LeaveEngine(usize),
+    /// The store is away, for one entry or for all.
+    StoreAway(Option<usize>, store::Outage),
+    /// The store loses each other answer to a change.
+    LoseAnswers,
+    /// The store is slow.
+    SlowStore,
+    /// A plain service crashes on each request, before or after it ran.
+    CrashTool(usize, plain::Fault),
+    /// The instance list lags.
+    LagList,
+}
+
+/// A fault with its time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timed {
+    /// When it begins.
+    pub at: Duration,
+    /// When it is healed, after that.
+    pub lasts: Duration,
+    /// What it is.
+    pub fault: Fault,
+}
+
+/// Sizes of the system that faults are drawn for.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Entries at the start.
+    pub entries: usize,
+    /// Engines.
+    pub engines: usize,
+    /// Plain services.
+    pub tools: usize,
+}
+
+/// Draws one to three faults.
+pub fn draw(rng: &mut Pcg64, opts: &Options) -> Vec<Timed> {
+    let count = rng.random_range(1..=MOST);
+    let timed = |_| Timed {
+        at: Duration::from_millis(rng.random_range(BEGIN_MS)),
+        lasts: Duration::from_millis(rng.random_range(LAST_MS)),
+        fault: draw_one(rng, opts),
+    };
+    let mut drawn: Vec<_> = (0..count).map(timed).collect();
+    // One engine at most leaves: the others are to go on.
+    let mut leaves = false;
+    drawn.retain(|timed| match timed.fault {
+        Fault::LeaveEngine(_) => !std::mem::replace(&mut leaves, true),
+        _ => true,
+    });
+    drawn.sort_by_key(|timed| timed.at);
+    drawn
+}
+
+fn draw_one(rng: &mut Pcg64, opts: &Options) -> Fault {
+    let entry = rng.random_range(0..opts.entries);
+    let engine = rng.random_range(0..opts.engines);
+    let tool = rng.random_range(0..opts.tools);
+    let port = rng.random_bool(0.5).then_some(entry);
+    match rng.random_range(0..17) {
+        0 | 1 => Fault::KillEntry(entry),
+        2 => Fault::StopEntry(entry),
+        3 | 4 => Fault::KillSide(engine),
+        5 => Fault::CrashEngine(engine),
+        6 => Fault::FreezeEngine(engine),
+        7 => Fault::SilenceEngine(engine),
+        8 => Fault::SlowEngine(engine),
+        9 => Fault::LoseReleases(engine),
+        10 => Fault::LeaveEngine(engine),
+        11 => Fault::StoreAway(port, store::Outage::Refuse),
+        12 => Fault::StoreAway(port, store::Outage::Hang),
+        13 => Fault::LoseAnswers,
+        14 => Fault::SlowStore,
+        15 => match rng.random_bool(0.5) {
+            true => Fault::CrashTool(tool, plain::Fault::CrashBefore),
+            false => Fault::CrashTool(tool, plain::Fault::CrashAfter),
+        },
+        _ => Fault::LagList,
+    }
+}
+
+/// Brings faults about in one system.
+pub struct Driver {
+    /// The system.
+    pub system: system::System,
+    recorder: recorder::Recorder,
+    doors: Arc<doors::Doors>,
+    /// Entries that stop, and entries that are not ready yet.
+    tasks: JoinSet<()>,
+}
+
+enum Step {
+    Begin,
+    Heal,
+}
+
+impl Driver {
+    /// A driver of `system`, whose entries are open to callers from now on.
+    pub fn new(
+        system: system::System,
+        recorder: recorder::Recorder,
+        doors: Arc<doors::Doors>,
+    ) -> Self {
+        for (index, entry) in system.entries.iter().enumerate() {
+            if let Some(running) = entry {
+                doors.open(doors::Door::new(index, running));
+            }
+        }
+        Self {
+            system,
+            recorder,
+            doors,
+            tasks: JoinSet::new(),
+        }
+    }
+
+    /// Brings `faults` about, each at its time from now on, and heals them.
+    pub async fn run(&mut self, faults: &[Timed]) {
+        let begun = tokio::time::Instant::now();
+        let begins = faults.iter().map(|f| (f.at, Step::Begin, f.fault));
+        let heals = faults.iter().map(|f| (f.at + f.lasts, Step::Heal, f.fault));
+        let mut steps: Vec<_> = begins.chain(heals).collect();
+        steps.sort_by_key(|(at, ..)| *at);
+        for (at, step, fault) in steps {
+            tokio::time::sleep_until(begun + at).await;
+            match step {
+                Step::Begin => self.begin(fault),
+                Step::Heal => self.heal(fault).await,
+            }
+        }
+    }
+
+    /// Waits until entries that stop have ended and new ones are open.
+    pub async fn settle(&mut self) {
+        while self.tasks.join_next().await.is_some() {}
+    }
+
+    /// Ends the system at once.
+    pub fn end(mut self) {
+        for entry in 0..self.system.entries.len() {
+            self.doors.close(entry);
+            self.system.kill_entry(entry);
+        }
+    }
+
+    fn begin(&mut self, fault: Fault) {
+        let engines = &self.system.engines;
+        let store = &self.system.store;
+        match fault {
+            Fault::KillEntry(entry) => self.kill_entry(entry),
+            Fault::StopEntry(entry) => self.stop_entry(entry),
+            Fault::KillSide(engine) => {
+                let process = smol_str::format_smolstr!("side-{engine}");
+                self.recorder.record(Event::Crashed { process });
+                self.system.kill_side(engine);
+            }
+            Fault::CrashEngine(engine) => engines[engine].upstream.crash(),
+            Fault::FreezeEngine(engine) => engines[engine].upstream.freeze(true),
+            Fault::SilenceEngine(engine) => engines[engine].upstream.silence(),
+            Fault::SlowEngine(engine) => engines[engine].upstream.slow(ENGINE_FACTOR),
+            Fault::LoseReleases(engine) => engines[engine].upstream.lose_releases(true),
+            Fault::LeaveEngine(engine) => self.leave_engine(engine),
+            Fault::StoreAway(None, outage) => store.set_outage(Some(outage)),
+            Fault::StoreAway(Some(port), outage) => {
+                store.faults(port, |faults| faults.outage = Some(outage));
+            }
+            Fault::LoseAnswers => store.faults_everywhere(|faults| faults.lose_probability = 0.5),
+            Fault::SlowStore => store.faults_everywhere(|faults| faults.delay = STORE_DELAY),
+            Fault::CrashTool(tool, fault) => self.system.tools[tool].upstream.fault(fault),
+            Fault::LagList => self.system.instances.set_lag(LIST_LAG),
+        }
+    }
+
+    async fn heal(&mut self, fault: Fault) {
+        let engines = &self.system.engines;
+        let store = &self.system.store;
+        match fault {
+            Fault::KillEntry(_) | Fault::StopEntry(_) => self.add_entry().await,
+            Fault::KillSide(engine) => {
+                let started = self.system.restart_side(engine).await;
+                started.expect("a port on loopback is free");
+            }
+            Fault::CrashEngine(engine) => {
+                let started = engines[engine].upstream.restart();
+                started.expect("the engine's port is free again");
+            }
+            Fault::FreezeEngine(engine) => engines[engine].upstream.freeze(false),
+            Fault::SlowEngine(engine) => engines[engine].upstream.slow(1.0),
+            Fault::LoseReleases(engine) => engines[engine].upstream.lose_releases(false),
+            Fault::SilenceEngine(_) | Fault::LeaveEngine(_) => {}
+            Fault::StoreAway(None, _) => store.set_outage(None),
+            Fault::StoreAway(Some(port), _) => store.faults(port, |faults| faults.outage = None),
+            Fault::LoseAnswers => store.faults_everywhere(|faults| faults.lose_probability = 0.0),
+            Fault::SlowStore => store.faults_everywhere(|faults| faults.delay = Duration::ZERO),
+            Fault::CrashTool(tool, _) => {
+                self.system.tools[tool].upstream.fault(plain::Fault::None);
+            }
+            Fault::LagList => self.system.instances.set_lag(Duration::ZERO),
+        }
+    }
+
+    fn kill_entry(&mut self, entry: usize) {
+        if self.system.entries[entry].is_none() {
+            return;
+        }
+        self.doors.close(entry);
+        let process = doors::name(entry);
+        self.recorder.record(Event::Crashed { process });
+        self.system.kill_entry(entry);
+    }
+
+    fn stop_entry(&mut self, entry: usize) {
+        let Some(running) = self.system.entries[entry].take() else {
+            return;
+        };
+        self.doors.close(entry);
+        let recorder = self.recorder.clone();
+        let process = doors::name(entry);
+        recorder.record(Event::ShutdownBegun {
+            process: process.clone(),
+        });
+        self.tasks.spawn(async move {
+            let stopped = running.stop().await;
+            let cut_off = u32::from(!stopped.drained);
+            recorder.record(Event::ShutdownEnded { process, cut_off });
+        });
+    }
+
+    fn leave_engine(&mut self, engine: usize) {
+        let upstream = &self.system.engines[engine].upstream;
+        if let Some(name) = upstream.noted_as() {
+            let upstream = name.clone();
+            self.recorder.record(Event::UpstreamLeaving { upstream });
+        }
+        upstream.leave(true);
+    }
+
+    /// Starts an entry, which is open to callers as soon as it says that it is ready.
+    async fn add_entry(&mut self) {
+        let added = self.system.add_entry("hall-a").await;
+        let index = added.expect("a port on loopback is free");
+        let Some(running) = &self.system.entries[index] else {
+            return;
+        };
+        let door = doors::Door::new(index, running);
+        let doors = Arc::clone(&self.doors);
+        self.tasks.spawn(async move {
+            for _ in 0..READY_LOOKS {
+                let caller = caller::Caller::new();
+                let ready = caller.plain(door.callers, "GET", "/readyz", &[], "".into());
+                if ready.await.status == 200 {
+                    doors.open(door);
+                    return;
+                }
+                tokio::time::sleep(READY_POLL).await;
+            }
+        });
+    }
+}
--- /dev/null
+++ b/fw-local/src/history/calls.rs
@@ -0,0 +1,177 @@
+//! Calls that are noted in a record: before they are sent, and after their answer came.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fw_base::chat;
+use fw_base::digest;
+use fw_base::error;
+use fw_base::id;
+use fw_check::event;
+use fw_check::event::Event;
+use fw_check::recorder;
+use serde_json::Value;
+use smol_str::SmolStr;
+use tokio::net::TcpStream;
+
+use super::doors;
+use crate::caller;
+
+/// What recorded callers share.
+#[derive(Clone)]
+pub struct Context {
+    /// The record.
+    pub recorder: recorder::Recorder,
+    /// The entries that can be called.
+    pub doors: Arc<doors::Doors>,
+}
+
+/// How a call ended.
+pub enum Got {
+    /// With an answer.
+    Answered(Box<caller::Answer>),
+    /// With an error.
+    Refused {
+        /// What sort of error.
+        kind: error::Kind,
+        /// When to send it again.
+        after: Option<Duration>,
+    },
+    /// Without either.
+    Lost,
+}
+
+/// A turn to be sent.
+#[derive(Clone)]
+pub struct Turn {
+    /// Who sends it.
+    pub caller: event::CallerId,
+    /// The program.
+    pub program: id::ProgramId,
+    /// Its number.
+    pub turn: id::Turn,
+    /// The message that it adds.
+    pub message: Value,
+    /// The request.
+    pub chat: caller::Chat,
+    /// Longest that the caller waits before it goes away.
+    pub patience: Duration,
+}
+
+/// A plain request to be sent.
+#[derive(Clone)]
+pub struct Plain {
+    /// Who sends it.
+    pub caller: event::CallerId,
+    /// The method.
+    pub method: &'static str,
+    /// The path.
+    pub path: String,
+    /// The `Idempotency-Key`; absent for an idempotent request.
+    pub key: Option<SmolStr>,
+    /// The body.
+    pub body: String,
+    /// Longest that the caller waits before it goes away.
+    pub patience: Duration,
+}
+
+impl Context {
+    /// Sends a turn to the entry behind `door`.
+    pub async fn turn(&self, door: &doors::Door, turn: &Turn) -> Got {
+        let call = self.recorder.next_id();
+        self.recorder.record(Event::TurnSent(event::TurnSent {
+            call,
+            caller: turn.caller.clone(),
+            to: door.process.clone(),
+            program: turn.program.clone(),
+            turn: turn.turn,
+            messages: digests(std::slice::from_ref(&turn.message)),
+        }));
+        if !is_reachable(door).await {
+            return self.lost(call, false, false);
+        }
+        // A connection for each call: none is found closed as the call is written to it.
+        let caller = caller::Caller::new();
+        let answer = caller.chat(door.callers, &turn.chat);
+        let Ok(answer) = tokio::time::timeout(turn.patience, answer).await else {
+            return self.lost(call, true, true);
+        };
+        let digest = digests(&[answer.message()])[0];
+        self.ended(call, answer, digest)
+    }
+
+    /// Sends a plain request to the entry behind `door`.
+    pub async fn plain(&self, door: &doors::Door, plain: &Plain) -> Got {
+        let call = self.recorder.next_id();
+        let body = plain.body.as_bytes();
+        self.recorder.record(Event::PlainSent(event::PlainSent {
+            call,
+            caller: plain.caller.clone(),
+            to: door.process.clone(),
+            request: event::request_of(plain.method, &plain.path, body),
+            key: plain.key.clone(),
+            idempotent: plain.key.is_none(),
+        }));
+        if !is_reachable(door).await {
+            return self.lost(call, false, false);
+        }
+        let key = plain
+            .key
+            .iter()
+            .map(|key| ("idempotency-key", key.to_string()));
+        let headers: Vec<_> = key.collect();
+        let caller = caller::Caller::new();
+        let answer = caller.plain(
+            door.callers,
+            plain.method,
+            &plain.path,
+            &headers,
+            plain.body.clone().into(),
+        );
+        let Ok(answer) = tokio::time::timeout(plain.patience, answer).await else {
+            return self.lost(call, true, true);
+        };
+        let digest = digest::Digest::of_bytes(answer.text.as_bytes());
+        self.ended(call, answer, digest)
+    }
+
+    fn ended(&self, call: event::CallId, answer: caller::Answer, digest: digest::Digest) -> Got {
+        if let Some(kind) = answer.kind {
+            let ran = answer.ran.unwrap_or(kind.row().ran);
+            self.recorder.record(Event::Refused { call, kind, ran });
+            let after = answer.retry_after;
+            return Got::Refused { kind, after };
+        }
+        if !answer.is_ok() {
+            return self.lost(call, true, false);
+        }
+        self.recorder.record(Event::Answered {
+            call,
+            answer: digest,
+            whole: answer.whole,
+            tokens: answer.prompt + answer.completion,
+        });
+        Got::Answered(Box::new(answer))
+    }
+
+    fn lost(&self, call: event::CallId, sent: bool, by_caller: bool) -> Got {
+        self.recorder.record(Event::Lost {
+            call,
+            sent,
+            by_caller,
+        });
+        Got::Lost
+    }
+}
+
+/// Whether the entry takes connections.
+async fn is_reachable(door: &doors::Door) -> bool {
+    TcpStream::connect(door.callers).await.is_ok()
+}
+
+/// Digests of messages, as the record has them.
+pub fn digests(messages: &[Value]) -> Vec<digest::Digest> {
+    let canonical = messages.iter().cloned().map(chat::Message::from_value);
+    let known = canonical.filter_map(Result::ok);
+    known.map(|message| event::digest_of(&message)).collect()
+}
--- /dev/null
+++ b/fw-local/src/history/mod.rs
@@ -0,0 +1,270 @@
+//! Runs of callers, operators and faults against a whole system, each recorded and judged by the
+//! checker of the promises.
+//!
+//! What a run does is drawn from its seed; how its threads interleave is not.
+
+pub mod calls;
+pub mod doors;
+pub mod operate;
+pub mod program;
+
+use std::fmt;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use fw_base::error;
+use fw_base::id;
+use fw_check::check;
+use fw_check::event;
+use fw_check::recorder;
+use fw_fake::engine;
+use fw_fake::notes;
+use fw_fake::plain;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use crate::faults;
+use crate::system;
+
+/// Ports of the store for entries that are started during a run.
+const SPARE_PORTS: usize = 4;
+/// Time after which a crashed plain service is back.
+const TOOL_RESTART: Duration = Duration::from_millis(100);
+/// Longest wait for histories at the end of a run.
+const READ_LIMIT: Duration = Duration::from_secs(15);
+/// Time between two looks at the engines' memory.
+const MEMORY_POLL: Duration = Duration::from_millis(50);
+
+/// What a run is made of.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// What programs and faults are drawn from.
+    pub seed: u64,
+    /// Programs.
+    pub programs: usize,
+    /// Whether anything goes wrong.
+    pub faults: bool,
+    /// Time after which the caller of a program gives up.
+    pub limit: Duration,
+    /// The checker's bounds.
+    pub check: check::Options,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            programs: 10,
+            faults: true,
+            limit: Duration::from_secs(40),
+            check: check::Options {
+                free_within: Duration::from_secs(8),
+                leave_within: Duration::from_secs(4),
+                in_force_within: Duration::from_secs(8),
+            },
+        }
+    }
+}
+
+/// What became of a run.
+pub struct Outcome {
+    /// The record.
+    pub entries: Vec<event::Entry>,
+    /// The checker's verdicts.
+    pub report: check::Report,
+    /// What went wrong, as drawn.
+    pub faults: Vec<faults::Timed>,
+    /// How the programs went.
+    pub programs: Vec<program::Outcome>,
+    /// Programs whose history could not be read at the end.
+    pub unread: Vec<id::ProgramId>,
+    /// Time that the run took.
+    pub took: Duration,
+}
+
+impl Outcome {
+    /// Whether every promise held and every program was finished.
+    pub fn is_good(&self) -> bool {
+        let all_finished = self.programs.iter().all(|program| program.finished);
+        !self.report.is_violated() && all_finished && self.unread.is_empty()
+    }
+
+    /// Programs finished.
+    pub fn finished(&self) -> usize {
+        let finished = self.programs.iter().filter(|program| program.finished);
+        finished.count()
+    }
+
+    /// Programs that the system does not know as far as their callers were answered: a next turn
+    /// was refused for it, or the history could not be read.
+    pub fn lost(&self) -> usize {
+        let is_lost = |p: &&program::Outcome| {
+            let is_refused = p.answered > 0 && p.refused.is_some_and(tells_loss);
+            is_refused || self.unread.contains(&p.program)
+        };
+        self.programs.iter().filter(is_lost).count()
+    }
+
+    /// How often `promise` was violated.
+    pub fn violations(&self, promise: check::Promise) -> usize {
+        match self.report.verdict(promise) {
+            check::Verdict::Violated { evidence } => evidence.len(),
+            _ => 0,
+        }
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for fault in &self.faults {
+            writeln!(f, "fault      {fault:?}")?;
+        }
+        for program in self.programs.iter().filter(|program| !program.finished) {
+            writeln!(f, "unfinished {program:?}")?;
+        }
+        for program in &self.unread {
+            writeln!(f, "unread     {program}")?;
+        }
+        write!(f, "{}", self.report)
+    }
+}
+
+/// Whether an error to the next turn says that the turns before it are not known.
+fn tells_loss(kind: error::Kind) -> bool {
+    use error::Kind::HistoryMismatch;
+    use error::Kind::UnknownProgram;
+    use error::Kind::WrongTurn;
+    matches!(kind, HistoryMismatch | UnknownProgram | WrongTurn)
+}
+
+/// Runs callers, operators and faults against a system of their own, and judges the record.
+///
+/// # Errors
+///
+/// When the system does not start.
+pub async fn run(opts: &Options) -> io::Result<Outcome> {
+    let begun = Instant::now();
+    let recorder = recorder::Recorder::new();
+    let shape = shape(&recorder);
+    let sizes = faults::Options {
+        entries: shape.entries.len(),
+        engines: shape.engines.len(),
+        tools: shape.tools.len(),
+    };
+    let mut rng = Pcg64::seed_from_u64(opts.seed);
+    let faults = match opts.faults {
+        true => faults::draw(&mut rng, &sizes),
+        false => Vec::new(),
+    };
+    let plans = plans(&mut rng, opts);
+    let cx = calls::Context {
+        recorder,
+        doors: Arc::default(),
+    };
+    let system = system::System::start(shape).await?;
+    let mut driver = faults::Driver::new(system, cx.recorder.clone(), Arc::clone(&cx.doors));
+    let stop = CancellationToken::new();
+    let mut others = others(&cx, opts.seed, &stop);
+    let mut agents = JoinSet::new();
+    for plan in plans {
+        agents.spawn(program::run(cx.clone(), plan));
+    }
+    driver.run(&faults).await;
+    let programs = agents.join_all().await;
+    stop.cancel();
+    driver.settle().await;
+    while others.join_next().await.is_some() {}
+    operate::settle(&cx, opts.check.in_force_within + Duration::from_secs(1)).await;
+    let unread = read_all(&cx, &programs).await;
+    let limit = opts.check.free_within + Duration::from_secs(1);
+    wait_freed(&driver.system, &programs, limit).await;
+    operate::look(&cx);
+    let entries = cx.recorder.entries();
+    driver.end();
+    Ok(Outcome {
+        report: check::record(&entries, &opts.check),
+        entries,
+        faults,
+        programs,
+        unread,
+        took: begun.elapsed(),
+    })
+}
+
+fn shape(recorder: &recorder::Recorder) -> system::Options {
+    let notes = |upstream: &str| {
+        Some(notes::Notes {
+            recorder: recorder.clone(),
+            upstream: upstream.into(),
+        })
+    };
+    system::Options {
+        entries: vec!["hall-a", "hall-b", "hall-c"],
+        engines: vec!["hall-a", "hall-b", "hall-c"],
+        tools: vec!["hall-a", "hall-b"],
+        engine: engine::Options {
+            notes: notes(system::AGENTS),
+            ..engine::Options::default()
+        },
+        tool: plain::Options {
+            restart_after: Some(TOOL_RESTART),
+            notes: notes(system::TOOLS),
+            ..plain::Options::default()
+        },
+        spare_ports: SPARE_PORTS,
+        ..system::Options::default()
+    }
+}
+
+fn plans(rng: &mut Pcg64, opts: &Options) -> Vec<program::Plan> {
+    let name = |n| format!("p-{}-{n}", opts.seed);
+    let all = 0..opts.programs;
+    all.map(|n| program::Plan::draw(rng, &name(n), opts.limit))
+        .collect()
+}
+
+/// Starts operators, readers and the look at records in force.
+fn others(cx: &calls::Context, seed: u64, stop: &CancellationToken) -> JoinSet<()> {
+    let mut others = JoinSet::new();
+    for (n, name) in ["operator-a", "operator-b"].into_iter().enumerate() {
+        let rng = Pcg64::new(seed.into(), n as u128);
+        others.spawn(operate::change(cx.clone(), name, rng, stop.clone()));
+    }
+    for (n, name) in ["reader-a", "reader-b"].into_iter().enumerate() {
+        let rng = Pcg64::new(seed.into(), 2 + n as u128);
+        others.spawn(operate::look_up(cx.clone(), name, rng, stop.clone()));
+    }
+    others.spawn(operate::watch(cx.clone(), stop.clone()));
+    others
+}
+
+/// Reads the histories of all programs that were not ended; returns those that could not be read.
+async fn read_all(cx: &calls::Context, programs: &[program::Outcome]) -> Vec<id::ProgramId> {
+    let until = Instant::now() + READ_LIMIT;
+    let mut unread = Vec::new();
+    let kept = programs.iter().filter(|p| !p.ended && p.answered > 0);
+    for program in kept {
+        if !program::read(cx, &program.program, until).await {
+            unread.push(program.program.clone());
+        }
+    }
+    unread
+}
+
+/// Waits until no engine holds memory for a program that was ended, or `limit` has passed.
+async fn wait_freed(system: &system::System, programs: &[program::Outcome], limit: Duration) {
+    let until = Instant::now() + limit;
+    let ended: Vec<_> = programs.iter().filter(|p| p.ended).collect();
+    let holds_any = || {
+        let held = system.engines.iter().map(|worker| worker.upstream.held());
+        held.into_iter()
+            .any(|held| ended.iter().any(|p| held.contains_key(&p.program)))
+    };
+    while holds_any() && Instant::now() < until {
+        tokio::time::sleep(MEMORY_POLL).await;
+    }
+}
--- /dev/null
+++ b/fw-local/src/history/operate.rs
@@ -0,0 +1,148 @@
+//! Operators that race on a record, readers of plain services, and a look at what is in force.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use fw_base::digest;
+use fw_base::error;
+use fw_base::id;
+use fw_check::event::Event;
+use rand::RngExt;
+use rand_pcg::Pcg64;
+use serde_json::json;
+use tokio_util::sync::CancellationToken;
+
+use super::calls;
+use super::doors;
+use crate::caller;
+use crate::system;
+
+/// The record that operators race on.
+const RECORD: &str = "route/extra";
+/// Longest that an operator or reader waits for an answer.
+const PATIENCE: Duration = Duration::from_secs(8);
+/// Time between two looks at the records in force.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// Changes the record again and again, each time by compare-and-swap, until `stop`.
+pub async fn change(
+    cx: calls::Context,
+    name: &'static str,
+    mut rng: Pcg64,
+    stop: CancellationToken,
+) {
+    let mut count = 0;
+    while !stop.is_cancelled() {
+        count += 1;
+        if let Some(door) = cx.doors.pick(rng.random_range(0..8)) {
+            let path = format!("/extra/{name}/{count}");
+            change_once(&cx, &door, path).await;
+        }
+        tokio::time::sleep(Duration::from_millis(rng.random_range(100..500))).await;
+    }
+}
+
+async fn change_once(cx: &calls::Context, door: &doors::Door, path: String) {
+    let now = admin(door, "GET", &format!("/admin/records/{RECORD}"), "").await;
+    let revision = match now.status {
+        200 => now.body["revision"].as_i64().unwrap_or(0),
+        404 => 0,
+        _ => return,
+    };
+    let record = json!({ "schema": 2, "path": path, "service": system::TOOLS });
+    let value = Some(digest::Digest::of_bytes(path.as_bytes()));
+    let at = format!("/admin/records/{RECORD}?revision={revision}");
+    let answer = admin(door, "PUT", &at, &record.to_string()).await;
+    let name = RECORD.into();
+    match (answer.status, answer.body["revision"].as_i64(), answer.kind) {
+        (200, Some(revision), _) => cx.recorder.record(Event::RecordAccepted {
+            revision,
+            name,
+            value,
+        }),
+        (_, _, Some(kind)) if kind.row().ran == error::Ran::No => {}
+        _ => cx.recorder.record(Event::RecordDoubtful { name, value }),
+    }
+}
+
+async fn admin(door: &doors::Door, method: &str, path: &str, body: &str) -> caller::Answer {
+    let caller = caller::Caller::new();
+    let body = body.to_owned().into();
+    let answer = caller.plain(door.admin, method, path, &[], body);
+    tokio::time::timeout(PATIENCE, answer)
+        .await
+        .unwrap_or_default()
+}
+
+/// Reads from a plain service again and again until `stop`; each request is another one.
+pub async fn look_up(
+    cx: calls::Context,
+    name: &'static str,
+    mut rng: Pcg64,
+    stop: CancellationToken,
+) {
+    let mut count = 0;
+    while !stop.is_cancelled() {
+        count += 1;
+        if let Some(door) = cx.doors.pick(count) {
+            let call = calls::Plain {
+                caller: name.into(),
+                method: "GET",
+                path: format!("/lookup/{name}/{count}"),
+                key: None,
+                body: format!("{name} looks up {count}"),
+                patience: PATIENCE,
+            };
+            cx.plain(&door, &call).await;
+        }
+        tokio::time::sleep(Duration::from_millis(rng.random_range(20..120))).await;
+    }
+}
+
+/// Notes again and again which records are in force at each entry, until `stop`.
+pub async fn watch(cx: calls::Context, stop: CancellationToken) {
+    while !stop.is_cancelled() {
+        look(&cx);
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+/// Notes which records are in force at each entry; returns the lowest revision.
+pub fn look(cx: &calls::Context) -> id::Revision {
+    let mut lowest = id::Revision::MAX;
+    for door in cx.doors.all() {
+        let Some(entry) = door.entry.upgrade() else {
+            continue;
+        };
+        // A process that has no records yet takes no calls.
+        if !entry.records.is_loaded() {
+            continue;
+        }
+        let set = entry.records.current();
+        let revision = set.revision();
+        lowest = lowest.min(revision);
+        cx.recorder.record(Event::RecordInForce {
+            process: door.process,
+            revision,
+            values: None,
+        });
+    }
+    lowest
+}
+
+/// Waits until the records accepted last are in force at every entry, or `limit` has passed.
+pub async fn settle(cx: &calls::Context, limit: Duration) {
+    let accepted = cx
+        .recorder
+        .entries()
+        .into_iter()
+        .filter_map(|entry| match entry.event {
+            Event::RecordAccepted { revision, .. } => Some(revision),
+            _ => None,
+        });
+    let newest = accepted.max().unwrap_or(0);
+    let until = Instant::now() + limit;
+    while look(cx) < newest && Instant::now() < until {
+        tokio::time::sleep(LOOK).await;
+    }
+}
--- /dev/null
+++ b/fw-local/src/history/program.rs
@@ -0,0 +1,333 @@
+//! Recorded agents: programs with pauses, tool calls, resends, late duplicates and callers that go
+//! away.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use fw_base::error;
+use fw_base::id;
+use fw_check::event::Event;
+use rand::RngExt;
+use rand_pcg::Pcg64;
+use serde_json::Value;
+use serde_json::json;
+
+use super::calls;
+use crate::agent;
+use crate::caller;
+
+/// Longest that a caller waits for one answer.
+const PATIENCE: Duration = Duration::from_secs(10);
+/// Longest pause before a call is sent again.
+const MAX_PAUSE: Duration = Duration::from_millis(600);
+/// Pause before a call is sent again if the error names none.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Tokens of an answer.
+const ANSWER: u64 = 24;
+
+/// What one program does.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Its name.
+    pub program: id::ProgramId,
+    /// Time before its first turn.
+    pub start: Duration,
+    /// Turns until it is done.
+    pub turns: id::Turn,
+    /// Whether only new messages are sent.
+    pub delta: bool,
+    /// Whether answers are streamed.
+    pub stream: bool,
+    /// Pause between turns.
+    pub pause: Duration,
+    /// Turns after which a tool is called that must not run twice.
+    pub tools: Vec<id::Turn>,
+    /// Turns and tool calls that are sent through two entries at once.
+    pub doubled: Vec<id::Turn>,
+    /// Turns whose caller goes away soon and sends them again.
+    pub left: Vec<id::Turn>,
+    /// Whether it is ended by its caller.
+    pub end: bool,
+    /// Time after which its caller gives up for good.
+    pub limit: Duration,
+}
+
+impl Plan {
+    /// Draws what program `n` does.
+    pub fn draw(rng: &mut Pcg64, name: &str, limit: Duration) -> Self {
+        let turns = rng.random_range(2..=6);
+        let mut some = |chance: f64| -> Vec<id::Turn> {
+            let all = 1..=turns;
+            all.filter(|_| rng.random_bool(chance)).collect()
+        };
+        let (tools, doubled, left) = (some(0.4), some(0.2), some(0.15));
+        Self {
+            program: name.into(),
+            start: Duration::from_millis(rng.random_range(0..2_000)),
+            turns,
+            delta: rng.random_bool(0.5),
+            stream: rng.random_bool(0.7),
+            pause: Duration::from_millis(rng.random_range(20..400)),
+            tools,
+            doubled,
+            left,
+            end: rng.random_bool(0.5),
+            limit,
+        }
+    }
+}
+
+/// How a program went.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    /// Its name.
+    pub program: id::ProgramId,
+    /// Turns answered.
+    pub answered: id::Turn,
+    /// Whether all turns were answered.
+    pub finished: bool,
+    /// Whether its end was confirmed.
+    pub ended: bool,
+    /// The error that ended it early, if one did.
+    pub refused: Option<error::Kind>,
+    /// Tool calls of which the caller cannot know whether they ran.
+    pub unsure_tools: u32,
+}
+
+/// Runs a program to its end.
+pub async fn run(cx: calls::Context, plan: Plan) -> Outcome {
+    tokio::time::sleep(plan.start).await;
+    let mut agent = Agent {
+        cx,
+        until: Instant::now() + plan.limit,
+        next: plan.program.len() + plan.turns as usize,
+        history: Vec::new(),
+        outcome: Outcome {
+            program: plan.program.clone(),
+            ..Outcome::default()
+        },
+        plan,
+    };
+    agent.run().await;
+    agent.outcome
+}
+
+struct Agent {
+    cx: calls::Context,
+    plan: Plan,
+    until: Instant,
+    /// The entry to call next.
+    next: usize,
+    history: Vec<Value>,
+    outcome: Outcome,
+}
+
+impl Agent {
+    async fn run(&mut self) {
+        for turn in 1..=self.plan.turns {
+            if !self.turn(turn).await {
+                return;
+            }
+            if self.plan.tools.contains(&turn) {
+                self.tool(turn).await;
+            }
+            tokio::time::sleep(self.plan.pause).await;
+        }
+        self.outcome.finished = true;
+        let program = self.plan.program.clone();
+        read(&self.cx, &program, self.until).await;
+        if self.plan.end {
+            self.outcome.ended = end(&self.cx, &program, self.until).await;
+        }
+    }
+
+    async fn turn(&mut self, turn: id::Turn) -> bool {
+        let mut call = self.call(turn);
+        if self.plan.left.contains(&turn) {
+            let soon = Duration::from_millis(5 + u64::from(turn) * 7);
+            call.patience = soon;
+        }
+        while Instant::now() < self.until {
+            let got = match self.plan.doubled.contains(&turn) {
+                true => self.send_twice(&call).await,
+                false => self.send(&call).await,
+            };
+            call.patience = PATIENCE;
+            match got {
+                calls::Got::Answered(answer) => {
+                    self.history.push(call.message);
+                    self.history.push(answer.message());
+                    self.outcome.answered = turn;
+                    return true;
+                }
+                calls::Got::Refused { kind, .. } if !may_repeat(kind) => {
+                    self.outcome.refused = Some(kind);
+                    return false;
+                }
+                calls::Got::Refused { after, .. } => self.pause(after).await,
+                calls::Got::Lost => self.pause(None).await,
+            }
+        }
+        false
+    }
+
+    fn call(&self, turn: id::Turn) -> calls::Turn {
+        let program = &self.plan.program;
+        let message = json!({ "role": "user", "content": agent::text(program, turn, 40) });
+        let mut messages = match self.plan.delta {
+            true => Vec::new(),
+            false => self.history.clone(),
+        };
+        messages.push(message.clone());
+        let history = if self.plan.delta { "delta" } else { "full" };
+        let headers = vec![
+            ("x-program", program.to_string()),
+            ("x-turn", turn.to_string()),
+            ("x-history", history.to_owned()),
+        ];
+        calls::Turn {
+            caller: program.clone(),
+            program: program.clone(),
+            turn,
+            message,
+            chat: caller::Chat {
+                messages,
+                stream: self.plan.stream,
+                max_tokens: Some(ANSWER),
+                headers,
+                ..caller::Chat::default()
+            },
+            patience: PATIENCE,
+        }
+    }
+
+    async fn send(&self, call: &calls::Turn) -> calls::Got {
+        match self.cx.doors.pick(self.next) {
+            Some(door) => self.cx.turn(&door, call).await,
+            None => calls::Got::Lost,
+        }
+    }
+
+    /// Sends a turn through two entries at the same time.
+    async fn send_twice(&self, call: &calls::Turn) -> calls::Got {
+        let (Some(one), Some(other)) = self.two_doors() else {
+            return calls::Got::Lost;
+        };
+        let (one, other) = tokio::join!(self.cx.turn(&one, call), self.cx.turn(&other, call));
+        better(one, other)
+    }
+
+    /// Calls a tool under a key that names program and turn.
+    async fn tool(&mut self, turn: id::Turn) {
+        let program = &self.plan.program;
+        let call = calls::Plain {
+            caller: program.clone(),
+            method: "POST",
+            path: format!("/publish/{program}/{turn}"),
+            key: Some(smol_str::format_smolstr!("{program}.{turn}")),
+            body: format!("{program} publishes after turn {turn}"),
+            patience: PATIENCE,
+        };
+        while Instant::now() < self.until {
+            let got = match (self.plan.doubled.contains(&turn), self.two_doors()) {
+                (true, (Some(one), Some(other))) => {
+                    let (one, other) = (self.cx.plain(&one, &call), self.cx.plain(&other, &call));
+                    let (one, other) = tokio::join!(one, other);
+                    better(one, other)
+                }
+                (false, (Some(one), _)) => self.cx.plain(&one, &call).await,
+                _ => calls::Got::Lost,
+            };
+            match got {
+                calls::Got::Answered(_) => return,
+                calls::Got::Refused { kind, .. } if !may_repeat(kind) => break,
+                calls::Got::Refused { after, .. } => self.pause(after).await,
+                calls::Got::Lost => self.pause(None).await,
+            }
+        }
+        self.outcome.unsure_tools += 1;
+    }
+
+    fn two_doors(&self) -> (Option<super::doors::Door>, Option<super::doors::Door>) {
+        let doors = &self.cx.doors;
+        (doors.pick(self.next), doors.pick(self.next + 1))
+    }
+
+    async fn pause(&mut self, after: Option<Duration>) {
+        self.next += 1;
+        tokio::time::sleep(after.unwrap_or(PAUSE).min(MAX_PAUSE)).await;
+    }
+}
+
+/// Turns and keyed calls are idempotent, so a call may be sent again unless its error is final.
+fn may_repeat(kind: error::Kind) -> bool {
+    kind.row().retry || kind == error::Kind::Cancelled
+}
+
+/// Of two ends of the same call the one that tells more.
+fn better(one: calls::Got, other: calls::Got) -> calls::Got {
+    let is_final = |got: &calls::Got| match got {
+        calls::Got::Refused { kind, .. } => !may_repeat(*kind),
+        _ => false,
+    };
+    match (one, other) {
+        (got @ calls::Got::Answered(_), _) | (_, got @ calls::Got::Answered(_)) => got,
+        (one, other) if is_final(&one) => match other {
+            calls::Got::Lost => one,
+            other => other,
+        },
+        (calls::Got::Lost, other) => other,
+        (one, _) => one,
+    }
+}
+
+/// Reads a program's history back, and notes it.
+pub async fn read(cx: &calls::Context, program: &id::ProgramId, until: Instant) -> bool {
+    let Some(answer) = ask(cx, "GET", program, until).await else {
+        return false;
+    };
+    let history = answer.body["history"].as_array();
+    cx.recorder.record(Event::HistoryRead {
+        program: program.clone(),
+        messages: calls::digests(history.map(Vec::as_slice).unwrap_or_default()),
+    });
+    true
+}
+
+async fn end(cx: &calls::Context, program: &id::ProgramId, until: Instant) -> bool {
+    if ask(cx, "DELETE", program, until).await.is_none() {
+        return false;
+    }
+    let program = program.clone();
+    cx.recorder.record(Event::ProgramEnded { program });
+    true
+}
+
+/// Asks the entries about a program, one after another, until one answers.
+async fn ask(
+    cx: &calls::Context,
+    method: &str,
+    program: &id::ProgramId,
+    until: Instant,
+) -> Option<caller::Answer> {
+    let path = format!("/v1/programs/{program}");
+    let mut next = 0;
+    while Instant::now() < until {
+        if let Some(door) = cx.doors.pick(next) {
+            let caller = caller::Caller::new();
+            let answer = caller.plain(door.callers, method, &path, &[], "".into());
+            let answer = tokio::time::timeout(PATIENCE, answer).await;
+            match answer {
+                Ok(answer) if answer.is_ok() => return Some(answer),
+                // A lost answer to the first DELETE: the program is ended.
+                Ok(answer) if answer.kind == Some(error::Kind::ProgramEnded) => {
+                    return (method == "DELETE").then_some(answer);
+                }
+                _ => {}
+            }
+        }
+        next += 1;
+        tokio::time::sleep(PAUSE).await;
+    }
+    None
+}
--- a/fw-local/src/lib.rs
+++ b/fw-local/src/lib.rs
@@ -3,4 +3,6 @@
 
 pub mod agent;
 pub mod caller;
+pub mod faults;
+pub mod history;
 pub mod system;
--- /dev/null
+++ b/fw-local/tests/history/fixed_seeds.rs
@@ -0,0 +1,52 @@
+//! The promises hold in runs with faults, each drawn from a fixed seed.
+
+use fw_local::history;
+use googletest::prelude::*;
+use tokio::sync::Semaphore;
+
+/// Systems that run at a time: leases and heartbeats go by real time.
+static PLACES: Semaphore = Semaphore::const_new(2);
+
+async fn is_good(opts: history::Options) -> bool {
+    let _place = PLACES.acquire().await.expect("the semaphore stays open");
+    let outcome = history::run(&opts).await.expect("a system on loopback");
+    let seed = opts.seed;
+    if !outcome.is_good() {
+        println!("seed {seed}:\n{outcome}");
+        println!("cargo run --release -p fw-local --example soak -- --seeds {seed}..{seed}");
+    }
+    outcome.is_good()
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_run_without_faults_holds_every_promise() {
+    let opts = history::Options {
+        faults: false,
+        ..history::Options::default()
+    };
+    expect_true!(is_good(opts).await);
+}
+
+macro_rules! seeds {
+    ($($name:ident: $seed:literal;)*) => {
+        $(
+            #[gtest]
+            #[tokio::test(flavor = "multi_thread")]
+            async fn $name() {
+                let seed = $seed;
+                let opts = history::Options { seed, ..history::Options::default() };
+                expect_true!(is_good(opts).await);
+            }
+        )*
+    };
+}
+
+seeds! {
+    seed_1_holds: 1;
+    seed_2_holds: 2;
+    seed_3_holds: 3;
+    seed_4_holds: 4;
+    seed_5_holds: 5;
+    seed_6_holds: 6;
+}
--- /dev/null
+++ b/fw-local/tests/history/main.rs
@@ -0,0 +1,3 @@
+//! Recorded runs of callers, operators and faults against whole systems hold every promise.
+
+mod fixed_seeds;
