--- a/fw-local/src/history/mod.rs
+++ b/fw-local/src/history/mod.rs
@@ -36,6 +36,9 @@
 const TOOL_RESTART: Duration = Duration::from_millis(100);
 /// Longest wait for histories at the end of a run.
 const READ_LIMIT: Duration = Duration::from_secs(15);
+/// Longest that an engine may hold memory of a program that was ended. A side that was crashed as the
+/// program ended asks its keeper only once the program was idle for 30 s (`ask_after` of the side).
+const FREE_WITHIN: Duration = Duration::from_secs(40);
 /// Time between two looks at the engines' memory.
 const MEMORY_POLL: Duration = Duration::from_millis(50);
 
@@ -62,7 +65,7 @@
             faults: true,
             limit: Duration::from_secs(40),
             check: check::Options {
-                free_within: Duration::from_secs(8),
+                free_within: FREE_WITHIN,
                 leave_within: Duration::from_secs(4),
                 in_force_within: Duration::from_secs(8),
             },
--- a/fw-local/tests/history/fixed_seeds.rs
+++ b/fw-local/tests/history/fixed_seeds.rs
@@ -65,4 +65,7 @@
     seed_4_holds: 4;
     seed_5_holds: 5;
     seed_6_holds: 6;
+    seed_14_holds: 14;
+    seed_21_holds: 21;
+    seed_29_holds: 29;
 }
