A keeper that was cut off is fenced at once, and no refusal hides an earlier run

A keeper cut off from the store went on after its shard had a new keeper, whose fencing number sides heard only when it placed a turn there, and gave out answers that the new history lacks. A lookup that ran at a crashing service was refused as not run when its retry found no upstream. A turn whose keeper died was refused as not run when no other keeper was found. Ruled out for the first: waiting for the lease by the clock, which safety must not rest on. Change: the first heartbeat after a take-over carries the new numbers to every side, and a side that hears a newer number ends the turns of the older one; held answers are those of older numbers only, and forgotten once what replaces them is durable; a turn whose own keeper took the shard again goes on under the new number. An error after a possible run keeps the earlier kind with the later time to retry. fw-wire: new fields have defaults.

--- a/fw-base/src/digest.rs
+++ b/fw-base/src/digest.rs
@@ -43,6 +43,12 @@
     }
 }
 
+impl Default for Digest {
+    fn default() -> Self {
+        Self::EMPTY
+    }
+}
+
 impl From<[u8; 32]> for Digest {
     fn from(bytes: [u8; 32]) -> Self {
         Self(bytes)
--- a/fw-base/src/error.rs
+++ b/fw-base/src/error.rs
@@ -176,6 +176,21 @@
     pub fn ran(&self) -> Ran {
         self.kind.row().ran
     }
+
+    /// What to tell of a call whose last try ended with this error and an earlier one with
+    /// `earlier`.
+    ///
+    /// A last try that was refused did not run; told alone it would say "not run" of a call that
+    /// an earlier try may have run.
+    pub fn after(self, earlier: Option<Self>) -> Self {
+        match earlier {
+            Some(earlier) if self.ran() == Ran::No && earlier.ran() != Ran::No => Self {
+                retry_after: self.retry_after,
+                ..earlier
+            },
+            _ => self,
+        }
+    }
 }
 
 impl From<crate::chat::ParseError> for Error {
--- /dev/null
+++ b/fw-base/tests/base/error_order.rs
@@ -0,0 +1,20 @@
+//! What is told of a call that was tried more than once.
+
+use std::time::Duration;
+
+use fw_base::error;
+use googletest::prelude::*;
+
+// A lookup ran at a service that crashed; its retry found no upstream. "Not run" would be untrue:
+// the first try may have run.
+#[gtest]
+fn a_refused_retry_does_not_hide_a_run() {
+    let crashed = error::Error::new(error::Kind::UpstreamCrashed, "crashed");
+    let refused =
+        error::Error::new(error::Kind::NoUpstream, "none").with_retry_after(Duration::from_secs(1));
+    let told = refused.clone().after(Some(crashed.clone()));
+    expect_that!(told.kind, eq(error::Kind::UpstreamCrashed));
+    expect_that!(told.retry_after, eq(refused.retry_after));
+    expect_that!(refused.clone().after(None), eq(&refused));
+    expect_that!(crashed.clone().after(Some(refused)), eq(&crashed));
+}
--- a/fw-base/tests/base/main.rs
+++ b/fw-base/tests/base/main.rs
@@ -2,5 +2,6 @@
 #![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 mod chat_messages;
+mod error_order;
 mod error_table;
 mod shard_hash;
--- a/fw-entry/src/connection/heartbeat.rs
+++ b/fw-entry/src/connection/heartbeat.rs
@@ -1,5 +1,6 @@
 //! Heartbeats to one side: they renew its sessions and bring its load, health and cache changes.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -62,13 +63,27 @@
     side::Heartbeat {
         from: entry.id.clone(),
         revision: entry.records.revision(),
-        shards: state.shards.iter().filter_map(fence).collect(),
+        shards: renewed(entry, &state).iter().filter_map(fence).collect(),
         cache_seen: state.cache_seen,
         known: state.incarnation,
         gone: state.asked.into_iter().filter(gone).collect(),
     }
 }
 
+/// The shards with sessions at the side, and those taken since it was last heard. A keeper that was
+/// cut off and lost them does not know it yet: from now on the side refuses its turns, so that no
+/// answer of it can come between this keeper and the history.
+fn renewed(entry: &entry::Entry, state: &sides::State) -> BTreeSet<id::ShardId> {
+    let kept = entry.keeper.shards().into_iter().map(|kept| kept.shard);
+    let is_new = |shard: &id::ShardId| {
+        let since = entry.keeper.kept_since(*shard);
+        since > state.heard
+    };
+    let mut shards = state.shards.clone();
+    shards.extend(kept.filter(is_new));
+    shards
+}
+
 fn missed(entry: &entry::Entry, side: &sides::Side) {
     metrics::counter!(MISSED).increment(1);
     let was_reachable = side.update(|state| std::mem::replace(&mut state.reachable, false));
--- a/fw-entry/src/connection/recover.rs
+++ b/fw-entry/src/connection/recover.rs
@@ -115,12 +115,12 @@
             entry
                 .explain
                 .note(&name, "recovered", format!("turn {turn} from a side"));
-            if entry.keeper.durable(recovered.ticket).await.is_err() {
-                // The side goes on holding it.
-                return None;
-            }
         }
     }
+    if entry.keeper.durable(recovered.ticket).await.is_err() {
+        // Known here, but not in the journal yet: the side goes on holding it.
+        return None;
+    }
     upstream::forget(entry, side, attempt).await;
     None
 }
--- a/fw-entry/src/process/keepers.rs
+++ b/fw-entry/src/process/keepers.rs
@@ -54,7 +54,7 @@
 /// # Errors
 ///
 /// `KeeperUnavailable` when no keeper is found in time: the call was not received by any.
-/// `KeeperLost` when the keeper may have received a call that is not idempotent.
+/// `KeeperLost` when a keeper may have received it, and it is not idempotent or no other was found.
 pub async fn call<T, H, R>(
     entry: &entry::Entry,
     shard: id::ShardId,
@@ -67,6 +67,7 @@
     R: Future<Output = Result<Tried<T>, client::RpcError>>,
 {
     let give_up = tokio::time::Instant::now() + options.patience;
+    let mut received = None;
     loop {
         let reason = match entry.keeper.owner(shard) {
             keeper::Owner::Mine => match here().await {
@@ -78,7 +79,10 @@
                     Ok((place, Tried::Answered(answer))) => return Ok((place, answer)),
                     Ok((_, Tried::NotKeeper)) => "stale",
                     Err(pool::Failure::Unsent) => "unreachable",
-                    Err(pool::Failure::Broken) if options.idempotent => "broken",
+                    Err(pool::Failure::Broken) if options.idempotent => {
+                        received = Some(lost());
+                        "broken"
+                    }
                     Err(pool::Failure::Broken) => return Err(lost()),
                 }
             }
@@ -86,13 +90,14 @@
         };
         metrics::counter!(REDIRECTS, "reason" => reason).increment(1);
         if tokio::time::Instant::now() + PAUSE >= give_up {
-            return Err(entry.keeper.unavailable());
+            return Err(entry.keeper.unavailable().after(received));
         }
         tokio::time::sleep(PAUSE).await;
     }
 }
 
-fn lost() -> error::Error {
+/// The error of a call whose keeper may have received it and is gone.
+pub fn lost() -> error::Error {
     let message = "the program's keeper broke off; ask for the program's turn before sending again";
     error::Error::new(error::Kind::KeeperLost, message)
 }
--- a/fw-entry/src/request/plain.rs
+++ b/fw-entry/src/request/plain.rs
@@ -100,6 +100,7 @@
     service.lock().retry.earn();
     let started = tokio::time::Instant::now();
     let mut tried = 0;
+    let mut earlier = None;
     loop {
         tried += 1;
         let err = match try_once(entry, call, hedge).await {
@@ -107,7 +108,7 @@
                 service.lock().hedge.observe(started.elapsed());
                 return Ok(answer);
             }
-            Err(err) => err,
+            Err(err) => err.after(earlier),
         };
         let failure = retry::Failure {
             kind: err.kind,
@@ -123,6 +124,7 @@
             retry::Outcome::Retry { after } => {
                 metrics::counter!(run::RETRIES, "kind" => label).increment(1);
                 tokio::time::sleep(after).await;
+                earlier = Some(err);
             }
             retry::Outcome::GiveUp { reason } => {
                 let reason = reason.label();
--- a/fw-entry/src/turn/run.rs
+++ b/fw-entry/src/turn/run.rs
@@ -119,20 +119,31 @@
         let service = self.entry.sides.service(&self.plan.service);
         service.lock().retry.earn();
         let mut tried = 0;
+        let mut earlier = None;
         loop {
             tried += 1;
             let err = match self.try_once(buf).await {
                 Ok(finish) => return Ok(finish),
                 Err(err) => err,
             };
-            let after = self.decide(tried, &err)?;
+            let after = self.decide(tried, &err);
+            let err = err.after(earlier);
+            let after = after.ok_or(err.clone())?;
             tokio::time::sleep(after).await;
+            earlier = Some(err);
             self.start_anew(buf);
         }
     }
 
-    /// Whether, and after which delay, a failed try is followed by another.
-    fn decide(&mut self, tried: u32, err: &error::Error) -> Result<Duration, error::Error> {
+    /// After which delay a failed try is followed by another, if it is.
+    fn decide(&mut self, tried: u32, err: &error::Error) -> Option<Duration> {
+        if self.renews_fence(err) {
+            self.explain(
+                "fence renewed",
+                format!("{err}; the shard is kept here again"),
+            );
+            return Some(Duration::ZERO);
+        }
         let failure = retry::Failure {
             kind: err.kind,
             attempt: tried,
@@ -149,17 +160,43 @@
             retry::Outcome::Retry { after } => {
                 metrics::counter!(RETRIES, "kind" => label).increment(1);
                 self.explain("retried", format!("{err}; again after {after:?}"));
-                Ok(after)
+                Some(after)
             }
             retry::Outcome::GiveUp { reason } => {
                 let reason = reason.label();
                 metrics::counter!(GIVEN_UP, "reason" => reason, "kind" => label).increment(1);
                 self.explain("given up", format!("{err}; not tried again: {reason}"));
-                Err(err.clone())
+                None
             }
         }
     }
 
+    /// After a lease that lapsed, this entry may keep the shard again, under a newer number and
+    /// with the same programs under way. Sides refuse the old number; the turn goes on under the
+    /// new one.
+    fn renews_fence(&mut self, err: &error::Error) -> bool {
+        if !matches!(err.kind, error::Kind::StaleFence | error::Kind::KeeperLost) {
+            return false;
+        }
+        let newer = self.entry.keeper.fence(self.plan.shard);
+        let Some(newer) = newer.filter(|fence| *fence > self.plan.fence) else {
+            return false;
+        };
+        if !self.req.single && !self.is_under_way() {
+            return false;
+        }
+        self.plan.fence = newer;
+        true
+    }
+
+    fn is_under_way(&self) -> bool {
+        let attempt = self.entry.keeper.with_shard(self.plan.shard, |shard| {
+            let program = shard.program(&self.req.program)?;
+            program.attempt()
+        });
+        attempt.is_ok_and(|changed| changed.value == Some(self.run.attempt))
+    }
+
     /// A further try starts its events anew: readers that hold some go over to a new buffer.
     fn start_anew(&mut self, buf: &mut Arc<buffer::Buffer>) {
         if buf.is_empty() {
--- a/fw-keep/src/shard/mod.rs
+++ b/fw-keep/src/shard/mod.rs
@@ -52,7 +52,7 @@
     Applied,
     /// It is in the journal already, or does not continue the history.
     Obsolete,
-    /// A turn before it is missing.
+    /// A turn before it is missing, or the turn is under way here: to be asked for again.
     Gap,
 }
 
@@ -223,7 +223,9 @@
     ) -> Recovered {
         let fresh = Program::new(held.team.clone(), None, now);
         let known = self.programs.get(program).unwrap_or(&fresh);
-        if known.turn() + 1 < held.turn {
+        let is_next = known.turn() + 1 == held.turn;
+        let runs = known.status() == program::Status::Running;
+        if known.turn() + 1 < held.turn || (is_next && runs) {
             return Recovered::Gap;
         }
         let Some(turn) = known.resume(held) else {
--- a/fw-local/tests/local/plain_calls.rs
+++ b/fw-local/tests/local/plain_calls.rs
@@ -108,3 +108,17 @@
     }
     stuck.iter().for_each(tokio::task::JoinHandle::abort);
 }
+
+// The only upstream of a lookup crashes while it runs there; its retry finds nobody. The caller must
+// hear that it may have run: told "not run", an operator would look for the cause elsewhere.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lookup_that_ran_is_not_told_as_not_run() {
+    let system = rig::system().await;
+    let caller = caller::Caller::new();
+    system.tools[0].upstream.fault(plain::Fault::CrashAfter);
+    let answer = caller
+        .plain(system.callers(0), "GET", "/case/7", &[], "".into())
+        .await;
+    expect_that!(answer.ran, some(eq(error::Ran::Maybe)));
+}
--- a/fw-plan/src/retry.rs
+++ b/fw-plan/src/retry.rs
@@ -204,5 +204,7 @@
             | error::Kind::DeadlineExceeded
             | error::Kind::RetryBudget
             | error::Kind::KeyInUse
+            | error::Kind::StaleFence
+            | error::Kind::KeeperLost
     )
 }
--- a/fw-side/src/connection/calls.rs
+++ b/fw-side/src/connection/calls.rs
@@ -39,6 +39,10 @@
     fn check_fence(&self, shard: id::ShardId, fence: id::Fence) -> Result<(), error::Error> {
         match self.core.fences.renew(shard, fence, Instant::now()) {
             fences::Check::Current => Ok(()),
+            fences::Check::Newer => {
+                poll::fence_off(&self.core, &HashSet::from([shard]));
+                Ok(())
+            }
             fences::Check::Stale { newest } => {
                 let why = format!(
                     "fencing number {fence} of shard {shard} is older than {newest}: \
@@ -118,14 +122,13 @@
 }
 
 impl Calls {
-    /// Shards whose sessions nobody renews, and those with held answers that the sender of a
-    /// heartbeat did not renew. The new keeper of either has to hear of them: else the sessions are
-    /// freed, and the answers lost.
-    fn unrenewed(&self, renewed: &HashSet<id::ShardId>, now: Instant) -> Vec<id::ShardId> {
+    /// Shards whose sessions nobody renews, and those with answers held for an earlier keeper. Their
+    /// keeper has to hear of them: else the sessions are freed, and the answers lost.
+    fn unrenewed(&self, now: Instant) -> Vec<id::ShardId> {
         let core = &self.core;
         let within = core.opts.settings.sessions.ttl / UNRENEWED_PART;
         let mut shards = core.sessions.unrenewed(&core.fences, within, now);
-        shards.extend(held::shards(&core.attempts, renewed));
+        shards.extend(held::shards(&core.attempts, &core.fences));
         shards.sort_unstable();
         shards.dedup();
         shards
@@ -165,7 +168,7 @@
             cache_reset: since.reset,
             cache: since.changes,
             asked: core.sessions.ask(&renewed, core.opts.ask_after, now),
-            unrenewed: self.unrenewed(&renewed, now),
+            unrenewed: self.unrenewed(now),
             ..who
         }
     }
@@ -215,7 +218,7 @@
             checked.is_ok()
         });
         let shards: HashSet<_> = current.map(|(shard, _)| shard).collect();
-        held::reply(&self.core.attempts, &shards)
+        held::reply(&self.core.attempts, &self.core.fences, &shards)
     }
 
     async fn release(self, _: context::Context, req: side::Release) {
--- a/fw-side/src/process/core.rs
+++ b/fw-side/src/process/core.rs
@@ -213,8 +213,13 @@
 
     /// Cancels an attempt that has not ended.
     pub fn cancel(&self, attempt: &attempts::Attempt, why: &str) {
+        self.end(attempt, error::Kind::Cancelled, why);
+    }
+
+    /// Ends an attempt with an error and frees its place.
+    pub fn end(&self, attempt: &attempts::Attempt, kind: error::Kind, why: &str) {
         self.line.remove(attempt.start.attempt);
-        attempt.abort(refuse::with(error::Kind::Cancelled, why));
+        attempt.abort(refuse::with(kind, why));
         self.work.notify_one();
     }
 
--- a/fw-side/src/process/fences.rs
+++ b/fw-side/src/process/fences.rs
@@ -12,6 +12,8 @@
 pub enum Check {
     /// It is the newest seen of its shard.
     Current,
+    /// It is newer than any seen of its shard: the shard has a new keeper.
+    Newer,
     /// A newer one was seen: another entry keeps the shard.
     Stale {
         /// The newest one.
@@ -46,11 +48,20 @@
         if fence < seen.fence {
             return Check::Stale { newest: seen.fence };
         }
+        let check = match fence > seen.fence {
+            true => Check::Newer,
+            false => Check::Current,
+        };
         *seen = Seen {
             fence,
             renewed: now,
         };
-        Check::Current
+        check
+    }
+
+    /// Whether a newer fencing number than `fence` was seen of `shard`.
+    pub fn is_stale(&self, shard: id::ShardId, fence: id::Fence) -> bool {
+        matches!(self.check(shard, fence), Check::Stale { .. })
     }
 
     /// Whether `fence` is the newest seen of `shard`, without renewing it.
--- a/fw-side/src/process/held.rs
+++ b/fw-side/src/process/held.rs
@@ -11,6 +11,7 @@
 use fw_wire::side;
 
 use super::attempts;
+use super::fences;
 
 /// Bytes of messages in one reply: a third of the largest message, which JSON may double.
 const MAX_BYTES: usize = 8 << 20;
@@ -18,19 +19,32 @@
 /// Shards of held answers named in one heartbeat.
 const MAX_SHARDS: usize = 64;
 
-/// Shards with held answers that are not among `renewed`.
-pub fn shards(attempts: &attempts::Attempts, renewed: &HashSet<id::ShardId>) -> Vec<id::ShardId> {
-    let held = attempts.done();
-    let shards = held.iter().filter(|held| !held.start.single);
-    let shards = shards.map(|held| held.start.shard);
-    let others: HashSet<_> = shards.filter(|shard| !renewed.contains(shard)).collect();
-    others.into_iter().take(MAX_SHARDS).collect()
+/// Shards with answers held for an earlier keeper than the present one.
+pub fn shards(attempts: &attempts::Attempts, fences: &fences::Fences) -> Vec<id::ShardId> {
+    let held = held(attempts, fences);
+    let shards: HashSet<_> = held.iter().map(|held| held.start.shard).collect();
+    shards.into_iter().take(MAX_SHARDS).collect()
 }
 
-/// The held answers of `shards`, those of one program in the order of its turns.
-pub fn reply(attempts: &attempts::Attempts, shards: &HashSet<id::ShardId>) -> side::HeldReply {
+/// What was answered under a present keeper is that keeper's own matter: it may be about to commit
+/// the turn, and would find it gone if the answer were taken for a held one.
+fn held(attempts: &attempts::Attempts, fences: &fences::Fences) -> Vec<Arc<attempts::Attempt>> {
     let mut held = attempts.done();
-    held.retain(|held| shards.contains(&held.start.shard) && !held.start.single);
+    held.retain(|held| {
+        let start = &held.start;
+        !start.single && fences.is_stale(start.shard, start.fence)
+    });
+    held
+}
+
+/// The held answers of `shards`, those of one program in the order of its turns.
+pub fn reply(
+    attempts: &attempts::Attempts,
+    fences: &fences::Fences,
+    shards: &HashSet<id::ShardId>,
+) -> side::HeldReply {
+    let mut held = held(attempts, fences);
+    held.retain(|held| shards.contains(&held.start.shard));
     held.sort_by_key(|held| held.start.turn);
     let mut reply = side::HeldReply::default();
     let mut bytes = 0;
--- a/fw-side/src/process/poll.rs
+++ b/fw-side/src/process/poll.rs
@@ -236,15 +236,36 @@
     now: Instant,
 ) -> HashSet<id::ShardId> {
     let mut renewed = HashSet::with_capacity(shards.len());
+    let mut passed_on = HashSet::new();
     for (shard, fence) in shards {
         match core.fences.renew(*shard, *fence, now) {
             super::fences::Check::Current => {
                 renewed.insert(*shard);
             }
+            super::fences::Check::Newer => {
+                renewed.insert(*shard);
+                passed_on.insert(*shard);
+            }
             super::fences::Check::Stale { .. } => {
                 metrics::counter!("fw_side_stale_renewals_total").increment(1);
             }
         }
     }
+    if !passed_on.is_empty() {
+        fence_off(core, &passed_on);
+    }
     renewed
 }
+
+/// Ends the turns of earlier keepers of `shards`. Their keeper may be cut off and not know that it
+/// lost the shard: it would give out an answer that the new keeper's history does not have.
+pub fn fence_off(core: &core::Core, shards: &HashSet<id::ShardId>) {
+    for attempt in core.attempts.under_way() {
+        let start = &attempt.start;
+        let is_stale = core.fences.is_stale(start.shard, start.fence);
+        if shards.contains(&start.shard) && is_stale {
+            let why = "another entry keeps the program's shard now";
+            core.end(&attempt, error::Kind::KeeperLost, why);
+        }
+    }
+}
--- a/fw-side/tests/side/fencing_check.rs
+++ b/fw-side/tests/side/fencing_check.rs
@@ -1,8 +1,11 @@
 //! Keepers that act on a shard they have lost.
 
+use std::time::Duration;
+
 use fw_base::error;
 use fw_base::id;
 use fw_fake::engine;
+use fw_wire::attempt;
 use fw_wire::side;
 use fw_wire::transport;
 use googletest::prelude::*;
@@ -67,3 +70,25 @@
     let reply = rig.start(&start).await;
     expect_that!(rig::refusal(&reply), some(eq(error::Kind::BadRequest)));
 }
+
+// A keeper is cut off while its turn runs, and another entry takes over the program's shard. Left to
+// end, the answer would reach the caller through the old keeper, and the new one's history would
+// lack it. The new keeper's first heartbeat must end the turn.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_keeper_ends_the_turns_of_the_old_one() {
+    let rig = rig::Rig::new(engine::Options {
+        step: Duration::from_millis(20),
+        ..engine::Options::default()
+    })
+    .await;
+    let start = rig::first_turn("p", 1, "ask");
+    rig.start_streaming(&start).await;
+    rig.heartbeat(rig::renewing("p", start.fence + 1)).await;
+    let ended = rig.read_all(1).await;
+    let kind = match ended.state {
+        attempt::State::Failed(err) => Some(err.kind),
+        _ => None,
+    };
+    expect_that!(kind, some(eq(error::Kind::KeeperLost)));
+}
--- a/fw-wire/src/side.rs
+++ b/fw-wire/src/side.rs
@@ -204,8 +204,10 @@
     /// Digest of the whole prompt: `base` extended by `messages`.
     pub digest: digest::Digest,
     /// Digest of the history before the turn, whether the side holds that or not.
+    #[serde(default)]
     pub committed: digest::Digest,
     /// How many messages, at the end of the prompt, the turn adds to that history.
+    #[serde(default)]
     pub added: u32,
     /// The caller's other fields: a JSON object as text.
     pub params: Arc<str>,
