--- a/fw-local/examples/load/large.rs
+++ b/fw-local/examples/load/large.rs
@@ -94,7 +94,11 @@
 fn messages(tokens: usize) -> Vec<Value> {
     let bytes = tokens * BYTES_PER_TOKEN / MESSAGES;
     let message = |n: usize| {
-        let role = if n % 2 == 0 { "user" } else { "assistant" };
+        let role = if n.is_multiple_of(2) {
+            "user"
+        } else {
+            "assistant"
+        };
         let mut content = format!("message {n}:");
         while content.len() + 40 < bytes {
             content.push_str(" the draft\nof \"page\" seven");
