foxtailweir: the demo's script, report and hold

Cause: `demo` ended with an error that it was not part of the build. Change: a script over fw-local's recorded callers and faults: site-building and mediating programs beside lookups, a budget and a program that only it ends, a crashed side, racing operators, an upstream that leaves, a graceful stop. It prints latencies, the cache's part and a line for each promise; exit code 0 only if nothing was violated and every program ended as it should.

--- a/foxtailweir/src/command/mod.rs
+++ b/foxtailweir/src/command/mod.rs
@@ -247,17 +247,24 @@
     options.optflag(
         "",
         "hold",
-        "stay up and print addresses for your own client",
+        "in place of the script, stay up until SIGINT or SIGTERM and print addresses for your own \
+         client",
     );
 }
 
 fn run_demo(matches: &Matches, io: &mut io::Io<'_>) -> Result<exit::Exit, error::Error> {
     let hold = matches.opt_present("hold");
-    demo::run(demo::Options { hold }, io)
+    let opts = demo::Options {
+        hold,
+        ..demo::Options::default()
+    };
+    demo::run(&opts, io)
 }
 
 /// Runs `work` on a runtime of its own.
-fn block_on<T>(work: impl Future<Output = Result<T, error::Error>>) -> Result<T, error::Error> {
+pub(crate) fn block_on<T>(
+    work: impl Future<Output = Result<T, error::Error>>,
+) -> Result<T, error::Error> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
@@ -266,7 +273,7 @@
 }
 
 /// Turns any error into a failed command.
-trait Failed<T> {
+pub(crate) trait Failed<T> {
     fn whatever_failed(self, what: &str) -> Result<T, error::Error>;
 }
 
--- /dev/null
+++ b/foxtailweir/src/demo/report.rs
@@ -0,0 +1,160 @@
+//! What the demonstration prints of what it saw.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use fw_base::id;
+use fw_check::check;
+use fw_check::event::Event;
+use fw_entry::turn::run;
+use hdrhistogram::Histogram;
+use metrics_exporter_prometheus::PrometheusHandle;
+
+use super::programs;
+use super::script;
+use crate::command::io;
+
+/// Significant digits that latencies are kept with.
+const DIGITS: u8 = 3;
+
+/// Prints all of it, the verdict last.
+pub(super) fn print(seen: &script::Seen, io: &mut io::Io<'_>) {
+    print_programs(seen, io);
+    print_calls(seen, io);
+    print_cache(seen, io);
+    io.say("\nWhat was promised, and what was seen of it:");
+    for finding in &seen.report.findings {
+        io.say(line(finding));
+    }
+    print_verdict(seen, io);
+}
+
+fn print_programs(seen: &script::Seen, io: &mut io::Io<'_>) {
+    use programs::Sort;
+    io.say("\nPrograms, from the first turn to the confirmed end, pauses for tools included:");
+    for (sort, name) in [(Sort::Site, "site"), (Sort::Mediation, "mediation")] {
+        let done = seen.programs.iter().filter(|done| done.sort == sort);
+        let done: Vec<_> = done.collect();
+        let good = done.iter().filter(|done| done.is_good());
+        let good: Vec<_> = good.map(|done| done.took).collect();
+        let (finished, all) = (good.len(), done.len());
+        let latency = latency(&good);
+        io.say(format_args!(
+            "{name:<10} {finished} of {all} finished; {latency}"
+        ));
+    }
+    for done in seen.programs.iter().filter(|d| d.sort == Sort::Endless) {
+        let programs::Done { outcome, .. } = done;
+        let answered = outcome.answered;
+        let end = match outcome.refused {
+            Some(kind) => kind.row().label,
+            None => "no refusal",
+        };
+        io.say(format_args!(
+            "endless    {answered} turns answered, then: {end}"
+        ));
+    }
+    for done in seen.programs.iter().filter(|done| !done.is_good()) {
+        io.say(format_args!("UNFINISHED {:?}", done.outcome));
+    }
+    for program in &seen.unread {
+        io.say(format_args!("UNREAD     {program}"));
+    }
+}
+
+fn latency(took: &[Duration]) -> String {
+    let mut histogram = Histogram::<u64>::new(DIGITS).expect("the digits are in range");
+    for took in took {
+        histogram += u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
+    }
+    if histogram.is_empty() {
+        return "latency not known".to_owned();
+    }
+    let p50 = histogram.value_at_quantile(0.50);
+    let p95 = histogram.value_at_quantile(0.95);
+    format!("p50 {p50} ms, p95 {p95} ms")
+}
+
+fn print_calls(seen: &script::Seen, io: &mut io::Io<'_>) {
+    let events = || seen.entries.iter().map(|entry| &entry.event);
+    let answered: BTreeSet<_> = events()
+        .filter_map(|event| match event {
+            Event::Answered { call, .. } => Some(*call),
+            _ => None,
+        })
+        .collect();
+    let lookups: Vec<_> = events()
+        .filter_map(|event| match event {
+            Event::PlainSent(sent) if sent.idempotent => Some(sent.call),
+            _ => None,
+        })
+        .collect();
+    let got = lookups.iter().filter(|call| answered.contains(*call));
+    let (got, all) = (got.count(), lookups.len());
+    io.say(format_args!("lookups    {got} of {all} answered"));
+    let changes = events().filter(|event| matches!(event, Event::RecordAccepted { .. }));
+    io.say(format_args!(
+        "records    {} changes accepted",
+        changes.count()
+    ));
+    let unsure = seen.programs.iter().map(|done| done.outcome.unsure_tools);
+    let unsure: u32 = unsure.sum();
+    io.say(format_args!(
+        "tools      {unsure} calls whose caller does not know whether they ran"
+    ));
+}
+
+fn print_cache(seen: &script::Seen, io: &mut io::Io<'_>) {
+    let script::Seen {
+        prefilled, cached, ..
+    } = seen;
+    let wasted = match seen.metrics.as_ref() {
+        Some(metrics) => {
+            let wasted = counter(metrics, run::WASTED);
+            let share = 100.0 * wasted as f64 / (prefilled + cached).max(1) as f64;
+            format!("{wasted} were in some cache and computed again ({share:.1} %)")
+        }
+        None => "wasted tokens not known: the process has another recorder of metrics".to_owned(),
+    };
+    io.say(format_args!(
+        "cache      of the prompts' tokens {cached} were cached, {prefilled} computed; {wasted}"
+    ));
+}
+
+/// The sum of a counter over its labels.
+fn counter(metrics: &PrometheusHandle, name: &str) -> id::Tokens {
+    let text = metrics.render();
+    let lines = text.lines().filter(|line| line.starts_with(name));
+    let values = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<id::Tokens>().ok());
+    values.sum()
+}
+
+/// A promise in a line, with what speaks against it in further lines.
+fn line(finding: &check::Finding) -> String {
+    let check::Verdict::NotObserved { unknown } = &finding.verdict else {
+        return finding.to_string();
+    };
+    let mut line = format!("not observed: {}", finding.promise.text());
+    for what in unknown {
+        line.push_str(&format!("\n           - not known: {what}"));
+    }
+    line
+}
+
+fn print_verdict(seen: &script::Seen, io: &mut io::Io<'_>) {
+    let count = |is: fn(&check::Verdict) -> bool| {
+        let findings = seen.report.findings.iter();
+        findings.filter(|finding| is(&finding.verdict)).count()
+    };
+    let held = count(|verdict| matches!(verdict, check::Verdict::Held { .. }));
+    let violated = count(|verdict| matches!(verdict, check::Verdict::Violated { .. }));
+    let unobserved = count(|verdict| matches!(verdict, check::Verdict::NotObserved { .. }));
+    let good = seen.programs.iter().filter(|done| done.is_good());
+    let (good, all) = (good.count(), seen.programs.len());
+    let verdict = if seen.is_good() { "GOOD" } else { "NOT GOOD" };
+    let took = seen.took.as_secs_f32();
+    io.say(format_args!(
+        "\n{verdict}: {held} promises held, {violated} violated, {unobserved} not observed; \
+         {good} of {all} programs ended as they should; {took:.1} s"
+    ));
+}
