--- /dev/null
+++ b/foxtailweir/tests/foxtailweir/demo_script.rs
@@ -0,0 +1,46 @@
+//! The demonstration's script, with few programs.
+
+use std::time::Duration;
+
+use foxtailweir::command::exit;
+use foxtailweir::command::io;
+use foxtailweir::demo;
+use fw_check::check;
+use googletest::prelude::*;
+
+// Bounds so wide that a machine kept busy by other tests does not break them.
+const WIDE: Duration = Duration::from_secs(20);
+
+#[gtest]
+fn a_short_script_tells_of_every_promise() {
+    let opts = demo::Options {
+        sites: 4,
+        mediations: 2,
+        spread: Duration::from_secs(2),
+        limit: Duration::from_secs(60),
+        check: check::Options {
+            free_within: WIDE,
+            leave_within: WIDE,
+            in_force_within: WIDE,
+        },
+        ..demo::Options::default()
+    };
+    let (mut out, mut err) = (Vec::new(), Vec::new());
+    let mut io = io::Io {
+        out: &mut out,
+        err: &mut err,
+    };
+    let exit = demo::run(&opts, &mut io).unwrap();
+    let out = String::from_utf8(out).unwrap();
+    expect_eq!(exit, exit::Exit::Success, "{out}");
+    for promise in check::Promise::ALL {
+        let lines = out.lines().filter(|line| line.contains(promise.text()));
+        expect_that!(lines.count(), eq(1), "{promise:?}");
+    }
+    expect_that!(out, contains_substring("GOOD: "));
+    expect_that!(
+        out,
+        contains_substring("7 of 7 programs ended as they should")
+    );
+    expect_that!(out, not(contains_substring("VIOLATED")));
+}
--- a/foxtailweir/tests/foxtailweir/main.rs
+++ b/foxtailweir/tests/foxtailweir/main.rs
@@ -2,6 +2,7 @@
 #![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 mod command_line;
+mod demo_script;
 mod operating_page;
 mod real_entry;
 mod record_commands;
