foxtailweir: the demo goes by the checker's own bounds

Cause: 6 s until engine memory is freed was a guess of the demo's. Change: the demo takes `check::Options::default()`. The held system's lines name a program, so that `programs` lists it. Conclusion: that releases reach restarted sides and new keepers is left to do.

--- a/foxtailweir/src/demo/hold.rs
+++ b/foxtailweir/src/demo/hold.rs
@@ -37,15 +37,17 @@
         ));
     }
     let callers = system.callers(0);
-    let admin = system.admin(0);
     let model = system::MODEL;
     io.say("\nA streamed answer, a lookup at the plain service, and the programs under way:");
     io.say(format_args!(
         "curl -N http://{callers}/v1/chat/completions -H 'content-type: application/json' \
-         -d '{{\"model\":\"{model}\",\"stream\":true,\
+         -H 'x-program: hello' -d '{{\"model\":\"{model}\",\"stream\":true,\
          \"messages\":[{{\"role\":\"user\",\"content\":\"Hello\"}}]}}'"
     ));
-    io.say(format_args!("curl http://{callers}/lookup/1"));
-    io.say(format_args!("foxtailweir programs --entry {admin}"));
+    io.say(format_args!("curl -i http://{callers}/lookup/1"));
+    for entry in 0..system.entries.len() {
+        let admin = system.admin(entry);
+        io.say(format_args!("foxtailweir programs --entry {admin}"));
+    }
     io.say("\nSIGINT (Ctrl-C) or SIGTERM stops it.");
 }
--- a/foxtailweir/src/demo/mod.rs
+++ b/foxtailweir/src/demo/mod.rs
@@ -46,10 +46,7 @@
             mediations: 20,
             spread: Duration::from_secs(7),
             limit: Duration::from_secs(13),
-            check: check::Options {
-                free_within: Duration::from_secs(6),
-                ..check::Options::default()
-            },
+            check: check::Options::default(),
         }
     }
 }
--- a/foxtailweir/src/demo/script.rs
+++ b/foxtailweir/src/demo/script.rs
@@ -37,6 +37,8 @@
 const WAIT_LIMIT: Duration = Duration::from_secs(3);
 /// Longest wait for histories at the end.
 const READ_LIMIT: Duration = Duration::from_secs(5);
+/// Longest wait for engines to free the memory of ended programs.
+const FREE_WAIT: Duration = Duration::from_secs(3);
 /// What operators and readers draw their pauses from.
 const SEED: u64 = 1;
 
@@ -237,7 +239,7 @@
         } = self;
         operate::settle(&cx, opts.check.in_force_within).await;
         let unread = read_kept(&cx, &programs).await;
-        wait_freed(&driver.system, &programs, opts.check.free_within).await;
+        wait_freed(&driver.system, &programs).await;
         operate::look(&cx);
         let counts = driver.system.engines.iter();
         let counts: Vec<_> = counts.map(|worker| worker.upstream.counts()).collect();
@@ -269,9 +271,9 @@
     unread
 }
 
-/// Waits until no engine holds memory for a program that was ended, or `limit` has passed.
-async fn wait_freed(system: &system::System, programs: &[programs::Done], limit: Duration) {
-    let until = Instant::now() + limit;
+/// Waits a little until no engine holds memory for a program that was ended.
+async fn wait_freed(system: &system::System, programs: &[programs::Done]) {
+    let until = Instant::now() + FREE_WAIT;
     let outcomes = programs.iter().map(|done| &done.outcome);
     let ended: Vec<_> = outcomes.filter(|outcome| outcome.ended).collect();
     let holds_any = || {
