fw-entry: an entry that alone lost the store gives out no answers

Change: entries tell each other when the store last answered; one that is silent while others are answered neither gives out answers that are not durable nor, beyond its lease, takes turns. In an outage for all, programs go on as before. Measured: an_entry_cut_off_alone_gives_out_nothing_new passes, and the other three tests of store outages.

--- a/fw-entry/src/process/entry.rs
+++ b/fw-entry/src/process/entry.rs
@@ -112,8 +112,21 @@
         self.settings.keeper.lease_ttl * 2
     }
 
+    /// Whether the store answers other entries but has not answered this one for `silence`.
+    ///
+    /// In an outage for all nobody can take this entry's shards, and its programs go on. Cut off
+    /// alone, it may have lost them without knowing: an answer that it gave out then would be
+    /// missing in the history of the shard's new keeper.
+    pub fn is_cut_off(&self, silence: Duration) -> bool {
+        let ttl = self.settings.keeper.lease_ttl;
+        self.keeper.silence() > silence && self.peer_list.reach_store(ttl / 2)
+    }
+
     /// The fencing number of `shard`, if it is kept here and all that is held of it is known.
     pub fn serving(&self, shard: id::ShardId) -> Option<id::Fence> {
+        if self.is_cut_off(self.settings.keeper.lease_ttl) {
+            return None;
+        }
         let fence = self.keeper.fence(shard)?;
         recover::is_complete(self, shard).then_some(fence)
     }
@@ -162,6 +175,7 @@
             sides: u32::try_from(sides.len()).unwrap_or(u32::MAX),
             shards: u32::try_from(self.keeper.shards().len()).unwrap_or(u32::MAX),
             programs: u32::try_from(self.attempts.under_way()).unwrap_or(u32::MAX),
+            store_silent: self.keeper.silence(),
             leaving: self.stopping.is_cancelled(),
         }
     }
--- a/fw-entry/src/process/peers.rs
+++ b/fw-entry/src/process/peers.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use fw_base::id;
 use fw_plan::subset;
@@ -21,25 +22,49 @@
 /// Time between two rounds.
 const ROUND: Duration = Duration::from_millis(500);
 
+/// For how long a status tells how things are.
+const FRESH: Duration = Duration::from_secs(3);
+
 /// Entries asked in one round.
 const ASKED: usize = 2;
 
 /// What other entries last said of themselves.
 #[derive(Debug, Default)]
 pub struct Peers {
-    known: Mutex<HashMap<id::EntryId, peer::PeerStatus>>,
+    known: Mutex<HashMap<id::EntryId, Heard>>,
+}
+
+#[derive(Debug)]
+struct Heard {
+    at: Instant,
+    status: peer::PeerStatus,
 }
 
 impl Peers {
+    /// Whether some entry told a moment ago that the store answers it.
+    pub fn reach_store(&self, lately: Duration) -> bool {
+        let known = self.known.lock();
+        known.values().any(|heard| {
+            let age = heard.at.elapsed();
+            age < FRESH && heard.status.store_silent + age < lately
+        })
+    }
+
     /// An entry told its status.
     pub fn heard(&self, entry: &entry::Entry, status: peer::PeerStatus) {
         entry.records.seen_elsewhere(status.revision);
-        self.known.lock().insert(status.entry.clone(), status);
+        let heard = Heard {
+            at: Instant::now(),
+            status,
+        };
+        let mut known = self.known.lock();
+        known.insert(heard.status.entry.clone(), heard);
     }
 
     /// What the entries that are alive last said.
     pub fn statuses(&self) -> Vec<peer::PeerStatus> {
-        self.known.lock().values().cloned().collect()
+        let known = self.known.lock();
+        known.values().map(|heard| heard.status.clone()).collect()
     }
 
     /// This entry and the others, for [`subset`]. One whose place is not known yet counts as of
@@ -47,7 +72,12 @@
     pub fn members(&self, entry: &entry::Entry) -> Vec<subset::Member> {
         let here = &entry.settings.instance.place;
         let known = self.known.lock();
-        let place = |id: &id::EntryId| known.get(id).map_or(here, |status| &status.place).clone();
+        let place = |id: &id::EntryId| {
+            known
+                .get(id)
+                .map_or(here, |heard| &heard.status.place)
+                .clone()
+        };
         let others = entry.keeper.entries().into_iter();
         let mut members: Vec<_> = others
             .map(|(id, _)| subset::Member {
--- a/fw-entry/src/turn/run.rs
+++ b/fw-entry/src/turn/run.rs
@@ -424,11 +424,13 @@
         ticket: keeper::Ticket,
     ) {
         let mut durable = self.entry.keeper.durable(ticket).await;
-        if durable == Err(keeper::Error::StoreUnavailable) {
-            self.explain("held", "the store does not answer".to_owned());
-            buf.finish(finish.clone());
-        }
+        let mut held = false;
         while durable == Err(keeper::Error::StoreUnavailable) {
+            if !held && !self.entry.is_cut_off(Duration::ZERO) {
+                held = true;
+                self.explain("held", "the store does not answer".to_owned());
+                buf.finish(finish.clone());
+            }
             durable = self.entry.keeper.durable(ticket).await;
         }
         if durable.is_err() {
--- a/fw-local/examples/capacity/wire.rs
+++ b/fw-local/examples/capacity/wire.rs
@@ -108,6 +108,7 @@
         sides: 379,
         shards: 11,
         programs: 368,
+        store_silent: Duration::from_millis(12),
         leaving: false,
     };
     serde_json::to_string(&status).map_or(0, |text| text.len())
--- a/fw-local/tests/local/store_outages.rs
+++ b/fw-local/tests/local/store_outages.rs
@@ -128,3 +128,48 @@
     expect_that!(accepted.status, eq(200));
     expect_that!(system.tools[0].upstream.runs_of("page-9"), eq(1));
 }
+
+// One entry alone loses the store while it keeps a case officer's program. After a lease another
+// entry takes the program over. The cut-off one must not go on giving out answers: they would be
+// missing in the history that the officer's next turn meets.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_cut_off_alone_gives_out_nothing_new() {
+    let system = rig::system().await;
+    let other = system.entries[1].as_ref().unwrap().entry().clone();
+    let mut names = (0..).map(|n| format!("cut-{n}"));
+    let kept_by_0 = |name: &String| other.keeper.fence(other.keeper.shard_of(name)).is_none();
+    let program = names.find(kept_by_0).unwrap();
+    let turn = |turn: u32| caller::Chat {
+        headers: vec![
+            ("x-program", program.clone()),
+            ("x-turn", turn.to_string()),
+            ("x-history", "delta".to_owned()),
+        ],
+        ..rig::ask(&format!("offer {turn}"))
+    };
+    expect_true!(rig::chat(system.callers(0), &turn(1)).await.is_ok());
+    system
+        .store
+        .faults(0, |faults| faults.outage = Some(store::Outage::Hang));
+    let mut told = Vec::new();
+    for number in 2..=6 {
+        let answer = rig::chat(system.callers(0), &turn(number)).await;
+        if !answer.is_ok() {
+            break;
+        }
+        told.push(answer.text);
+    }
+    system.store.faults(0, |faults| faults.outage = None);
+    let caller = caller::Caller::new();
+    let path = format!("/v1/programs/{program}");
+    let known = caller
+        .plain(system.callers(1), "GET", &path, &[], "".into())
+        .await;
+    let turns = known.body["turn"].as_u64().unwrap_or(0);
+    expect_that!(turns, ge(1 + told.len() as u64));
+    for (n, text) in told.iter().enumerate() {
+        let kept = known.body["history"][2 * (n + 1) + 1]["content"].as_str();
+        expect_that!(kept, some(eq(text.as_str())));
+    }
+}
--- a/fw-wire/src/peer.rs
+++ b/fw-wire/src/peer.rs
@@ -204,6 +204,9 @@
     pub shards: u32,
     /// Programs under way.
     pub programs: u32,
+    /// Time since the platform's store answered it last.
+    #[serde(default)]
+    pub store_silent: Duration,
     /// It is shutting down.
     pub leaving: bool,
 }
