Claims of unknown outcome say so at once; late cache events ask the keeper

Change: a call sent without known outcome settles its claim as unknown; a program known from the engine only is asked after with the next heartbeat.

--- a/fw-entry/src/request/once.rs
+++ b/fw-entry/src/request/once.rs
@@ -70,23 +70,26 @@
 async fn run(
     entry: &Arc<entry::Entry>,
     call: &send::Call,
-    not_run: peer::Claim,
+    claim: peer::Claim,
 ) -> Result<Response, error::Error> {
     match try_all(entry, call).await {
         Ok(answer) => {
             let done = peer::Claim {
                 step: peer::ClaimStep::Done(stored(&answer)),
-                ..not_run
+                ..claim
             };
             // If it cannot be recorded, the claim stays open and a repeat hears "may have run".
             let _stays_open = claim::step(entry, &done).await;
             Ok(answer.into_response())
         }
         Err(err) => {
-            if err.ran() == error::Ran::No {
-                // If it cannot be recorded, a repeat hears "in use", later "may have run".
-                let _stays_open = claim::step(entry, &not_run).await;
-            }
+            let step = match err.ran() {
+                error::Ran::No => peer::ClaimStep::NotRun,
+                error::Ran::Maybe | error::Ran::Yes => peer::ClaimStep::Unknown,
+            };
+            let settled = peer::Claim { step, ..claim };
+            // If it cannot be recorded, a repeat hears "in use", later "may have run".
+            let _stays_open = claim::step(entry, &settled).await;
             Err(err)
         }
     }
--- a/fw-entry/src/turn/claim.rs
+++ b/fw-entry/src/turn/claim.rs
@@ -96,6 +96,10 @@
             let reply = settle(entry, req, keeper::Settle::NotRun).await;
             ("not_run", reply)
         }
+        peer::ClaimStep::Unknown => {
+            let reply = settle(entry, req, keeper::Settle::Unknown).await;
+            ("unknown", reply)
+        }
         peer::ClaimStep::Done(answer) => {
             let reply = settle(entry, req, keeper::Settle::Done(kept(answer))).await;
             ("done", reply)
--- a/fw-keep/src/keeper/mod.rs
+++ b/fw-keep/src/keeper/mod.rs
@@ -185,6 +185,8 @@
     NotRun,
     /// It was answered.
     Done(claim::Answer),
+    /// It was sent, and nobody will know what became of it.
+    Unknown,
 }
 
 /// A shard kept here.
@@ -356,6 +358,10 @@
         let shard = self.shard_of(&key.shard_name());
         let changed = self.with_shard(shard, |kept| match how {
             Settle::NotRun => kept.claim_not_run(key, fingerprint),
+            Settle::Unknown => {
+                kept.claim_unknown(key, fingerprint);
+                None
+            }
             Settle::Done(answer) => kept.claim_done(key, fingerprint, answer, now()),
         })?;
         Ok(changed.value.map(|_| changed.ticket))
--- a/fw-keep/src/shard/mod.rs
+++ b/fw-keep/src/shard/mod.rs
@@ -385,6 +385,16 @@
         Some(self.push(Entry::Free { key: key.clone() }))
     }
 
+    /// Notes that nobody will know what became of the claimed call. The journal has the claim as
+    /// open, which means the same to whoever reads it.
+    pub fn claim_unknown(&mut self, key: &claim::Key, fingerprint: Digest) {
+        if let Some(claim) = self.claims.get_mut(key)
+            && claim.fingerprint == fingerprint
+        {
+            claim.orphan();
+        }
+    }
+
     /// Notes the answer of the claimed call.
     pub fn claim_done(
         &mut self,
--- a/fw-local/tests/local/plain_calls.rs
+++ b/fw-local/tests/local/plain_calls.rs
@@ -77,6 +77,7 @@
         let again = caller
             .plain(addr, "POST", "/bill", &key("bill-1"), "{}".into())
             .await;
+        expect_that!(again.kind, some(eq(error::Kind::MayHaveRun)));
         expect_that!(again.ran, some(eq(error::Ran::Maybe)));
     }
     expect_that!(tool.runs_of("bill-1"), eq(1));
--- a/fw-side/src/process/sessions.rs
+++ b/fw-side/src/process/sessions.rs
@@ -25,6 +25,8 @@
     began: Instant,
     used: Instant,
     running: u32,
+    /// Known from the engine only: its keeper is asked after it with the next heartbeat.
+    in_doubt: bool,
     /// The program ended or moved while it ran: its memory is freed after the run.
     gone: bool,
 }
@@ -73,6 +75,7 @@
         inner.orders.remove(program);
         let session = inner.session(program, shard, now);
         session.used = now;
+        session.in_doubt = false;
         session.gone = false;
         session.running += 1;
     }
@@ -80,11 +83,13 @@
     /// Takes over a program whose memory the engine says it holds and that is not known here.
     ///
     /// Guards against a side that was restarted: it has no sessions, while the engine beside it
-    /// still holds the memory of every program that ran before.
+    /// still holds the memory of every program that ran before; and against a late event that tells
+    /// of memory from before it was freed. Either program may have ended, so its keeper is asked.
     pub fn adopt(&self, program: &id::ProgramId, shard: id::ShardId, now: Instant) {
         let mut inner = self.inner.lock();
         if !inner.orders.contains_key(program) {
-            inner.session(program, shard, now);
+            let session = inner.session(program, shard, now);
+            session.in_doubt = session.running == 0 && session.began == now;
         }
     }
 
@@ -157,11 +162,13 @@
         let mut inner = self.inner.lock();
         let mut asked = Vec::new();
         for (program, session) in &mut inner.sessions {
-            let is_idle = now.saturating_duration_since(session.used) >= idle;
+            let age = now.saturating_duration_since(session.used);
+            let is_idle = session.in_doubt || age >= idle;
             if session.running > 0 || !is_idle || !shards.contains(&session.shard) {
                 continue;
             }
             session.used = now;
+            session.in_doubt = false;
             asked.push(program.clone());
             if asked.len() == MAX_ASKED {
                 break;
@@ -239,6 +246,7 @@
             began: now,
             used: now,
             running: 0,
+            in_doubt: false,
             gone: false,
         };
         self.sessions.entry(program.clone()).or_insert_with(fresh)
--- a/fw-wire/src/peer.rs
+++ b/fw-wire/src/peer.rs
@@ -157,6 +157,8 @@
     NotRun,
     /// The call was answered.
     Done(StoredAnswer),
+    /// The call was sent, and what became of it will not be known.
+    Unknown,
 }
 
 /// An answer kept for replay under its idempotency key.
