--- a/fw-entry/src/process/entry.rs
+++ b/fw-entry/src/process/entry.rs
@@ -141,19 +141,19 @@
         gone.is_ok_and(|changed| changed.value)
     }
 
-    /// Tells all sides that hold sessions of the program's shard to free its engine memory. A side
-    /// that does not hear it asks after the program later.
+    /// Tells all sides that hold sessions of the program's shard, or whose engine was seen to hold
+    /// its memory, to free that. A side that does not hear it asks after the program later.
     pub async fn release(&self, program: &id::ProgramId) {
         let shard = self.keeper.shard_of(program);
         let Some(fence) = self.keeper.fence(shard) else {
             return;
         };
         for side in self.sides.all() {
-            if !side.update(|state| state.shards.contains(&shard)) {
+            let service = self.sides.service(&side.instance.service);
+            let held = service.lock().view.held(program, &side.instance.id) > 0;
+            if !held && !side.update(|state| state.shards.contains(&shard)) {
                 continue;
             }
-            let service = self.sides.service(&side.instance.service);
-            service.lock().view.forget(program);
             let req = side::Release {
                 programs: vec![(program.clone(), fence)],
             };
