A keeper in doubt serves nothing; an answer given out in an outage is passed on

After an outage for all, a keeper whose lease had lapsed went on serving from memory, while an entry that had just started had its shards: it told an old history. And an answer held by keeper and side was lost when the side died and the keeper, alive, lost the shard. Change: from the moment the store says that a lease lapsed, or is back after a silence longer than a lease, until every kept shard was looked at, an entry serves none; a fenced keeper passes answers that callers have on to the shard's new keeper.

--- a/fw-entry/src/connection/recover.rs
+++ b/fw-entry/src/connection/recover.rs
@@ -10,16 +10,19 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use fw_base::error;
 use fw_base::id;
 use fw_keep::keeper;
 use fw_keep::program;
 use fw_keep::shard;
+use fw_wire::peer;
 use fw_wire::side;
 use fw_wire::transport;
 use tracing::info;
 
 use super::sides;
 use crate::process::entry;
+use crate::process::keepers;
 use crate::turn::submit;
 use crate::turn::upstream;
 
@@ -60,6 +63,51 @@
     });
 }
 
+/// Commits a held turn that another entry passes on; false if its shard is not kept here.
+pub fn accept(entry: &entry::Entry, held: side::Held) -> bool {
+    let shard = entry.keeper.shard_of(&held.program);
+    if entry.serving(shard).is_none() {
+        return false;
+    }
+    let name = held.program.clone();
+    let described = describe(held);
+    let recover = |kept: &mut shard::Shard| kept.recover(&name, described, keeper::now());
+    entry.keeper.with_shard(shard, recover).is_ok()
+}
+
+/// Passes a turn, whose answer its caller has, on to the keeper that took the shard.
+///
+/// # Errors
+///
+/// When no keeper is found in time.
+pub async fn pass_on(entry: &Arc<entry::Entry>, held: &side::Held) -> Result<(), error::Error> {
+    let within = entry.settings.upstream.connect_timeout * 4;
+    let tried = |taken: bool| match taken {
+        true => keepers::Tried::Answered(()),
+        false => keepers::Tried::NotKeeper,
+    };
+    let here = || {
+        let taken = accept(entry, held.clone());
+        async move { tried(taken) }
+    };
+    let there = |client: peer::PeerClient| {
+        let held = held.clone();
+        async move {
+            client
+                .recover(transport::context(within), held)
+                .await
+                .map(tried)
+        }
+    };
+    let options = keepers::Options {
+        patience: entry.patience(),
+        idempotent: true,
+    };
+    let shard = entry.keeper.shard_of(&held.program);
+    keepers::call(entry, shard, options, here, there).await?;
+    Ok(())
+}
+
 /// Whether `shard`, taken a moment ago, may serve: all sides that can be reached were heard since.
 pub fn is_complete(entry: &entry::Entry, shard: id::ShardId) -> bool {
     let Some(since) = entry.keeper.kept_since(shard) else {
--- a/fw-entry/src/process/entry.rs
+++ b/fw-entry/src/process/entry.rs
@@ -124,7 +124,7 @@
 
     /// The fencing number of `shard`, if it is kept here and all that is held of it is known.
     pub fn serving(&self, shard: id::ShardId) -> Option<id::Fence> {
-        if self.is_cut_off(self.settings.keeper.lease_ttl) {
+        if self.keeper.is_in_doubt() || self.is_cut_off(self.settings.keeper.lease_ttl) {
             return None;
         }
         let fence = self.keeper.fence(shard)?;
@@ -215,6 +215,10 @@
         crate::turn::claim::take(&self.0, &req).await
     }
 
+    async fn recover(self, _cx: tarpc::context::Context, held: side::Held) -> bool {
+        recover::accept(&self.0, held)
+    }
+
     async fn status(
         self,
         _cx: tarpc::context::Context,
--- a/fw-entry/src/turn/run.rs
+++ b/fw-entry/src/turn/run.rs
@@ -19,6 +19,7 @@
 
 use super::plan;
 use super::upstream;
+use crate::connection::recover;
 use crate::connection::sides;
 use crate::process::admission;
 use crate::process::entry;
@@ -435,6 +436,10 @@
         }
         if durable.is_err() {
             self.explain("fenced", "another entry keeps the program now".to_owned());
+            if held {
+                // The side that held the answer as well may be gone by now.
+                let _not_taken = recover::pass_on(&self.entry, &self.held(finish)).await;
+            }
             // Without effect on a caller that has the answer already.
             buf.fail(lost());
             return;
@@ -444,6 +449,21 @@
         self.forget().await;
     }
 
+    /// The turn as its next keeper needs it.
+    fn held(&self, finish: attempt::Finish) -> side::Held {
+        side::Held {
+            attempt: self.run.attempt,
+            program: self.req.program.clone(),
+            team: self.req.team.clone(),
+            turn: self.run.turn,
+            model: self.req.model.clone(),
+            params: Arc::clone(&self.req.params),
+            base: self.run.base,
+            messages: self.run.messages.clone(),
+            finish,
+        }
+    }
+
     async fn forget(&self) {
         if let Some(current) = &self.current {
             upstream::forget(&self.entry, &current.side, current.attempt).await;
--- a/fw-keep/src/keeper/flush.rs
+++ b/fw-keep/src/keeper/flush.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use fw_base::id;
@@ -202,6 +203,7 @@
 /// commit compares the fencing number: it lets idle shards go on, too.
 async fn verify(inner: &Inner) {
     if kept_heads(inner).is_empty() {
+        inner.in_doubt.store(false, Ordering::Release);
         return;
     }
     // All entries come here together when the store is back.
@@ -209,8 +211,15 @@
     if *inner.lease.borrow() == 0 {
         return;
     }
-    let outcome = acquire::run(inner, kept_heads(inner)).await;
+    let wants = kept_heads(inner);
+    let all = wants.len();
+    let outcome = acquire::run(inner, wants).await;
     refence(inner, &outcome);
+    if outcome.taken.len() + outcome.lost.len() == all {
+        inner.in_doubt.store(false, Ordering::Release);
+    } else {
+        inner.lapsed.notify_one();
+    }
 }
 
 /// The kept shards with the heads that their journals must have.
--- a/fw-keep/src/keeper/inner.rs
+++ b/fw-keep/src/keeper/inner.rs
@@ -1,6 +1,8 @@
 //! What a keeper's tasks and handles share.
 
 use std::collections::BTreeSet;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -33,6 +35,8 @@
     pub(super) dirtied: Notify,
     /// Kept shards were seen without keeper in the store.
     pub(super) lapsed: Notify,
+    /// Whether others may have taken the kept shards.
+    pub(super) in_doubt: AtomicBool,
     /// The lease in force; 0 for none.
     pub(super) lease: watch::Sender<kv::LeaseId>,
     /// When the store answered last.
@@ -54,6 +58,7 @@
             dirty: Mutex::new(BTreeSet::new()),
             dirtied: Notify::new(),
             lapsed: Notify::new(),
+            in_doubt: AtomicBool::new(false),
             lease: watch::Sender::new(0),
             contact: Mutex::new(Instant::now()),
             window,
@@ -127,7 +132,18 @@
     }
 
     pub(super) fn note_contact(&self) {
-        *self.contact.lock() = Instant::now();
+        let before = std::mem::replace(&mut *self.contact.lock(), Instant::now());
+        if before.elapsed() > self.opts.ttl {
+            self.doubt();
+        }
+    }
+
+    /// Notes that others may have taken the kept shards: the lease lapsed, or the store is back
+    /// after a silence in which it may have. Until each was looked at, what is in memory may be
+    /// the past of programs that have gone on elsewhere.
+    pub(super) fn doubt(&self) {
+        self.in_doubt.store(true, Ordering::Release);
+        self.lapsed.notify_one();
     }
 
     pub(super) fn is_closing(&self) -> bool {
--- a/fw-keep/src/keeper/lease.rs
+++ b/fw-keep/src/keeper/lease.rs
@@ -27,6 +27,7 @@
         count("lapsed");
         tracing::warn!(lease, "lease lapsed");
         inner.lease.send_replace(0);
+        inner.doubt();
     }
 }
 
--- a/fw-keep/src/keeper/mod.rs
+++ b/fw-keep/src/keeper/mod.rs
@@ -15,6 +15,7 @@
 mod table;
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
@@ -258,6 +259,13 @@
         slot.serving().map(|kept| kept.writer.fence())
     }
 
+    /// Whether others may have taken the shards that are kept here: the lease lapsed, or the store
+    /// is back after it may have, and the shards were not looked at yet. In an outage that goes on
+    /// nobody can take them, and there is no doubt.
+    pub fn is_in_doubt(&self) -> bool {
+        self.inner.in_doubt.load(Ordering::Acquire)
+    }
+
     /// Since when `shard` is kept here, if it is.
     pub fn kept_since(&self, shard: id::ShardId) -> Option<Instant> {
         let slot = self.inner.slots.get(usize::from(shard))?;
--- a/fw-wire/src/peer.rs
+++ b/fw-wire/src/peer.rs
@@ -28,6 +28,9 @@
     async fn end(req: Query) -> QueryReply;
     /// Claims, or settles, a call that may run at most once.
     async fn claim(req: Claim) -> ClaimReply;
+    /// Takes over a turn whose answer its caller has, and which its keeper could not make durable
+    /// before it lost the shard; false if the receiver does not keep the shard.
+    async fn recover(held: side::Held) -> bool;
     /// How the entry stands.
     async fn status(from: PeerStatus) -> PeerStatus;
     /// The set of records in force, if newer than `than`.
