fw-entry: an answer is given out in an outage only while its side still holds it

Change: the keeper asks the side before it gives out an answer that is not durable. turn/commit.rs takes the end of a turn out of turn/run.rs, which had grown to 545 lines.

--- /dev/null
+++ b/fw-entry/src/turn/commit.rs
@@ -0,0 +1,106 @@
+//! Commits a turn's answer, and gives its end to its readers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fw_keep::keeper;
+use fw_keep::program;
+use fw_wire::attempt;
+use fw_wire::buffer;
+use fw_wire::side;
+
+use super::run;
+use super::upstream;
+use crate::connection::recover;
+
+impl run::Task {
+    pub(super) async fn commit(self, buf: &Arc<buffer::Buffer>, finish: attempt::Finish) {
+        metrics::counter!(run::TURNS).increment(1);
+        metrics::counter!(run::TOKENS, "sort" => "prompt").increment(finish.usage.prompt);
+        metrics::counter!(run::TOKENS, "sort" => "completion").increment(finish.usage.completion);
+        if self.req.single {
+            buf.finish(finish);
+            self.forget().await;
+            return;
+        }
+        let answer = program::Answer {
+            message: finish.message.clone(),
+            finish_reason: finish.finish_reason.clone(),
+            usage: finish.usage,
+        };
+        let now = keeper::now();
+        let shard = self.plan.shard;
+        let finished = self.entry.keeper.with_shard(shard, |shard| {
+            shard.finish(&self.req.program, self.run.attempt, answer, now)
+        });
+        match finished {
+            Err(_) => buf.fail(run::lost()),
+            Ok(changed) if changed.value.is_none() => buf.fail(run::ended()),
+            Ok(changed) => self.make_durable(buf, finish, changed.ticket).await,
+        }
+    }
+
+    /// The caller learns the end of its answer once it is in the store. While the store does not
+    /// answer, keeper and side both hold the answer: two instances, of which either may die.
+    async fn make_durable(
+        self,
+        buf: &Arc<buffer::Buffer>,
+        finish: attempt::Finish,
+        ticket: keeper::Ticket,
+    ) {
+        let mut durable = self.entry.keeper.durable(ticket).await;
+        let mut held = false;
+        while durable == Err(keeper::Error::StoreUnavailable) {
+            let alone = self.entry.is_cut_off(Duration::ZERO);
+            if !held && !alone && self.is_held_by_side().await {
+                held = true;
+                self.explain("held", "the store does not answer".to_owned());
+                buf.finish(finish.clone());
+            }
+            durable = self.entry.keeper.durable(ticket).await;
+        }
+        if durable.is_err() {
+            self.explain("fenced", "another entry keeps the program now".to_owned());
+            if held {
+                // The side that held the answer as well may be gone by now.
+                let _not_taken = recover::pass_on(&self.entry, &self.held(finish)).await;
+            }
+            // Without effect on a caller that has the answer already.
+            buf.fail(run::lost());
+            return;
+        }
+        self.explain("committed", format!("turn {}", self.run.turn));
+        buf.finish(finish);
+        self.forget().await;
+    }
+
+    /// Whether the side still has the answer. One that died since is no second holder: the answer
+    /// would be lost with this entry, after its caller has seen it.
+    async fn is_held_by_side(&self) -> bool {
+        match &self.current {
+            Some(current) => upstream::holds(&self.entry, &current.side, current.attempt).await,
+            None => false,
+        }
+    }
+
+    /// The turn as its next keeper needs it.
+    fn held(&self, finish: attempt::Finish) -> side::Held {
+        side::Held {
+            attempt: self.run.attempt,
+            program: self.req.program.clone(),
+            team: self.req.team.clone(),
+            turn: self.run.turn,
+            model: self.req.model.clone(),
+            params: Arc::clone(&self.req.params),
+            base: self.run.base,
+            messages: self.run.messages.clone(),
+            finish,
+        }
+    }
+
+    async fn forget(&self) {
+        if let Some(current) = &self.current {
+            upstream::forget(&self.entry, &current.side, current.attempt).await;
+        }
+    }
+}
--- a/fw-entry/src/turn/mod.rs
+++ b/fw-entry/src/turn/mod.rs
@@ -1,6 +1,7 @@
 //! What lives for one turn at its keeper.
 
 pub mod claim;
+mod commit;
 pub mod plan;
 pub mod program;
 pub mod run;
--- a/fw-entry/src/turn/run.rs
+++ b/fw-entry/src/turn/run.rs
@@ -19,7 +19,6 @@
 
 use super::plan;
 use super::upstream;
-use crate::connection::recover;
 use crate::connection::sides;
 use crate::process::admission;
 use crate::process::entry;
@@ -43,23 +42,24 @@
 
 /// A turn under way.
 pub struct Task {
-    entry: Arc<entry::Entry>,
-    req: peer::Submit,
-    plan: plan::Plan,
-    run: program::Run,
+    pub(super) entry: Arc<entry::Entry>,
+    pub(super) req: peer::Submit,
+    pub(super) plan: plan::Plan,
+    pub(super) run: program::Run,
     permit: admission::Permit,
     max_tokens: id::Tokens,
     arrived: tokio::time::Instant,
     /// The attempt that callers read at present.
     reading: id::AttemptId,
     /// Where the turn runs at present.
-    current: Option<Current>,
+    pub(super) current: Option<Current>,
 }
 
+/// Where a turn runs.
 #[derive(Clone, Debug)]
-struct Current {
-    side: Arc<sides::Side>,
-    attempt: id::AttemptId,
+pub(super) struct Current {
+    pub(super) side: Arc<sides::Side>,
+    pub(super) attempt: id::AttemptId,
     alone: bool,
 }
 
@@ -390,86 +390,6 @@
             .saturating_sub(finish.usage.cached)
     }
 
-    async fn commit(self, buf: &Arc<buffer::Buffer>, finish: attempt::Finish) {
-        metrics::counter!(TURNS).increment(1);
-        metrics::counter!(TOKENS, "sort" => "prompt").increment(finish.usage.prompt);
-        metrics::counter!(TOKENS, "sort" => "completion").increment(finish.usage.completion);
-        if self.req.single {
-            buf.finish(finish);
-            self.forget().await;
-            return;
-        }
-        let answer = program::Answer {
-            message: finish.message.clone(),
-            finish_reason: finish.finish_reason.clone(),
-            usage: finish.usage,
-        };
-        let now = keeper::now();
-        let shard = self.plan.shard;
-        let finished = self.entry.keeper.with_shard(shard, |shard| {
-            shard.finish(&self.req.program, self.run.attempt, answer, now)
-        });
-        match finished {
-            Err(_) => buf.fail(lost()),
-            Ok(changed) if changed.value.is_none() => buf.fail(ended()),
-            Ok(changed) => self.make_durable(buf, finish, changed.ticket).await,
-        }
-    }
-
-    /// The caller learns the end of its answer once it is in the store. While the store does not
-    /// answer, keeper and side both hold the answer: two instances, of which either may die.
-    async fn make_durable(
-        self,
-        buf: &Arc<buffer::Buffer>,
-        finish: attempt::Finish,
-        ticket: keeper::Ticket,
-    ) {
-        let mut durable = self.entry.keeper.durable(ticket).await;
-        let mut held = false;
-        while durable == Err(keeper::Error::StoreUnavailable) {
-            if !held && !self.entry.is_cut_off(Duration::ZERO) {
-                held = true;
-                self.explain("held", "the store does not answer".to_owned());
-                buf.finish(finish.clone());
-            }
-            durable = self.entry.keeper.durable(ticket).await;
-        }
-        if durable.is_err() {
-            self.explain("fenced", "another entry keeps the program now".to_owned());
-            if held {
-                // The side that held the answer as well may be gone by now.
-                let _not_taken = recover::pass_on(&self.entry, &self.held(finish)).await;
-            }
-            // Without effect on a caller that has the answer already.
-            buf.fail(lost());
-            return;
-        }
-        self.explain("committed", format!("turn {}", self.run.turn));
-        buf.finish(finish);
-        self.forget().await;
-    }
-
-    /// The turn as its next keeper needs it.
-    fn held(&self, finish: attempt::Finish) -> side::Held {
-        side::Held {
-            attempt: self.run.attempt,
-            program: self.req.program.clone(),
-            team: self.req.team.clone(),
-            turn: self.run.turn,
-            model: self.req.model.clone(),
-            params: Arc::clone(&self.req.params),
-            base: self.run.base,
-            messages: self.run.messages.clone(),
-            finish,
-        }
-    }
-
-    async fn forget(&self) {
-        if let Some(current) = &self.current {
-            upstream::forget(&self.entry, &current.side, current.attempt).await;
-        }
-    }
-
     async fn give_up(self, buf: &Arc<buffer::Buffer>, err: error::Error) {
         let err = match err.kind {
             // The side saw a newer keeper of the shard: this one was paused and is fenced off.
@@ -492,7 +412,7 @@
         }
     }
 
-    fn explain(&self, what: &'static str, why: String) {
+    pub(super) fn explain(&self, what: &'static str, why: String) {
         self.entry.explain.note(&self.req.program, what, why);
     }
 
@@ -517,14 +437,14 @@
     )
 }
 
-fn ended() -> error::Error {
+pub(super) fn ended() -> error::Error {
     error::Error::new(
         error::Kind::Cancelled,
         "the program was ended while the turn was under way",
     )
 }
 
-fn lost() -> error::Error {
+pub(super) fn lost() -> error::Error {
     let message = "the program changed its keeper while the turn was under way; send it again";
     error::Error::new(error::Kind::KeeperLost, message)
 }
--- a/fw-entry/src/turn/upstream.rs
+++ b/fw-entry/src/turn/upstream.rs
@@ -157,6 +157,20 @@
     let _unreachable = entry.sides.pool.call(side.instance.side, call).await;
 }
 
+/// Whether a side has the whole answer of an attempt.
+pub async fn holds(entry: &entry::Entry, side: &sides::Side, attempt: id::AttemptId) -> bool {
+    let req = attempt::Read {
+        attempt,
+        offset: u32::MAX,
+        wait: Duration::ZERO,
+        gather: Duration::ZERO,
+    };
+    let cx = transport::context(entry.settings.upstream.connect_timeout);
+    let call = |client: side::SideClient| async move { client.read(cx, req).await };
+    let reply = entry.sides.pool.call(side.instance.side, call).await;
+    reply.is_ok_and(|reply| matches!(reply.state, attempt::State::Done(_)))
+}
+
 /// Tells a side that an attempt's answer is durable. If that is lost, the side forgets it by age.
 pub async fn forget(entry: &entry::Entry, side: &sides::Side, attempt: id::AttemptId) {
     let cx = transport::context(entry.settings.upstream.connect_timeout);
