fw-entry: an end is told once it is stored; a cut-off keeper's callers are sent on at once

Change: DELETE answers keeper_lost with a time to retry while the end is not stored; beyond its lease a keeper that is cut off fails the turns that it cannot make durable.

--- a/fw-entry/src/turn/commit.rs
+++ b/fw-entry/src/turn/commit.rs
@@ -51,6 +51,11 @@
         let mut durable = self.entry.keeper.durable(ticket).await;
         let mut held = false;
         while durable == Err(keeper::Error::StoreUnavailable) {
+            if self.entry.is_cut_off(self.entry.settings.keeper.lease_ttl) {
+                // The shard has another keeper by now, which has the answer from the side: the
+                // caller finds it there sooner than here.
+                break;
+            }
             let alone = self.entry.is_cut_off(Duration::ZERO);
             if !held && !alone && self.is_held_by_side().await {
                 held = true;
--- a/fw-entry/src/turn/program.rs
+++ b/fw-entry/src/turn/program.rs
@@ -109,10 +109,20 @@
         Ok(Some(attempt)) => entry.attempts.stop(attempt),
         Ok(None) => {}
     }
-    // Not durable in time means durable later, or a program that idles until its retention.
-    let _later = entry.keeper.durable(ended.ticket).await;
+    let stored = entry.keeper.durable(ended.ticket).await;
     entry.release(&req.program).await;
-    look(entry, req)
+    match stored {
+        Ok(()) => look(entry, req),
+        Err(_) => peer::QueryReply::Refused(not_stored(entry)),
+    }
+}
+
+/// An end that the store does not have would be undone by a take-over: the program would live on,
+/// and its engine memory with it, though its caller was told that it ended.
+fn not_stored(entry: &entry::Entry) -> error::Error {
+    let message = "the program's end is not stored yet; end it again";
+    error::Error::new(error::Kind::KeeperLost, message)
+        .with_retry_after(entry.settings.keeper.lease_ttl)
 }
 
 fn describe(req: &peer::Query, program: &program::Program) -> peer::Program {
--- a/fw-local/tests/history/fixed_seeds.rs
+++ b/fw-local/tests/history/fixed_seeds.rs
@@ -68,4 +68,7 @@
     seed_14_holds: 14;
     seed_21_holds: 21;
     seed_29_holds: 29;
+    seed_38_holds: 38;
+    seed_66_holds: 66;
+    seed_183_holds: 183;
 }
--- a/fw-local/tests/local/rig.rs
+++ b/fw-local/tests/local/rig.rs
@@ -71,3 +71,24 @@
 pub async fn chat(addr: SocketAddr, chat: &caller::Chat) -> caller::Answer {
     caller::Caller::new().chat(addr, chat).await
 }
+
+/// A program whose shard the first of two entries keeps.
+pub fn kept_by_first(system: &system::System, prefix: &str) -> String {
+    let other = system.entries[1].as_ref().expect("the second entry runs");
+    let keeper = &other.entry().keeper;
+    let mut names = (0..).map(|n| format!("{prefix}-{n}"));
+    let found = names.find(|name| keeper.fence(keeper.shard_of(name)).is_none());
+    found.expect("the first entry keeps half of the shards")
+}
+
+/// A turn of a program that sends its new message only.
+pub fn delta(program: &str, turn: u32) -> caller::Chat {
+    caller::Chat {
+        headers: vec![
+            ("x-program", program.to_owned()),
+            ("x-turn", turn.to_string()),
+            ("x-history", "delta".to_owned()),
+        ],
+        ..ask(&format!("offer {turn}"))
+    }
+}
--- a/fw-local/tests/local/store_outages.rs
+++ b/fw-local/tests/local/store_outages.rs
@@ -60,18 +60,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn answers_survive_their_keeper_in_an_outage() {
     let mut system = rig::system().await;
-    let other = system.entries[1].as_ref().unwrap().entry().clone();
-    let mut names = (0..).map(|n| format!("held-{n}"));
-    let kept_by_0 = |name: &String| other.keeper.fence(other.keeper.shard_of(name)).is_none();
-    let program = names.find(kept_by_0).unwrap();
-    let turn = |turn: u32| caller::Chat {
-        headers: vec![
-            ("x-program", program.clone()),
-            ("x-turn", turn.to_string()),
-            ("x-history", "delta".to_owned()),
-        ],
-        ..rig::ask(&format!("offer {turn}"))
-    };
+    let program = rig::kept_by_first(&system, "held");
+    let turn = |turn: u32| rig::delta(&program, turn);
     expect_true!(rig::chat(system.callers(0), &turn(1)).await.is_ok());
     system.store.set_outage(Some(store::Outage::Refuse));
     expect_true!(rig::chat(system.callers(0), &turn(2)).await.is_ok());
@@ -136,18 +126,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_entry_cut_off_alone_gives_out_nothing_new() {
     let system = rig::system().await;
-    let other = system.entries[1].as_ref().unwrap().entry().clone();
-    let mut names = (0..).map(|n| format!("cut-{n}"));
-    let kept_by_0 = |name: &String| other.keeper.fence(other.keeper.shard_of(name)).is_none();
-    let program = names.find(kept_by_0).unwrap();
-    let turn = |turn: u32| caller::Chat {
-        headers: vec![
-            ("x-program", program.clone()),
-            ("x-turn", turn.to_string()),
-            ("x-history", "delta".to_owned()),
-        ],
-        ..rig::ask(&format!("offer {turn}"))
-    };
+    let program = rig::kept_by_first(&system, "cut");
+    let turn = |turn: u32| rig::delta(&program, turn);
     expect_true!(rig::chat(system.callers(0), &turn(1)).await.is_ok());
     system
         .store
