fw-entry: the first token is passed on at once

Cause: reads gathered from the second event on; the first event names the role only, so the first token waited 10 ms. Change: the first two events go at once.

--- a/fw-entry/src/turn/upstream.rs
+++ b/fw-entry/src/turn/upstream.rs
@@ -27,6 +27,9 @@
 /// 0.4 ms of processor time (`docs/MEASURED.md`).
 const GATHER: Duration = Duration::from_millis(10);
 
+/// Events passed on at once: the one that names the role, and the first token.
+const AT_ONCE: u32 = 2;
+
 /// Pause before a side that cannot be reached is tried again.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -129,8 +132,11 @@
             attempt: self.start.attempt,
             offset,
             wait,
-            // The first event is passed on at once; those behind it come every few milliseconds.
-            gather: if offset == 0 { Duration::ZERO } else { GATHER },
+            gather: if offset < AT_ONCE {
+                Duration::ZERO
+            } else {
+                GATHER
+            },
         };
         let cx = transport::context(wait + SLACK);
         let call = |client: side::SideClient| async move { client.read(cx, req).await };
