fw-replica: copies are stored together

Cause: after a lost disk a replica stored what it copied one record after the other, a sync of 5 ms each: with 14 s of traffic it never caught up (no line 'all records are copied' in 21 s), and the next fault left too few voters. Change: the records of a page share syncs.

--- a/fw-replica/src/sync.rs
+++ b/fw-replica/src/sync.rs
@@ -9,6 +9,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures_util::future::join_all;
+
 use crate::{client, member, record, server, service};
 
 /// Pause between two looks at the lists of the others. With it a record is on all members within
@@ -223,25 +225,13 @@
     loop {
         let page = client.list(addr, me.clone(), source.at).await?;
         source.synced = page.synced;
-        let mut wanted = Vec::new();
-        for listed in page.records {
-            match listed {
-                service::Listed::Turn(id) if !shared.has(&id) => wanted.push(id),
-                service::Listed::Charge(charge) if shared.is_news(&charge) => {
-                    if !shared.store(record::Record::Charge(charge)).await {
-                        return None;
-                    }
-                }
-                _ => {}
-            }
-        }
+        let (charges, wanted) = missing(shared, page.records);
+        store_all(shared, charges).await?;
         for ids in wanted.chunks(FETCH) {
-            for turn in client.fetch(addr, ids.to_vec()).await? {
-                metrics::counter!("fw_replica_copied_total").increment(1);
-                if !shared.store(record::Record::Turn(turn)).await {
-                    return None;
-                }
-            }
+            let turns = client.fetch(addr, ids.to_vec()).await?;
+            metrics::counter!("fw_replica_copied_total").increment(turns.len() as u64);
+            let turns = turns.into_iter().map(record::Record::Turn);
+            store_all(shared, turns.collect()).await?;
         }
         source.at = page.next;
         if !page.more {
@@ -249,3 +239,30 @@
         }
     }
 }
+
+/// The charges, and the ids of the turns, that are not here.
+fn missing(
+    shared: &server::Shared,
+    listed: Vec<service::Listed>,
+) -> (Vec<record::Record>, Vec<record::TurnId>) {
+    let mut charges = Vec::new();
+    let mut turns = Vec::new();
+    for listed in listed {
+        match listed {
+            service::Listed::Turn(id) if !shared.has(&id) => turns.push(id),
+            service::Listed::Charge(charge) if shared.is_news(&charge) => {
+                charges.push(record::Record::Charge(charge));
+            }
+            service::Listed::Turn(_) | service::Listed::Charge(_) => {}
+        }
+    }
+    (charges, turns)
+}
+
+/// Stores `records` together, so that they share syncs of the disk: one after the other, a few
+/// thousand would take a slow disk longer than a replica may take to catch up.
+async fn store_all(shared: &server::Shared, records: Vec<record::Record>) -> Option<()> {
+    let stores = records.into_iter().map(|record| shared.store(record));
+    let stored = join_all(stores).await;
+    stored.into_iter().all(|ok| ok).then_some(())
+}
