--- /dev/null
+++ b/fw-follow/tests/follow/main.rs
@@ -0,0 +1,3 @@
+//! Following the store.
+
+mod store_outage;
--- a/fw-gate/src/request/call.rs
+++ b/fw-gate/src/request/call.rs
@@ -93,12 +93,10 @@
 fn object(names: &names::Names, headers: &HeaderMap) -> Option<SmolStr> {
     let cookies = headers.get_all(header::COOKIE).into_iter();
     let cookies = cookies.filter_map(|value| value.to_str().ok());
-    let mut pairs = cookies.flat_map(|value| value.split(';'));
-    let object = pairs.find_map(|pair| {
+    cookies.flat_map(|value| value.split(';')).find_map(|pair| {
         let (name, value) = pair.trim().split_once('=')?;
         (name == names.object_cookie).then(|| value.into())
-    });
-    object
+    })
 }
 
 fn text(headers: &HeaderMap, name: &HeaderName) -> Result<Option<SmolStr>, error::Error> {
--- /dev/null
+++ b/fw-gate/tests/gate/call_headers.rs
@@ -0,0 +1,81 @@
+//! What requests say of themselves.
+
+use fw_gate::names::Names;
+use fw_gate::request::call::{self, Call};
+use googletest::prelude::*;
+use hyper::HeaderMap;
+use hyper::header::HeaderName;
+
+fn names() -> Names {
+    let header = HeaderName::from_static;
+    Names {
+        request_id: header("id"),
+        deadline_ms: header("deadline"),
+        object_cookie: "object",
+        signature: header("signature"),
+        expect_upstream: header("expect-upstream"),
+        load: header("load"),
+        not_run: header("not-run"),
+        tokens: header("tokens"),
+        program: header("program"),
+        session: header("session"),
+        program_deadline_ms: header("program-deadline"),
+        budget: header("budget"),
+        previous: header("previous"),
+        resume_after: header("resume-after"),
+        reserved: Vec::new(),
+    }
+}
+
+fn headers(pairs: &[(&'static str, &'static str)]) -> HeaderMap {
+    let pairs = pairs.iter();
+    pairs
+        .map(|(name, value)| (HeaderName::from_static(name), value.parse().unwrap()))
+        .collect()
+}
+
+#[gtest]
+fn are_read_into_a_call() {
+    let call = Call::read(
+        &names(),
+        &headers(&[
+            ("id", "i"),
+            ("deadline", "300"),
+            ("tokens", "1460,80"),
+            ("budget", "2288"),
+            ("cookie", "a=b; object=17"),
+        ]),
+    )
+    .unwrap();
+    expect_that!(call.prompt_tokens, eq(1460));
+    expect_that!(call.most_tokens, eq(80));
+    expect_that!(call.budget, some(eq(2288)));
+    expect_that!(call.affinity.as_deref(), some(eq("17")));
+}
+
+#[gtest]
+fn name_the_header_that_is_wrong() {
+    for (pairs, wrong) in [
+        (vec![], "`id`"),
+        (vec![("id", "i"), ("deadline", "soon")], "`deadline`"),
+        (vec![("id", "i"), ("tokens", "5")], "`tokens`"),
+        (vec![("id", "i"), ("budget", "-1")], "`budget`"),
+    ] {
+        let err = Call::read(&names(), &headers(&pairs)).unwrap_err();
+        expect_that!(err.message, contains_substring(wrong));
+    }
+}
+
+#[gtest]
+fn lose_what_concerns_one_connection() {
+    let mut all = headers(&[
+        ("connection", "close, x-mine"),
+        ("x-mine", "1"),
+        ("transfer-encoding", "chunked"),
+        ("keep-alive", "timeout=5"),
+        ("x-other", "1"),
+    ]);
+    call::strip_hop(&mut all);
+    expect_that!(all.len(), eq(1));
+    expect_true!(all.contains_key("x-other"));
+}
--- /dev/null
+++ b/fw-gate/tests/gate/main.rs
@@ -0,0 +1,8 @@
+//! The entry's parts that need no network.
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod call_headers;
+mod event_split;
+mod route_choice;
+mod turn_cache;
+mod upstream_list;
--- /dev/null
+++ b/fw-gate/tests/gate/turn_cache.rs
@@ -0,0 +1,40 @@
+//! Turns that an entry has seen.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fw_gate::process::turns::Turns;
+use fw_replica::record::Turn;
+use googletest::prelude::*;
+
+fn turn(id: usize, size: usize) -> Arc<Turn> {
+    Arc::new(Turn {
+        id: id.to_string().into(),
+        parent: (id > 0).then(|| (id - 1).to_string().into()),
+        input: vec![b'x'; size].into(),
+        output: "o".into(),
+        ended: 0,
+        keep: Duration::from_secs(60),
+    })
+}
+
+#[gtest]
+fn give_a_chain_as_far_as_it_is_known() {
+    let turns = Turns::default();
+    turns.put(turn(1, 10));
+    turns.put(turn(2, 10));
+    let chain = turns.chain(Some(&"2".into()));
+    expect_that!(chain.turns.len(), eq(2));
+    expect_that!(chain.missing.as_deref(), some(eq("0")));
+    turns.put(turn(0, 10));
+    expect_that!(turns.chain(Some(&"2".into())).missing, none());
+    expect_that!(turns.chain(None).missing, none());
+}
+
+#[gtest]
+fn are_bounded_and_forget_the_oldest() {
+    let turns = Turns::default();
+    (0..100).for_each(|id| turns.put(turn(id, 50_000)));
+    let chain = turns.chain(Some(&"99".into()));
+    expect_that!(chain.turns.len(), all!(ge(10), le(25)));
+}
--- /dev/null
+++ b/fw-gate/tests/gate/upstream_list.rs
@@ -0,0 +1,95 @@
+//! The list of upstreams.
+
+use fw_gate::process::fleet::{Fleet, Listed, Load, Want};
+use fw_plan::health::Seen;
+use googletest::prelude::*;
+
+fn listed(id: &str) -> Listed {
+    Listed {
+        id: id.into(),
+        service: "s".into(),
+        addr: ([127, 0, 0, 1], 1).into(),
+        place: "a".into(),
+        slots: 2,
+        takes_work: true,
+        born: 1,
+    }
+}
+
+#[gtest]
+fn loses_an_upstream_only_when_it_is_settled() {
+    // The store was away and the entries of live upstreams lapsed: until they have had time to
+    // come back, those that are missing are used.
+    let fleet = Fleet::new("a".into());
+    fleet.replace(vec![listed("x")], true);
+    fleet.replace(vec![], false);
+    expect_that!(fleet.choose(&"s".into(), &Want::default()), ok(anything()));
+    fleet.replace(vec![], true);
+    expect_that!(fleet.choose(&"s".into(), &Want::default()), err(anything()));
+}
+
+#[gtest]
+fn sends_nothing_to_one_that_leaves_or_failed_the_call() {
+    let fleet = Fleet::new("a".into());
+    fleet.put(listed("x"));
+    fleet.put(Listed {
+        takes_work: false,
+        ..listed("y")
+    });
+    for _ in 0..20 {
+        let lease = fleet.choose(&"s".into(), &Want::default()).unwrap();
+        expect_that!(lease.id, eq("x"));
+    }
+    let avoid = ["x".into()];
+    let want = Want {
+        avoid: &avoid,
+        ..Want::default()
+    };
+    expect_that!(fleet.choose(&"s".into(), &want), err(anything()));
+}
+
+#[gtest]
+fn forgets_what_a_restarted_one_was_like() {
+    // An upstream crashes and starts again under its id. What was known of it is its
+    // predecessor's: the load it told, and that it failed.
+    let fleet = Fleet::new("a".into());
+    fleet.put(listed("x"));
+    fleet.put(listed("y"));
+    let lease = fleet.again(&"s".into(), &"x".into()).unwrap();
+    lease.told(Load {
+        running: 2,
+        waiting: 30,
+    });
+    drop(lease);
+    for _ in 0..10 {
+        let lease = fleet.choose(&"s".into(), &Want::default()).unwrap();
+        expect_that!(lease.id, eq("y"));
+        lease.seen(Seen::Answered);
+    }
+    fleet.put(Listed {
+        born: 2,
+        ..listed("x")
+    });
+    let ids: Vec<_> = (0..40)
+        .map(|_| {
+            fleet
+                .choose(&"s".into(), &Want::default())
+                .unwrap()
+                .id
+                .clone()
+        })
+        .collect();
+    expect_that!(ids, contains(eq("x")));
+}
+
+#[gtest]
+fn counts_calls_under_way() {
+    let fleet = Fleet::new("a".into());
+    fleet.put(listed("x"));
+    fleet.put(listed("y"));
+    let leases: Vec<_> = (0..8)
+        .map(|_| fleet.choose(&"s".into(), &Want::default()).unwrap())
+        .collect();
+    let at_x = leases.iter().filter(|lease| lease.id == "x").count();
+    expect_that!(at_x, eq(4));
+}
--- a/fw-plan/tests/plan/main.rs
+++ b/fw-plan/tests/plan/main.rs
@@ -5,6 +5,7 @@
 #![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 mod admission;
+mod assign_upstream;
 mod budget_bounds;
 mod burst;
 mod cache_keeping;
--- a/fw-replica/src/client.rs
+++ b/fw-replica/src/client.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use futures_util::StreamExt;
+use futures_util::future::join_all;
 use futures_util::stream::FuturesUnordered;
 use fw_http::socket;
 use parking_lot::Mutex;
@@ -106,7 +107,7 @@
         tracing::info!(epoch = view.epoch, members = ?view.list.members, "member list");
         self.links
             .lock()
-            .retain(|addr, _| view.list.members.values().any(|known| known == addr));
+            .retain(|addr, _| view.list.addrs().any(|known| known == *addr));
         *known = view;
         true
     }
@@ -127,7 +128,7 @@
     pub fn tell(self: &Arc<Self>) {
         let view = self.view.lock().clone();
         let retire = self.retire.lock().clone();
-        for addr in view.list.members.values().copied() {
+        for addr in view.list.addrs() {
             let (client, view, retire) = (Arc::clone(self), view.clone(), retire.clone());
             tokio::spawn(async move {
                 for pause in AGAIN {
@@ -135,7 +136,7 @@
                     let told = client.call(addr, |client, cx| async move {
                         client.tell(cx, view, retire).await
                     });
-                    if told.await.is_some() {
+                    if told.await == Some(true) {
                         return;
                     }
                     tokio::time::sleep(pause).await;
@@ -152,7 +153,7 @@
     /// The members, the quickest first and those that failed lately last.
     fn members(&self) -> (member::Epoch, Vec<SocketAddr>) {
         let view = self.view.lock();
-        let mut addrs: Vec<_> = view.list.members.values().copied().collect();
+        let mut addrs: Vec<_> = view.list.addrs().collect();
         let costs = self.costs.lock();
         addrs.sort_by_key(|addr| {
             let cost = costs.get(addr).copied().unwrap_or_default();
@@ -167,41 +168,42 @@
     /// # Errors
     ///
     /// [`Error::Spent`] and [`Error::UnknownTurn`] are certain; after [`Error::Unsure`] the turn
-    /// may be tried again, and the reservation should be taken back.
+    /// may be tried again. After each of them the reservation should be taken back.
     pub async fn begin(
         self: &Arc<Self>,
         reserve: Option<service::Reserve>,
         newest: Option<record::TurnId>,
     ) -> Result<Vec<record::Turn>, Error> {
+        let (epoch, members) = self.members();
+        let mut round = self
+            .ask(epoch, &members, reserve.clone(), newest.clone())
+            .await;
+        let mut members = members;
         let mut reserve = reserve;
-        let mut again = true;
-        loop {
-            let (epoch, members) = self.members();
-            let round = self.ask(epoch, &members, reserve.clone(), newest.clone());
-            let round = round.await;
-            if std::mem::take(&mut again) && self.improve(epoch, &round, &mut reserve) {
-                continue;
-            }
-            self.judge(&members, reserve.as_ref(), &round)?;
-            return match round.chain {
-                Some(chain) => self.complete(&members, chain).await,
-                None => match newest {
-                    Some(newest) => {
-                        let chain = service::Chain {
-                            missing: Some(newest),
-                            ..service::Chain::default()
-                        };
-                        self.complete(&members, chain).await
-                    }
-                    None => Ok(Vec::new()),
-                },
-            };
+        if self.may_improve(epoch, &round, &mut reserve) {
+            let (epoch, newer) = self.members();
+            round = self
+                .ask(epoch, &newer, reserve.clone(), newest.clone())
+                .await;
+            members = newer;
+        }
+        if let Some(reserve) = &reserve {
+            self.judge(members.len(), reserve, &round)?;
+            self.check_union(reserve, &round).await?;
+        }
+        let missing = |newest| service::Chain {
+            missing: Some(newest),
+            ..service::Chain::default()
+        };
+        match round.chain.or(newest.map(missing)) {
+            Some(chain) => self.complete(&members, chain).await,
+            None => Ok(Vec::new()),
         }
     }
 
     /// Whether asking again can change the outcome: a newer member list was learned, or the
     /// replicas that refused did not know settlements that others know.
-    fn improve(
+    fn may_improve(
         &self,
         epoch: member::Epoch,
         round: &Round,
@@ -214,49 +216,60 @@
         if round.refused == 0 {
             return false;
         }
-        let mut merged = ledger::Ledger::default();
-        for line in &round.ledger {
-            merged.merge(line, 0);
-        }
-        let fits = merged.allows(&reserve.turn, reserve.tokens, reserve.budget);
-        reserve.known = merged.lines();
+        let union = ledger::Ledger::union(&round.ledger);
+        let fits = union.allows(&reserve.turn, reserve.tokens, reserve.budget);
+        reserve.known = union.lines();
         reserve.known.retain(|line| line.turn != reserve.turn);
         fits
     }
 
     fn judge(
         &self,
-        members: &[SocketAddr],
-        reserve: Option<&service::Reserve>,
+        members: usize,
+        reserve: &service::Reserve,
         round: &Round,
     ) -> Result<(), Error> {
-        let Some(reserve) = reserve else {
-            return Ok(());
-        };
-        let needed = member::Quorum::of(members.len(), self.faults).vote;
-        if round.accepted >= needed {
+        let needed = member::Quorum::of(members, self.faults).vote;
+        if round.accepted.len() >= needed {
             return Ok(());
         }
         // With so many refusals no majority can accept.
-        if round.refused > 0 && round.refused + needed > members.len() {
-            let lines = round.ledger.iter();
-            let mut merged = ledger::Ledger::default();
-            lines.for_each(|line| {
-                merged.merge(line, 0);
-            });
-            return Err(Error::Spent {
-                used: merged.total(),
-                wanted: reserve.tokens,
-                budget: reserve.budget,
-            });
+        if round.refused > 0 && round.refused + needed > members {
+            return Err(spent(reserve, &ledger::Ledger::union(&round.ledger)));
         }
         Err(Error::Unsure {
-            answered: round.accepted + round.refused,
-            members: members.len(),
+            answered: round.accepted.len() + round.refused,
+            members,
             needed,
         })
     }
 
+    /// Checks what those that accepted know together, unless all know the same: each earlier
+    /// reservation is known to one of them at least, but not all to the same one.
+    async fn check_union(&self, reserve: &service::Reserve, round: &Round) -> Result<(), Error> {
+        let mut digests = round.accepted.iter().map(|(_, digest)| digest);
+        let first = digests.next();
+        if digests.all(|digest| Some(digest) == first) {
+            return Ok(());
+        }
+        metrics::counter!("fw_replica_unions_total").increment(1);
+        let asked = round.accepted.iter();
+        let asked = asked.map(|(addr, _)| self.call_ledger(*addr, reserve.program.clone()));
+        let mut lines = Vec::new();
+        for ledger in join_all(asked).await {
+            lines.extend(ledger.ok_or(Error::Unsure {
+                answered: 0,
+                members: round.accepted.len(),
+                needed: round.accepted.len(),
+            })?);
+        }
+        let union = ledger::Ledger::union(&lines);
+        if union.total() <= reserve.budget {
+            return Ok(());
+        }
+        Err(spent(reserve, &union))
+    }
+
     /// Asks all members at once, the quickest for the chain too, until the outcome is certain.
     async fn ask(
         self: &Arc<Self>,
@@ -277,7 +290,7 @@
             let client = Arc::clone(self);
             // On tasks of their own, so that those beyond the quorum are sent as well.
             calls.push(tokio::spawn(async move {
-                (rank, client.call_begin(addr, req).await)
+                (rank, addr, client.call_begin(addr, req).await)
             }));
         }
         let mut round = Round::default();
@@ -285,16 +298,18 @@
         let mut left = calls.len();
         while let Some(done) = calls.next().await {
             left -= 1;
-            let Ok((rank, begun)) = done else { continue };
+            let Ok((rank, addr, begun)) = done else {
+                continue;
+            };
             if rank == 0 {
                 chain_due = false;
             }
             if let Some(begun) = begun {
-                self.count(&mut round, rank, begun);
+                self.count(&mut round, rank, addr, begun);
             }
             let voted = reserve.is_none()
-                || round.accepted >= quorum.vote
-                || round.accepted + left < quorum.vote;
+                || round.accepted.len() >= quorum.vote
+                || round.accepted.len() + left < quorum.vote;
             if voted && !chain_due {
                 break;
             }
@@ -302,18 +317,20 @@
         round
     }
 
-    fn count(&self, round: &mut Round, rank: usize, begun: service::Begun) {
+    fn count(&self, round: &mut Round, rank: usize, addr: SocketAddr, begun: service::Begun) {
         match begun.vote {
-            service::Vote::Accepted => round.accepted += 1,
-            service::Vote::Refused { ledger } => {
+            None => {}
+            Some(service::Vote::Accepted { digest }) => round.accepted.push((addr, digest)),
+            Some(service::Vote::Refused { ledger }) => {
                 round.refused += 1;
                 round.ledger.extend(ledger);
             }
-            service::Vote::Unsure { why } => {
-                if let service::Unsure::OldList(view) = why {
-                    self.learn(view);
-                }
+            Some(service::Vote::Unsure {
+                why: service::Unsure::OldList(view),
+            }) => {
+                self.learn(view);
             }
+            Some(service::Vote::Unsure { .. }) => {}
         }
         if rank == 0 {
             round.chain = Some(begun.chain);
@@ -436,6 +453,17 @@
         stored.await.unwrap_or(false)
     }
 
+    async fn call_ledger(
+        &self,
+        addr: SocketAddr,
+        program: record::ProgramId,
+    ) -> Option<Vec<ledger::Line>> {
+        self.call(addr, |client, cx| async move {
+            client.ledger(cx, program).await
+        })
+        .await
+    }
+
     async fn call_chain(&self, addr: SocketAddr, id: record::TurnId) -> Option<service::Chain> {
         self.call(addr, |client, cx| async move { client.chain(cx, id).await })
             .await
@@ -454,6 +482,20 @@
         .await
     }
 
+    /// Tells one replica a member list; whether it refuses older ones from now on.
+    pub async fn announce(&self, addr: SocketAddr, view: member::View) -> bool {
+        let told = self.call(addr, |client, cx| async move {
+            client.tell(cx, view, Vec::new()).await
+        });
+        told.await.unwrap_or(false)
+    }
+
+    /// Asks how a replica is.
+    pub async fn ping(&self, addr: SocketAddr) -> Option<service::Pong> {
+        self.call(addr, |client, cx| async move { client.ping(cx).await })
+            .await
+    }
+
     /// Reads turns from a replica.
     pub async fn fetch(
         &self,
@@ -526,12 +568,21 @@
 /// What the replicas said.
 #[derive(Debug, Default)]
 struct Round {
-    accepted: usize,
+    /// Those that accepted, and the digest of what each knows.
+    accepted: Vec<(SocketAddr, u64)>,
     refused: usize,
     ledger: Vec<ledger::Line>,
     chain: Option<service::Chain>,
 }
 
+fn spent(reserve: &service::Reserve, known: &ledger::Ledger) -> Error {
+    Error::Spent {
+        used: known.total(),
+        wanted: reserve.tokens,
+        budget: reserve.budget,
+    }
+}
+
 async fn connected(
     link: &tokio::sync::Mutex<Link>,
     addr: SocketAddr,
--- a/fw-replica/src/ledger.rs
+++ b/fw-replica/src/ledger.rs
@@ -6,10 +6,16 @@
 //! *Rule:* a reservation is accepted if it and all charges known stay within the budget. Charges
 //! merge in any order: a settlement replaces the reservation of its turn, and nothing replaces a
 //! settlement. What was handed out before a failure thus counts at its most until it is settled.
+//!
+//! A majority of replicas that each accept is not enough: each earlier reservation is known to one
+//! of them at least, but not all to the same one, so that three turns could pass where two fit.
+//! The charges of a whole majority together have to stay within the budget. [`Ledger::digest`]
+//! tells, without sending them, whether all know the same.
 
 use std::collections::HashMap;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3;
 
 use crate::record;
 
@@ -76,6 +82,24 @@
         self.lines.contains_key(turn) || self.total.saturating_add(tokens) <= budget
     }
 
+    /// What all of `ledgers` know together.
+    pub fn union<'a>(ledgers: impl IntoIterator<Item = &'a Line>) -> Self {
+        let mut union = Self::default();
+        for line in ledgers {
+            union.merge(line, 0);
+        }
+        union
+    }
+
+    /// A number that is the same for the same charges, but for that of `turn`.
+    pub fn digest(&self, turn: &record::TurnId) -> u64 {
+        let others = self.lines.iter().filter(|(known, _)| *known != turn);
+        others.fold(0, |all, (turn, (tokens, settled))| {
+            let seed = tokens * 2 + u64::from(*settled);
+            all ^ xxh3::xxh3_64_with_seed(turn.as_bytes(), seed)
+        })
+    }
+
     /// Sum of all charges.
     pub fn total(&self) -> record::Tokens {
         self.total
--- a/fw-replica/src/member.rs
+++ b/fw-replica/src/member.rs
@@ -2,7 +2,10 @@
 //!
 //! The list lies in the platform's store under one key and changes by compare-and-swap, one member
 //! at a time, so that a majority of the old list and one of the new always share a member. The
-//! store's revision of the key is the list's epoch.
+//! store's revision of the key is the list's epoch. A list is changed only after a majority of its
+//! members refuse older ones: otherwise an entry that still goes by the list before the last could
+//! gather a majority of that one which shares no member with a majority of the newest, and a budget
+//! could be spent twice. There are `2 * faults + 1` members; replicas beyond that stand by.
 //!
 //! *Load pattern:* replicas are replaced by empty ones at other addresses, lose their disks, are
 //! added, retired, cut off and frozen, one at a time but in quick succession.
@@ -13,6 +16,7 @@
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
+use fw_base::id;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
@@ -26,11 +30,40 @@
 /// again for each restart.
 pub const SILENT_FOR: Duration = Duration::from_secs(6);
 
+/// How long a member must be silent before a replica that stands by takes its place.
+pub const REPLACE_AFTER: Duration = Duration::from_millis(2_500);
+
+/// One member.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Where it is reached.
+    pub addr: SocketAddr,
+    /// Its data centre.
+    pub place: id::PlaceId,
+}
+
 /// The list as it lies in the store.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct List {
-    /// Address of each member, by its name.
-    pub members: BTreeMap<record::ReplicaId, SocketAddr>,
+    /// The members, by their names.
+    pub members: BTreeMap<record::ReplicaId, Member>,
+}
+
+impl List {
+    /// Addresses of all members.
+    pub fn addrs(&self) -> impl Iterator<Item = SocketAddr> {
+        self.members.values().map(|member| member.addr)
+    }
+}
+
+/// Whether a replica in `place` should join `list` at the first start of a system that has `places`
+/// data centres: members are spread over them evenly, so that each has one nearby.
+pub fn spreads(list: &List, place: &id::PlaceId, faults: usize, places: usize) -> bool {
+    let here = list
+        .members
+        .values()
+        .filter(|member| member.place == *place);
+    here.count() < wanted_members(faults).div_ceil(places.max(1))
 }
 
 /// A list and its epoch.
@@ -65,29 +98,120 @@
     }
 }
 
-/// Members from which a replica without data must copy before it may vote: as many as are sure to
-/// include a holder of each stored record, also if one of its holders is the disk that was lost.
-pub fn needed_sources(members: usize, faults: usize) -> usize {
-    members.saturating_sub(faults).max(1)
+/// Members that the list should have: with as many, `faults` may fail and a majority is left.
+pub fn wanted_members(faults: usize) -> usize {
+    2 * faults + 1
+}
+
+/// Members among `others` from which a replica without data must copy before it may vote, so that
+/// they are sure to include a holder of each stored record and of each reservation.
+///
+/// A member that `lost` its disk may itself have been one of the holders of a record, so that
+/// fewer of the others are.
+pub fn needed_sources(others: usize, lost: bool, faults: usize) -> usize {
+    let holders = others + usize::from(lost);
+    holders.saturating_sub(faults).clamp(1, others.max(1))
+}
+
+/// What a replica knows of itself and the others.
+#[derive(Debug)]
+pub struct Situation<'a> {
+    /// The newest member list.
+    pub list: &'a List,
+    /// The replica's own name.
+    pub me: &'a record::ReplicaId,
+    /// The replica itself, as the list should have it.
+    pub own: &'a Member,
+    /// Disks that may be lost together.
+    pub faults: usize,
+    /// Whether it is to be taken away.
+    pub retiring: bool,
+    /// Whether it votes.
+    pub votes: bool,
+    /// Whether it has copied enough since the list in force was announced.
+    pub copied: bool,
+    /// For how long each other member has been silent.
+    pub silent: &'a BTreeMap<record::ReplicaId, Duration>,
+    /// Other members that are to be taken away.
+    pub leaving: &'a [record::ReplicaId],
+}
+
+/// What a replica should do next about the member list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Nothing.
+    Stay,
+    /// Put this list in place of the one in force.
+    Change(List),
+    /// Vote: it has all that a member has to know.
+    Vote,
+    /// It is not needed now.
+    StandBy,
+    /// Leave the list once others have copied what is here.
+    Leave(List),
+    /// It has left, which the operator is to be told.
+    Left,
 }
 
-/// The member that `me` should remove: the first that was silent for [`SILENT_FOR`], as long as
-/// `2 * faults + 1` members remain and `me` is the first of those that are heard.
-pub fn to_remove<'a>(
-    list: &'a List,
-    me: &record::ReplicaId,
-    silent: &dyn Fn(&record::ReplicaId) -> Duration,
-    faults: usize,
-) -> Option<&'a record::ReplicaId> {
-    if list.members.len() <= 2 * faults + 1 {
-        return None;
+impl Situation<'_> {
+    /// What to do next.
+    pub fn decide(&self) -> Next {
+        let listed = self.list.members.get(self.me);
+        if self.retiring {
+            return match listed {
+                Some(_) => Next::Leave(self.without(self.me)),
+                None => Next::Left,
+            };
+        }
+        match listed {
+            Some(known) if known != self.own => Next::Change(self.with_me()),
+            Some(_) if !self.votes && self.copied => Next::Vote,
+            Some(_) => match self.to_remove() {
+                Some(dead) => Next::Change(self.without(dead)),
+                None => Next::Stay,
+            },
+            None if self.usable() < wanted_members(self.faults) => Next::Change(self.with_me()),
+            None => Next::StandBy,
+        }
+    }
+
+    /// Members that are heard and stay.
+    fn usable(&self) -> usize {
+        let names = self.list.members.keys();
+        names
+            .filter(|name| !self.leaving.contains(name) && self.silence(name) < REPLACE_AFTER)
+            .count()
     }
-    let dead = |name: &&record::ReplicaId| *name != me && silent(name) >= SILENT_FOR;
-    let mut alive = list.members.keys().filter(|name| !dead(name));
-    if alive.next() != Some(me) {
-        return None;
+
+    fn silence(&self, name: &record::ReplicaId) -> Duration {
+        self.silent.get(name).copied().unwrap_or_default()
+    }
+
+    /// The first member that was silent for [`SILENT_FOR`], as long as enough members remain. Only
+    /// the first of those that are heard removes it, so that they do not all try.
+    fn to_remove(&self) -> Option<&record::ReplicaId> {
+        if !self.votes || self.list.members.len() <= wanted_members(self.faults) {
+            return None;
+        }
+        let dead = |name: &&record::ReplicaId| *name != self.me && self.silence(name) >= SILENT_FOR;
+        let mut heard = self.list.members.keys().filter(|name| !dead(name));
+        if heard.next() != Some(self.me) {
+            return None;
+        }
+        self.list.members.keys().find(dead)
+    }
+
+    fn with_me(&self) -> List {
+        let mut list = self.list.clone();
+        list.members.insert(self.me.clone(), self.own.clone());
+        list
+    }
+
+    fn without(&self, name: &record::ReplicaId) -> List {
+        let mut list = self.list.clone();
+        list.members.remove(name);
+        list
     }
-    list.members.keys().find(dead)
 }
 
 /// Why the list could not be read or changed.
--- a/fw-replica/src/record.rs
+++ b/fw-replica/src/record.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use crate::member;
+
 /// Names a turn: the request id of the attempt that ran it.
 pub type TurnId = SmolStr;
 /// Names a program.
@@ -56,6 +58,9 @@
     Turn(Turn),
     /// A reservation or settlement of tokens.
     Charge(Charge),
-    /// The replica has copied everything that it has to know, so it may vote.
-    Synced,
+    /// Whether the replica has all that a member has to know, so that it may vote.
+    Synced(bool),
+    /// A member list that the replica has learned, so that it refuses older ones after a restart
+    /// too.
+    Members(member::View),
 }
--- a/fw-replica/src/server.rs
+++ b/fw-replica/src/server.rs
@@ -9,7 +9,7 @@
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
-use crate::{journal, member, record, service, state, writer};
+use crate::{journal, ledger, member, record, service, state, writer};
 
 /// Most turns of a chain in one answer. Longer chains are read in several.
 const CHAIN: usize = 256;
@@ -29,6 +29,7 @@
     reader: journal::Reader,
     view: watch::Sender<member::View>,
     retiring: AtomicBool,
+    votes: AtomicBool,
     retire_told: watch::Sender<Vec<record::ReplicaId>>,
     /// How far each other replica has copied from here.
     readers: Mutex<HashMap<record::ReplicaId, u64>>,
@@ -44,6 +45,7 @@
         let mut state = state::State::new(run);
         let journal = journal::Journal::open(dir, |record, place| state.apply(&record, place))?;
         state.expire(unix_ms());
+        let view = state.view().clone();
         let reader = journal.reader()?;
         let writer = writer::Writer::start(journal).map_err(|source| journal::Error::Io {
             what: "start the thread of",
@@ -53,8 +55,9 @@
             state: Mutex::new(state),
             writer,
             reader,
-            view: watch::Sender::new(member::View::default()),
+            view: watch::Sender::new(view),
             retiring: AtomicBool::new(false),
+            votes: AtomicBool::new(false),
             retire_told: watch::Sender::default(),
             readers: Mutex::default(),
         }))
@@ -65,31 +68,52 @@
         &self.view
     }
 
-    /// Takes a member list unless a newer one is known.
-    pub fn learn(&self, view: member::View) {
+    /// Takes a member list unless a newer one is known. Returns whether older ones are refused from
+    /// now on, also after a restart.
+    pub async fn learn(&self, view: member::View) -> bool {
+        if view.epoch <= self.view.borrow().epoch {
+            return true;
+        }
+        // In force before it is on disk: refusing older lists too early harms nobody.
         self.view.send_if_modified(|known| {
             let newer = view.epoch > known.epoch;
             if newer {
                 tracing::info!(epoch = view.epoch, members = ?view.list.members, "member list");
-                *known = view;
+                *known = view.clone();
             }
             newer
         });
+        self.write(record::Record::Members(view)).await
     }
 
-    /// Whether the replica may vote.
+    /// Whether the replica has all that a member has to know.
     pub fn is_synced(&self) -> bool {
         self.state.lock().is_synced()
     }
 
-    /// Notes for good that the replica has copied all that it has to know.
-    pub async fn mark_synced(&self) -> bool {
-        let record = record::Record::Synced;
-        let Some(place) = self.writer.store(record.clone()).await else {
-            return false;
-        };
-        self.state.lock().apply(&record, place);
-        true
+    /// Notes for good whether the replica has all that a member has to know.
+    pub async fn mark_synced(&self, synced: bool) -> bool {
+        self.write(record::Record::Synced(synced)).await
+    }
+
+    /// Lets the replica vote from now on, or no longer.
+    pub fn let_vote(&self, votes: bool) {
+        self.votes.store(votes, Ordering::Relaxed);
+    }
+
+    /// Whether the replica votes.
+    pub fn is_voting(&self) -> bool {
+        self.votes.load(Ordering::Relaxed)
+    }
+
+    /// Adds to the replicas that the operator wants emptied.
+    pub fn learn_retire(&self, retire: Vec<record::ReplicaId>) {
+        self.retire_told.send_if_modified(|told| {
+            let news = retire.into_iter().filter(|name| !told.contains(name));
+            let news: Vec<_> = news.collect();
+            told.extend(news.iter().cloned());
+            !news.is_empty()
+        });
     }
 
     /// Replicas that the operator wants emptied, as entries tell.
@@ -120,7 +144,7 @@
         let known = match &record {
             record::Record::Turn(turn) => self.has(&turn.id),
             record::Record::Charge(charge) => !self.is_news(charge),
-            record::Record::Synced => false,
+            record::Record::Synced(_) | record::Record::Members(_) => false,
         };
         if known {
             return true;
@@ -177,7 +201,7 @@
             let found = (turns.len() < CHAIN).then(|| self.read(&id)).flatten();
             let Some(turn) = found else {
                 // What the index names but the disk refuses is no certain absence.
-                let certain = !self.has(&id) && self.is_synced();
+                let certain = !self.has(&id) && self.is_voting();
                 return service::Chain {
                     turns,
                     missing: Some(id),
@@ -197,7 +221,7 @@
         if self.is_retiring() {
             return Some(service::Unsure::Retiring);
         }
-        if !self.is_synced() {
+        if !self.is_voting() {
             return Some(service::Unsure::Unsynced);
         }
         let view = self.view.borrow();
@@ -220,7 +244,8 @@
         let stored = charges.into_iter().map(record::Record::Charge);
         let stored = join_all(stored.map(|record| self.write(record))).await;
         if stored.into_iter().all(|ok| ok) {
-            service::Vote::Accepted
+            let digest = self.state.lock().digest(&reserve);
+            service::Vote::Accepted { digest }
         } else {
             service::Vote::Unsure {
                 why: service::Unsure::Disk,
@@ -237,8 +262,8 @@
     async fn begin(self, _: tarpc::context::Context, req: service::Begin) -> service::Begun {
         let chain = req.chain.map(|newest| self.0.read_chain(newest));
         let vote = match req.reserve {
-            None => service::Vote::Accepted,
-            Some(reserve) => self.0.vote(req.epoch, reserve).await,
+            None => None,
+            Some(reserve) => Some(self.0.vote(req.epoch, reserve).await),
         };
         service::Begun {
             vote,
@@ -257,6 +282,14 @@
         stored.into_iter().all(|ok| ok)
     }
 
+    async fn ledger(
+        self,
+        _: tarpc::context::Context,
+        program: record::ProgramId,
+    ) -> Vec<ledger::Line> {
+        self.0.state.lock().ledger(&program)
+    }
+
     async fn chain(self, _: tarpc::context::Context, newest: record::TurnId) -> service::Chain {
         self.0.read_chain(newest)
     }
@@ -279,6 +312,7 @@
             records,
             more,
             synced,
+            retiring: self.0.is_retiring(),
         }
     }
 
@@ -287,16 +321,17 @@
         _: tarpc::context::Context,
         view: member::View,
         retire: Vec<record::ReplicaId>,
-    ) {
-        self.0.learn(view);
-        self.0.retire_told.send_if_modified(|told| {
-            let news: Vec<_> = retire
-                .into_iter()
-                .filter(|name| !told.contains(name))
-                .collect();
-            told.extend(news.iter().cloned());
-            !news.is_empty()
-        });
+    ) -> bool {
+        self.0.learn_retire(retire);
+        self.0.learn(view).await
+    }
+
+    async fn ping(self, _: tarpc::context::Context) -> service::Pong {
+        service::Pong {
+            retiring: self.0.is_retiring(),
+            view: self.0.view.borrow().clone(),
+            retire: self.0.retire_told.borrow().clone(),
+        }
     }
 
     async fn fetch(
--- a/fw-replica/src/service.rs
+++ b/fw-replica/src/service.rs
@@ -33,8 +33,11 @@
 /// What a replica says of a reservation.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Vote {
-    /// It is within the budget, and on disk.
-    Accepted,
+    /// It is within the budget as far as this replica knows, and on disk.
+    Accepted {
+        /// Digest of the charges known here but for this one.
+        digest: u64,
+    },
     /// It is not within the budget.
     Refused {
         /// All charges known here.
@@ -63,8 +66,8 @@
 /// Answer to [`Begin`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Begun {
-    /// Of the reservation.
-    pub vote: Vote,
+    /// Of the reservation; `None` if none was asked for.
+    pub vote: Option<Vote>,
     /// Of the chain.
     pub chain: Chain,
 }
@@ -116,8 +119,21 @@
     pub records: Vec<Listed>,
     /// Whether more are there already.
     pub more: bool,
-    /// Whether the replica may vote.
+    /// Whether the replica has all that a member has to know.
     pub synced: bool,
+    /// Whether it is to be taken away.
+    pub retiring: bool,
+}
+
+/// How a replica is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pong {
+    /// Whether it is to be taken away.
+    pub retiring: bool,
+    /// The newest member list that it knows.
+    pub view: member::View,
+    /// Replicas that the operator wants emptied.
+    pub retire: Vec<record::ReplicaId>,
 }
 
 /// The calls that a replica answers.
@@ -127,12 +143,17 @@
     async fn begin(req: Begin) -> Begun;
     /// Stores a turn and settles its tokens; `true` once both are on disk.
     async fn finish(req: Finish) -> bool;
+    /// Reads all charges of a program.
+    async fn ledger(program: record::ProgramId) -> Vec<ledger::Line>;
     /// Reads a chain from its newest turn.
     async fn chain(newest: record::TurnId) -> Chain;
     /// Reads the list of records. `reader` has stored all that it was given before `after`.
     async fn list(reader: record::ReplicaId, after: Position) -> Page;
-    /// Tells the newest member list known, and which replicas the operator wants emptied.
-    async fn tell(view: member::View, retire: Vec<record::ReplicaId>);
+    /// Tells the newest member list known, and which replicas the operator wants emptied; `true`
+    /// once the replica refuses older lists, also after a restart.
+    async fn tell(view: member::View, retire: Vec<record::ReplicaId>) -> bool;
+    /// Asks how the replica is.
+    async fn ping() -> Pong;
     /// Reads turns by their ids; those that are not here are left out.
     async fn fetch(ids: Vec<record::TurnId>) -> Vec<record::Turn>;
 }
--- a/fw-replica/src/state.rs
+++ b/fw-replica/src/state.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-use crate::{journal, ledger, record, service};
+use crate::{journal, ledger, member, record, service};
 
 /// How long a ledger is kept after its last charge. A program that was stopped may return within
 /// the retention of its turns; twice the longest seen (60 s) leaves room for clocks that differ.
@@ -29,6 +29,7 @@
     order: VecDeque<service::Listed>,
     dropped: u64,
     synced: bool,
+    view: member::View,
 }
 
 impl State {
@@ -41,6 +42,7 @@
             order: VecDeque::new(),
             dropped: 0,
             synced: false,
+            view: member::View::default(),
         }
     }
 
@@ -53,7 +55,8 @@
                 self.order
                     .push_back(service::Listed::Charge(charge.clone()));
             }
-            record::Record::Synced => self.synced = true,
+            record::Record::Synced(synced) => self.synced = *synced,
+            record::Record::Members(view) => self.learn(view),
         }
     }
 
@@ -102,6 +105,18 @@
         Ok(charges)
     }
 
+    /// Digest of what is known of the program, but for the turn of `reserve`.
+    pub fn digest(&self, reserve: &service::Reserve) -> u64 {
+        let ledger = self.ledgers.get(&reserve.program);
+        ledger.map_or(0, |ledger| ledger.digest(&reserve.turn))
+    }
+
+    /// All charges of `program`.
+    pub fn ledger(&self, program: &record::ProgramId) -> Vec<ledger::Line> {
+        let ledger = self.ledgers.get(program);
+        ledger.map_or_else(Vec::new, ledger::Ledger::lines)
+    }
+
     /// Where a turn lies.
     pub fn place(&self, turn: &record::TurnId) -> Option<journal::Place> {
         self.turns.get(turn).map(|known| known.place)
@@ -113,7 +128,18 @@
         ledger.is_none_or(|ledger| ledger.is_news(&ledger::Line::from(charge)))
     }
 
-    /// Whether it may vote and be certain of what it lacks.
+    fn learn(&mut self, view: &member::View) {
+        if view.epoch > self.view.epoch {
+            self.view = view.clone();
+        }
+    }
+
+    /// The newest member list known.
+    pub fn view(&self) -> &member::View {
+        &self.view
+    }
+
+    /// Whether it has all that a member has to know.
     pub fn is_synced(&self) -> bool {
         self.synced
     }
--- a/fw-replica/src/sync.rs
+++ b/fw-replica/src/sync.rs
@@ -1,10 +1,10 @@
 //! Copying between replicas, and changes of the member list.
 //!
-//! Each replica reads the lists of the others and copies what it lacks, so that a lost disk leaves
+//! Each member reads the lists of the others and copies what it lacks, so that a lost disk leaves
 //! every record on enough others, whichever were asked to store it. A replica with an empty disk
 //! votes only when it has read enough of them to their end.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -14,22 +14,32 @@
 use crate::{client, member, record, server, service};
 
 /// Pause between two looks at the lists of the others. With it a record is on all members within
-/// a second or so; half of it would double the bytes between data centres for little.
+/// a second or so; half of it would double the calls for little.
 const LOOK: Duration = Duration::from_millis(1_000);
-/// The same while this replica may not vote.
-const LOOK_UNSYNCED: Duration = Duration::from_millis(100);
+/// The same while this replica has something to catch up with.
+const LOOK_SOON: Duration = Duration::from_millis(100);
 /// Turns fetched at a time: some hundred kilobytes.
 const FETCH: usize = 64;
-/// Pause after a failed change of the member list.
-const CHANGE: Duration = Duration::from_millis(500);
+/// Pause after a failed change of the member list. Each replica waits for a time of its own, so
+/// that many which start together do not keep refusing each other.
+const CHANGE: Duration = Duration::from_millis(60);
+/// While the whole system starts for the first time, replicas join without asking each other: there
+/// is nothing to lose yet. All start within 0.3 s of each other.
+const FOUND: Duration = Duration::from_millis(2_400);
+/// Until then only replicas join whose data centre lacks one.
+const SPREAD: Duration = Duration::from_millis(1_400);
+/// No replica votes before the list of the first start is complete.
+const FOUNDED: Duration = Duration::from_millis(3_200);
 
 /// What a replica is.
 #[derive(Clone, Debug)]
 pub struct Options {
     /// Its name, stable over restarts.
     pub name: record::ReplicaId,
-    /// Where the others reach it.
-    pub addr: SocketAddr,
+    /// Where the others reach it, and its data centre.
+    pub own: member::Member,
+    /// Data centres of the whole system.
+    pub places: usize,
     /// Disks that may be lost together.
     pub faults: usize,
     /// Whether the whole system starts for the first time, so that there is nothing to copy.
@@ -37,12 +47,14 @@
 }
 
 /// Progress with one other member.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Source {
     at: service::Position,
-    read_to_end: bool,
+    /// When a read to its end began that succeeded.
+    read: Option<Instant>,
     synced: bool,
-    heard: Option<Instant>,
+    retiring: bool,
+    heard: Instant,
 }
 
 /// Copies and keeps the member list, until dropped.
@@ -53,6 +65,13 @@
     registry: member::SharedRegistry,
     sources: HashMap<record::ReplicaId, Source>,
     started: Instant,
+    /// Whether the system starts for the first time with this process.
+    founding: bool,
+    /// Whether this process put the replica on the list. Listed otherwise and without data, it has
+    /// lost its disk.
+    joined: bool,
+    /// Epoch that a majority was told of, and when it had been.
+    announced: Option<(member::Epoch, Instant)>,
 }
 
 impl Sync {
@@ -64,11 +83,14 @@
     ) -> Self {
         Self {
             client: client::Client::new(opts.faults),
+            founding: opts.first_start && shared.view().borrow().epoch == 0,
+            joined: false,
             opts,
             shared,
             registry,
             sources: HashMap::new(),
             started: Instant::now(),
+            announced: None,
         }
     }
 
@@ -76,142 +98,281 @@
     pub async fn run(mut self) {
         let mut retire = self.shared.retire_told();
         self.reload().await;
-        if self.opts.first_start && !self.shared.is_synced() {
-            self.shared.mark_synced().await;
+        if self.is_listed() && self.shared.is_synced() {
+            tracing::info!("the disk has all that a member has to know; the replica votes");
+            self.shared.let_vote(true);
         }
         loop {
-            self.copy().await;
-            self.become_synced().await;
             if retire.borrow_and_update().contains(&self.opts.name) && !self.shared.is_retiring() {
                 tracing::info!("to be emptied: nothing new is taken");
                 self.shared.retire();
             }
-            if let Err(err) = self.change_list().await {
-                tracing::warn!(%err, "the member list is not changed");
-                tokio::time::sleep(CHANGE).await;
+            self.look().await;
+            if let Err(err) = self.act().await {
+                tracing::info!(%err, "the member list is not changed");
+                tokio::time::sleep(self.own_pause()).await;
                 self.reload().await;
             }
             self.shared.expire();
-            let pause = if self.shared.is_synced() && !self.shared.is_retiring() {
-                LOOK
-            } else {
-                LOOK_UNSYNCED
-            };
+            let pause = if self.is_settled() { LOOK } else { LOOK_SOON };
             let _ = tokio::time::timeout(pause, retire.changed()).await;
         }
     }
 
+    /// A pause that differs from the other replicas'.
+    fn own_pause(&self) -> Duration {
+        let spread = self.opts.name.bytes().map(u32::from).sum::<u32>() % 7;
+        CHANGE * (spread + 1)
+    }
+
+    fn is_listed(&self) -> bool {
+        let view = self.shared.view().borrow();
+        view.list.members.contains_key(&self.opts.name)
+    }
+
+    fn is_settled(&self) -> bool {
+        let stands_by = !self.is_listed();
+        !self.shared.is_retiring() && !self.is_founding() && (self.shared.is_voting() || stands_by)
+    }
+
+    fn is_founding(&self) -> bool {
+        self.founding && self.started.elapsed() < FOUNDED
+    }
+
     fn others(&self) -> Vec<(record::ReplicaId, SocketAddr)> {
         let view = self.shared.view().borrow();
         let members = view.list.members.iter();
         let others = members.filter(|(name, _)| **name != self.opts.name);
-        others.map(|(name, addr)| (name.clone(), *addr)).collect()
+        others
+            .map(|(name, member)| (name.clone(), member.addr))
+            .collect()
     }
 
-    /// Copies what the others have and this one lacks.
-    async fn copy(&mut self) {
+    /// Looks at all other members at once: a member copies from them, a replica that stands by
+    /// only asks how they are.
+    async fn look(&mut self) {
         let others = self.others();
-        self.sources
-            .retain(|name, _| others.iter().any(|(other, _)| other == name));
+        // One that is to leave copies nothing more, so that the others can reach its end.
+        let needed = self.is_listed()
+            || self.situation(|situation| situation.decide()) != member::Next::StandBy;
+        let copies = needed && !self.shared.is_retiring();
+        let mut looks = Vec::new();
         for (name, addr) in others {
-            let mut source = self.sources.remove(&name).unwrap_or_default();
-            let read = read_to_end(
-                &self.client,
-                &self.shared,
-                &self.opts.name,
-                addr,
-                &mut source,
-            );
-            if read.await.is_some() {
-                source.read_to_end = true;
-                source.heard = Some(Instant::now());
-            }
-            self.sources.insert(name, source);
+            let source = self.sources.remove(&name).unwrap_or_else(|| Source {
+                at: service::Position::default(),
+                read: None,
+                synced: false,
+                retiring: false,
+                heard: Instant::now(),
+            });
+            let (client, shared) = (&self.client, &self.shared);
+            let me = &self.opts.name;
+            looks.push(async move {
+                let mut source = source;
+                if copies {
+                    copy(client, shared, me, addr, &mut source).await;
+                } else {
+                    ask(client, shared, addr, &mut source).await;
+                }
+                (name, source)
+            });
         }
+        self.sources = join_all(looks).await.into_iter().collect();
     }
 
-    async fn become_synced(&mut self) {
-        if self.shared.is_synced() {
-            return;
-        }
-        let members = self.shared.view().borrow().list.members.len();
-        if members == 0 {
-            return;
+    /// Whether enough was copied since the list in force was announced.
+    fn has_copied(&self) -> bool {
+        let view = self.shared.view().borrow();
+        let others = view.list.members.len().saturating_sub(1);
+        let Some((epoch, since)) = self.announced else {
+            return false;
+        };
+        if epoch != view.epoch {
+            return false;
         }
-        let needed = member::needed_sources(members, self.opts.faults);
-        let read = self.sources.values().filter(|source| source.read_to_end);
+        let fresh = |source: &&Source| source.read.is_some_and(|at| at >= since);
+        let read = self.sources.values().filter(fresh);
         let whole = read.clone().filter(|source| source.synced).count();
         // If no disk is left that had everything, what the others have is all there is.
-        let nothing_else = !self.sources.is_empty()
-            && read.count() == self.sources.len()
-            && self.sources.values().all(|source| !source.synced);
+        let nothing_else = read.count() == others && whole == 0;
         if nothing_else {
-            tracing::error!(
-                members,
-                "no other replica has all records: some may be lost"
-            );
-        }
-        if (whole >= needed || nothing_else) && self.shared.mark_synced().await {
-            tracing::info!(members, whole, "all records are copied; the replica votes");
+            tracing::error!(others, "no other replica has all records: some may be lost");
         }
+        nothing_else || whole >= member::needed_sources(others, !self.joined, self.opts.faults)
     }
 
-    async fn reload(&self) {
-        match self.registry.load().await {
-            Ok(view) => self.shared.learn(view),
-            Err(err) => tracing::warn!(%err, "the member list cannot be read"),
+    fn situation<T>(&self, with: impl FnOnce(&member::Situation<'_>) -> T) -> T {
+        let view = self.shared.view().borrow().clone();
+        let silence =
+            |(name, source): (&record::ReplicaId, &Source)| (name.clone(), source.heard.elapsed());
+        let silent: BTreeMap<_, _> = self.sources.iter().map(silence).collect();
+        let leaving = self.sources.iter().filter(|(_, source)| source.retiring);
+        let leaving: Vec<_> = leaving.map(|(name, _)| name.clone()).collect();
+        with(&member::Situation {
+            list: &view.list,
+            me: &self.opts.name,
+            own: &self.opts.own,
+            faults: self.opts.faults,
+            retiring: self.shared.is_retiring(),
+            votes: self.shared.is_voting(),
+            copied: self.has_copied(),
+            silent: &silent,
+            leaving: &leaving,
+        })
+    }
+
+    /// Does what is due about the member list.
+    async fn act(&mut self) -> Result<(), member::Error> {
+        if self.founding && self.found().await? {
+            return Ok(());
+        }
+        if self.is_listed() && !self.shared.is_voting() && !self.shared.is_retiring() {
+            self.announce().await?;
+        }
+        if !self.is_listed() && self.shared.is_synced() {
+            // Without copying, what it has grows old.
+            self.shared.let_vote(false);
+            self.shared.mark_synced(false).await;
+        }
+        match self.situation(|situation| situation.decide()) {
+            member::Next::Stay | member::Next::StandBy => Ok(()),
+            member::Next::Vote => {
+                if self.shared.mark_synced(true).await {
+                    tracing::info!(
+                        others = self.sources.len(),
+                        "all records are copied; the replica votes"
+                    );
+                    self.shared.let_vote(true);
+                }
+                Ok(())
+            }
+            member::Next::Change(list) => {
+                tracing::info!(from = ?self.shared.view().borrow().list.members, to = ?list.members, "the member list is to change");
+                self.replace(list).await
+            }
+            member::Next::Leave(list) => self.leave(list).await,
+            member::Next::Left => self.registry.retired(self.opts.name.clone()).await,
         }
     }
 
-    /// Joins the list, leaves it, or removes a dead member from it, whichever is due.
-    async fn change_list(&self) -> Result<(), member::Error> {
+    /// The first start of the whole system; whether it is still going on.
+    async fn found(&mut self) -> Result<bool, member::Error> {
+        if self.started.elapsed() >= FOUNDED {
+            self.founding = false;
+            self.reload().await;
+            if self.is_listed() {
+                self.shared.mark_synced(true).await;
+                self.shared.let_vote(true);
+                tracing::info!("the system is founded; the replica votes");
+            }
+            return Ok(false);
+        }
         let view = self.shared.view().borrow().clone();
-        let listed = view.list.members.get(&self.opts.name).copied();
-        if self.shared.is_retiring() {
-            return self.leave(&view, listed.is_some()).await;
+        let full = view.list.members.len() >= member::wanted_members(self.opts.faults);
+        let opts = &self.opts;
+        let spreads = member::spreads(&view.list, &opts.own.place, opts.faults, opts.places);
+        let may_join = spreads || self.started.elapsed() >= SPREAD;
+        if !self.is_listed() && !full && may_join && self.started.elapsed() < FOUND {
+            let mut list = view.list;
+            list.members
+                .insert(self.opts.name.clone(), self.opts.own.clone());
+            self.put(view.epoch, list).await?;
         }
-        if !self.shared.is_synced() {
+        Ok(true)
+    }
+
+    /// Tells the members the list in force, until a majority refuse older ones.
+    async fn announce(&mut self) -> Result<(), member::Error> {
+        let view = self.shared.view().borrow().clone();
+        if self.announced.is_some_and(|(epoch, _)| epoch == view.epoch) {
             return Ok(());
         }
-        let mut list = view.list.clone();
-        if listed != Some(self.opts.addr) {
-            list.members.insert(self.opts.name.clone(), self.opts.addr);
-            return self.replace(view.epoch, list).await;
-        }
-        let silent = |name: &record::ReplicaId| {
-            let heard = self.sources.get(name).and_then(|source| source.heard);
-            heard.unwrap_or(self.started).elapsed()
-        };
-        let dead = member::to_remove(&view.list, &self.opts.name, &silent, self.opts.faults);
-        if let Some(dead) = dead {
-            tracing::warn!(replica = %dead, "a silent member is removed");
-            list.members.remove(dead);
-            return self.replace(view.epoch, list).await;
+        let told = self.others().into_iter().map(|(_, addr)| {
+            let view = view.clone();
+            self.client.announce(addr, view)
+        });
+        let told = join_all(told).await.into_iter().filter(|ok| *ok).count();
+        let told = told + usize::from(self.is_listed());
+        let members = view.list.members.len();
+        if members > 0 && told * 2 <= members {
+            return Err(member::Error::Unavailable {
+                message: format!("only {told} members know the list of epoch {}", view.epoch),
+            });
         }
+        self.announced = Some((view.epoch, Instant::now()));
         Ok(())
     }
 
-    /// Leaves once enough others have all that is here, and then tells the operator.
-    async fn leave(&self, view: &member::View, listed: bool) -> Result<(), member::Error> {
-        if listed {
-            let mut list = view.list.clone();
-            list.members.remove(&self.opts.name);
-            let needed = (self.opts.faults + 1).min(list.members.len());
-            let copied = self.shared.copied_by(&list);
-            if copied < needed || list.members.is_empty() {
-                tracing::info!(copied, needed, "waiting for others to copy before leaving");
-                return Ok(());
-            }
-            self.replace(view.epoch, list).await?;
-        }
-        self.registry.retired(self.opts.name.clone()).await
+    async fn replace(&mut self, list: member::List) -> Result<(), member::Error> {
+        self.announce().await?;
+        let epoch = self.shared.view().borrow().epoch;
+        self.put(epoch, list).await
     }
 
-    async fn replace(&self, from: member::Epoch, list: member::List) -> Result<(), member::Error> {
+    async fn put(&mut self, from: member::Epoch, list: member::List) -> Result<(), member::Error> {
         let epoch = self.registry.replace(from, list.clone()).await?;
-        self.shared.learn(member::View { epoch, list });
+        self.joined |= list.members.contains_key(&self.opts.name);
+        self.shared.learn(member::View { epoch, list }).await;
         Ok(())
     }
+
+    /// Leaves once enough others have all that is here.
+    async fn leave(&mut self, list: member::List) -> Result<(), member::Error> {
+        let needed = (self.opts.faults + 1).min(list.members.len());
+        let copied = self.shared.copied_by(&list);
+        if copied < needed || list.members.is_empty() {
+            tracing::info!(
+                copied,
+                needed,
+                "others have to copy before this replica leaves"
+            );
+            return Ok(());
+        }
+        self.replace(list).await
+    }
+
+    async fn reload(&self) {
+        match self.registry.load().await {
+            Ok(view) => {
+                self.shared.learn(view).await;
+            }
+            Err(err) => tracing::warn!(%err, "the member list cannot be read"),
+        }
+    }
+}
+
+/// Asks how a member is.
+async fn ask(
+    client: &client::Client,
+    shared: &server::Shared,
+    addr: SocketAddr,
+    source: &mut Source,
+) {
+    let Some(pong) = client.ping(addr).await else {
+        return;
+    };
+    source.heard = Instant::now();
+    source.retiring = pong.retiring;
+    shared.learn_retire(pong.retire);
+    shared.learn(pong.view).await;
+}
+
+/// Copies what a member has and this replica lacks.
+async fn copy(
+    client: &client::Client,
+    shared: &server::Shared,
+    me: &record::ReplicaId,
+    addr: SocketAddr,
+    source: &mut Source,
+) {
+    let begun = Instant::now();
+    if read_to_end(client, shared, me, addr, source)
+        .await
+        .is_some()
+    {
+        source.read = Some(begun);
+        source.heard = Instant::now();
+    }
 }
 
 /// Reads a replica's list to its end and copies what is missing here.
@@ -225,6 +386,7 @@
     loop {
         let page = client.list(addr, me.clone(), source.at).await?;
         source.synced = page.synced;
+        source.retiring = page.retiring;
         let (charges, wanted) = missing(shared, page.records);
         store_all(shared, charges).await?;
         for ids in wanted.chunks(FETCH) {
--- /dev/null
+++ b/fw-replica/tests/replica/list_change.rs
@@ -0,0 +1,142 @@
+//! What a replica does about the member list.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use fw_replica::member::{List, Member, Next, SILENT_FOR, Situation, needed_sources, spreads};
+use fw_replica::record::ReplicaId;
+use googletest::prelude::*;
+
+fn member(port: u16) -> Member {
+    Member {
+        addr: ([10, 0, 0, 1], port).into(),
+        place: "a".into(),
+    }
+}
+
+fn list(names: &[&str]) -> List {
+    let members = names.iter().enumerate();
+    List {
+        members: members
+            .map(|(at, name)| ((*name).into(), member(at as u16)))
+            .collect(),
+    }
+}
+
+struct Case {
+    list: List,
+    me: ReplicaId,
+    own: Member,
+    retiring: bool,
+    votes: bool,
+    copied: bool,
+    silent: BTreeMap<ReplicaId, Duration>,
+    leaving: Vec<ReplicaId>,
+}
+
+impl Case {
+    fn new(names: &[&str], me: &str) -> Self {
+        let list = list(names);
+        let own = list.members.get(me).cloned().unwrap_or(member(99));
+        Self {
+            list,
+            me: me.into(),
+            own,
+            retiring: false,
+            votes: true,
+            copied: true,
+            silent: BTreeMap::new(),
+            leaving: Vec::new(),
+        }
+    }
+
+    fn decide(&self) -> Next {
+        let situation = Situation {
+            list: &self.list,
+            me: &self.me,
+            own: &self.own,
+            faults: 1,
+            retiring: self.retiring,
+            votes: self.votes,
+            copied: self.copied,
+            silent: &self.silent,
+            leaving: &self.leaving,
+        };
+        situation.decide()
+    }
+}
+
+#[gtest]
+fn stands_by_while_there_are_enough() {
+    let mut case = Case::new(&["a", "b", "c"], "d");
+    case.votes = false;
+    expect_that!(case.decide(), eq(&Next::StandBy));
+    // One is to be taken away, or has been silent: it is needed.
+    case.leaving = vec!["b".into()];
+    expect_that!(case.decide(), matches_pattern!(Next::Change(_)));
+    case.leaving.clear();
+    case.silent.insert("c".into(), Duration::from_secs(3));
+    expect_that!(case.decide(), matches_pattern!(Next::Change(_)));
+}
+
+#[gtest]
+fn votes_only_with_everything_copied() {
+    let mut case = Case::new(&["a", "b", "c"], "c");
+    case.votes = false;
+    case.copied = false;
+    expect_that!(case.decide(), eq(&Next::Stay));
+    case.copied = true;
+    expect_that!(case.decide(), eq(&Next::Vote));
+}
+
+#[gtest]
+fn removes_a_dead_member_only_if_enough_remain() {
+    // A member is silent. With three of three it must stay listed: its absence does not make two
+    // a majority of two. With a fourth that has taken its place it goes, and one removes it.
+    let mut case = Case::new(&["a", "b", "c"], "a");
+    case.silent.insert("b".into(), SILENT_FOR);
+    expect_that!(case.decide(), eq(&Next::Stay));
+    let mut case = Case::new(&["a", "b", "c", "d"], "a");
+    case.silent.insert("b".into(), SILENT_FOR);
+    expect_that!(case.decide(), eq(&Next::Change(case.without("b"))));
+    let mut case = Case::new(&["a", "b", "c", "d"], "c");
+    case.silent.insert("b".into(), SILENT_FOR);
+    expect_that!(case.decide(), eq(&Next::Stay));
+}
+
+impl Case {
+    fn without(&self, name: &str) -> List {
+        let mut list = self.list.clone();
+        list.members.remove(name);
+        list
+    }
+}
+
+#[gtest]
+fn tells_a_new_address_and_leaves_when_asked() {
+    let mut case = Case::new(&["a", "b", "c"], "b");
+    case.own = member(77);
+    expect_that!(case.decide(), matches_pattern!(Next::Change(_)));
+    case.retiring = true;
+    expect_that!(case.decide(), eq(&Next::Leave(case.without("b"))));
+    case.list = case.without("b");
+    expect_that!(case.decide(), eq(&Next::Left));
+}
+
+#[gtest]
+fn copies_from_enough_to_meet_every_holder() {
+    // Three members, one disk lost: a record of it may lie on any single one of the others.
+    expect_that!(needed_sources(2, true, 1), eq(2));
+    // A newcomer: each record lies on two of three, one of which may be gone.
+    expect_that!(needed_sources(3, false, 1), eq(2));
+    expect_that!(needed_sources(1, true, 1), eq(1));
+    expect_that!(needed_sources(0, false, 1), eq(1));
+}
+
+#[gtest]
+fn spreads_over_data_centres_at_first() {
+    let full = list(&["a", "b"]);
+    expect_false!(spreads(&full, &"a".into(), 1, 3));
+    expect_true!(spreads(&full, &"b".into(), 1, 3));
+    expect_true!(spreads(&full, &"a".into(), 2, 1));
+}
--- /dev/null
+++ b/fw-replica/tests/replica/main.rs
@@ -0,0 +1,8 @@
+//! Records, ledgers, member lists and the journal of replicas.
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod budget_ledger;
+mod budget_model;
+mod list_change;
+mod state_pages;
+mod torn_journal;
--- /dev/null
+++ b/fw-replica/tests/replica/state_pages.rs
@@ -0,0 +1,52 @@
+//! The list of records, as other replicas read it.
+
+use std::time::Duration;
+
+use fw_replica::{journal, record, service, state};
+use googletest::prelude::*;
+
+fn turn(id: usize, ended: u64) -> record::Record {
+    record::Record::Turn(record::Turn {
+        id: id.to_string().into(),
+        parent: None,
+        input: "i".into(),
+        output: "o".into(),
+        ended,
+        keep: Duration::from_secs(60),
+    })
+}
+
+const PLACE: journal::Place = journal::Place { at: 0, len: 1 };
+
+#[gtest]
+fn is_read_whole_in_pages() {
+    let mut state = state::State::new(1);
+    (0..1_300).for_each(|id| state.apply(&turn(id, 0), PLACE));
+    let mut at = service::Position::default();
+    let mut read = 0;
+    loop {
+        let (next, records, more) = state.list(at);
+        read += records.len();
+        at = next;
+        if !more {
+            break;
+        }
+    }
+    expect_that!(read, eq(1_300));
+    // A replica that has started anew is read from its beginning.
+    let other = state::State::new(2);
+    expect_that!(other.list(at).0.read, eq(0));
+}
+
+#[gtest]
+fn shrinks_with_what_was_kept_long_enough() {
+    let mut state = state::State::new(1);
+    (0..10).for_each(|id| state.apply(&turn(id, 0), PLACE));
+    (10..15).for_each(|id| state.apply(&turn(id, 1_000_000), PLACE));
+    let (read, _, _) = state.list(service::Position::default());
+    state.expire(500_000);
+    expect_that!(state.turns(), eq(5));
+    let (next, records, _) = state.list(service::Position::default());
+    expect_that!(records.len(), eq(5));
+    expect_that!(next, eq(read));
+}
