Entries know each other's calls; cold programs go where all entries agree

And each entry learned anew where a program's prompt was cached. Ruled out: the replicas (12 ms), the batch (0.7 % a call), processor time of entries (0.03 of 0.09). Change: calls under way travel with the reservations, which go to all replicas anyway; a program that an entry does not know goes to the upstream that its hash picks; reading a prompt costs more beside running calls.

--- a/fw-gate/src/process/fleet.rs
+++ b/fw-gate/src/process/fleet.rs
@@ -7,8 +7,10 @@
 
 use fw_base::{error, id};
 use fw_plan::{assign, health};
+use fw_replica::service;
 use parking_lot::Mutex;
 use smol_str::SmolStr;
+use xxhash_rust::xxh3;
 
 use crate::connection::link;
 
@@ -65,6 +67,8 @@
     listed: Listed,
     /// When it was first missing from the list; it is still used until the list is settled.
     missing: bool,
+    /// Short hash of its id, as entries name it to each other.
+    short: u16,
     own: u32,
     others: u32,
     reported: Instant,
@@ -150,6 +154,14 @@
     services: Mutex<HashMap<id::ServiceId, Arc<Mutex<Service>>>>,
     sessions: Mutex<Sessions>,
     known: Mutex<bool>,
+    /// Names this entry to the others.
+    entry: u32,
+}
+
+/// Short hash of an upstream's id. Two of a few hundred may share one; each then looks as busy as
+/// both.
+fn short(id: &id::UpstreamId) -> u16 {
+    (xxh3::xxh3_64(id.as_bytes()) & 0xffff) as u16
 }
 
 impl Fleet {
@@ -162,6 +174,7 @@
             services: Mutex::default(),
             sessions: Mutex::default(),
             known: Mutex::new(false),
+            entry: rand::random(),
         })
     }
 
@@ -236,6 +249,7 @@
             None => {
                 tracing::info!(upstream = %id, service = %listed.service, addr = %listed.addr, takes_work = listed.takes_work, "upstream listed");
                 service.upstreams.push(Upstream {
+                    short: short(&listed.id),
                     listed,
                     missing: false,
                     own: 0,
@@ -252,8 +266,7 @@
 
     /// An upstream is not on the list any more. Until the list is `settled` it is still used.
     pub fn remove(&self, id: &id::UpstreamId, settled: bool) {
-        let services: Vec<_> = self.services.lock().values().cloned().collect();
-        for service in services {
+        for service in self.all_services() {
             let mut service = service.lock();
             let Some(upstream) = service.find(id) else {
                 continue;
@@ -287,7 +300,6 @@
         let service = self.service(service_id).ok_or_else(none)?;
         let mut locked = service.lock();
         let now = self.now();
-        let warm = self.warm(want);
         let usable = |upstream: &Upstream, strict: bool| {
             let listed = upstream.listed.takes_work;
             let healthy = locked.health.decide(now, &upstream.listed.id).weight() > 0.0;
@@ -304,6 +316,8 @@
             // All ejected: using one is better than using none.
             indices = pick(false);
         }
+        let among: Vec<_> = indices.iter().map(|at| &locked.upstreams[*at]).collect();
+        let warm = self.warm(want, &among);
         let candidates: Vec<_> = indices
             .iter()
             .map(|at| self.candidate(&locked.upstreams[*at], &warm, want))
@@ -356,11 +370,54 @@
         })
     }
 
-    /// The upstreams that served the session and the program last.
-    fn warm(&self, want: &Want<'_>) -> [Option<id::UpstreamId>; 2] {
+    /// The entry's own calls under way.
+    pub fn load(&self) -> service::Load {
+        let mut calls = Vec::new();
+        for service in self.all_services() {
+            let service = service.lock();
+            let busy = service.upstreams.iter().filter(|upstream| upstream.own > 0);
+            calls.extend(busy.map(|u| (u.short, u16::try_from(u.own).unwrap_or(u16::MAX))));
+        }
+        service::Load {
+            entry: self.entry,
+            calls,
+        }
+    }
+
+    /// Other entries' calls under way, as a replica tells them.
+    pub fn told_others(&self, others: &[(u16, u16)]) {
+        let now = Instant::now();
+        let others: HashMap<u16, u16> = others.iter().copied().collect();
+        for service in self.all_services() {
+            for upstream in &mut service.lock().upstreams {
+                upstream.others = others.get(&upstream.short).copied().unwrap_or(0).into();
+                upstream.reported = now;
+            }
+        }
+    }
+
+    fn all_services(&self) -> Vec<Arc<Mutex<Service>>> {
+        self.services.lock().values().cloned().collect()
+    }
+
+    /// The upstreams that probably have the session's prompt in their cache, and its program's:
+    /// those that served them last. Where this entry knows of none, the one that all entries
+    /// agree on, by its hash with the program.
+    fn warm(&self, want: &Want<'_>, among: &[&Upstream]) -> [Option<id::UpstreamId>; 2] {
         let sessions = self.sessions.lock();
         let last = |key: Option<&SmolStr>| key.and_then(|key| sessions.last.get(key).cloned());
-        [last(want.affinity), last(want.program)]
+        let session = last(want.affinity);
+        let program = last(want.program).or_else(|| {
+            let key = want.program.or(want.affinity)?;
+            let agreed = among.iter().max_by_key(|upstream| {
+                xxh3::xxh3_64_with_seed(
+                    upstream.listed.id.as_bytes(),
+                    xxh3::xxh3_64(key.as_bytes()),
+                )
+            });
+            agreed.map(|upstream| upstream.listed.id.clone())
+        });
+        [session, program]
     }
 
     fn candidate(
@@ -452,7 +509,9 @@
     /// The upstream told its load.
     pub fn told(&self, load: Load) {
         if let Some(upstream) = self.service.lock().find(&self.id) {
-            upstream.others = (load.running + load.waiting).saturating_sub(upstream.own);
+            // Its own word is as of some time ago, but counts what no entry tells.
+            let others = (load.running + load.waiting).saturating_sub(upstream.own);
+            upstream.others = upstream.others.max(others);
             upstream.reported = Instant::now();
         }
     }
--- a/fw-gate/src/request/stream.rs
+++ b/fw-gate/src/request/stream.rs
@@ -67,9 +67,15 @@
 /// What to tell the caller when no upstream gave an answer.
 pub async fn run(mut job: Job) -> Result<Response<body::Outgoing>, error::Error> {
     let kept = job.route.keep_turns.is_some();
+    let mut times = Times {
+        begun: Instant::now(),
+        ..Times::default()
+    };
     let ready = turn::begin(&job.gate, &job.call, &job.input, kept, job.until).await?;
     job.out.body = ready.body;
+    times.replicas = times.begun.elapsed();
     let begun = start(&job).await?;
+    times.head = times.begun.elapsed();
     if !begun.head.status.is_success() {
         let whole = plain::collect(begun, job.until).await;
         let (head, whole) = whole.map_err(|failed| failed.err)?;
@@ -84,6 +90,7 @@
         last: job.call.resume_after.clone(),
         events: 0,
         reservation: ready.reservation,
+        times,
         job,
         tx,
     };
@@ -115,6 +122,37 @@
     }
 }
 
+/// When what happened of a streamed request, each counted from its begin.
+#[derive(Clone, Copy, Debug)]
+struct Times {
+    begun: Instant,
+    /// Its tokens were reserved and its chain was there.
+    replicas: Duration,
+    /// The upstream had begun to answer.
+    head: Duration,
+    /// The first event was passed on.
+    first: Option<Duration>,
+    /// The upstream's answer was whole; what follows is storing the turn.
+    whole: Option<Duration>,
+}
+
+impl Default for Times {
+    fn default() -> Self {
+        Self {
+            begun: Instant::now(),
+            replicas: Duration::ZERO,
+            head: Duration::ZERO,
+            first: None,
+            whole: None,
+        }
+    }
+}
+
+/// Milliseconds for a log line; -1 for what did not happen.
+fn ms(time: Option<Duration>) -> i64 {
+    time.map_or(-1, |time| time.as_millis() as i64)
+}
+
 /// How reading from one upstream ended.
 enum Ended {
     /// The stream is complete.
@@ -138,6 +176,7 @@
     last: Option<SmolStr>,
     events: u32,
     reservation: Option<turn::Reservation>,
+    times: Times,
     tx: mpsc::Sender<Result<Bytes, body::BrokeOff>>,
 }
 
@@ -145,11 +184,14 @@
     async fn run(mut self, begun: send::Begun) {
         let mut begun = begun;
         let mut resumes = 0;
+        let mut last_upstream = begun.lease.id.clone();
         let outcome = loop {
             let (upstream, addr) = (begun.lease.id.clone(), begun.lease.addr);
+            last_upstream.clone_from(&upstream);
             let ended = self.pass_on(&mut begun).await;
             match ended {
                 Ended::Complete => {
+                    self.times.whole = Some(self.times.begun.elapsed());
                     // Relative to a usual answer, so that long answers do not look slow.
                     begun.lease.done(f64::from(self.events.max(1)) / 7.0);
                     let send::Begun { lease, link, .. } = begun;
@@ -181,6 +223,12 @@
             events = self.events,
             resumes,
             outcome,
+            upstream = %last_upstream,
+            replicas_ms = self.times.replicas.as_millis() as u64,
+            head_ms = self.times.head.as_millis() as u64,
+            first_ms = ms(self.times.first),
+            whole_ms = ms(self.times.whole),
+            ms = self.times.begun.elapsed().as_millis() as u64,
             "stream ended"
         );
     }
@@ -235,6 +283,9 @@
             }
             piece.put(event.raw);
         }
+        if !piece.is_empty() && self.times.first.is_none() {
+            self.times.first = Some(self.times.begun.elapsed());
+        }
         piece.is_empty() || self.tx.send(Ok(piece.freeze())).await.is_ok()
     }
 
--- a/fw-gate/src/request/turn.rs
+++ b/fw-gate/src/request/turn.rs
@@ -113,7 +113,18 @@
 ) -> Result<Vec<record::Turn>, error::Error> {
     let patience = until.min(Instant::now() + PATIENCE);
     loop {
-        let err = match gate.replicas.begin(reserve.clone(), newest.clone()).await {
+        let err = match gate
+            .replicas
+            .begin(
+                reserve.clone(),
+                newest.clone(),
+                &gate.fleet.load(),
+                |others| {
+                    gate.fleet.told_others(others);
+                },
+            )
+            .await
+        {
             Ok(chain) => return Ok(chain),
             Err(err) => err,
         };
--- a/fw-gate/tests/gate/upstream_list.rs
+++ b/fw-gate/tests/gate/upstream_list.rs
@@ -93,3 +93,47 @@
     let at_x = leases.iter().filter(|lease| lease.id == "x").count();
     expect_that!(at_x, eq(4));
 }
+
+#[gtest]
+fn knows_the_calls_of_other_entries() {
+    // Two entries each send a burst to the same two upstreams. Without each other's calls both
+    // begin with the same one, and calls queue there while the other is idle.
+    let one = Fleet::new("a".into());
+    let two = Fleet::new("a".into());
+    for fleet in [&one, &two] {
+        fleet.put(listed("x"));
+        fleet.put(listed("y"));
+    }
+    let busy: Vec<_> = (0..4)
+        .map(|_| one.again(&"s".into(), &"x".into()).unwrap())
+        .collect();
+    two.told_others(&one.load().calls);
+    for _ in 0..3 {
+        let lease = two.choose(&"s".into(), &Want::default()).unwrap();
+        expect_that!(lease.id, eq("y"));
+    }
+    drop(busy);
+    expect_that!(one.load().calls, is_empty());
+}
+
+#[gtest]
+fn agrees_with_other_entries_where_a_program_goes() {
+    // A program's turns come through several entries. None has seen it before, and yet all send
+    // it to the same upstream, whose cache then has its prompt.
+    let program = "p".into();
+    let want = Want {
+        program: Some(&program),
+        prompt_tokens: 2_000,
+        ..Want::default()
+    };
+    let ids: Vec<_> = (0..5)
+        .map(|_| {
+            let fleet = Fleet::new("a".into());
+            for id in ["x", "y", "z"] {
+                fleet.put(listed(id));
+            }
+            fleet.choose(&"s".into(), &want).unwrap().id.clone()
+        })
+        .collect();
+    expect_true!(ids.iter().all(|id| *id == ids[0]));
+}
--- a/fw-plan/src/assign.rs
+++ b/fw-plan/src/assign.rs
@@ -32,6 +32,8 @@
     /// After which time half of a reported load is taken to be gone: calls last some hundred
     /// milliseconds.
     pub fade: Duration,
+    /// How much the delay of another call by the reading of this one's prompt counts.
+    pub held_up: f64,
     /// Span over which costs count as equal; below what the estimates can tell apart.
     pub noise: Duration,
 }
@@ -43,6 +45,7 @@
             shared: Duration::from_micros(1_500),
             remote: Duration::from_millis(4),
             fade: Duration::from_millis(400),
+            held_up: 0.5,
             noise: Duration::from_millis(1),
         }
     }
@@ -84,7 +87,9 @@
         let wait = waiting * call / slots;
         let slow = (self.slowness - 1.0).max(0.0) * call;
         let remote = if self.remote { ms(options.remote) } else { 0.0 };
-        wait + load * ms(options.shared) + ms(self.miss) + slow + remote
+        // While it reads this prompt, an engine holds up all that it generates.
+        let read = ms(self.miss) * (1.0 + load * options.held_up);
+        wait + load * ms(options.shared) + read + slow + remote
     }
 }
 
--- a/fw-replica/src/client.rs
+++ b/fw-replica/src/client.rs
@@ -169,24 +169,31 @@
     ///
     /// [`Error::Spent`] and [`Error::UnknownTurn`] are certain; after [`Error::Unsure`] the turn
     /// may be tried again. After each of them the reservation should be taken back.
+    ///
+    /// `load` are the sender's own calls; `tell` hears of the others'.
     pub async fn begin(
         self: &Arc<Self>,
         reserve: Option<service::Reserve>,
         newest: Option<record::TurnId>,
+        load: &service::Load,
+        tell: impl Fn(&[(u16, u16)]),
     ) -> Result<Vec<record::Turn>, Error> {
         let (epoch, members) = self.members();
         let mut round = self
-            .ask(epoch, &members, reserve.clone(), newest.clone())
+            .ask(epoch, &members, reserve.clone(), newest.clone(), load)
             .await;
         let mut members = members;
         let mut reserve = reserve;
         if self.may_improve(epoch, &round, &mut reserve) {
             let (epoch, newer) = self.members();
             round = self
-                .ask(epoch, &newer, reserve.clone(), newest.clone())
+                .ask(epoch, &newer, reserve.clone(), newest.clone(), load)
                 .await;
             members = newer;
         }
+        if let Some(others) = &round.others {
+            tell(others);
+        }
         if let Some(reserve) = &reserve {
             self.judge(members.len(), reserve, &round)?;
             self.check_union(reserve, &round).await?;
@@ -277,6 +284,7 @@
         members: &[SocketAddr],
         reserve: Option<service::Reserve>,
         newest: Option<record::TurnId>,
+        load: &service::Load,
     ) -> Round {
         let quorum = member::Quorum::of(members.len(), self.faults);
         let asked = if reserve.is_some() { members.len() } else { 1 };
@@ -286,6 +294,7 @@
                 epoch,
                 reserve: reserve.clone(),
                 chain: newest.clone().filter(|_| rank == 0),
+                load: load.clone(),
             };
             let client = Arc::clone(self);
             // On tasks of their own, so that those beyond the quorum are sent as well.
@@ -318,6 +327,7 @@
     }
 
     fn count(&self, round: &mut Round, rank: usize, addr: SocketAddr, begun: service::Begun) {
+        round.others.get_or_insert(begun.others);
         match begun.vote {
             None => {}
             Some(service::Vote::Accepted { digest }) => round.accepted.push((addr, digest)),
@@ -573,6 +583,8 @@
     refused: usize,
     ledger: Vec<ledger::Line>,
     chain: Option<service::Chain>,
+    /// Other entries' calls under way, as the first replica to answer knows them.
+    others: Option<Vec<(u16, u16)>>,
 }
 
 fn spent(reserve: &service::Reserve, known: &ledger::Ledger) -> Error {
--- a/fw-replica/src/lib.rs
+++ b/fw-replica/src/lib.rs
@@ -15,6 +15,7 @@
 //! assert_eq!(quorum.absent, 2);
 //! ```
 
+pub mod board;
 pub mod client;
 pub mod codec;
 pub mod journal;
--- a/fw-replica/src/server.rs
+++ b/fw-replica/src/server.rs
@@ -9,7 +9,7 @@
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
-use crate::{journal, ledger, member, record, service, state, writer};
+use crate::{board, journal, ledger, member, record, service, state, writer};
 
 /// Most turns of a chain in one answer. Longer chains are read in several.
 const CHAIN: usize = 256;
@@ -31,6 +31,7 @@
     retiring: AtomicBool,
     votes: AtomicBool,
     retire_told: watch::Sender<Vec<record::ReplicaId>>,
+    board: board::Board,
     /// How far each other replica has copied from here.
     readers: Mutex<HashMap<record::ReplicaId, u64>>,
 }
@@ -59,6 +60,7 @@
             retiring: AtomicBool::new(false),
             votes: AtomicBool::new(false),
             retire_told: watch::Sender::default(),
+            board: board::Board::default(),
             readers: Mutex::default(),
         }))
     }
@@ -260,6 +262,7 @@
 
 impl service::Replica for Server {
     async fn begin(self, _: tarpc::context::Context, req: service::Begin) -> service::Begun {
+        let others = self.0.board.exchange(req.load);
         let chain = req.chain.map(|newest| self.0.read_chain(newest));
         let vote = match req.reserve {
             None => None,
@@ -268,6 +271,7 @@
         service::Begun {
             vote,
             chain: chain.unwrap_or_default(),
+            others,
         }
     }
 
--- a/fw-replica/src/service.rs
+++ b/fw-replica/src/service.rs
@@ -13,6 +13,21 @@
     pub reserve: Option<Reserve>,
     /// The newest turn of the chain wanted; `None` if the sender has it or asks another.
     pub chain: Option<record::TurnId>,
+    /// The sender's own calls under way.
+    pub load: Load,
+}
+
+/// One entry's calls under way, by upstream.
+///
+/// They travel with the reservations, which go to all replicas anyway: so entries know of each
+/// other's calls without a message more.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Names the entry; drawn at its start.
+    pub entry: u32,
+    /// Short hash of an upstream's id, and calls under way there. Upstreams without any are left
+    /// out.
+    pub calls: Vec<(u16, u16)>,
 }
 
 /// A reservation of tokens.
@@ -70,6 +85,8 @@
     pub vote: Option<Vote>,
     /// Of the chain.
     pub chain: Chain,
+    /// Calls of all other entries under way, by the short hash of the upstream's id.
+    pub others: Vec<(u16, u16)>,
 }
 
 /// As much of a chain as a replica has.
--- a/fw-replica/tests/replica/main.rs
+++ b/fw-replica/tests/replica/main.rs
@@ -3,6 +3,7 @@
 
 mod budget_ledger;
 mod budget_model;
+mod call_board;
 mod list_change;
 mod state_pages;
 mod torn_journal;
