Entries that cannot reach the store or the replicas go on by way of others

Ruled out: the replicas, which voted 0.2 s after their return. Change: entries give the replicas what they know from the store whenever it changes; one that does not reach the store asks them, at first by the seeds of its settings. A replica that cannot be reached is reached by way of another entry, which copies bytes.

--- a/foxtailweir/tests/foxtailweir/operating_page.rs
+++ b/foxtailweir/tests/foxtailweir/operating_page.rs
@@ -8,7 +8,7 @@
 
 use crate::run;
 
-const PAGE: &str = include_str!("../../../docs/OPERATING.md");
+const PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
 
 /// The JSON examples of the page.
 fn examples() -> Vec<Value> {
@@ -62,7 +62,7 @@
         .filter_map(|line| line.strip_prefix("    "));
     let names = commands.map(|line| line.split("  ").next().unwrap().trim());
     let names: Vec<_> = names.collect();
-    expect_that!(names, len(eq(10)));
+    expect_that!(names, len(eq(12)));
     for name in names {
         expect_that!(PAGE, contains_substring(format!("| `{name}")));
     }
--- a/fw-follow/src/lib.rs
+++ b/fw-follow/src/lib.rs
@@ -69,6 +69,8 @@
         changes: Vec<C>,
         /// Whether things that lapsed during an outage have had time to come back.
         settled: bool,
+        /// The store's revision.
+        as_of: Revision,
     },
     /// What has changed since.
     News {
@@ -76,6 +78,8 @@
         changes: Vec<C>,
         /// As above.
         settled: bool,
+        /// The store's revision.
+        as_of: Revision,
     },
     /// The store does not answer.
     Lost,
@@ -172,11 +176,19 @@
         }
         let settled = self.settles.is_none();
         self.at = Some(read.as_of);
-        let changes = read.changes;
+        let Read { changes, as_of } = read;
         if whole {
-            Step::Whole { changes, settled }
+            Step::Whole {
+                changes,
+                settled,
+                as_of,
+            }
         } else {
-            Step::News { changes, settled }
+            Step::News {
+                changes,
+                settled,
+                as_of,
+            }
         }
     }
 
--- a/fw-gate/src/connection/listen.rs
+++ b/fw-gate/src/connection/listen.rs
@@ -14,6 +14,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
 use crate::process::gate;
@@ -47,13 +48,17 @@
 /// Serves callers on `listener` until `stop`, and then until all requests under way are answered.
 pub async fn serve(listener: TcpListener, gate: Arc<gate::Gate>, stop: CancellationToken) {
     let graceful = GracefulShutdown::new();
+    let mut connections = JoinSet::new();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = stop.cancelled() => break,
         };
         match accepted {
-            Ok((stream, _)) => answer(stream, &gate, &graceful),
+            Ok((stream, _)) => {
+                connections.spawn(answer(stream, &gate, &graceful));
+                while connections.try_join_next().is_some() {}
+            }
             Err(err) => {
                 tracing::warn!(%err, "cannot accept a connection");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -64,8 +69,12 @@
     graceful.shutdown().await;
 }
 
-/// Answers the requests of one connection, on a task of its own.
-fn answer(stream: TcpStream, gate: &Arc<gate::Gate>, graceful: &GracefulShutdown) {
+/// Answers the requests of one connection.
+fn answer(
+    stream: TcpStream,
+    gate: &Arc<gate::Gate>,
+    graceful: &GracefulShutdown,
+) -> impl Future<Output = ()> + use<> {
     // Fails only on a socket that is closed already, which the first read shows.
     let _ = stream.set_nodelay(true);
     let shared = Arc::clone(gate);
@@ -81,12 +90,12 @@
         .max_buf_size(BUFFER.max(limits.header_bytes))
         .serve_connection(TokioIo::new(stream), handler);
     let connection = graceful.watch(connection);
-    tokio::spawn(async move {
-        // A caller that breaks its connection has been told apart by what was under way.
+    async move {
+        // What was under way for a caller that breaks its connection has ended with it.
         if let Err(err) = connection.await {
             tracing::debug!(%err, "a caller's connection ended");
         }
-    });
+    }
 }
 
 /// Answers small questions, such as whether the process is ready, on `listener` for ever.
@@ -94,6 +103,7 @@
 where
     F: Fn(&str) -> (StatusCode, String) + Clone + Send + Sync + 'static,
 {
+    let mut connections = JoinSet::new();
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -106,12 +116,13 @@
             *res.status_mut() = status;
             async move { Ok::<_, Infallible>(res) }
         });
-        tokio::spawn(async move {
+        connections.spawn(async move {
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .serve_connection(TokioIo::new(stream), handler);
             // Whoever asks may leave without waiting for the answer.
             let _ = connection.await;
         });
+        while connections.try_join_next().is_some() {}
     }
 }
--- a/fw-gate/src/process/fleet.rs
+++ b/fw-gate/src/process/fleet.rs
@@ -9,6 +9,7 @@
 use fw_plan::{assign, health};
 use fw_replica::service;
 use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use xxhash_rust::xxh3;
 
@@ -31,7 +32,7 @@
 pub type Born = u64;
 
 /// One upstream, as the platform's store lists it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listed {
     /// Its id.
     pub id: id::UpstreamId,
@@ -381,9 +382,21 @@
         service::Load {
             entry: self.entry,
             calls,
+            relay: None,
         }
     }
 
+    /// All upstreams on the list, by id.
+    pub fn listing(&self) -> Vec<Listed> {
+        let mut listing = Vec::new();
+        for service in self.all_services() {
+            let service = service.lock();
+            listing.extend(service.upstreams.iter().map(|u| u.listed.clone()));
+        }
+        listing.sort_by(|a, b| a.id.cmp(&b.id));
+        listing
+    }
+
     /// Other entries' calls under way, as a replica tells them.
     pub fn told_others(&self, others: &[(u16, u16)]) {
         let now = Instant::now();
--- a/fw-gate/src/process/gate.rs
+++ b/fw-gate/src/process/gate.rs
@@ -1,6 +1,7 @@
 //! What all requests of an entry share.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -10,7 +11,7 @@
 use fw_replica::{client, member, record};
 use parking_lot::Mutex;
 
-use super::{fleet, turns};
+use super::{fleet, snapshot, turns};
 use crate::names;
 use crate::version::config;
 
@@ -23,6 +24,10 @@
     pub faults: usize,
     /// Headers by which callers and upstreams say things.
     pub names: names::Names,
+    /// Where replicas may be found while the platform's store does not answer.
+    pub seeds: Vec<SocketAddr>,
+    /// Where this entry passes connections of others on to replicas.
+    pub relay: Option<SocketAddr>,
 }
 
 /// One change that the entry learns of.
@@ -56,6 +61,10 @@
     retries: Mutex<HashMap<id::ServiceId, retry::Budget>>,
     started: Instant,
     stopping: AtomicBool,
+    /// Whether the platform's store answers.
+    in_touch: AtomicBool,
+    /// What the replicas were told last, or told.
+    snapshot: Mutex<snapshot::Posted>,
 }
 
 impl Gate {
@@ -63,7 +72,7 @@
     pub fn new(opts: Options) -> Arc<Self> {
         Arc::new(Self {
             fleet: fleet::Fleet::new(opts.place.clone()),
-            replicas: client::Client::new(opts.faults),
+            replicas: client::Client::new(opts.faults, opts.seeds.clone()),
             opts,
             turns: turns::Turns::default(),
             config: Mutex::default(),
@@ -71,14 +80,20 @@
             retries: Mutex::default(),
             started: Instant::now(),
             stopping: AtomicBool::new(false),
+            in_touch: AtomicBool::new(true),
+            snapshot: Mutex::default(),
         })
     }
 
     /// Takes what was read from the platform's store.
     pub fn apply(&self, step: fw_follow::Step<Change>) {
         match step {
-            fw_follow::Step::Lost => {}
-            fw_follow::Step::Whole { changes, settled } => {
+            fw_follow::Step::Lost => self.in_touch.store(false, Ordering::Relaxed),
+            fw_follow::Step::Whole {
+                changes,
+                settled,
+                as_of,
+            } => {
                 let mut listed = Vec::new();
                 for change in changes {
                     match change {
@@ -87,11 +102,18 @@
                     }
                 }
                 self.fleet.replace(listed, settled);
+                self.in_touch.store(true, Ordering::Relaxed);
+                self.post(as_of);
             }
-            fw_follow::Step::News { changes, settled } => {
+            fw_follow::Step::News {
+                changes,
+                settled,
+                as_of,
+            } => {
                 for change in changes {
                     self.change(change, settled);
                 }
+                self.post(as_of);
             }
         }
     }
@@ -103,6 +125,8 @@
             Change::UpstreamGone(id) => self.fleet.remove(&id, settled),
             Change::Members(view) => {
                 if self.replicas.learn(view) {
+                    // New members lack what was posted before.
+                    self.snapshot.lock().forget();
                     self.replicas.tell();
                 }
             }
@@ -110,6 +134,48 @@
         }
     }
 
+    /// Gives the replicas what is known from the store, if that has changed.
+    fn post(&self, as_of: fw_follow::Revision) {
+        let Some(config) = self.config() else { return };
+        let known = snapshot::Snapshot {
+            config: config.as_ref().clone(),
+            upstreams: self.fleet.listing(),
+        };
+        let bulletin = self.snapshot.lock().news(as_of, &known);
+        if let Some(bulletin) = bulletin {
+            self.replicas.post(&bulletin);
+        }
+    }
+
+    /// Asks the replicas for what other entries know, for as long as the platform's store does not
+    /// answer.
+    pub async fn ask_others(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(snapshot::ASK).await;
+            if self.in_touch.load(Ordering::Relaxed) {
+                continue;
+            }
+            let after = self.snapshot.lock().as_of();
+            let Some(bulletin) = self.replicas.news(after).await else {
+                continue;
+            };
+            let Some(known) = self.snapshot.lock().read(&bulletin) else {
+                continue;
+            };
+            // The store may have answered in the meantime; what it says is newer.
+            if self.in_touch.load(Ordering::Relaxed) {
+                continue;
+            }
+            tracing::info!(
+                as_of = bulletin.as_of,
+                version = known.config.version,
+                "told by the replicas"
+            );
+            self.configure(known.config);
+            self.fleet.replace(known.upstreams, true);
+        }
+    }
+
     /// Puts `config` in force unless a newer one is.
     pub fn configure(&self, config: config::Config) {
         let mut known = self.config.lock();
--- a/fw-gate/src/process/mod.rs
+++ b/fw-gate/src/process/mod.rs
@@ -3,4 +3,5 @@
 pub mod fleet;
 pub mod gate;
 pub mod serve;
+pub mod snapshot;
 pub mod turns;
--- a/fw-gate/src/process/serve.rs
+++ b/fw-gate/src/process/serve.rs
@@ -5,8 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use fw_replica::relay;
 use hyper::StatusCode;
 use snafu::{ResultExt, Snafu};
+use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
 use super::gate;
@@ -25,6 +27,8 @@
     pub gate: gate::Options,
     /// Where callers connect.
     pub callers: SocketAddr,
+    /// Where it passes connections of other entries on to replicas.
+    pub relay: SocketAddr,
     /// Where it is asked whether it is ready.
     pub ready: SocketAddr,
     /// Path of that question.
@@ -60,16 +64,21 @@
     let bind = |addr| listen::bind(addr).context(ListenSnafu { addr });
     let callers = bind(opts.callers)?;
     let ready = bind(opts.ready)?;
+    let relayed = bind(opts.relay)?;
     let gate = gate::Gate::new(opts.gate);
     tracing::info!(callers = %opts.callers, ready = %opts.ready, "entry starts");
 
     let told = Arc::clone(&gate);
-    tokio::spawn(fw_follow::follow(area, opts.follow, move |step| {
+    // Dropped with this future, so that an entry which is killed leaves nothing running.
+    let mut tasks = JoinSet::new();
+    tasks.spawn(fw_follow::follow(area, opts.follow, move |step| {
         told.apply(step)
     }));
+    tasks.spawn(Arc::clone(&gate).ask_others());
+    tasks.spawn(relay::serve(relayed, Arc::clone(&gate.replicas)));
     let asked = Arc::clone(&gate);
     let path = opts.ready_path;
-    tokio::spawn(listen::serve_pages(ready, move |asked_for| {
+    tasks.spawn(listen::serve_pages(ready, move |asked_for| {
         let known = asked_for == path;
         match known && asked.is_ready() {
             true => (StatusCode::OK, String::from("ready\n")),
@@ -77,16 +86,20 @@
         }
     }));
     let close = CancellationToken::new();
-    let serving = tokio::spawn(listen::serve(callers, Arc::clone(&gate), close.clone()));
-
-    stop.await;
+    let serving = listen::serve(callers, Arc::clone(&gate), close.clone());
+    tokio::pin!(serving);
+    tokio::select! {
+        () = &mut serving => {}
+        () = stop => {}
+    }
     tracing::info!(grace = ?opts.grace, "entry stops");
     gate.stop();
     let notice = NOTICE.min(opts.grace / 3);
-    tokio::time::sleep(notice).await;
+    // Callers are served until whoever sends them here has noticed.
+    let _ = tokio::time::timeout(notice, &mut serving).await;
     close.cancel();
     let rest = opts.grace.saturating_sub(notice + SPARE);
-    let drained = tokio::time::timeout(rest, serving).await.is_ok();
+    let drained = tokio::time::timeout(rest, &mut serving).await.is_ok();
     tracing::info!(drained, "entry has stopped");
     Ok(())
 }
--- a/fw-gate/src/request/turn.rs
+++ b/fw-gate/src/request/turn.rs
@@ -113,16 +113,15 @@
 ) -> Result<Vec<record::Turn>, error::Error> {
     let patience = until.min(Instant::now() + PATIENCE);
     loop {
+        let load = service::Load {
+            relay: gate.opts.relay,
+            ..gate.fleet.load()
+        };
         let err = match gate
             .replicas
-            .begin(
-                reserve.clone(),
-                newest.clone(),
-                &gate.fleet.load(),
-                |others| {
-                    gate.fleet.told_others(others);
-                },
-            )
+            .begin(reserve.clone(), newest.clone(), &load, |others| {
+                gate.fleet.told_others(others);
+            })
             .await
         {
             Ok(chain) => return Ok(chain),
--- a/fw-gate/src/version/config.rs
+++ b/fw-gate/src/version/config.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use fw_base::id;
+use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 /// Number of a configuration; grows in uneven steps.
 pub type Version = u64;
 
 /// What may be done twice.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Kind {
     /// Idempotent: it may run more than once.
     #[default]
@@ -22,7 +23,7 @@
 }
 
 /// One route.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// Its name, for log lines.
     pub name: SmolStr,
@@ -94,7 +95,7 @@
 }
 
 /// One service.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Connections that one of its upstreams accepts from all callers together.
     pub connections: u32,
@@ -103,7 +104,7 @@
 }
 
 /// What a service's model engines are like.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Engine {
     /// Requests that run together.
     pub slots: u32,
@@ -114,7 +115,7 @@
 }
 
 /// What callers may send, and for how long.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limits {
     /// Most bytes of a request's head.
     pub header_bytes: usize,
@@ -138,7 +139,7 @@
 }
 
 /// A whole configuration.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Config {
     /// Its number.
     pub version: Version,
--- a/fw-replica/src/board.rs
+++ b/fw-replica/src/board.rs
@@ -18,31 +18,49 @@
 /// Entries remembered; beyond that those that have not told for long are dropped.
 const ENTRIES: usize = 512;
 
+/// Entries named to each other as a way around a cut.
+const PEERS: usize = 3;
+
+/// The newest word of one entry.
+#[derive(Debug)]
+struct Told {
+    at: Instant,
+    load: service::Load,
+}
+
 /// The newest word of each entry.
 #[derive(Debug, Default)]
 pub struct Board {
-    entries: Mutex<HashMap<u32, (Instant, Vec<(u16, u16)>)>>,
+    entries: Mutex<HashMap<u32, Told>>,
 }
 
 impl Board {
-    /// Notes what an entry tells, and returns the sum of what the others told.
-    pub fn exchange(&self, load: service::Load) -> Vec<(u16, u16)> {
+    /// Notes what an entry tells, and returns the sum of what the others told and where some of
+    /// them are.
+    pub fn exchange(&self, load: service::Load) -> service::Others {
         let now = Instant::now();
         let mut entries = self.entries.lock();
         let mut sum: HashMap<u16, u16> = HashMap::new();
-        for (entry, (told, calls)) in entries.iter() {
-            if *entry == load.entry || now.duration_since(*told) > FRESH {
+        let mut peers = Vec::new();
+        for (entry, told) in entries.iter() {
+            if *entry == load.entry || now.duration_since(told.at) > FRESH {
                 continue;
             }
-            for (upstream, count) in calls {
+            for (upstream, count) in &told.load.calls {
                 let total = sum.entry(*upstream).or_default();
                 *total = total.saturating_add(*count);
             }
+            if peers.len() < PEERS {
+                peers.extend(told.load.relay);
+            }
         }
-        entries.insert(load.entry, (now, load.calls));
+        entries.insert(load.entry, Told { at: now, load });
         if entries.len() > ENTRIES {
-            entries.retain(|_, (told, _)| now.duration_since(*told) <= FRESH);
+            entries.retain(|_, told| now.duration_since(told.at) <= FRESH);
+        }
+        service::Others {
+            calls: sum.into_iter().collect(),
+            peers,
         }
-        sum.into_iter().collect()
     }
 }
--- a/fw-replica/src/client.rs
+++ b/fw-replica/src/client.rs
@@ -8,15 +8,15 @@
 use futures_util::StreamExt;
 use futures_util::future::join_all;
 use futures_util::stream::FuturesUnordered;
-use fw_http::socket;
 use parking_lot::Mutex;
 use snafu::Snafu;
 
-use crate::{codec, ledger, member, record, service};
+use crate::{codec, ledger, member, record, relay, service};
 
-/// Longest wait for a connection. Within a region one takes a millisecond; a replica that is cut
-/// off must not hold up the quorum of the others.
+/// How long a replica that refused a connection is not tried again.
 const CONNECT: Duration = Duration::from_millis(300);
+/// How long a connection by way of another entry is used before the direct way is tried again.
+const DETOUR: Duration = Duration::from_secs(5);
 /// Longest wait for one answer: several times a slow disk's sync with a queue before it.
 const ANSWER: Duration = Duration::from_millis(700);
 /// Pauses before a settlement is sent again to a replica that did not store it.
@@ -66,6 +66,8 @@
     /// Grows with each new connection, so that a late failure does not drop a newer one.
     generation: u64,
     failed: Option<Instant>,
+    /// Since when it goes by way of another entry.
+    detour: Option<Instant>,
 }
 
 /// The replicas, as an entry or another replica sees them.
@@ -77,6 +79,10 @@
     costs: Mutex<HashMap<SocketAddr, Cost>>,
     /// Replicas that the operator wants emptied.
     retire: Mutex<Vec<record::ReplicaId>>,
+    /// Where replicas may be found while no member list is known.
+    seeds: Vec<SocketAddr>,
+    /// Entries that pass connections on to replicas.
+    peers: Mutex<Vec<SocketAddr>>,
 }
 
 /// What is known of a replica's speed.
@@ -87,14 +93,17 @@
 }
 
 impl Client {
-    /// Knows no replica yet; `faults` instances may lose their disks together.
-    pub fn new(faults: usize) -> Arc<Self> {
+    /// Knows no replica yet; `faults` instances may lose their disks together. Replicas may be found
+    /// at `seeds` while no member list is known.
+    pub fn new(faults: usize, seeds: Vec<SocketAddr>) -> Arc<Self> {
         Arc::new(Self {
             faults,
             view: Mutex::default(),
             links: Mutex::default(),
             costs: Mutex::default(),
             retire: Mutex::default(),
+            seeds,
+            peers: Mutex::default(),
         })
     }
 
@@ -192,7 +201,10 @@
             members = newer;
         }
         if let Some(others) = &round.others {
-            tell(others);
+            tell(&others.calls);
+            if !others.peers.is_empty() {
+                self.peers.lock().clone_from(&others.peers);
+            }
         }
         if let Some(reserve) = &reserve {
             self.judge(members.len(), reserve, &round)?;
@@ -500,6 +512,52 @@
         told.await.unwrap_or(false)
     }
 
+    /// Gives all replicas a bulletin to keep.
+    pub fn post(self: &Arc<Self>, bulletin: &service::Bulletin) {
+        let (_, members) = self.members();
+        for addr in members {
+            let (client, bulletin) = (Arc::clone(self), bulletin.clone());
+            tokio::spawn(async move {
+                // One that does not get it gets the next.
+                let _ = client
+                    .call(
+                        addr,
+                        |client, cx| async move { client.post(cx, bulletin).await },
+                    )
+                    .await;
+            });
+        }
+    }
+
+    /// Asks replicas for a bulletin newer than revision `after`, and learns their member list.
+    pub async fn news(&self, after: u64) -> Option<service::Bulletin> {
+        let (_, mut asked) = self.members();
+        asked.extend(self.seeds.iter().copied());
+        for addr in asked {
+            let bulletin = self.news_of(addr, after).await;
+            if bulletin.is_some() {
+                return bulletin;
+            }
+        }
+        None
+    }
+
+    /// The same of one replica.
+    pub async fn news_of(&self, addr: SocketAddr, after: u64) -> Option<service::Bulletin> {
+        let answer = self.call(
+            addr,
+            |client, cx| async move { client.news(cx, after).await },
+        );
+        let (bulletin, view) = answer.await?;
+        self.learn(view);
+        bulletin
+    }
+
+    /// Whether `addr` is a replica's, so that connections may be passed on to it.
+    pub fn is_member(&self, addr: SocketAddr) -> bool {
+        self.view.lock().list.addrs().any(|known| known == addr)
+    }
+
     /// Asks how a replica is.
     pub async fn ping(&self, addr: SocketAddr) -> Option<service::Pong> {
         self.call(addr, |client, cx| async move { client.ping(cx).await })
@@ -531,7 +589,7 @@
     {
         let link = Arc::clone(self.links.lock().entry(addr).or_default());
         let started = Instant::now();
-        let connected = connected(&link, addr).await;
+        let connected = self.connected(&link, addr).await;
         let Some((client, generation)) = connected else {
             self.note(addr, None);
             return None;
@@ -560,6 +618,54 @@
         }
     }
 
+    async fn connected(
+        &self,
+        link: &tokio::sync::Mutex<Link>,
+        addr: SocketAddr,
+    ) -> Option<(service::ReplicaClient, u64)> {
+        let mut link = link.lock().await;
+        let detour_is_old = link.detour.is_some_and(|since| since.elapsed() > DETOUR);
+        if let Some(client) = link.client.as_ref().filter(|_| !detour_is_old) {
+            return Some((client.clone(), link.generation));
+        }
+        // Callers that waited for a connection which was refused share the refusal.
+        if link.failed.is_some_and(|at| at.elapsed() < CONNECT) {
+            return None;
+        }
+        let (direct, mut detour) = (relay::dial(addr).await, None);
+        let stream = match direct {
+            Some(stream) => Some(stream),
+            None => {
+                detour = Some(Instant::now());
+                self.dial_around(addr).await
+            }
+        };
+        let Some(stream) = stream else {
+            link.failed = Some(Instant::now());
+            return None;
+        };
+        let framed = tarpc::serde_transport::new(codec::framed(stream), codec::Postcard::default());
+        let client = service::ReplicaClient::new(tarpc::client::Config::default(), framed).spawn();
+        link.failed = None;
+        link.generation += 1;
+        link.client = Some(client.clone());
+        link.detour = detour;
+        Some((client, link.generation))
+    }
+
+    /// Connects to a replica by way of another entry.
+    async fn dial_around(&self, addr: SocketAddr) -> Option<tokio::net::TcpStream> {
+        let peers = self.peers.lock().clone();
+        for peer in peers {
+            if let Some(stream) = relay::dial_by(peer, addr).await {
+                tracing::info!(%addr, %peer, "a replica is reached by way of another entry");
+                metrics::counter!("fw_replica_detours_total").increment(1);
+                return Some(stream);
+            }
+        }
+        None
+    }
+
     /// Notes how long a call took; `None` if it failed.
     fn note(&self, addr: SocketAddr, took: Option<Duration>) {
         let mut costs = self.costs.lock();
@@ -584,7 +690,7 @@
     ledger: Vec<ledger::Line>,
     chain: Option<service::Chain>,
     /// Other entries' calls under way, as the first replica to answer knows them.
-    others: Option<Vec<(u16, u16)>>,
+    others: Option<service::Others>,
 }
 
 fn spent(reserve: &service::Reserve, known: &ledger::Ledger) -> Error {
@@ -594,30 +700,3 @@
         budget: reserve.budget,
     }
 }
-
-async fn connected(
-    link: &tokio::sync::Mutex<Link>,
-    addr: SocketAddr,
-) -> Option<(service::ReplicaClient, u64)> {
-    let mut link = link.lock().await;
-    if let Some(client) = &link.client {
-        return Some((client.clone(), link.generation));
-    }
-    // Callers that waited for a connection which was refused share the refusal.
-    if link.failed.is_some_and(|at| at.elapsed() < CONNECT) {
-        return None;
-    }
-    let mut connect = tarpc::serde_transport::tcp::connect(addr, codec::Postcard::default);
-    connect.config_mut().max_frame_length(codec::MAX_FRAME);
-    let Ok(Ok(transport)) = tokio::time::timeout(CONNECT, connect).await else {
-        link.failed = Some(Instant::now());
-        return None;
-    };
-    // Fails only on a socket that is closed, which the first call shows.
-    let _ = socket::watch_silence(&socket2::SockRef::from(transport.get_ref()));
-    let client = service::ReplicaClient::new(tarpc::client::Config::default(), transport).spawn();
-    link.failed = None;
-    link.generation += 1;
-    link.client = Some(client.clone());
-    Some((client, link.generation))
-}
--- a/fw-replica/src/codec.rs
+++ b/fw-replica/src/codec.rs
@@ -10,6 +10,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tarpc::tokio_serde;
+use tokio::net::TcpStream;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 /// Longest message, in bytes: a chain of a few hundred turns.
 pub const MAX_FRAME: usize = 16 << 20;
@@ -41,6 +43,13 @@
     }
 }
 
+/// Frames of messages on a connection.
+pub fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_FRAME)
+        .new_framed(stream)
+}
+
 fn invalid(err: postcard::Error) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, err)
 }
--- a/fw-replica/src/lib.rs
+++ b/fw-replica/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod ledger;
 pub mod member;
 pub mod record;
+pub mod relay;
 pub mod serve;
 pub mod server;
 pub mod service;
--- a/fw-replica/src/record.rs
+++ b/fw-replica/src/record.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::member;
+use crate::{member, service};
 
 /// Names a turn: the request id of the attempt that ran it.
 pub type TurnId = SmolStr;
@@ -63,4 +63,6 @@
     /// A member list that the replica has learned, so that it refuses older ones after a restart
     /// too.
     Members(member::View),
+    /// What entries know from the platform's store.
+    Bulletin(service::Bulletin),
 }
--- a/fw-replica/src/serve.rs
+++ b/fw-replica/src/serve.rs
@@ -10,6 +10,7 @@
 use fw_http::socket;
 use snafu::{ResultExt, Snafu};
 use tarpc::server::{BaseChannel, Channel};
+use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 
 use crate::service::Replica;
@@ -18,11 +19,14 @@
 /// Time for calls under way when the process is told to stop: a few syncs of a slow disk.
 const DRAIN: Duration = Duration::from_millis(300);
 
+/// Pause after a failed accept, such as for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
 /// What a replica is told at its start.
 #[derive(Clone, Debug)]
 pub struct Options {
     /// Where it listens.
-    pub listen: SocketAddr,
+    pub listen: Vec<SocketAddr>,
     /// Its folder for data.
     pub dir: PathBuf,
     /// What it is among the others.
@@ -62,39 +66,43 @@
     let shared = server::Shared::open(&opts.dir, run)?;
     tracing::info!(
         replica = %opts.sync.name,
-        addr = %opts.listen,
+        addr = ?opts.listen,
         synced = shared.is_synced(),
         first_start = opts.sync.first_start,
         "replica starts"
     );
-    let addr = opts.listen;
-    let mut incoming = tarpc::serde_transport::tcp::listen(addr, codec::Postcard::default)
-        .await
-        .context(ListenSnafu { addr })?;
-    incoming.config_mut().max_frame_length(codec::MAX_FRAME);
-    let syncing = sync::Sync::new(opts.sync, Arc::clone(&shared), registry);
+    let mut listeners = Vec::new();
+    for addr in opts.listen {
+        let listener = TcpListener::bind(addr).await;
+        listeners.push(listener.context(ListenSnafu { addr })?);
+    }
     let mut tasks = JoinSet::new();
-    tasks.spawn(syncing.run());
-    tokio::pin!(stop);
+    tasks.spawn(sync::Sync::new(opts.sync, Arc::clone(&shared), registry).run());
+    for listener in listeners {
+        tasks.spawn(accept(listener, Arc::clone(&shared)));
+    }
+    stop.await;
+    tracing::info!("replica stops");
+    tokio::time::sleep(DRAIN).await;
+    Ok(())
+}
+
+/// Answers calls on `listener` for ever.
+async fn accept(listener: TcpListener, shared: Arc<server::Shared>) {
+    let mut connections = JoinSet::new();
     loop {
-        let accepted = tokio::select! {
-            accepted = incoming.next() => accepted,
-            () = &mut stop => break,
-        };
-        // A peer that closes before it is accepted costs that connection only.
-        let Some(Ok(transport)) = accepted else {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
         // Fails only on a socket that is closed, which the first read shows.
-        let _ = socket::watch_silence(&socket2::SockRef::from(transport.get_ref()));
+        let _ = socket::watch_silence(&socket2::SockRef::from(&stream));
+        let transport =
+            tarpc::serde_transport::new(codec::framed(stream), codec::Postcard::default());
         let calls = BaseChannel::with_defaults(transport)
             .execute(server::Server(Arc::clone(&shared)).serve())
             .for_each_concurrent(None, |answer| answer);
-        tasks.spawn(calls);
-        while tasks.try_join_next().is_some() {}
+        connections.spawn(calls);
+        while connections.try_join_next().is_some() {}
     }
-    tracing::info!("replica stops");
-    drop(incoming);
-    tokio::time::sleep(DRAIN).await;
-    Ok(())
 }
--- a/fw-replica/src/server.rs
+++ b/fw-replica/src/server.rs
@@ -146,7 +146,9 @@
         let known = match &record {
             record::Record::Turn(turn) => self.has(&turn.id),
             record::Record::Charge(charge) => !self.is_news(charge),
-            record::Record::Synced(_) | record::Record::Members(_) => false,
+            record::Record::Synced(_)
+            | record::Record::Members(_)
+            | record::Record::Bulletin(_) => false,
         };
         if known {
             return true;
@@ -162,6 +164,18 @@
         true
     }
 
+    /// Keeps `bulletin` unless a newer one, or the same, is known.
+    pub async fn post(&self, bulletin: service::Bulletin) {
+        let known = self.state.lock().bulletin().cloned();
+        let is_news = |known: service::Bulletin| {
+            known.as_of < bulletin.as_of && known.bytes != bulletin.bytes
+        };
+        if known.is_none_or(is_news) {
+            // One that the disk refuses is posted again with the next change.
+            self.write(record::Record::Bulletin(bulletin)).await;
+        }
+    }
+
     /// Whether the turn is here.
     pub fn has(&self, turn: &record::TurnId) -> bool {
         self.state.lock().place(turn).is_some()
@@ -330,6 +344,20 @@
         self.0.learn(view).await
     }
 
+    async fn post(self, _: tarpc::context::Context, bulletin: service::Bulletin) {
+        self.0.post(bulletin).await;
+    }
+
+    async fn news(
+        self,
+        _: tarpc::context::Context,
+        after: u64,
+    ) -> (Option<service::Bulletin>, member::View) {
+        let known = self.0.state.lock().bulletin().cloned();
+        let newer = known.filter(|bulletin| bulletin.as_of > after);
+        (newer, self.0.view.borrow().clone())
+    }
+
     async fn ping(self, _: tarpc::context::Context) -> service::Pong {
         service::Pong {
             retiring: self.0.is_retiring(),
--- a/fw-replica/src/service.rs
+++ b/fw-replica/src/service.rs
@@ -1,5 +1,8 @@
 //! The messages between entries and replicas, and among replicas.
 
+use std::net::SocketAddr;
+
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::{ledger, member, record};
@@ -28,6 +31,26 @@
     /// Short hash of an upstream's id, and calls under way there. Upstreams without any are left
     /// out.
     pub calls: Vec<(u16, u16)>,
+    /// Where the entry passes connections of others on to replicas.
+    pub relay: Option<SocketAddr>,
+}
+
+/// What an entry learns of the others.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Others {
+    /// Calls of all others under way, by the short hash of the upstream's id.
+    pub calls: Vec<(u16, u16)>,
+    /// Where some of them pass connections on to replicas.
+    pub peers: Vec<SocketAddr>,
+}
+
+/// What entries know from the platform's store, for one that cannot reach it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Bulletin {
+    /// Revision of the store that it reflects.
+    pub as_of: u64,
+    /// The entries' own form.
+    pub bytes: Bytes,
 }
 
 /// A reservation of tokens.
@@ -85,8 +108,8 @@
     pub vote: Option<Vote>,
     /// Of the chain.
     pub chain: Chain,
-    /// Calls of all other entries under way, by the short hash of the upstream's id.
-    pub others: Vec<(u16, u16)>,
+    /// Of the other entries.
+    pub others: Others,
 }
 
 /// As much of a chain as a replica has.
@@ -169,6 +192,10 @@
     /// Tells the newest member list known, and which replicas the operator wants emptied; `true`
     /// once the replica refuses older lists, also after a restart.
     async fn tell(view: member::View, retire: Vec<record::ReplicaId>) -> bool;
+    /// Keeps a bulletin unless a newer one is known.
+    async fn post(bulletin: Bulletin);
+    /// The newest bulletin, if it is newer than revision `after`, and the member list.
+    async fn news(after: u64) -> (Option<Bulletin>, member::View);
     /// Asks how the replica is.
     async fn ping() -> Pong;
     /// Reads turns by their ids; those that are not here are left out.
--- a/fw-replica/src/state.rs
+++ b/fw-replica/src/state.rs
@@ -30,6 +30,7 @@
     dropped: u64,
     synced: bool,
     view: member::View,
+    bulletin: Option<service::Bulletin>,
 }
 
 impl State {
@@ -43,6 +44,7 @@
             dropped: 0,
             synced: false,
             view: member::View::default(),
+            bulletin: None,
         }
     }
 
@@ -57,6 +59,7 @@
             }
             record::Record::Synced(synced) => self.synced = *synced,
             record::Record::Members(view) => self.learn(view),
+            record::Record::Bulletin(bulletin) => self.bulletin = Some(bulletin.clone()),
         }
     }
 
@@ -134,6 +137,11 @@
         }
     }
 
+    /// The newest bulletin.
+    pub fn bulletin(&self) -> Option<&service::Bulletin> {
+        self.bulletin.as_ref()
+    }
+
     /// The newest member list known.
     pub fn view(&self) -> &member::View {
         &self.view
--- a/fw-replica/src/sync.rs
+++ b/fw-replica/src/sync.rs
@@ -82,7 +82,7 @@
         registry: member::SharedRegistry,
     ) -> Self {
         Self {
-            client: client::Client::new(opts.faults),
+            client: client::Client::new(opts.faults, Vec::new()),
             founding: opts.first_start && shared.view().borrow().epoch == 0,
             joined: false,
             opts,
@@ -366,6 +366,11 @@
     source: &mut Source,
 ) {
     let begun = Instant::now();
+    if !shared.is_voting()
+        && let Some(bulletin) = client.news_of(addr, 0).await
+    {
+        shared.post(bulletin).await;
+    }
     if read_to_end(client, shared, me, addr, source)
         .await
         .is_some()
