Turns are held back until an upstream has room, in an order that favours urgent ones a little

Cause: in bursts turns were bound to an engine at once and waited in its queue, whichever engine became free first, urgent behind others. Change: fw_plan::hold ranks waiting calls by arrival, later by 80 ms a rank and 300 ms for programs that are late already; a call is sent once an upstream has room, after 400 ms at the latest.

--- a/fw-gate/src/process/fleet.rs
+++ b/fw-gate/src/process/fleet.rs
@@ -1,16 +1,17 @@
 //! The upstreams: who is listed, how busy and healthy each is, and its idle connections.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use fw_base::{error, id};
-use fw_plan::{assign, health};
+use fw_plan::{assign, health, hold};
 use fw_replica::service;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
+use tokio::sync::Notify;
 use xxhash_rust::xxh3;
 
 use crate::connection::link;
@@ -61,6 +62,8 @@
     pub prompt_tokens: id::Tokens,
     /// Upstreams that failed this call.
     pub avoid: &'a [id::UpstreamId],
+    /// What decides its place if it has to wait.
+    pub hold: hold::Call,
 }
 
 #[derive(Debug)]
@@ -85,8 +88,9 @@
     health: health::Health,
     /// Smoothed time of a call, in seconds.
     mean: f64,
-    /// Whether entries that lapsed in an outage have had time to come back.
-    settled: bool,
+    /// Calls that are held back until there is a free slot.
+    waiting: BTreeMap<hold::Rank, Arc<Notify>>,
+    arrivals: u64,
 }
 
 impl Service {
@@ -103,7 +107,15 @@
             upstreams: Vec::new(),
             health: health::Health::new(options),
             mean: 0.0,
-            settled: true,
+            waiting: BTreeMap::new(),
+            arrivals: 0,
+        }
+    }
+
+    /// Lets the first that waits look again.
+    fn wake_first(&self) {
+        if let Some((_, first)) = self.waiting.first_key_value() {
+            first.notify_one();
         }
     }
 
@@ -152,6 +164,7 @@
     place: id::PlaceId,
     started: Instant,
     options: assign::Options,
+    hold: hold::Options,
     services: Mutex<HashMap<id::ServiceId, Arc<Mutex<Service>>>>,
     sessions: Mutex<Sessions>,
     known: Mutex<bool>,
@@ -172,6 +185,7 @@
             place,
             started: Instant::now(),
             options: assign::Options::default(),
+            hold: hold::Options::default(),
             services: Mutex::default(),
             sessions: Mutex::default(),
             known: Mutex::new(false),
@@ -213,9 +227,6 @@
         for id in missing {
             self.remove(&id, settled);
         }
-        for service in self.services.lock().values() {
-            service.lock().settled = settled;
-        }
     }
 
     /// Adds or changes one upstream.
@@ -284,7 +295,7 @@
         }
     }
 
-    /// Chooses an upstream of `service`.
+    /// Chooses an upstream of `service`, whether it has a free slot or not.
     ///
     /// # Errors
     ///
@@ -294,11 +305,52 @@
         service_id: &id::ServiceId,
         want: &Want<'_>,
     ) -> Result<Lease, error::Error> {
-        let none = || {
-            let message = format!("no upstream of `{service_id}` takes work");
-            error::Error::new(error::Kind::NoUpstream, message)
-        };
+        let none = || no_upstream(service_id);
         let service = self.service(service_id).ok_or_else(none)?;
+        let picked = self.pick(&service, want, false);
+        picked.ok_or_else(none)?.ok_or_else(none)
+    }
+
+    /// Waits until an upstream of `service` has a free slot and the call is the first of those that
+    /// wait, for some time at most, and chooses one.
+    ///
+    /// # Errors
+    ///
+    /// `NoUpstream` when none may get new work.
+    pub async fn acquire(
+        self: &Arc<Self>,
+        service_id: &id::ServiceId,
+        want: &Want<'_>,
+    ) -> Result<Lease, error::Error> {
+        let none = || no_upstream(service_id);
+        let service = self.service(service_id).ok_or_else(none)?;
+        let ticket = Ticket::draw(&service, |number| {
+            self.hold.rank(&want.hold, self.now(), number)
+        });
+        let begun = Instant::now();
+        while begun.elapsed() < self.hold.most {
+            if ticket.is_first()
+                && let Some(lease) = self.pick(&service, want, true).ok_or_else(none)?
+            {
+                metrics::histogram!("fw_gate_held_seconds").record(begun.elapsed().as_secs_f64());
+                return Ok(lease);
+            }
+            // Heard of or not: what is known of the load fades.
+            let _ = tokio::time::timeout(self.hold.look, ticket.turn.notified()).await;
+        }
+        drop(ticket);
+        metrics::counter!("fw_gate_held_too_long_total").increment(1);
+        self.choose(service_id, want)
+    }
+
+    /// The best upstream; `Some(None)` when none has a free slot and `only_free` asks for one,
+    /// `None` when there is none at all.
+    fn pick(
+        self: &Arc<Self>,
+        service: &Arc<Mutex<Service>>,
+        want: &Want<'_>,
+        only_free: bool,
+    ) -> Option<Option<Lease>> {
         let mut locked = service.lock();
         let now = self.now();
         let usable = |upstream: &Upstream, strict: bool| {
@@ -319,10 +371,21 @@
         }
         let among: Vec<_> = indices.iter().map(|at| &locked.upstreams[*at]).collect();
         let warm = self.warm(want, &among);
-        let candidates: Vec<_> = indices
+        let mut candidates: Vec<_> = indices
             .iter()
             .map(|at| self.candidate(&locked.upstreams[*at], &warm, want))
             .collect();
+        if candidates.is_empty() {
+            return None;
+        }
+        if only_free {
+            let free = |candidate: &assign::Candidate| {
+                let load = candidate.load(&self.options);
+                self.hold.has_room(candidate.slots, load)
+            };
+            let kept = candidates.iter().zip(&indices).filter(|(c, _)| free(c));
+            (candidates, indices) = kept.map(|(c, at)| (*c, *at)).unzip();
+        }
         let options = assign::Options {
             call: if locked.mean > 0.0 {
                 Duration::from_secs_f64(locked.mean)
@@ -331,12 +394,14 @@
             },
             ..self.options.clone()
         };
-        let chosen = assign::choose(&options, &candidates, &mut rand::rng()).ok_or_else(none)?;
+        let Some(chosen) = assign::choose(&options, &candidates, &mut rand::rng()) else {
+            return Some(None);
+        };
         let upstream = &mut locked.upstreams[indices[chosen]];
         upstream.own += 1;
         let lease = Lease {
             fleet: Arc::clone(self),
-            service: Arc::clone(&service),
+            service: Arc::clone(service),
             id: upstream.listed.id.clone(),
             addr: upstream.listed.addr,
             begun: Instant::now(),
@@ -345,7 +410,7 @@
         for session in [want.affinity, want.program].into_iter().flatten() {
             self.sessions.lock().put(session, &lease.id);
         }
-        Ok(lease)
+        Some(Some(lease))
     }
 
     /// A further call to an upstream that was chosen before, if it may still get work.
@@ -402,10 +467,12 @@
         let now = Instant::now();
         let others: HashMap<u16, u16> = others.iter().copied().collect();
         for service in self.all_services() {
-            for upstream in &mut service.lock().upstreams {
+            let mut service = service.lock();
+            for upstream in &mut service.upstreams {
                 upstream.others = others.get(&upstream.short).copied().unwrap_or(0).into();
                 upstream.reported = now;
             }
+            service.wake_first();
         }
     }
 
@@ -484,12 +551,55 @@
 
 impl Drop for Lease {
     fn drop(&mut self) {
-        if let Some(upstream) = self.service.lock().find(&self.id) {
+        let mut service = self.service.lock();
+        if let Some(upstream) = service.find(&self.id) {
             upstream.own = upstream.own.saturating_sub(1);
         }
+        service.wake_first();
     }
 }
 
+/// A call's place among those that wait; given up when dropped.
+struct Ticket<'a> {
+    service: &'a Mutex<Service>,
+    rank: hold::Rank,
+    turn: Arc<Notify>,
+}
+
+impl<'a> Ticket<'a> {
+    fn draw(service: &'a Mutex<Service>, rank: impl FnOnce(u64) -> hold::Rank) -> Self {
+        let mut locked = service.lock();
+        locked.arrivals += 1;
+        let rank = rank(locked.arrivals);
+        let turn = Arc::new(Notify::new());
+        locked.waiting.insert(rank, Arc::clone(&turn));
+        Self {
+            service,
+            rank,
+            turn,
+        }
+    }
+
+    fn is_first(&self) -> bool {
+        let service = self.service.lock();
+        let first = service.waiting.first_key_value();
+        first.is_some_and(|(rank, _)| *rank == self.rank)
+    }
+}
+
+impl Drop for Ticket<'_> {
+    fn drop(&mut self) {
+        let mut service = self.service.lock();
+        service.waiting.remove(&self.rank);
+        service.wake_first();
+    }
+}
+
+fn no_upstream(service: &id::ServiceId) -> error::Error {
+    let message = format!("no upstream of `{service}` takes work");
+    error::Error::new(error::Kind::NoUpstream, message)
+}
+
 impl Lease {
     /// An idle connection to the upstream.
     pub fn idle_link(&self) -> Option<link::Link> {
--- a/fw-gate/src/request/call.rs
+++ b/fw-gate/src/request/call.rs
@@ -34,6 +34,8 @@
     pub program: Option<id::ProgramId>,
     /// The line of turns, or the object, whose upstream is faster the second time.
     pub affinity: Option<SmolStr>,
+    /// Time until the program should be finished; `None` if it is not told.
+    pub program_deadline: Option<Duration>,
     /// Tokens of the prompt.
     pub prompt_tokens: id::Tokens,
     /// Tokens generated at most.
@@ -65,6 +67,8 @@
             deadline: number(headers, &names.deadline_ms)?.map(Duration::from_millis),
             program: text(headers, &names.program)?,
             affinity: object.or(session),
+            program_deadline: number(headers, &names.program_deadline_ms)?
+                .map(Duration::from_millis),
             prompt_tokens,
             most_tokens,
             budget: number(headers, &names.budget)?,
--- a/fw-gate/src/request/plain.rs
+++ b/fw-gate/src/request/plain.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use fw_base::{digest, error, id};
-use fw_plan::{health, retry};
+use fw_plan::{health, hold, retry};
 use http_body_util::{BodyExt, Limited};
 use hyper::Response;
 use tokio::time::Instant;
@@ -50,20 +50,35 @@
 }
 
 impl Job<'_> {
-    /// An upstream for the next attempt.
+    /// An upstream for the next attempt; that of a stream waits for a free slot.
     ///
     /// # Errors
     ///
     /// `NoUpstream` when there is none.
-    pub fn choose(&self, tries: &Tries) -> Result<fleet::Lease, error::Error> {
+    pub async fn choose(&self, tries: &Tries) -> Result<fleet::Lease, error::Error> {
         self.gate.check_poison(&self.fingerprint)?;
         let want = fleet::Want {
             affinity: self.call.affinity.as_ref(),
             program: self.call.program.as_ref(),
             prompt_tokens: self.call.prompt_tokens,
             avoid: &tries.avoid,
+            hold: hold::Call {
+                priority: self.route.priority,
+                late: self
+                    .call
+                    .program_deadline
+                    .is_some_and(|left| left.is_zero()),
+            },
         };
-        self.gate.fleet.choose(self.service, &want)
+        let fleet = &self.gate.fleet;
+        if self.route.kind != config::Kind::Stream {
+            return fleet.choose(self.service, &want);
+        }
+        let acquired = tokio::time::timeout_at(self.until, fleet.acquire(self.service, &want));
+        acquired.await.unwrap_or_else(|_| {
+            let message = "no slot became free before the deadline";
+            Err(error::Error::new(error::Kind::DeadlineUnmeetable, message))
+        })
     }
 
     /// Waits until the next attempt.
@@ -129,7 +144,7 @@
     job.gate.earn_retry(job.service);
     let mut tries = Tries::default();
     loop {
-        let lease = match job.choose(&tries) {
+        let lease = match job.choose(&tries).await {
             Ok(lease) => lease,
             Err(err) => return Err(err.after(tries.earlier.take())),
         };
--- a/fw-gate/src/request/stream.rs
+++ b/fw-gate/src/request/stream.rs
@@ -104,7 +104,7 @@
     job.gate.earn_retry(&job.service);
     let mut tries = plain::Tries::default();
     loop {
-        let lease = match attempt.choose(&tries) {
+        let lease = match attempt.choose(&tries).await {
             Ok(lease) => lease,
             Err(err) => return Err(err.after(tries.earlier.take())),
         };
@@ -332,7 +332,7 @@
                         avoid: avoid.clone(),
                         ..plain::Tries::default()
                     };
-                    self.job.attempt().choose(&tries).ok()?
+                    self.job.attempt().choose(&tries).await.ok()?
                 }
             };
             let id = lease.id.clone();
--- /dev/null
+++ b/fw-plan/src/hold.rs
@@ -0,0 +1,84 @@
+//! Holding calls back: which waiting call is sent first, and when.
+//!
+//! *Load pattern:* a burst brings more turns than the engines have slots. Engines know no priorities
+//! and run what arrives in the order of arrival.
+//!
+//! *Without it:* each turn is bound to an engine at once and waits in that engine's queue, also
+//! when another becomes free first; an urgent turn waits behind others, and a turn whose program
+//! is late already delays one that could still be in time.
+//!
+//! *Rule:* a call is sent only to an upstream with room, by what is known of everybody's calls.
+//! Until there is one it waits here, in order of arrival, as if those of less urgent routes and of
+//! programs that are late already had arrived a little later. After [`Options::most`] it is sent
+//! all the same, so that a wrong picture of the load holds nobody back for long.
+//!
+//! *Grounds:* strict priority served the urgent route 2 in 100 better and the other 8 in 100
+//! worse, and less in all; in pure order of arrival the urgent route, whose programs are longer,
+//! came off worse by 5 in 100. [`Options`] names the figures.
+
+use std::time::Duration;
+
+/// How calls are held back.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Calls beyond its slots that an upstream may get: the next ones, so that it does not idle for
+    /// their way, and room for a picture of the load that is some tens of milliseconds old.
+    pub beyond: f64,
+    /// How much later a call of the next less urgent route seems to arrive. About the time that a
+    /// slot takes to become free in a burst.
+    pub less_urgent: Duration,
+    /// How much later a call seems to arrive whose program has missed its time.
+    pub late: Duration,
+    /// Longest time that a call is held back: well below a caller's patience of some seconds.
+    pub most: Duration,
+    /// Pause after which the picture of the load is looked at again if nothing is heard.
+    pub look: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            beyond: 2.0,
+            less_urgent: Duration::from_millis(80),
+            late: Duration::from_millis(300),
+            most: Duration::from_millis(400),
+            look: Duration::from_millis(25),
+        }
+    }
+}
+
+/// A call that may have to wait.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Call {
+    /// The route's priority; 0 is the most urgent.
+    pub priority: u32,
+    /// Whether the call's program has missed its time.
+    pub late: bool,
+}
+
+/// A call's place among those that wait: the least goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    seems: Duration,
+    number: u64,
+}
+
+/// Priorities beyond this one count as this one, so that none waits for ever.
+const LEAST_URGENT: u32 = 3;
+
+impl Options {
+    /// The place of `call` that arrives at `now`; `number` grows with each arrival.
+    pub fn rank(&self, call: &Call, now: Duration, number: u64) -> Rank {
+        let less = self.less_urgent * call.priority.min(LEAST_URGENT);
+        let late = if call.late { self.late } else { Duration::ZERO };
+        Rank {
+            seems: now + less + late,
+            number,
+        }
+    }
+
+    /// Whether an upstream of `slots` that has `load` calls has room for another.
+    pub fn has_room(&self, slots: u32, load: f64) -> bool {
+        load + 1.0 <= f64::from(slots.max(1)) + self.beyond
+    }
+}
--- a/fw-plan/src/lib.rs
+++ b/fw-plan/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod budget;
 pub mod health;
 pub mod hedge;
+pub mod hold;
 pub mod keep;
 pub mod place;
 pub mod poison;
