fw-gate: an upstream whose address another one has draws no calls

The refusal also says 'not run', which was read as 'full'. Change: 421 is told apart before 'not run' and takes the upstream out for four seconds; a call that reached no upstream spends no retry budget.

--- a/fw-gate/src/process/fleet.rs
+++ b/fw-gate/src/process/fleet.rs
@@ -29,6 +29,10 @@
 /// After this time without a call a slow upstream counts as usual again, so that it is tried.
 const FORGET_SLOW: Duration = Duration::from_secs(3);
 
+/// How long an upstream whose address another one has gets no calls. About as long as an entry
+/// without heartbeats stays on the list.
+const REPLACED: Duration = Duration::from_secs(4);
+
 /// Start of an upstream, in milliseconds since the Unix epoch.
 pub type Born = u64;
 
@@ -69,8 +73,10 @@
 #[derive(Debug)]
 struct Upstream {
     listed: Listed,
-    /// When it was first missing from the list; it is still used until the list is settled.
+    /// Missing from the list; it is still used until the list is settled.
     missing: bool,
+    /// Until when another upstream is taken to have its address.
+    replaced_until: Option<Instant>,
     /// Short hash of its id, as entries name it to each other.
     short: u16,
     own: u32,
@@ -251,6 +257,7 @@
                     known.idle.clear();
                     known.others = 0;
                     known.slowness = 1.0;
+                    known.replaced_until = None;
                 }
                 known.missing = false;
                 known.listed = listed;
@@ -264,6 +271,7 @@
                     short: short(&listed.id),
                     listed,
                     missing: false,
+                    replaced_until: None,
                     own: 0,
                     others: 0,
                     reported: Instant::now(),
@@ -354,7 +362,10 @@
         let mut locked = service.lock();
         let now = self.now();
         let usable = |upstream: &Upstream, strict: bool| {
-            let listed = upstream.listed.takes_work;
+            let gone = upstream
+                .replaced_until
+                .is_some_and(|until| Instant::now() < until);
+            let listed = upstream.listed.takes_work && !gone;
             let healthy = locked.health.decide(now, &upstream.listed.id).weight() > 0.0;
             let tried = want.avoid.contains(&upstream.listed.id);
             listed && (!strict || (healthy && !tried))
@@ -639,6 +650,20 @@
         }
     }
 
+    /// Another upstream answered at its address.
+    ///
+    /// *Failure:* an upstream starts anew under another id, and a late heartbeat of its predecessor
+    /// puts the old id back on the list. It refuses at once and looks idle, so that it would draw
+    /// every call first until its entry lapses.
+    pub fn replaced(&self) {
+        let mut service = self.service.lock();
+        if let Some(upstream) = service.find(&self.id) {
+            tracing::warn!(upstream = %self.id, addr = %self.addr, "another upstream has its address");
+            upstream.replaced_until = Some(Instant::now() + REPLACED);
+            upstream.idle.clear();
+        }
+    }
+
     /// What the call showed of the upstream's health.
     pub fn seen(&self, seen: health::Seen) {
         let now = self.fleet.now();
--- a/fw-gate/src/request/plain.rs
+++ b/fw-gate/src/request/plain.rs
@@ -3,6 +3,8 @@
 //! The answer is collected before its first byte goes to the caller, so that one which breaks off
 //! can be asked for again where that is allowed, and never looks complete where it is not.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use fw_base::{digest, error, id};
 use fw_plan::{health, hold, retry};
@@ -49,6 +51,18 @@
     pub earlier: Option<error::Error>,
 }
 
+/// Upstreams that a call may miss before its further attempts spend the retry budget.
+const MOST_UNREACHED: u32 = 4;
+
+/// Whether a failure shows that the call reached no upstream of its service. Sending it on adds no
+/// load to one, so that it needs no retry budget.
+fn reached_none(kind: error::Kind) -> bool {
+    matches!(
+        kind,
+        error::Kind::Misdirected | error::Kind::UpstreamUnreachable
+    )
+}
+
 impl Job<'_> {
     /// An upstream for the next attempt; that of a stream waits for a free slot.
     ///
@@ -99,7 +113,13 @@
             deadline: send::left(self.until),
             retry_after: None,
         };
-        let outcome = self.gate.decide_retry(self.service, &failure);
+        let outcome = if reached_none(err.kind) && tries.failed < MOST_UNREACHED {
+            retry::Outcome::Retry {
+                after: Duration::ZERO,
+            }
+        } else {
+            self.gate.decide_retry(self.service, &failure)
+        };
         tracing::info!(
             request = %self.call.id,
             route = %self.route.name,
--- a/fw-gate/src/request/send.rs
+++ b/fw-gate/src/request/send.rs
@@ -115,10 +115,10 @@
             body,
         }),
         Err(err) => {
-            if err.ran() == error::Ran::No {
-                lease.seen(health::Seen::Answered);
-            } else {
-                lease.seen(health::Seen::Failed);
+            match err.kind {
+                error::Kind::Misdirected => lease.replaced(),
+                _ if err.ran() == error::Ran::No => lease.seen(health::Seen::Answered),
+                _ => lease.seen(health::Seen::Failed),
             }
             Err(Failed { err, broke: false })
         }
@@ -191,12 +191,13 @@
         // A late or second answer to an earlier call.
         return tell(error::Kind::SpoiledAnswer, "answered another call");
     }
-    if headers.contains_key(&names.not_run) {
-        return tell(error::Kind::UpstreamFull, "has not run the call");
-    }
+    // Before the next one: such a refusal may also say that the call has not run.
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         return tell(error::Kind::Misdirected, "is no longer at its address");
     }
+    if headers.contains_key(&names.not_run) {
+        return tell(error::Kind::UpstreamFull, "has not run the call");
+    }
     if head.status.is_success() {
         let whole = headers.contains_key(&names.signature)
             && headers.contains_key(&names.request_id)
