--- /dev/null
+++ b/fw-gate/src/process/fleet/lease.rs
@@ -0,0 +1,177 @@
+//! Calls under way at upstreams, and calls that wait for one.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use fw_base::id;
+use fw_plan::{health, hold};
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+
+use super::{Fleet, Service};
+use crate::connection::link;
+
+/// Idle connections kept to one upstream. More calls than that at once to one upstream from one
+/// entry are rare.
+const IDLE: usize = 4;
+/// Weight of the newest call in an upstream's mean time.
+const SMOOTHING: f64 = 0.2;
+/// How long an upstream whose address another one has gets no calls. About as long as an entry
+/// without heartbeats stays on the list.
+const REPLACED: Duration = Duration::from_secs(4);
+
+/// An upstream's load, as it tells with an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Load {
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+}
+
+/// A call under way at an upstream; counted there until dropped.
+#[derive(Debug)]
+pub struct Lease {
+    pub(super) fleet: Arc<Fleet>,
+    pub(super) service: Arc<Mutex<Service>>,
+    /// The upstream.
+    pub id: id::UpstreamId,
+    /// Where it is called.
+    pub addr: SocketAddr,
+    pub(super) begun: Instant,
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        let mut service = self.service.lock();
+        if let Some(upstream) = service.find(&self.id) {
+            upstream.own = upstream.own.saturating_sub(1);
+        }
+        service.wake_first();
+    }
+}
+
+impl Lease {
+    /// An idle connection to the upstream.
+    pub fn idle_link(&self) -> Option<link::Link> {
+        let mut service = self.service.lock();
+        let upstream = service.find(&self.id)?;
+        while let Some(link) = upstream.idle.pop() {
+            if link.is_usable() {
+                return Some(link);
+            }
+        }
+        None
+    }
+
+    /// Keeps `link` for a later call.
+    pub fn keep_link(&self, mut link: link::Link) {
+        link.rest();
+        if !link.is_usable() {
+            return;
+        }
+        let mut service = self.service.lock();
+        let Some(upstream) = service.find(&self.id) else {
+            return;
+        };
+        upstream.idle.retain(link::Link::is_usable);
+        if upstream.idle.len() < IDLE {
+            upstream.idle.push(link);
+        }
+    }
+
+    /// The upstream told its load.
+    pub fn told(&self, load: Load) {
+        if let Some(upstream) = self.service.lock().find(&self.id) {
+            // Its own word is as of some time ago, but counts what no entry tells.
+            let others = (load.running + load.waiting).saturating_sub(upstream.own);
+            upstream.others = upstream.others.max(others);
+            upstream.reported = Instant::now();
+        }
+    }
+
+    /// Another upstream answered at its address.
+    ///
+    /// *Failure:* an upstream starts anew under another id, and a late heartbeat of its predecessor
+    /// puts the old id back on the list. It refuses at once and looks idle, so that it would draw
+    /// every call first until its entry lapses.
+    pub fn replaced(&self) {
+        let mut service = self.service.lock();
+        if let Some(upstream) = service.find(&self.id) {
+            tracing::warn!(upstream = %self.id, addr = %self.addr, "another upstream has its address");
+            upstream.replaced_until = Some(Instant::now() + REPLACED);
+            upstream.idle.clear();
+        }
+    }
+
+    /// What the call showed of the upstream's health.
+    pub fn seen(&self, seen: health::Seen) {
+        let now = self.fleet.now();
+        let mut service = self.service.lock();
+        let before = service.health.decide(now, &self.id).weight() > 0.0;
+        service.health.seen(now, &self.id, seen);
+        let after = service.health.decide(now, &self.id).weight() > 0.0;
+        if before && !after {
+            tracing::warn!(upstream = %self.id, ?seen, "upstream ejected");
+            metrics::counter!("fw_gate_ejections_total").increment(1);
+        }
+    }
+
+    /// The call ended well; `size` is what it was worth, in any unit that is the same for all
+    /// calls of a service.
+    pub fn done(&self, size: f64) {
+        self.seen(health::Seen::Answered);
+        let took = self.begun.elapsed().as_secs_f64();
+        let mut service = self.service.lock();
+        let mean = &mut service.mean;
+        *mean = if *mean > 0.0 {
+            *mean + (took - *mean) * SMOOTHING * 0.1
+        } else {
+            took
+        };
+        let expected = *mean * size;
+        if let Some(upstream) = service.find(&self.id) {
+            let ratio = took / expected.max(1e-3);
+            upstream.slowness += (ratio - upstream.slowness) * SMOOTHING;
+            upstream.called = Instant::now();
+        }
+    }
+}
+
+/// A call's place among those that wait; given up when dropped.
+pub(super) struct Ticket<'a> {
+    service: &'a Mutex<Service>,
+    rank: hold::Rank,
+    /// Notified when it may be the first.
+    pub(super) turn: Arc<Notify>,
+}
+
+impl<'a> Ticket<'a> {
+    pub(super) fn draw(service: &'a Mutex<Service>, rank: impl FnOnce(u64) -> hold::Rank) -> Self {
+        let mut locked = service.lock();
+        locked.arrivals += 1;
+        let rank = rank(locked.arrivals);
+        let turn = Arc::new(Notify::new());
+        locked.waiting.insert(rank, Arc::clone(&turn));
+        Self {
+            service,
+            rank,
+            turn,
+        }
+    }
+
+    pub(super) fn is_first(&self) -> bool {
+        let service = self.service.lock();
+        let first = service.waiting.first_key_value();
+        first.is_some_and(|(rank, _)| *rank == self.rank)
+    }
+}
+
+impl Drop for Ticket<'_> {
+    fn drop(&mut self) {
+        let mut service = self.service.lock();
+        service.waiting.remove(&self.rank);
+        service.wake_first();
+    }
+}
--- a/fw-replica/src/client.rs
+++ b/fw-replica/src/client.rs
@@ -1,9 +1,8 @@
 //! Calls to the replicas, and the quorums over them.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_util::StreamExt;
 use futures_util::future::join_all;
@@ -11,23 +10,14 @@
 use parking_lot::Mutex;
 use snafu::Snafu;
 
-use crate::{codec, ledger, member, record, relay, service};
+use crate::{ledger, links, member, record, service};
 
-/// How long a replica that refused a connection is not tried again.
-const CONNECT: Duration = Duration::from_millis(300);
-/// How long a connection by way of another entry is used before the direct way is tried again.
-const DETOUR: Duration = Duration::from_secs(5);
-/// Longest wait for one answer: several times a slow disk's sync with a queue before it.
-const ANSWER: Duration = Duration::from_millis(700);
 /// Pauses before a settlement is sent again to a replica that did not store it.
 const AGAIN: [Duration; 3] = [
     Duration::from_millis(100),
     Duration::from_millis(500),
     Duration::from_millis(2_000),
 ];
-/// How long a replica that failed is asked last.
-const AVOID: Duration = Duration::from_secs(1);
-
 /// Why a turn may not begin.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum Error {
@@ -59,37 +49,16 @@
     },
 }
 
-/// One connection, kept until it fails.
-#[derive(Debug, Default)]
-struct Link {
-    client: Option<service::ReplicaClient>,
-    /// Grows with each new connection, so that a late failure does not drop a newer one.
-    generation: u64,
-    failed: Option<Instant>,
-    /// Since when it goes by way of another entry.
-    detour: Option<Instant>,
-}
-
 /// The replicas, as an entry or another replica sees them.
 #[derive(Debug)]
 pub struct Client {
     faults: usize,
     view: Mutex<member::View>,
-    links: Mutex<HashMap<SocketAddr, Arc<tokio::sync::Mutex<Link>>>>,
-    costs: Mutex<HashMap<SocketAddr, Cost>>,
+    links: links::Links,
     /// Replicas that the operator wants emptied.
     retire: Mutex<Vec<record::ReplicaId>>,
     /// Where replicas may be found while no member list is known.
     seeds: Vec<SocketAddr>,
-    /// Entries that pass connections on to replicas.
-    peers: Mutex<Vec<SocketAddr>>,
-}
-
-/// What is known of a replica's speed.
-#[derive(Clone, Copy, Debug, Default)]
-struct Cost {
-    took: Duration,
-    failed: Option<Instant>,
 }
 
 impl Client {
@@ -99,11 +68,9 @@
         Arc::new(Self {
             faults,
             view: Mutex::default(),
-            links: Mutex::default(),
-            costs: Mutex::default(),
+            links: links::Links::default(),
             retire: Mutex::default(),
             seeds,
-            peers: Mutex::default(),
         })
     }
 
@@ -115,8 +82,7 @@
         }
         tracing::info!(epoch = view.epoch, members = ?view.list.members, "member list");
         self.links
-            .lock()
-            .retain(|addr, _| view.list.addrs().any(|known| known == *addr));
+            .retain(|addr| view.list.addrs().any(|known| known == addr));
         *known = view;
         true
     }
@@ -142,7 +108,7 @@
             tokio::spawn(async move {
                 for pause in AGAIN {
                     let (view, retire) = (view.clone(), retire.clone());
-                    let told = client.call(addr, |client, cx| async move {
+                    let told = client.links.call(addr, |client, cx| async move {
                         client.tell(cx, view, retire).await
                     });
                     if told.await == Some(true) {
@@ -163,12 +129,7 @@
     fn members(&self) -> (member::Epoch, Vec<SocketAddr>) {
         let view = self.view.lock();
         let mut addrs: Vec<_> = view.list.addrs().collect();
-        let costs = self.costs.lock();
-        addrs.sort_by_key(|addr| {
-            let cost = costs.get(addr).copied().unwrap_or_default();
-            let failed = cost.failed.is_some_and(|at| at.elapsed() < AVOID);
-            (failed, cost.took)
-        });
+        self.links.sort(&mut addrs);
         (view.epoch, addrs)
     }
 
@@ -202,9 +163,7 @@
         }
         if let Some(others) = &round.others {
             tell(&others.calls);
-            if !others.peers.is_empty() {
-                self.peers.lock().clone_from(&others.peers);
-            }
+            self.links.learn_peers(&others.peers);
         }
         if let Some(reserve) = &reserve {
             self.judge(members.len(), reserve, &round)?;
@@ -460,15 +419,16 @@
     }
 
     async fn call_begin(&self, addr: SocketAddr, req: service::Begin) -> Option<service::Begun> {
-        self.call(
-            addr,
-            |client, cx| async move { client.begin(cx, req).await },
-        )
-        .await
+        self.links
+            .call(
+                addr,
+                |client, cx| async move { client.begin(cx, req).await },
+            )
+            .await
     }
 
     async fn call_finish(&self, addr: SocketAddr, req: service::Finish) -> bool {
-        let stored = self.call(
+        let stored = self.links.call(
             addr,
             |client, cx| async move { client.finish(cx, req).await },
         );
@@ -480,14 +440,16 @@
         addr: SocketAddr,
         program: record::ProgramId,
     ) -> Option<Vec<ledger::Line>> {
-        self.call(addr, |client, cx| async move {
-            client.ledger(cx, program).await
-        })
-        .await
+        self.links
+            .call(addr, |client, cx| async move {
+                client.ledger(cx, program).await
+            })
+            .await
     }
 
     async fn call_chain(&self, addr: SocketAddr, id: record::TurnId) -> Option<service::Chain> {
-        self.call(addr, |client, cx| async move { client.chain(cx, id).await })
+        self.links
+            .call(addr, |client, cx| async move { client.chain(cx, id).await })
             .await
     }
 
@@ -498,15 +460,16 @@
         reader: record::ReplicaId,
         after: service::Position,
     ) -> Option<service::Page> {
-        self.call(addr, |client, cx| async move {
-            client.list(cx, reader, after).await
-        })
-        .await
+        self.links
+            .call(addr, |client, cx| async move {
+                client.list(cx, reader, after).await
+            })
+            .await
     }
 
     /// Tells one replica a member list; whether it refuses older ones from now on.
     pub async fn announce(&self, addr: SocketAddr, view: member::View) -> bool {
-        let told = self.call(addr, |client, cx| async move {
+        let told = self.links.call(addr, |client, cx| async move {
             client.tell(cx, view, Vec::new()).await
         });
         told.await.unwrap_or(false)
@@ -520,6 +483,7 @@
             tokio::spawn(async move {
                 // One that does not get it gets the next.
                 let _ = client
+                    .links
                     .call(
                         addr,
                         |client, cx| async move { client.post(cx, bulletin).await },
@@ -544,7 +508,7 @@
 
     /// The same of one replica.
     pub async fn news_of(&self, addr: SocketAddr, after: u64) -> Option<service::Bulletin> {
-        let answer = self.call(
+        let answer = self.links.call(
             addr,
             |client, cx| async move { client.news(cx, after).await },
         );
@@ -560,7 +524,8 @@
 
     /// Asks how a replica is.
     pub async fn ping(&self, addr: SocketAddr) -> Option<service::Pong> {
-        self.call(addr, |client, cx| async move { client.ping(cx).await })
+        self.links
+            .call(addr, |client, cx| async move { client.ping(cx).await })
             .await
     }
 
@@ -570,114 +535,12 @@
         addr: SocketAddr,
         ids: Vec<record::TurnId>,
     ) -> Option<Vec<record::Turn>> {
-        self.call(
-            addr,
-            |client, cx| async move { client.fetch(cx, ids).await },
-        )
-        .await
-    }
-
-    /// Makes one call. A connection that fails or goes silent is dropped, so that the next call
-    /// makes a new one: a connection may go silent for good while new ones work.
-    async fn call<T, F>(
-        &self,
-        addr: SocketAddr,
-        send: impl FnOnce(service::ReplicaClient, tarpc::context::Context) -> F,
-    ) -> Option<T>
-    where
-        F: Future<Output = Result<T, tarpc::client::RpcError>>,
-    {
-        let link = Arc::clone(self.links.lock().entry(addr).or_default());
-        let started = Instant::now();
-        let connected = self.connected(&link, addr).await;
-        let Some((client, generation)) = connected else {
-            self.note(addr, None);
-            return None;
-        };
-        let mut cx = tarpc::context::current();
-        cx.deadline = Instant::now() + ANSWER;
-        match tokio::time::timeout(ANSWER, send(client, cx)).await {
-            Ok(Ok(answer)) => {
-                self.note(addr, Some(started.elapsed()));
-                Some(answer)
-            }
-            failed => {
-                let why = match failed {
-                    Ok(Err(err)) => err.to_string(),
-                    _ => format!("no answer within {ANSWER:?}"),
-                };
-                tracing::warn!(%addr, why, "a call to a replica failed");
-                metrics::counter!("fw_replica_call_failures_total").increment(1);
-                self.note(addr, None);
-                let mut link = link.lock().await;
-                if link.generation == generation {
-                    link.client = None;
-                }
-                None
-            }
-        }
-    }
-
-    async fn connected(
-        &self,
-        link: &tokio::sync::Mutex<Link>,
-        addr: SocketAddr,
-    ) -> Option<(service::ReplicaClient, u64)> {
-        let mut link = link.lock().await;
-        let detour_is_old = link.detour.is_some_and(|since| since.elapsed() > DETOUR);
-        if let Some(client) = link.client.as_ref().filter(|_| !detour_is_old) {
-            return Some((client.clone(), link.generation));
-        }
-        // Callers that waited for a connection which was refused share the refusal.
-        if link.failed.is_some_and(|at| at.elapsed() < CONNECT) {
-            return None;
-        }
-        let (direct, mut detour) = (relay::dial(addr).await, None);
-        let stream = match direct {
-            Some(stream) => Some(stream),
-            None => {
-                detour = Some(Instant::now());
-                self.dial_around(addr).await
-            }
-        };
-        let Some(stream) = stream else {
-            link.failed = Some(Instant::now());
-            return None;
-        };
-        let framed = tarpc::serde_transport::new(codec::framed(stream), codec::Postcard::default());
-        let client = service::ReplicaClient::new(tarpc::client::Config::default(), framed).spawn();
-        link.failed = None;
-        link.generation += 1;
-        link.client = Some(client.clone());
-        link.detour = detour;
-        Some((client, link.generation))
-    }
-
-    /// Connects to a replica by way of another entry.
-    async fn dial_around(&self, addr: SocketAddr) -> Option<tokio::net::TcpStream> {
-        let peers = self.peers.lock().clone();
-        for peer in peers {
-            if let Some(stream) = relay::dial_by(peer, addr).await {
-                tracing::info!(%addr, %peer, "a replica is reached by way of another entry");
-                metrics::counter!("fw_replica_detours_total").increment(1);
-                return Some(stream);
-            }
-        }
-        None
-    }
-
-    /// Notes how long a call took; `None` if it failed.
-    fn note(&self, addr: SocketAddr, took: Option<Duration>) {
-        let mut costs = self.costs.lock();
-        let cost = costs.entry(addr).or_default();
-        match took {
-            Some(took) if cost.took.is_zero() => cost.took = took,
-            Some(took) => cost.took = cost.took * 7 / 8 + took / 8,
-            None => cost.failed = Some(Instant::now()),
-        }
-        if took.is_some() {
-            cost.failed = None;
-        }
+        self.links
+            .call(
+                addr,
+                |client, cx| async move { client.fetch(cx, ids).await },
+            )
+            .await
     }
 }
 
--- a/fw-replica/src/lib.rs
+++ b/fw-replica/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod codec;
 pub mod journal;
 pub mod ledger;
+pub mod links;
 pub mod member;
 pub mod record;
 pub mod relay;
