--- /dev/null
+++ b/fw-replica/src/journal/mod.rs
@@ -0,0 +1,268 @@
+//! The append-only records, in files of bounded size.
+//!
+//! Records are appended to the newest file, the current segment, and acknowledged only after it is
+//! synced. A segment that has reached [`Options::segment`] is followed by a new one. A segment is
+//! removed once nothing in it has to be kept any longer, so that the disk holds what is in
+//! retention and not all that ever was.
+//!
+//! Each segment begins with the records that have no end ([`Standing`]), so that the older ones
+//! can go. It gets its name only when these are on disk: a loss of power leaves either no new
+//! segment or one with its whole head.
+
+use std::fs::File;
+use std::io;
+use std::path::{Path, PathBuf};
+
+use snafu::{ResultExt, Snafu};
+
+use crate::record;
+
+pub use files::{Files, Place, SegmentId};
+pub use frame::encode;
+
+mod files;
+mod frame;
+
+/// Why the journal cannot be used.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum Error {
+    /// The disk failed.
+    #[snafu(display("cannot {what} the journal: {source}"))]
+    Io {
+        /// What was tried.
+        what: &'static str,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// A record is not one of this version's.
+    #[snafu(display("segment {segment} holds an unreadable record at byte {at}: {source}"))]
+    Unreadable {
+        /// The segment.
+        segment: SegmentId,
+        /// Offset of its payload.
+        at: u32,
+        /// What the decoder saw.
+        source: postcard::Error,
+    },
+    /// The segment was removed, as all in it had been kept long enough.
+    #[snafu(display("segment {segment} was removed"))]
+    Removed {
+        /// The segment.
+        segment: SegmentId,
+    },
+}
+
+/// How a journal is kept.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Bytes after which a segment is followed by a new one. With 4 MiB a disk of 390 MB holds some
+    /// ninety, so that at most one in ninety of it is kept too long, and reading one again takes
+    /// some milliseconds of a processor.
+    pub segment: u32,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self { segment: 4 << 20 }
+    }
+}
+
+/// The newest records of the kinds that never lapse.
+#[derive(Clone, Debug, Default)]
+struct Standing {
+    synced: Option<record::Record>,
+    members: Option<record::Record>,
+    bulletin: Option<record::Record>,
+}
+
+impl Standing {
+    fn note(&mut self, record: &record::Record) {
+        let place = match record {
+            record::Record::Synced(_) => &mut self.synced,
+            record::Record::Members(_) => &mut self.members,
+            record::Record::Bulletin(_) => &mut self.bulletin,
+            record::Record::Turn(_) | record::Record::Charge(_) => return,
+        };
+        *place = Some(record.clone());
+    }
+
+    fn records(&self) -> impl Iterator<Item = &record::Record> {
+        let all = [&self.synced, &self.members, &self.bulletin];
+        all.into_iter().flatten()
+    }
+}
+
+/// An open journal.
+#[derive(Debug)]
+pub struct Journal {
+    dir: PathBuf,
+    opts: Options,
+    files: Files,
+    current: SegmentId,
+    end: u32,
+    standing: Standing,
+}
+
+impl Journal {
+    /// Opens the journal in `dir`, hands each record to `each`, and cuts a broken end off.
+    ///
+    /// After a loss of power a write that was not synced may be there, missing or torn, whatever
+    /// came after it. All behind the first broken frame was never acknowledged.
+    ///
+    /// # Errors
+    ///
+    /// When the disk fails or a whole record cannot be decoded.
+    pub fn open(
+        dir: &Path,
+        opts: Options,
+        mut each: impl FnMut(record::Record, Place),
+    ) -> Result<Self, Error> {
+        std::fs::create_dir_all(dir).context(IoSnafu { what: "create" })?;
+        let mut journal = Self {
+            dir: dir.to_owned(),
+            opts,
+            files: Files::default(),
+            current: 0,
+            end: 0,
+            standing: Standing::default(),
+        };
+        for segment in files::list(dir)? {
+            let file = files::open(dir, segment)?;
+            journal.current = segment;
+            journal.end = journal.replay(segment, &file, &mut each)?;
+        }
+        match journal.files.get(journal.current) {
+            Some(file) => cut(&file, journal.end)?,
+            None => journal.rotate()?,
+        }
+        Ok(journal)
+    }
+
+    /// Appends `records` and syncs them. The place of each, or `None` where one cannot be encoded.
+    ///
+    /// # Errors
+    ///
+    /// When the disk refuses. What was written of them is cut off again, so that the journal can
+    /// be used when the disk accepts writes once more.
+    pub fn append(&mut self, records: &[record::Record]) -> Result<Vec<Option<Place>>, Error> {
+        if self.end >= self.opts.segment
+            && let Err(err) = self.rotate()
+        {
+            // A disk that refuses a new file may still take more of the present one.
+            tracing::warn!(%err, segment = self.current, "the segment is not followed by a new one");
+        }
+        let (frames, places) = self.encode_all(records);
+        self.write(&frames)?;
+        for record in records {
+            self.standing.note(record);
+            self.files.note(self.current, record.until());
+        }
+        Ok(places)
+    }
+
+    /// Removes the oldest segment.
+    ///
+    /// # Errors
+    ///
+    /// When the disk refuses. It is no longer read from all the same.
+    pub fn remove(&mut self, segment: SegmentId) -> Result<(), Error> {
+        if segment == self.current {
+            return Ok(());
+        }
+        self.files.forget(segment);
+        let path = files::path(&self.dir, segment);
+        std::fs::remove_file(path).context(IoSnafu {
+            what: "remove a segment of",
+        })?;
+        sync_dir(&self.dir)
+    }
+
+    /// The segments, for reads from other threads.
+    pub fn files(&self) -> Files {
+        self.files.clone()
+    }
+
+    /// Reads all of a segment; returns where its last whole frame ends.
+    fn replay(
+        &mut self,
+        segment: SegmentId,
+        file: &File,
+        each: &mut impl FnMut(record::Record, Place),
+    ) -> Result<u32, Error> {
+        let file = file.try_clone().context(IoSnafu { what: "open" })?;
+        self.files.add(segment, file);
+        self.files.scan(segment, |record, place| {
+            self.standing.note(&record);
+            self.files.note(segment, record.until());
+            each(record, place);
+        })
+    }
+
+    fn encode_all(&self, records: &[record::Record]) -> (Vec<u8>, Vec<Option<Place>>) {
+        let mut frames = Vec::new();
+        let place = |record| {
+            let at = self.end + frames.len() as u32 + frame::HEAD;
+            let encoded = encode(record, &mut frames);
+            let len = encoded.inspect_err(|err| tracing::error!(%err, "a record is not encoded"));
+            Some(Place {
+                segment: self.current,
+                at,
+                len: len.ok()?,
+            })
+        };
+        let places = records.iter().map(place).collect();
+        (frames, places)
+    }
+
+    fn write(&mut self, frames: &[u8]) -> Result<(), Error> {
+        let segment = self.current;
+        let file = self.files.get(segment);
+        let file = file.ok_or(Error::Removed { segment })?;
+        if let Err(err) = write_synced(&file, self.end, frames) {
+            cut(&file, self.end)?;
+            return Err(err);
+        }
+        self.end += frames.len() as u32;
+        Ok(())
+    }
+
+    /// Begins a new segment with the standing records at its head.
+    fn rotate(&mut self) -> Result<(), Error> {
+        let segment = self.current + 1;
+        let head: Vec<_> = self.standing.records().cloned().collect();
+        let mut frames = Vec::new();
+        for record in &head {
+            encode(record, &mut frames).context(UnreadableSnafu { segment, at: 0_u32 })?;
+        }
+        let file = files::create(&self.dir, segment, &frames)?;
+        sync_dir(&self.dir)?;
+        self.files.add(segment, file);
+        self.current = segment;
+        self.end = frames.len() as u32;
+        Ok(())
+    }
+}
+
+fn write_synced(file: &File, at: u32, frames: &[u8]) -> Result<(), Error> {
+    use std::os::unix::fs::FileExt;
+
+    file.write_all_at(frames, u64::from(at))
+        .context(IoSnafu { what: "write" })?;
+    file.sync_data().context(IoSnafu { what: "sync" })
+}
+
+/// Cuts off what lies behind `end`.
+fn cut(file: &File, end: u32) -> Result<(), Error> {
+    file.set_len(u64::from(end))
+        .context(IoSnafu { what: "cut" })?;
+    file.sync_all().context(IoSnafu { what: "sync" })
+}
+
+/// Makes new and removed names durable.
+fn sync_dir(dir: &Path) -> Result<(), Error> {
+    let handle = File::open(dir).context(IoSnafu { what: "open" })?;
+    handle.sync_all().context(IoSnafu {
+        what: "sync the directory of",
+    })
+}
--- a/fw-replica/src/ledger.rs
+++ b/fw-replica/src/ledger.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Whether `line` is what is known of its turn.
+    pub fn holds(&self, line: &Line) -> bool {
+        self.lines.get(&line.turn) == Some(&(line.tokens, line.settled))
+    }
+
     /// Adds `line`; returns whether anything changed.
     pub fn merge(&mut self, line: &Line, made: record::UnixMs) -> bool {
         self.touched = self.touched.max(made);
--- a/fw-replica/src/record.rs
+++ b/fw-replica/src/record.rs
@@ -19,6 +19,12 @@
 /// A count of model tokens.
 pub type Tokens = u64;
 
+/// How long a charge is kept. A program that was stopped may return within the retention of its
+/// turns; twice the longest seen (60 s) leaves room for clocks that differ.
+pub const KEEP_CHARGE: Duration = Duration::from_secs(180);
+/// Time that a turn is kept beyond its retention, for clocks that differ.
+pub const KEEP_SLACK: Duration = Duration::from_secs(60);
+
 /// A finished turn: what it was asked and what it answered.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Turn {
@@ -36,6 +42,13 @@
     pub keep: Duration,
 }
 
+impl Turn {
+    /// Until when it has to be kept.
+    pub fn until(&self) -> UnixMs {
+        add(self.ended, self.keep + KEEP_SLACK)
+    }
+}
+
 /// A change of one program's budget.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Charge {
@@ -51,6 +64,13 @@
     pub made: UnixMs,
 }
 
+impl Charge {
+    /// Until when it has to be kept, unless its program is charged again by then.
+    pub fn until(&self) -> UnixMs {
+        add(self.made, KEEP_CHARGE)
+    }
+}
+
 /// One record of the journal.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Record {
@@ -66,3 +86,20 @@
     /// What entries know from the platform's store.
     Bulletin(service::Bulletin),
 }
+
+impl Record {
+    /// Until when it has to be kept. Zero for kinds of which only the newest counts: each segment
+    /// of the journal begins with these.
+    pub fn until(&self) -> UnixMs {
+        match self {
+            Self::Turn(turn) => turn.until(),
+            Self::Charge(charge) => charge.until(),
+            Self::Synced(_) | Self::Members(_) | Self::Bulletin(_) => 0,
+        }
+    }
+}
+
+/// The time `later` than `time`.
+pub fn add(time: UnixMs, later: Duration) -> UnixMs {
+    time.saturating_add(later.as_millis() as u64)
+}
--- a/fw-replica/src/serve.rs
+++ b/fw-replica/src/serve.rs
@@ -63,7 +63,7 @@
     stop: impl Future<Output = ()>,
 ) -> Result<(), Error> {
     let run = u64::from(std::process::id()) ^ server::unix_ms().rotate_left(20);
-    let shared = server::Shared::open(&opts.dir, run)?;
+    let shared = server::Shared::open(&opts.dir, journal::Options::default(), run)?;
     tracing::info!(
         replica = %opts.sync.name,
         addr = ?opts.listen,
--- a/fw-replica/src/server.rs
+++ b/fw-replica/src/server.rs
@@ -14,6 +14,10 @@
 /// Most turns of a chain in one answer. Longer chains are read in several.
 const CHAIN: usize = 256;
 
+/// Charges carried to the newest segment at a time, a few syncs: other records find room in the
+/// writer's queue.
+const CARRY: usize = 512;
+
 /// The time of day.
 pub fn unix_ms() -> record::UnixMs {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -26,7 +30,7 @@
 pub struct Shared {
     state: Mutex<state::State>,
     writer: writer::Writer,
-    reader: journal::Reader,
+    files: journal::Files,
     view: watch::Sender<member::View>,
     retiring: AtomicBool,
     votes: AtomicBool,
@@ -42,12 +46,17 @@
     /// # Errors
     ///
     /// When the disk fails, or holds what cannot be read.
-    pub fn open(dir: &std::path::Path, run: u64) -> Result<Arc<Self>, journal::Error> {
+    pub fn open(
+        dir: &std::path::Path,
+        opts: journal::Options,
+        run: u64,
+    ) -> Result<Arc<Self>, journal::Error> {
         let mut state = state::State::new(run);
-        let journal = journal::Journal::open(dir, |record, place| state.apply(&record, place))?;
+        let apply = |record: record::Record, place| state.apply(&record, place);
+        let journal = journal::Journal::open(dir, opts, apply)?;
         state.expire(unix_ms());
         let view = state.view().clone();
-        let reader = journal.reader()?;
+        let files = journal.files();
         let writer = writer::Writer::start(journal).map_err(|source| journal::Error::Io {
             what: "start the thread of",
             source,
@@ -55,7 +64,7 @@
         Ok(Arc::new(Self {
             state: Mutex::new(state),
             writer,
-            reader,
+            files,
             view: watch::Sender::new(view),
             retiring: AtomicBool::new(false),
             votes: AtomicBool::new(false),
@@ -166,7 +175,7 @@
 
     /// Keeps `bulletin` unless a newer one, or the same, is known.
     pub async fn post(&self, bulletin: service::Bulletin) {
-        let known = self.state.lock().bulletin().cloned();
+        let known = self.bulletin();
         let is_news = |known: service::Bulletin| {
             known.as_of < bulletin.as_of && known.bytes != bulletin.bytes
         };
@@ -186,17 +195,78 @@
         self.state.lock().is_news(charge)
     }
 
-    /// Forgets what has been kept long enough.
-    pub fn expire(&self) {
-        let mut state = self.state.lock();
-        state.expire(unix_ms());
-        metrics::gauge!("fw_replica_turns").set(state.turns() as f64);
-        metrics::gauge!("fw_replica_programs").set(state.programs() as f64);
+    /// All charges of `program` that are known here.
+    pub fn ledger(&self, program: &record::ProgramId) -> Vec<ledger::Line> {
+        self.state.lock().ledger(program)
+    }
+
+    /// The newest bulletin.
+    pub fn bulletin(&self) -> Option<service::Bulletin> {
+        self.state.lock().bulletin().cloned()
+    }
+
+    /// Forgets what has been kept long enough at `now`, and removes the oldest segment of the
+    /// journal if nothing else is in it.
+    pub async fn expire(&self, now: record::UnixMs) {
+        {
+            let mut state = self.state.lock();
+            state.expire(now);
+            metrics::gauge!("fw_replica_turns").set(state.turns() as f64);
+            metrics::gauge!("fw_replica_programs").set(state.programs() as f64);
+        }
+        metrics::gauge!("fw_replica_segments").set(self.files.count() as f64);
+        if let Some(segment) = self.files.lapsed(now) {
+            self.remove(segment).await;
+        }
+    }
+
+    /// Removes a segment, once the charges in it that still count are in the newest one.
+    async fn remove(&self, segment: journal::SegmentId) {
+        let charges = match self.live_charges(segment) {
+            Ok(charges) => charges,
+            Err(err) => {
+                metrics::counter!("fw_replica_disk_errors_total").increment(1);
+                tracing::error!(%err, segment, "a segment cannot be read");
+                return;
+            }
+        };
+        let carried = charges.len();
+        if self.carry(charges).await && self.writer.remove(segment).await {
+            tracing::info!(segment, carried, "a segment was kept long enough");
+        }
+    }
+
+    /// Writes charges once more; whether all are on disk. They are not applied, as the state has
+    /// them already.
+    async fn carry(&self, charges: Vec<record::Charge>) -> bool {
+        for charges in charges.chunks(CARRY) {
+            let records = charges.iter().cloned().map(record::Record::Charge);
+            let stored = join_all(records.map(|record| self.writer.store(record))).await;
+            if stored.iter().any(Option::is_none) {
+                return false;
+            }
+        }
+        true
+    }
+
+    fn live_charges(
+        &self,
+        segment: journal::SegmentId,
+    ) -> Result<Vec<record::Charge>, journal::Error> {
+        let mut charges = Vec::new();
+        self.files.scan(segment, |record, _| {
+            if let record::Record::Charge(charge) = record {
+                charges.push(charge);
+            }
+        })?;
+        let state = self.state.lock();
+        charges.retain(|charge| state.is_live(charge));
+        Ok(charges)
     }
 
     fn read(&self, turn: &record::TurnId) -> Option<record::Turn> {
         let place = self.state.lock().place(turn)?;
-        match self.reader.read(place) {
+        match self.files.read(place) {
             Ok(record::Record::Turn(turn)) => Some(turn),
             Ok(_) => {
                 tracing::error!(%turn, "the index names a record that is no turn");
@@ -305,7 +375,7 @@
         _: tarpc::context::Context,
         program: record::ProgramId,
     ) -> Vec<ledger::Line> {
-        self.0.state.lock().ledger(&program)
+        self.0.ledger(&program)
     }
 
     async fn chain(self, _: tarpc::context::Context, newest: record::TurnId) -> service::Chain {
@@ -353,7 +423,7 @@
         _: tarpc::context::Context,
         after: u64,
     ) -> (Option<service::Bulletin>, member::View) {
-        let known = self.0.state.lock().bulletin().cloned();
+        let known = self.0.bulletin();
         let newer = known.filter(|bulletin| bulletin.as_of > after);
         (newer, self.0.view.borrow().clone())
     }
--- a/fw-replica/src/state.rs
+++ b/fw-replica/src/state.rs
@@ -1,15 +1,9 @@
 //! What a replica knows: an index of the journal, and the ledgers of programs.
 
 use std::collections::{HashMap, VecDeque};
-use std::time::Duration;
 
 use crate::{journal, ledger, member, record, service};
 
-/// How long a ledger is kept after its last charge. A program that was stopped may return within
-/// the retention of its turns; twice the longest seen (60 s) leaves room for clocks that differ.
-pub const KEEP_LEDGER: Duration = Duration::from_secs(180);
-/// Time that a turn is kept beyond its retention, for clocks that differ.
-pub const KEEP_SLACK: Duration = Duration::from_secs(60);
 /// Records in a page of the list.
 const PAGE: usize = 512;
 
@@ -25,8 +19,9 @@
     run: u64,
     turns: HashMap<record::TurnId, Known>,
     ledgers: HashMap<record::ProgramId, ledger::Ledger>,
-    /// Records in the order in which they were stored, from number `dropped` on.
-    order: VecDeque<service::Listed>,
+    /// Records in the order in which they were stored, from number `dropped` on, and until when
+    /// each is listed.
+    order: VecDeque<(record::UnixMs, service::Listed)>,
     dropped: u64,
     synced: bool,
     view: member::View,
@@ -54,8 +49,8 @@
             record::Record::Turn(turn) => self.apply_turn(turn, place),
             record::Record::Charge(charge) => {
                 self.charge(charge);
-                self.order
-                    .push_back(service::Listed::Charge(charge.clone()));
+                let listed = service::Listed::Charge(charge.clone());
+                self.order.push_back((charge.until(), listed));
             }
             record::Record::Synced(synced) => self.synced = *synced,
             record::Record::Members(view) => self.learn(view),
@@ -64,11 +59,11 @@
     }
 
     fn apply_turn(&mut self, turn: &record::Turn, place: journal::Place) {
-        let keep = turn.keep + KEEP_SLACK;
-        let until = turn.ended.saturating_add(keep.as_millis() as u64);
+        let until = turn.until();
         let known = Known { place, until };
         if self.turns.insert(turn.id.clone(), known).is_none() {
-            self.order.push_back(service::Listed::Turn(turn.id.clone()));
+            let listed = service::Listed::Turn(turn.id.clone());
+            self.order.push_back((until, listed));
         }
     }
 
@@ -159,7 +154,8 @@
     ) -> (service::Position, Vec<service::Listed>, bool) {
         let read = if after.run == self.run { after.read } else { 0 };
         let skip = read.saturating_sub(self.dropped) as usize;
-        let records: Vec<_> = self.order.iter().skip(skip).take(PAGE).cloned().collect();
+        let page = self.order.iter().skip(skip).take(PAGE);
+        let records: Vec<_> = page.map(|(_, listed)| listed.clone()).collect();
         let read = read.max(self.dropped) + records.len() as u64;
         let more = read < self.list_end();
         let next = service::Position {
@@ -174,22 +170,32 @@
         self.dropped + self.order.len() as u64
     }
 
+    /// Whether `charge` is still part of its program's ledger.
+    pub fn is_live(&self, charge: &record::Charge) -> bool {
+        let ledger = self.ledgers.get(&charge.program);
+        ledger.is_some_and(|ledger| ledger.holds(&ledger::Line::from(charge)))
+    }
+
     /// Forgets what has been kept long enough.
+    ///
+    /// A ledger is kept whole as long as its program is charged: a replica that copies only the
+    /// newer charges would take the program for one with more budget left than it has. Charges of
+    /// such a program are listed again, behind the others, when their own time is over.
     pub fn expire(&mut self, now: record::UnixMs) {
         self.turns.retain(|_, known| known.until > now);
-        let keep = KEEP_LEDGER.as_millis() as u64;
+        let keep = record::KEEP_CHARGE;
         self.ledgers
-            .retain(|_, ledger| ledger.touched().saturating_add(keep) > now);
-        while let Some(first) = self.order.front() {
-            let expired = match first {
-                service::Listed::Turn(id) => !self.turns.contains_key(id),
-                service::Listed::Charge(charge) => charge.made.saturating_add(keep) <= now,
-            };
-            if !expired {
+            .retain(|_, ledger| record::add(ledger.touched(), keep) > now);
+        while self.order.front().is_some_and(|(until, _)| *until <= now) {
+            let Some((_, listed)) = self.order.pop_front() else {
                 break;
-            }
-            self.order.pop_front();
+            };
             self.dropped += 1;
+            if let service::Listed::Charge(charge) = &listed
+                && self.is_live(charge)
+            {
+                self.order.push_back((record::add(now, keep), listed));
+            }
         }
     }
 
--- a/fw-replica/src/sync.rs
+++ b/fw-replica/src/sync.rs
@@ -113,7 +113,7 @@
                 tokio::time::sleep(self.own_pause()).await;
                 self.reload().await;
             }
-            self.shared.expire();
+            self.shared.expire(server::unix_ms()).await;
             let pause = if self.is_settled() { LOOK } else { LOOK_SOON };
             let _ = tokio::time::timeout(pause, retire.changed()).await;
         }
--- a/fw-replica/src/writer.rs
+++ b/fw-replica/src/writer.rs
@@ -14,9 +14,15 @@
 /// Most records that wait for the disk; beyond that the caller is told that the disk fails.
 const MOST_WAITING: usize = 4_096;
 
-struct Job {
-    record: record::Record,
-    done: oneshot::Sender<Option<journal::Place>>,
+enum Job {
+    Store {
+        record: record::Record,
+        done: oneshot::Sender<Option<journal::Place>>,
+    },
+    Remove {
+        segment: journal::SegmentId,
+        done: oneshot::Sender<bool>,
+    },
 }
 
 /// Hands records to the thread.
@@ -50,53 +56,69 @@
     pub async fn store(&self, record: record::Record) -> Option<journal::Place> {
         let (done, stored) = oneshot::channel();
         // A full queue means that the disk has stood still for seconds.
-        self.jobs.try_send(Job { record, done }).ok()?;
+        self.jobs.try_send(Job::Store { record, done }).ok()?;
         stored.await.ok()?
     }
+
+    /// Removes a segment; whether the disk did.
+    pub async fn remove(&self, segment: journal::SegmentId) -> bool {
+        let (done, removed) = oneshot::channel();
+        let job = Job::Remove { segment, done };
+        self.jobs.try_send(job).is_ok() && removed.await.unwrap_or(false)
+    }
 }
 
 fn run(mut journal: journal::Journal, mut jobs: mpsc::Receiver<Job>) {
     let mut batch = Vec::with_capacity(MOST_TOGETHER);
     while jobs.blocking_recv_many(&mut batch, MOST_TOGETHER) > 0 {
-        write(&mut journal, &mut batch);
-    }
-}
-
-/// Writes all of `batch` and tells each waiting caller.
-fn write(journal: &mut journal::Journal, batch: &mut Vec<Job>) {
-    let mut frames = Vec::new();
-    let mut lens = Vec::with_capacity(batch.len());
-    for job in batch.iter() {
-        match journal::encode(&job.record, &mut frames) {
-            Ok(len) => lens.push(Some(len)),
-            Err(err) => {
-                tracing::error!(%err, "a record cannot be encoded");
-                lens.push(None);
+        let mut records = Vec::with_capacity(batch.len());
+        let mut waiting = Vec::with_capacity(batch.len());
+        for job in batch.drain(..) {
+            match job {
+                Job::Store { record, done } => {
+                    records.push(record);
+                    waiting.push(done);
+                }
+                Job::Remove { segment, done } => {
+                    // A caller that has gone needs no answer.
+                    let _ = done.send(remove(&mut journal, segment));
+                }
             }
         }
+        if !records.is_empty() {
+            write(&mut journal, &records, waiting);
+        }
     }
-    let start = match journal.append(&frames) {
-        Ok(start) => Some(start),
+}
+
+fn remove(journal: &mut journal::Journal, segment: journal::SegmentId) -> bool {
+    match journal.remove(segment) {
+        Ok(()) => true,
         Err(err) => {
-            metrics::counter!("fw_replica_disk_errors_total").increment(1);
-            tracing::error!(%err, records = batch.len(), "the disk refused records");
-            None
+            count_error();
+            tracing::error!(%err, segment, "a segment is not removed");
+            false
         }
-    };
-    let head = journal::HEAD as u64;
-    let mut at = start;
-    for (job, len) in batch.drain(..).zip(lens) {
-        let place = match (at, len) {
-            (Some(offset), Some(len)) => {
-                at = Some(offset + head + len as u64);
-                Some(journal::Place {
-                    at: offset + head,
-                    len: len as u32,
-                })
-            }
-            _ => None,
-        };
+    }
+}
+
+/// Writes all of `records` and tells each waiting caller.
+fn write(
+    journal: &mut journal::Journal,
+    records: &[record::Record],
+    waiting: Vec<oneshot::Sender<Option<journal::Place>>>,
+) {
+    let places = journal.append(records).unwrap_or_else(|err| {
+        count_error();
+        tracing::error!(%err, records = records.len(), "the disk refused records");
+        vec![None; records.len()]
+    });
+    for (done, place) in waiting.into_iter().zip(places) {
         // A caller that has gone needs no answer.
-        let _ = job.done.send(place);
+        let _ = done.send(place);
     }
 }
+
+fn count_error() {
+    metrics::counter!("fw_replica_disk_errors_total").increment(1);
+}
--- a/fw-replica/tests/replica/budget_model.rs
+++ b/fw-replica/tests/replica/budget_model.rs
@@ -32,7 +32,11 @@
 }
 
 fn store(state: &mut state::State, charge: record::Charge) {
-    let place = fw_replica::journal::Place { at: 0, len: 1 };
+    let place = fw_replica::journal::Place {
+        segment: 1,
+        at: 0,
+        len: 1,
+    };
     state.apply(&record::Record::Charge(charge), place);
 }
 
--- a/fw-replica/tests/replica/state_pages.rs
+++ b/fw-replica/tests/replica/state_pages.rs
@@ -16,7 +16,11 @@
     })
 }
 
-const PLACE: journal::Place = journal::Place { at: 0, len: 1 };
+const PLACE: journal::Place = journal::Place {
+    segment: 1,
+    at: 0,
+    len: 1,
+};
 
 #[gtest]
 fn is_read_whole_in_pages() {
@@ -50,3 +54,35 @@
     expect_that!(records.len(), eq(5));
     expect_that!(next, eq(read));
 }
+
+#[gtest]
+fn lists_the_charges_of_a_long_program_again() {
+    // A program runs for longer than a charge is kept. A replica with an empty disk copies the
+    // list then: without the program's first charges it would grant the budget a second time.
+    let charge = |turn: &str, made| {
+        record::Record::Charge(record::Charge {
+            program: "p".into(),
+            turn: turn.into(),
+            tokens: 10,
+            settled: true,
+            made,
+        })
+    };
+    let mut state = state::State::new(1);
+    state.apply(&charge("first", 0), PLACE);
+    state.apply(&charge("later", 170_000), PLACE);
+    state.expire(190_000);
+    let mut copy = state::State::new(2);
+    let (_, records, _) = state.list(service::Position::default());
+    for listed in records {
+        if let service::Listed::Charge(charge) = listed {
+            copy.charge(&charge);
+        }
+    }
+    expect_that!(copy.ledger(&"p".into()).len(), eq(2));
+    state.expire(400_000);
+    expect_that!(state.programs(), eq(0));
+    state.expire(600_000);
+    let (_, records, _) = state.list(service::Position::default());
+    expect_that!(records, is_empty());
+}
--- a/fw-replica/tests/replica/torn_journal.rs
+++ b/fw-replica/tests/replica/torn_journal.rs
@@ -14,9 +14,21 @@
     })
 }
 
+fn open(
+    dir: &std::path::Path,
+    each: impl FnMut(record::Record, journal::Place),
+) -> journal::Journal {
+    journal::Journal::open(dir, journal::Options::default(), each).unwrap()
+}
+
+/// Path of the segment that a new journal begins with.
+fn first(dir: &std::path::Path) -> std::path::PathBuf {
+    dir.join("records-00000001.log")
+}
+
 fn read(dir: &std::path::Path) -> Vec<record::Record> {
     let mut all = Vec::new();
-    let _journal = journal::Journal::open(dir, |record, _| all.push(record)).unwrap();
+    let _journal = open(dir, |record, _| all.push(record));
     all
 }
 
@@ -33,20 +45,26 @@
     // Power fails in the middle of a write: behind what was synced lies a part of a frame. The
     // replica must start, with all that it had acknowledged, and what it writes next must be read.
     let dir = tempfile::tempdir().unwrap();
-    let mut journal = journal::Journal::open(dir.path(), |_, _| {}).unwrap();
-    journal.append(&frames(0..3)).unwrap();
+    let mut journal = open(dir.path(), |_, _| {});
+    journal
+        .append(&(0..3).map(charge).collect::<Vec<_>>())
+        .unwrap();
     drop(journal);
-    let path = dir.path().join("records.log");
+    let path = first(dir.path());
     let mut bytes = std::fs::read(&path).unwrap();
     let torn = frames(3..4);
     bytes.extend_from_slice(&torn[..torn.len() - 1]);
     std::fs::write(&path, &bytes).unwrap();
-    let mut journal = journal::Journal::open(dir.path(), |_, _| {}).unwrap();
-    let at = journal.append(&frames(9..10)).unwrap();
-    let reader = journal.reader().unwrap();
+    let mut journal = open(dir.path(), |_, _| {});
+    let places = journal.append(&[charge(9)]).unwrap();
     let len = (frames(9..10).len() - 12) as u32;
-    let place = journal::Place { at: at + 12, len };
-    expect_that!(reader.read(place).unwrap(), eq(&charge(9)));
+    let place = journal::Place {
+        segment: 1,
+        at: frames(0..3).len() as u32 + 12,
+        len,
+    };
+    expect_that!(places, elements_are![some(eq(&place))]);
+    expect_that!(journal.files().read(place).unwrap(), eq(&charge(9)));
     drop(journal);
     expect_that!(
         read(dir.path()),
@@ -73,7 +91,7 @@
         later.truncate(cut.min(later.len()));
         bytes.extend_from_slice(&later);
         bytes.extend_from_slice(&tail);
-        std::fs::write(dir.path().join("records.log"), &bytes).unwrap();
+        std::fs::write(first(dir.path()), &bytes).unwrap();
         let all = read(dir.path());
         prop_assert!(all.len() >= 3);
         prop_assert_eq!(&all[..3], &[charge(0), charge(1), charge(2)][..]);
