fw-gate: one loop of attempts, a lease made in one place, no unused fields

Cause: plain requests and streams each had their own copy of choosing, sending, suspecting and retrying; leases were counted and built in two places; routes and services carried four fields that nothing read; an upstream's mark of being missing was set and never read. Change: request::attempt has the loop and its decisions, with what is made of the answer passed in. Lease::take counts and builds. Fields removed. Log lines of attempts, streams and refusals name the program too. Replicas' seeds are no longer dialled by way of entries, which refuse all but members (a log line each 0.3 s while the store was away). Behaviour is otherwise the same; tests unchanged.

--- a/fw-gate/src/process/fleet/lease.rs
+++ b/fw-gate/src/process/fleet/lease.rs
@@ -9,7 +9,7 @@
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
-use super::{Fleet, Service};
+use super::{Fleet, Service, Upstream};
 use crate::connection::link;
 
 /// Idle connections kept to one upstream. More calls than that at once to one upstream from one
@@ -33,13 +33,13 @@
 /// A call under way at an upstream; counted there until dropped.
 #[derive(Debug)]
 pub struct Lease {
-    pub(super) fleet: Arc<Fleet>,
-    pub(super) service: Arc<Mutex<Service>>,
+    fleet: Arc<Fleet>,
+    service: Arc<Mutex<Service>>,
     /// The upstream.
     pub id: id::UpstreamId,
     /// Where it is called.
     pub addr: SocketAddr,
-    pub(super) begun: Instant,
+    begun: Instant,
 }
 
 impl Drop for Lease {
@@ -53,6 +53,22 @@
 }
 
 impl Lease {
+    /// Counts one call more at `upstream` of `service`.
+    pub(super) fn take(
+        fleet: &Arc<Fleet>,
+        service: &Arc<Mutex<Service>>,
+        upstream: &mut Upstream,
+    ) -> Self {
+        upstream.own += 1;
+        Self {
+            fleet: Arc::clone(fleet),
+            service: Arc::clone(service),
+            id: upstream.listed.id.clone(),
+            addr: upstream.listed.addr,
+            begun: Instant::now(),
+        }
+    }
+
     /// An idle connection to the upstream.
     pub fn idle_link(&self) -> Option<link::Link> {
         let mut service = self.service.lock();
--- a/fw-gate/src/process/fleet/mod.rs
+++ b/fw-gate/src/process/fleet/mod.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use fw_base::{error, id};
@@ -68,8 +69,6 @@
 #[derive(Debug)]
 struct Upstream {
     listed: Listed,
-    /// Missing from the list; it is still used until the list is settled.
-    missing: bool,
     /// Until when another upstream is taken to have its address.
     replaced_until: Option<Instant>,
     /// Short hash of its id, as entries name it to each other.
@@ -144,7 +143,8 @@
     hold: hold::Options,
     services: Mutex<HashMap<id::ServiceId, Arc<Mutex<Service>>>>,
     sessions: Mutex<sessions::Sessions>,
-    known: Mutex<bool>,
+    /// Whether the list was ever read.
+    known: AtomicBool,
     /// Names this entry to the others.
     entry: u32,
 }
@@ -165,7 +165,7 @@
             hold: hold::Options::default(),
             services: Mutex::default(),
             sessions: Mutex::default(),
-            known: Mutex::new(false),
+            known: AtomicBool::new(false),
             entry: rand::random(),
         })
     }
@@ -176,7 +176,7 @@
 
     /// Whether the list was ever read.
     pub fn is_known(&self) -> bool {
-        *self.known.lock()
+        self.known.load(Ordering::Relaxed)
     }
 
     fn service(&self, id: &id::ServiceId) -> Option<Arc<Mutex<Service>>> {
@@ -186,7 +186,7 @@
     /// Takes the whole list. Whatever is missing is gone, unless the list is not `settled`: then it
     /// is used until a settled one comes.
     pub fn replace(&self, list: Vec<Listed>, settled: bool) {
-        *self.known.lock() = true;
+        self.known.store(true, Ordering::Relaxed);
         let missing: Vec<_> = {
             let services = self.services.lock();
             let known = services.values().flat_map(|service| {
@@ -201,8 +201,8 @@
         for listed in list {
             self.put(listed);
         }
-        for id in missing {
-            self.remove(&id, settled);
+        for id in missing.iter().filter(|_| settled) {
+            self.remove(id);
         }
     }
 
@@ -230,7 +230,6 @@
                     known.slowness = 1.0;
                     known.replaced_until = None;
                 }
-                known.missing = false;
                 known.listed = listed;
                 if restarted {
                     service.health.restarted(now, &id);
@@ -241,7 +240,6 @@
                 service.upstreams.push(Upstream {
                     short: short(&listed.id),
                     listed,
-                    missing: false,
                     replaced_until: None,
                     own: 0,
                     others: 0,
@@ -255,15 +253,11 @@
         }
     }
 
-    /// An upstream is not on the list any more. Until the list is `settled` it is still used.
-    pub fn remove(&self, id: &id::UpstreamId, settled: bool) {
+    /// An upstream is not on the list any more.
+    pub fn remove(&self, id: &id::UpstreamId) {
         for service in self.all_services() {
             let mut service = service.lock();
-            let Some(upstream) = service.find(id) else {
-                continue;
-            };
-            if !settled {
-                upstream.missing = true;
+            if service.find(id).is_none() {
                 continue;
             }
             tracing::info!(upstream = %id, "upstream gone from the list");
@@ -380,14 +374,7 @@
             return Some(None);
         };
         let upstream = &mut locked.upstreams[indices[chosen]];
-        upstream.own += 1;
-        let lease = Lease {
-            fleet: Arc::clone(self),
-            service: Arc::clone(service),
-            id: upstream.listed.id.clone(),
-            addr: upstream.listed.addr,
-            begun: Instant::now(),
-        };
+        let lease = Lease::take(self, service, upstream);
         drop(locked);
         for session in [want.affinity, want.program].into_iter().flatten() {
             self.sessions.lock().put(session, &lease.id);
@@ -407,15 +394,7 @@
         if !upstream.listed.takes_work {
             return None;
         }
-        upstream.own += 1;
-        let addr = upstream.listed.addr;
-        Some(Lease {
-            fleet: Arc::clone(self),
-            service: Arc::clone(&service),
-            id: id.clone(),
-            addr,
-            begun: Instant::now(),
-        })
+        Some(Lease::take(self, &service, upstream))
     }
 
     /// The entry's own calls under way.
--- a/fw-gate/src/process/gate.rs
+++ b/fw-gate/src/process/gate.rs
@@ -122,7 +122,9 @@
         match change {
             Change::Config(config) => self.configure(*config),
             Change::Upstream(listed) => self.fleet.put(listed),
-            Change::UpstreamGone(id) => self.fleet.remove(&id, settled),
+            Change::UpstreamGone(id) if settled => self.fleet.remove(&id),
+            // Listed again within moments, or missing from the next whole list.
+            Change::UpstreamGone(_) => {}
             Change::Members(view) => {
                 if self.replicas.learn(view) {
                     // New members lack what was posted before.
--- a/fw-gate/src/request/ingress.rs
+++ b/fw-gate/src/request/ingress.rs
@@ -12,7 +12,7 @@
 use rand::RngExt;
 use tokio::time::Instant;
 
-use super::{answer, body, call, plain, send, stream};
+use super::{answer, attempt, body, call, plain, send, stream};
 use crate::process::gate;
 use crate::version::config;
 
@@ -20,11 +20,13 @@
 /// whatever is under way for it.
 pub async fn handle(gate: Arc<gate::Gate>, req: Request<Incoming>) -> Response<body::Outgoing> {
     let started = Instant::now();
-    let id = req.headers().get(&gate.opts.names.request_id).cloned();
+    let names = &gate.opts.names;
+    let id = req.headers().get(&names.request_id).cloned();
+    let program = req.headers().get(&names.program).cloned();
     let mut res = match answered(&gate, req, started).await {
         Ok(res) => res,
         Err(err) => {
-            tracing::info!(request = ?id, kind = err.kind.row().label, message = err.message, ran = ?err.ran(), ms = started.elapsed().as_millis() as u64, "request not served");
+            tracing::info!(request = ?id, ?program, kind = err.kind.row().label, message = err.message, ran = ?err.ran(), ms = started.elapsed().as_millis() as u64, "request not served");
             let mut res = answer::of_error(&err);
             if let Some(id) = id {
                 res.headers_mut()
@@ -79,7 +81,7 @@
         };
         return stream::run(job).await;
     }
-    let job = plain::Job {
+    let job = attempt::Job {
         gate,
         route,
         service,
--- a/fw-gate/src/request/mod.rs
+++ b/fw-gate/src/request/mod.rs
@@ -1,6 +1,7 @@
 //! What lives as long as a request.
 
 pub mod answer;
+pub mod attempt;
 pub mod body;
 pub mod call;
 pub mod events;
--- a/fw-gate/src/request/stream.rs
+++ b/fw-gate/src/request/stream.rs
@@ -14,7 +14,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use super::{body, call, events, plain, send, turn};
+use super::{attempt, body, call, events, plain, send, turn};
 use crate::process::gate;
 use crate::version::config;
 
@@ -47,8 +47,8 @@
 }
 
 impl Job {
-    fn attempt(&self) -> plain::Job<'_> {
-        plain::Job {
+    fn attempt(&self) -> attempt::Job<'_> {
+        attempt::Job {
             gate: &self.gate,
             route: &self.route,
             service: &self.service,
@@ -67,14 +67,14 @@
 /// What to tell the caller when no upstream gave an answer.
 pub async fn run(mut job: Job) -> Result<Response<body::Outgoing>, error::Error> {
     let kept = job.route.keep_turns.is_some();
-    let mut times = Times {
-        begun: Instant::now(),
-        ..Times::default()
-    };
+    let mut times = Times::start();
     let ready = turn::begin(&job.gate, &job.call, &job.input, kept, job.until).await?;
     job.out.body = ready.body;
     times.replicas = times.begun.elapsed();
-    let begun = start(&job).await?;
+    let begun = job
+        .attempt()
+        .run(|begun| std::future::ready(Ok(begun)))
+        .await?;
     times.head = times.begun.elapsed();
     if !begun.head.status.is_success() {
         let whole = plain::collect(begun, job.until).await;
@@ -98,30 +98,6 @@
     Ok(res)
 }
 
-/// Sends the request to upstreams until one begins to answer.
-async fn start(job: &Job) -> Result<send::Begun, error::Error> {
-    let attempt = job.attempt();
-    job.gate.earn_retry(&job.service);
-    let mut tries = plain::Tries::default();
-    loop {
-        let lease = match attempt.choose(&tries).await {
-            Ok(lease) => lease,
-            Err(err) => return Err(err.after(tries.earlier.take())),
-        };
-        let (upstream, addr) = (lease.id.clone(), lease.addr);
-        let sent = send::once(&job.gate.opts.names, &job.out, lease, job.until).await;
-        let failed = match sent {
-            Ok(begun) => return Ok(begun),
-            Err(failed) => failed,
-        };
-        if failed.broke {
-            attempt.suspect(&upstream, addr).await;
-        }
-        tries.avoid.push(upstream);
-        attempt.next(&mut tries, failed).await?;
-    }
-}
-
 /// When what happened of a streamed request, each counted from its begin.
 #[derive(Clone, Copy, Debug)]
 struct Times {
@@ -136,8 +112,9 @@
     whole: Option<Duration>,
 }
 
-impl Default for Times {
-    fn default() -> Self {
+impl Times {
+    /// Nothing but the begin has happened.
+    fn start() -> Self {
         Self {
             begun: Instant::now(),
             replicas: Duration::ZERO,
@@ -219,6 +196,7 @@
         metrics::counter!("fw_gate_streams_total", "outcome" => outcome).increment(1);
         tracing::info!(
             request = %self.job.call.id,
+            program = self.job.call.program.as_deref(),
             route = %self.job.route.name,
             events = self.events,
             resumes,
@@ -328,9 +306,9 @@
             let lease = match again.filter(|lease| !avoid.contains(&lease.id)) {
                 Some(lease) => lease,
                 None => {
-                    let tries = plain::Tries {
+                    let tries = attempt::Tries {
                         avoid: avoid.clone(),
-                        ..plain::Tries::default()
+                        ..attempt::Tries::default()
                     };
                     self.job.attempt().choose(&tries).await.ok()?
                 }
--- a/fw-gate/src/version/config.rs
+++ b/fw-gate/src/version/config.rs
@@ -35,8 +35,6 @@
     pub kind: Kind,
     /// How long a request may be kept waiting for its whole answer.
     pub timeout: Duration,
-    /// Within which time an answer is as good as at once.
-    pub objective: Duration,
     /// Rank among the routes; 0 goes first.
     pub priority: u32,
     /// Services that serve it, with their parts of the requests.
@@ -45,8 +43,6 @@
     pub attempts: u32,
     /// For how long a turn is kept; `None` where callers send whole prompts.
     pub keep_turns: Option<Duration>,
-    /// Whether an upstream that served the session or object before is faster.
-    pub sticky: bool,
     /// Whether a broken stream may go on at another upstream.
     pub resumable: bool,
 }
@@ -59,12 +55,10 @@
             prefix: "/".to_owned(),
             kind: Kind::Safe,
             timeout: Duration::from_secs(30),
-            objective: Duration::from_secs(1),
             priority: 0,
             services: Vec::new(),
             attempts: 1,
             keep_turns: None,
-            sticky: false,
             resumable: false,
         }
     }
@@ -97,8 +91,6 @@
 /// One service.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Service {
-    /// Connections that one of its upstreams accepts from all callers together.
-    pub connections: u32,
     /// Its engines, if its upstreams run models.
     pub engine: Option<Engine>,
 }
@@ -108,8 +100,6 @@
 pub struct Engine {
     /// Requests that run together.
     pub slots: u32,
-    /// Tokens that the cache holds.
-    pub cache_tokens: id::Tokens,
     /// Tokens counted for each event of a stream.
     pub tokens_per_event: id::Tokens,
 }
--- a/fw-replica/src/client.rs
+++ b/fw-replica/src/client.rs
@@ -81,8 +81,7 @@
             return false;
         }
         tracing::info!(epoch = view.epoch, members = ?view.list.members, "member list");
-        self.links
-            .retain(|addr| view.list.addrs().any(|known| known == addr));
+        self.links.set_members(view.list.addrs().collect());
         *known = view;
         true
     }
--- a/fw-replica/src/links.rs
+++ b/fw-replica/src/links.rs
@@ -41,15 +41,17 @@
 pub struct Links {
     links: Mutex<HashMap<SocketAddr, Arc<tokio::sync::Mutex<Link>>>>,
     costs: Mutex<HashMap<SocketAddr, Cost>>,
-    /// Entries that pass connections on to replicas.
+    /// Entries that pass connections on to members.
     peers: Mutex<Vec<SocketAddr>>,
+    members: Mutex<Vec<SocketAddr>>,
 }
 
 impl Links {
-    /// Drops the connections to all but those that `keeps` names.
-    pub fn retain(&self, keeps: impl Fn(SocketAddr) -> bool) {
-        self.links.lock().retain(|addr, _| keeps(*addr));
-        self.costs.lock().retain(|addr, _| keeps(*addr));
+    /// The members are these from now on; connections to others are dropped.
+    pub fn set_members(&self, members: Vec<SocketAddr>) {
+        self.links.lock().retain(|addr, _| members.contains(addr));
+        self.costs.lock().retain(|addr, _| members.contains(addr));
+        *self.members.lock() = members;
     }
 
     /// Sorts replicas: the quickest first, those that failed lately last.
@@ -145,8 +147,11 @@
         Some((client, link.generation))
     }
 
-    /// Connects to a replica by way of another entry.
+    /// Connects to a member by way of another entry; entries pass on to no other address.
     async fn dial_around(&self, addr: SocketAddr) -> Option<tokio::net::TcpStream> {
+        if !self.members.lock().contains(&addr) {
+            return None;
+        }
         let peers = self.peers.lock().clone();
         for peer in peers {
             if let Some(stream) = relay::dial_by(peer, addr).await {
