Turns go where their prompt is cached: trail over replicas, pace against chance

Three causes: 1. slowness was a smoothed mean of few calls: most engines looked 1.4 to 2 times slower than usual, which outweighed any cache; 2. two of five turns come in through another entry than the one before, which knew nothing of it; 3. the requests of tools between two turns overwrote session and program with where they ran, and objects (three to a kind of request) stood in for sessions. Change: fw_plan::pace judges slowness as far as calls support it, per pause between events for streams; fw_replica::trail: replicas pass on where a session's last turn ran with the answers to reservations, no message more; Warmth says what makes an upstream faster: a prompt, or an object, which all entries send to the upstream that its hash names.

--- a/fw-gate/src/process/fleet/lease.rs
+++ b/fw-gate/src/process/fleet/lease.rs
@@ -15,8 +15,10 @@
 /// Idle connections kept to one upstream. More calls than that at once to one upstream from one
 /// entry are rare.
 const IDLE: usize = 4;
-/// Weight of the newest call in an upstream's mean time.
-const SMOOTHING: f64 = 0.2;
+/// Weight of the newest call in a service's mean times: they reach back some fifty calls.
+const SMOOTHING: f64 = 0.02;
+/// Times below this are not compared, in seconds: they show the way, not the upstream.
+const SHORTEST: f64 = 1e-3;
 /// How long an upstream whose address another one has gets no calls. About as long as an entry
 /// without heartbeats stays on the list.
 const REPLACED: Duration = Duration::from_secs(4);
@@ -134,27 +136,37 @@
         }
     }
 
-    /// The call ended well; `size` is what it was worth, in any unit that is the same for all
-    /// calls of a service.
-    pub fn done(&self, size: f64) {
+    /// Time since the call was sent.
+    pub fn age(&self) -> Duration {
+        self.begun.elapsed()
+    }
+
+    /// The call ended well. `part` is the time of what can be compared among the calls of a
+    /// service, if there was any of it: an answer of twice the length is not twice as slow.
+    pub fn done(&self, part: Option<Duration>) {
         self.seen(health::Seen::Answered);
-        let took = self.begun.elapsed().as_secs_f64();
+        let now = self.fleet.now();
         let mut service = self.service.lock();
-        let mean = &mut service.mean;
-        *mean = if *mean > 0.0 {
-            *mean + (took - *mean) * SMOOTHING * 0.1
-        } else {
-            took
-        };
-        let expected = *mean * size;
+        smooth(&mut service.mean, self.age());
+        let Some(part) = part else { return };
+        smooth(&mut service.part, part);
+        let ratio = part.as_secs_f64() / service.part.max(SHORTEST);
         if let Some(upstream) = service.find(&self.id) {
-            let ratio = took / expected.max(1e-3);
-            upstream.slowness += (ratio - upstream.slowness) * SMOOTHING;
-            upstream.called = Instant::now();
+            upstream.pace.note(&self.fleet.pace, ratio, now);
         }
     }
 }
 
+/// Moves a mean in seconds towards `took`; it begins with the first time seen.
+fn smooth(mean: &mut f64, took: Duration) {
+    let took = took.as_secs_f64();
+    *mean = if *mean > 0.0 {
+        *mean + (took - *mean) * SMOOTHING
+    } else {
+        took
+    };
+}
+
 /// A call's place among those that wait; given up when dropped.
 pub(super) struct Ticket<'a> {
     service: &'a Mutex<Service>,
--- a/fw-gate/src/process/fleet/mod.rs
+++ b/fw-gate/src/process/fleet/mod.rs
@@ -7,8 +7,8 @@
 use std::time::{Duration, Instant};
 
 use fw_base::{error, id};
-use fw_plan::{assign, health, hold};
-use fw_replica::service;
+use fw_plan::{assign, health, hold, pace};
+use fw_replica::{service, trail};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -18,7 +18,6 @@
 use crate::connection::link;
 
 mod lease;
-mod sessions;
 
 use lease::Ticket;
 pub use lease::{Lease, Load};
@@ -26,8 +25,9 @@
 /// Prompt tokens that an engine reads in a millisecond, for the order of magnitude of what a lost
 /// cache costs; engines of today read some hundred.
 const READ_PER_MS: u64 = 100;
-/// After this time without a call a slow upstream counts as usual again, so that it is tried.
-const FORGET_SLOW: Duration = Duration::from_secs(3);
+/// Part of a call's usual time that an upstream saves which handled the object lately; services
+/// of today save a half.
+const WARM_GAIN: f64 = 0.5;
 
 /// Start of an upstream, in milliseconds since the Unix epoch.
 pub type Born = u64;
@@ -51,15 +51,28 @@
     pub born: Born,
 }
 
+/// What makes one upstream faster than another for a call.
+#[derive(Clone, Debug, Default)]
+pub enum Warmth<'a> {
+    /// Nothing.
+    #[default]
+    None,
+    /// Having handled the object lately.
+    Object(&'a SmolStr),
+    /// Having the prompt in the cache.
+    Prompt {
+        /// What it begins like.
+        lineage: trail::Lineage,
+        /// Its length.
+        tokens: id::Tokens,
+    },
+}
+
 /// What a call asks of its upstream.
 #[derive(Clone, Debug, Default)]
 pub struct Want<'a> {
-    /// The session or object whose upstream is faster the second time.
-    pub affinity: Option<&'a SmolStr>,
-    /// Its program, for sub-agents whose prompt begins like their parent's.
-    pub program: Option<&'a SmolStr>,
-    /// Tokens of the prompt.
-    pub prompt_tokens: id::Tokens,
+    /// What makes an upstream faster.
+    pub warmth: Warmth<'a>,
     /// Upstreams that failed this call.
     pub avoid: &'a [id::UpstreamId],
     /// What decides its place if it has to wait.
@@ -72,14 +85,12 @@
     /// Until when another upstream is taken to have its address.
     replaced_until: Option<Instant>,
     /// Short hash of its id, as entries name it to each other.
-    short: u16,
+    short: trail::Upstream,
     own: u32,
     others: u32,
     reported: Instant,
     idle: Vec<link::Link>,
-    /// Smoothed time of a call against the service's.
-    slowness: f64,
-    called: Instant,
+    pace: pace::Pace,
 }
 
 #[derive(Debug)]
@@ -88,6 +99,8 @@
     health: health::Health,
     /// Smoothed time of a call, in seconds.
     mean: f64,
+    /// Smoothed time of a call's comparable part, in seconds.
+    part: f64,
     /// Calls that are held back until there is a free slot.
     waiting: BTreeMap<hold::Rank, Arc<Notify>>,
     arrivals: u64,
@@ -107,6 +120,7 @@
             upstreams: Vec::new(),
             health: health::Health::new(options),
             mean: 0.0,
+            part: 0.0,
             waiting: BTreeMap::new(),
             arrivals: 0,
         }
@@ -140,9 +154,11 @@
     place: id::PlaceId,
     started: Instant,
     options: assign::Options,
+    pace: pace::Options,
     hold: hold::Options,
     services: Mutex<HashMap<id::ServiceId, Arc<Mutex<Service>>>>,
-    sessions: Mutex<sessions::Sessions>,
+    /// Where this entry sent sessions, or heard that others did.
+    trail: trail::Trail,
     /// Whether the list was ever read.
     known: AtomicBool,
     /// Names this entry to the others.
@@ -151,7 +167,7 @@
 
 /// Short hash of an upstream's id. Two of a few hundred may share one; each then looks as busy as
 /// both.
-fn short(id: &id::UpstreamId) -> u16 {
+pub fn short(id: &id::UpstreamId) -> trail::Upstream {
     (xxh3::xxh3_64(id.as_bytes()) & 0xffff) as u16
 }
 
@@ -162,9 +178,10 @@
             place,
             started: Instant::now(),
             options: assign::Options::default(),
+            pace: pace::Options::default(),
             hold: hold::Options::default(),
             services: Mutex::default(),
-            sessions: Mutex::default(),
+            trail: trail::Trail::default(),
             known: AtomicBool::new(false),
             entry: rand::random(),
         })
@@ -227,7 +244,7 @@
                     // It holds nothing of before: connections and load are its predecessor's.
                     known.idle.clear();
                     known.others = 0;
-                    known.slowness = 1.0;
+                    known.pace = pace::Pace::default();
                     known.replaced_until = None;
                 }
                 known.listed = listed;
@@ -245,8 +262,7 @@
                     others: 0,
                     reported: Instant::now(),
                     idle: Vec::new(),
-                    slowness: 1.0,
-                    called: Instant::now(),
+                    pace: pace::Pace::default(),
                 });
                 service.tell_health(now);
             }
@@ -346,10 +362,11 @@
             indices = pick(false);
         }
         let among: Vec<_> = indices.iter().map(|at| &locked.upstreams[*at]).collect();
-        let warm = self.warm(want, &among);
+        let warm = self.warm(&want.warmth, &among);
+        let cold = cold(&want.warmth, locked.mean);
         let mut candidates: Vec<_> = indices
             .iter()
-            .map(|at| self.candidate(&locked.upstreams[*at], &warm, want))
+            .map(|at| self.candidate(&locked.upstreams[*at], &warm, cold))
             .collect();
         if candidates.is_empty() {
             return None;
@@ -375,9 +392,11 @@
         };
         let upstream = &mut locked.upstreams[indices[chosen]];
         let lease = Lease::take(self, service, upstream);
+        let upstream = upstream.short;
         drop(locked);
-        for session in [want.affinity, want.program].into_iter().flatten() {
-            self.sessions.lock().put(session, &lease.id);
+        if let Warmth::Prompt { lineage, .. } = &want.warmth {
+            let lineage = lineage.clone();
+            self.trail.note(&trail::Ran { lineage, upstream });
         }
         Some(Some(lease))
     }
@@ -441,42 +460,54 @@
         self.services.lock().values().cloned().collect()
     }
 
-    /// The upstreams that probably have the session's prompt in their cache, and its program's:
-    /// those that served them last. Where this entry knows of none, the one that all entries
-    /// agree on, by its hash with the program.
-    fn warm(&self, want: &Want<'_>, among: &[&Upstream]) -> [Option<id::UpstreamId>; 2] {
-        let sessions = self.sessions.lock();
-        let last = |key: Option<&SmolStr>| key.and_then(|key| sessions.last(key));
-        let session = last(want.affinity);
-        let program = last(want.program).or_else(|| {
-            let key = want.program.or(want.affinity)?;
+    /// Where turns of `lineage` ran last, as a replica tells it: newer than what this entry knows
+    /// if the last one came in through another.
+    pub fn told_last(&self, lineage: &trail::Lineage, last: trail::Last) {
+        self.trail.learn(lineage, last);
+    }
+
+    /// The upstreams that are probably faster than the rest: those that served the session and its
+    /// program last. Where none is known, and for objects, the one that all entries agree on, by
+    /// its hash with the key.
+    fn warm(&self, warmth: &Warmth<'_>, among: &[&Upstream]) -> trail::Last {
+        let agreed = |key: &SmolStr| {
+            let seed = xxh3::xxh3_64(key.as_bytes());
             let agreed = among.iter().max_by_key(|upstream| {
-                xxh3::xxh3_64_with_seed(
-                    upstream.listed.id.as_bytes(),
-                    xxh3::xxh3_64(key.as_bytes()),
-                )
+                xxh3::xxh3_64_with_seed(upstream.listed.id.as_bytes(), seed)
             });
-            agreed.map(|upstream| upstream.listed.id.clone())
-        });
-        [session, program]
+            agreed.map(|upstream| upstream.short)
+        };
+        match warmth {
+            Warmth::None => trail::Last::default(),
+            Warmth::Object(object) => trail::Last {
+                session: agreed(object),
+                program: None,
+            },
+            Warmth::Prompt { lineage, .. } => {
+                let last = self.trail.last(lineage);
+                let key = lineage.program.as_ref().or(lineage.session.as_ref());
+                trail::Last {
+                    program: last.program.or_else(|| agreed(key?)),
+                    ..last
+                }
+            }
+        }
     }
 
     fn candidate(
         &self,
         upstream: &Upstream,
-        warm: &[Option<id::UpstreamId>; 2],
-        want: &Want<'_>,
+        warm: &trail::Last,
+        cold: Duration,
     ) -> assign::Candidate {
-        let id = Some(&upstream.listed.id);
-        let whole = Duration::from_millis(want.prompt_tokens / READ_PER_MS);
-        let miss = if warm[0].as_ref() == id {
+        let this = Some(upstream.short);
+        let miss = if warm.session == this {
             Duration::ZERO
-        } else if warm[1].as_ref() == id {
-            whole / 2
+        } else if warm.program == this {
+            cold / 2
         } else {
-            whole
+            cold
         };
-        let fresh = upstream.called.elapsed() < FORGET_SLOW;
         assign::Candidate {
             slots: upstream.listed.slots,
             own: upstream.own,
@@ -484,11 +515,21 @@
             age: upstream.reported.elapsed(),
             miss,
             remote: upstream.listed.place != self.place,
-            slowness: if fresh { upstream.slowness } else { 1.0 },
+            slowness: upstream.pace.slowness(&self.pace, self.now()),
         }
     }
 }
 
+/// How much longer a call takes at an upstream that knows nothing of it; `mean` is the usual time
+/// of a call there, in seconds.
+fn cold(warmth: &Warmth<'_>, mean: f64) -> Duration {
+    match warmth {
+        Warmth::None => Duration::ZERO,
+        Warmth::Object(_) => Duration::from_secs_f64(mean * WARM_GAIN),
+        Warmth::Prompt { tokens, .. } => Duration::from_millis(tokens / READ_PER_MS),
+    }
+}
+
 fn no_upstream(service: &id::ServiceId) -> error::Error {
     let message = format!("no upstream of `{service}` takes work");
     error::Error::new(error::Kind::NoUpstream, message)
--- a/fw-gate/src/request/attempt.rs
+++ b/fw-gate/src/request/attempt.rs
@@ -98,10 +98,18 @@
     /// `NoUpstream` when there is none.
     pub async fn choose(&self, tries: &Tries) -> Result<fleet::Lease, error::Error> {
         self.gate.check_poison(&self.fingerprint)?;
+        let is_stream = self.route.kind == config::Kind::Stream;
+        let object = self.call.object.as_ref().filter(|_| self.route.sticky);
+        let warmth = match object {
+            _ if is_stream => fleet::Warmth::Prompt {
+                lineage: self.call.lineage(),
+                tokens: self.call.prompt_tokens,
+            },
+            Some(object) => fleet::Warmth::Object(object),
+            None => fleet::Warmth::None,
+        };
         let want = fleet::Want {
-            affinity: self.call.affinity.as_ref(),
-            program: self.call.program.as_ref(),
-            prompt_tokens: self.call.prompt_tokens,
+            warmth,
             avoid: &tries.avoid,
             hold: hold::Call {
                 priority: self.route.priority,
@@ -112,7 +120,7 @@
             },
         };
         let fleet = &self.gate.fleet;
-        if self.route.kind != config::Kind::Stream {
+        if !is_stream {
             return fleet.choose(self.service, &want);
         }
         let acquired = tokio::time::timeout_at(self.until, fleet.acquire(self.service, &want));
--- a/fw-gate/src/request/call.rs
+++ b/fw-gate/src/request/call.rs
@@ -4,7 +4,7 @@
 
 use fw_base::error;
 use fw_base::id;
-use fw_replica::record;
+use fw_replica::{record, trail};
 use hyper::HeaderMap;
 use hyper::header::{self, HeaderName, HeaderValue};
 use smol_str::SmolStr;
@@ -32,8 +32,10 @@
     pub deadline: Option<Duration>,
     /// The program.
     pub program: Option<id::ProgramId>,
-    /// The line of turns, or the object, whose upstream is faster the second time.
-    pub affinity: Option<SmolStr>,
+    /// The line of turns that it belongs to, also if it is a tool's call between two of them.
+    pub session: Option<SmolStr>,
+    /// The object that it concerns.
+    pub object: Option<SmolStr>,
     /// Time until the program should be finished; `None` if it is not told.
     pub program_deadline: Option<Duration>,
     /// Tokens of the prompt.
@@ -49,6 +51,14 @@
 }
 
 impl Call {
+    /// What its prompt begins like, if it is a turn.
+    pub fn lineage(&self) -> trail::Lineage {
+        trail::Lineage {
+            session: self.session.clone(),
+            program: self.program.clone(),
+        }
+    }
+
     /// Decodes `headers`.
     ///
     /// # Errors
@@ -60,13 +70,12 @@
             return Err(bad(&names.request_id, "must be given"));
         };
         let (prompt_tokens, most_tokens) = tokens(names, headers)?;
-        let session = text(headers, &names.session)?;
-        let object = object(names, headers);
         Ok(Self {
             id,
             deadline: number(headers, &names.deadline_ms)?.map(Duration::from_millis),
             program: text(headers, &names.program)?,
-            affinity: object.or(session),
+            session: text(headers, &names.session)?,
+            object: object(names, headers),
             program_deadline: number(headers, &names.program_deadline_ms)?
                 .map(Duration::from_millis),
             prompt_tokens,
--- a/fw-gate/src/request/plain.rs
+++ b/fw-gate/src/request/plain.rs
@@ -44,7 +44,7 @@
     let whole = Limited::new(body, LONGEST).collect();
     match tokio::time::timeout_at(until, whole).await {
         Ok(Ok(whole)) => {
-            lease.done(1.0);
+            lease.done(Some(lease.age()));
             lease.keep_link(link);
             Ok((head, whole.to_bytes()))
         }
--- a/fw-gate/src/request/stream.rs
+++ b/fw-gate/src/request/stream.rs
@@ -89,7 +89,7 @@
         output: BytesMut::new(),
         last: job.call.resume_after.clone(),
         events: 0,
-        reservation: ready.reservation,
+        turn: Some(ready.turn),
         times,
         job,
         tx,
@@ -152,7 +152,8 @@
     /// Id of the last event passed on.
     last: Option<SmolStr>,
     events: u32,
-    reservation: Option<turn::Reservation>,
+    /// `None` once it is being stored.
+    turn: Option<turn::Turn>,
     times: Times,
     tx: mpsc::Sender<Result<Bytes, body::BrokeOff>>,
 }
@@ -165,12 +166,14 @@
         let outcome = loop {
             let (upstream, addr) = (begun.lease.id.clone(), begun.lease.addr);
             last_upstream.clone_from(&upstream);
+            if let Some(turn) = &mut self.turn {
+                turn.runs_at(&upstream);
+            }
             let ended = self.pass_on(&mut begun).await;
             match ended {
                 Ended::Complete => {
                     self.times.whole = Some(self.times.begun.elapsed());
-                    // Relative to a usual answer, so that long answers do not look slow.
-                    begun.lease.done(f64::from(self.events.max(1)) / 7.0);
+                    begun.lease.done(self.pause().filter(|_| resumes == 0));
                     let send::Begun { lease, link, .. } = begun;
                     lease.keep_link(link);
                     break self.complete().await;
@@ -211,6 +214,13 @@
         );
     }
 
+    /// Mean time between two events; `None` if there were not two.
+    fn pause(&self) -> Option<Duration> {
+        let (first, whole) = (self.times.first?, self.times.whole?);
+        let pauses = self.events.checked_sub(1).filter(|pauses| *pauses > 0)?;
+        Some((whole - first) / pauses)
+    }
+
     /// Reads from one upstream until its stream ends, one way or the other.
     async fn pass_on(&mut self, begun: &mut send::Begun) -> Ended {
         loop {
@@ -252,8 +262,8 @@
                 self.output.put_slice(data);
                 self.output.put_u8(b'\n');
                 self.events += 1;
-                if let Some(reservation) = &mut self.reservation {
-                    reservation.hand_out(self.tokens_per_event);
+                if let Some(turn) = &mut self.turn {
+                    turn.hand_out(self.tokens_per_event);
                 }
             }
             if event.id.is_some() {
@@ -332,7 +342,7 @@
     async fn complete(&mut self) -> &'static str {
         let job = &self.job;
         job.gate.survived(&job.fingerprint);
-        let turn = job.route.keep_turns.map(|keep| record::Turn {
+        let record = job.route.keep_turns.map(|keep| record::Turn {
             id: job.call.id.clone(),
             parent: job.call.previous.clone(),
             input: job.input.clone(),
@@ -340,8 +350,11 @@
             ended: server::unix_ms(),
             keep,
         });
-        let reservation = self.reservation.take();
-        if turn::finish(&self.job.gate, turn, reservation).await {
+        let stored = match self.turn.take() {
+            Some(turn) => turn.finish(record).await,
+            None => record.is_none(),
+        };
+        if stored {
             return "complete";
         }
         self.break_off().await;
--- a/fw-gate/src/request/turn.rs
+++ b/fw-gate/src/request/turn.rs
@@ -5,26 +5,37 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 use fw_base::{error, id};
-use fw_replica::{client, record, server, service};
+use fw_replica::{client, record, server, service, trail};
 use tokio::time::Instant;
 
 use super::call;
-use crate::process::gate;
+use crate::process::{fleet, gate};
 
 /// Pause before replicas that could not say are asked again.
 const AGAIN: Duration = Duration::from_millis(60);
 /// How long replicas that cannot say are asked: a restart of one of them takes about as long.
 const PATIENCE: Duration = Duration::from_millis(600);
 
-/// Tokens reserved for a turn. Dropped without being settled, it is settled with what was handed
-/// out so far.
+/// A turn under way: the tokens reserved for it, and where it runs. Dropped before it is stored, it
+/// is settled with what was handed out so far.
 #[derive(Debug)]
-pub struct Reservation {
+pub struct Turn {
     gate: Arc<gate::Gate>,
+    /// `None` for a program without a budget.
     charge: Option<record::Charge>,
+    lineage: trail::Lineage,
+    ran: Option<trail::Ran>,
 }
 
-impl Reservation {
+impl Turn {
+    /// The turn runs at `upstream`.
+    pub fn runs_at(&mut self, upstream: &id::UpstreamId) {
+        self.ran = Some(trail::Ran {
+            lineage: self.lineage.clone(),
+            upstream: fleet::short(upstream),
+        });
+    }
+
     /// The caller got `tokens` more.
     pub fn hand_out(&mut self, tokens: id::Tokens) {
         if let Some(charge) = &mut self.charge {
@@ -32,25 +43,41 @@
         }
     }
 
-    /// The settlement, for whoever stores it.
-    fn settle(&mut self) -> Option<record::Charge> {
-        let mut charge = self.charge.take()?;
-        charge.made = server::unix_ms();
-        Some(charge)
+    /// What came of it, with `record` if later turns may continue it; `None` if there is nothing to
+    /// tell.
+    fn settle(&mut self, record: Option<record::Turn>) -> Option<service::Finish> {
+        let charge = self.charge.take().map(|charge| record::Charge {
+            made: server::unix_ms(),
+            ..charge
+        });
+        let is_news = charge.is_some() || record.is_some();
+        is_news.then(|| service::Finish {
+            turn: record,
+            charge,
+            ran: self.ran.take(),
+        })
+    }
+
+    /// Stores the turn, if later ones may continue it, and settles its tokens. Returns whether the
+    /// turn is stored for good; a settlement alone is not waited for.
+    pub async fn finish(mut self, record: Option<record::Turn>) -> bool {
+        let Some(record) = record else { return true };
+        let Some(req) = self.settle(Some(record.clone())) else {
+            return true;
+        };
+        let stored = self.gate.replicas.finish(req).await;
+        if stored {
+            self.gate.turns.put(Arc::new(record));
+        }
+        stored
     }
 }
 
-impl Drop for Reservation {
+impl Drop for Turn {
     fn drop(&mut self) {
-        let Some(charge) = self.settle() else { return };
+        let Some(req) = self.settle(None) else { return };
         let replicas = Arc::clone(&self.gate.replicas);
-        tokio::spawn(async move {
-            let req = service::Finish {
-                turn: None,
-                charge: Some(charge),
-            };
-            replicas.finish(req).await;
-        });
+        tokio::spawn(async move { replicas.finish(req).await });
     }
 }
 
@@ -59,8 +86,8 @@
 pub struct Ready {
     /// The whole input: the chain, then the turn's own.
     pub body: Bytes,
-    /// Its tokens; `None` for a program without a budget.
-    pub reservation: Option<Reservation>,
+    /// Its tokens.
+    pub turn: Turn,
 }
 
 /// Reserves the turn's tokens and puts its whole input together.
@@ -78,30 +105,33 @@
     let previous = call.previous.as_ref().filter(|_| kept);
     let seen = gate.turns.chain(previous);
     let reserve = reserve(call);
+    let charge = reserve.as_ref().map(|reserve| record::Charge {
+        program: reserve.program.clone(),
+        turn: reserve.turn.clone(),
+        tokens: 0,
+        settled: true,
+        made: 0,
+    });
     // Made first: if the caller leaves meanwhile, dropping it takes the reservation back.
-    let reservation = reserve.as_ref().map(|reserve| Reservation {
+    let turn = Turn {
         gate: Arc::clone(gate),
-        charge: Some(record::Charge {
-            program: reserve.program.clone(),
-            turn: reserve.turn.clone(),
-            tokens: 0,
-            settled: true,
-            made: 0,
-        }),
-    });
+        charge,
+        lineage: call.lineage(),
+        ran: None,
+    };
     let rest = if reserve.is_none() && seen.missing.is_none() {
         Vec::new()
     } else {
-        ask(gate, reserve, seen.missing, until).await?
+        ask(gate, reserve, seen.missing, &turn.lineage, until).await?
     };
     let rest: Vec<_> = rest.into_iter().map(Arc::new).collect();
-    for turn in &rest {
-        gate.turns.put(Arc::clone(turn));
+    for record in &rest {
+        gate.turns.put(Arc::clone(record));
     }
     let chain: Vec<_> = seen.turns.into_iter().chain(rest).collect();
     Ok(Ready {
         body: join(&chain, input),
-        reservation,
+        turn,
     })
 }
 
@@ -109,6 +139,7 @@
     gate: &Arc<gate::Gate>,
     reserve: Option<service::Reserve>,
     newest: Option<record::TurnId>,
+    lineage: &trail::Lineage,
     until: Instant,
 ) -> Result<Vec<record::Turn>, error::Error> {
     let patience = until.min(Instant::now() + PATIENCE);
@@ -117,13 +148,17 @@
             relay: gate.opts.relay,
             ..gate.fleet.load()
         };
-        let err = match gate
-            .replicas
-            .begin(reserve.clone(), newest.clone(), &load, |others| {
-                gate.fleet.told_others(others);
-            })
-            .await
-        {
+        let ask = client::Ask {
+            reserve: reserve.clone(),
+            newest: newest.clone(),
+            load,
+            lineage: lineage.clone(),
+        };
+        let tell = |others: &[(u16, u16)], last| {
+            gate.fleet.told_others(others);
+            gate.fleet.told_last(lineage, last);
+        };
+        let err = match gate.replicas.begin(ask, tell).await {
             Ok(chain) => return Ok(chain),
             Err(err) => err,
         };
@@ -164,23 +199,3 @@
     body.put_slice(input);
     body.freeze()
 }
-
-/// Stores a turn that has ended, if later ones may continue it, and settles its tokens. Returns
-/// whether the turn is stored for good; a settlement alone is not waited for.
-pub async fn finish(
-    gate: &Arc<gate::Gate>,
-    turn: Option<record::Turn>,
-    mut reservation: Option<Reservation>,
-) -> bool {
-    let Some(turn) = turn else { return true };
-    let charge = reservation.as_mut().and_then(Reservation::settle);
-    let req = service::Finish {
-        turn: Some(turn.clone()),
-        charge,
-    };
-    let stored = gate.replicas.finish(req).await;
-    if stored {
-        gate.turns.put(Arc::new(turn));
-    }
-    stored
-}
--- a/fw-gate/src/version/config.rs
+++ b/fw-gate/src/version/config.rs
@@ -43,6 +43,8 @@
     pub attempts: u32,
     /// For how long a turn is kept; `None` where callers send whole prompts.
     pub keep_turns: Option<Duration>,
+    /// Whether an upstream that lately handled the object is faster.
+    pub sticky: bool,
     /// Whether a broken stream may go on at another upstream.
     pub resumable: bool,
 }
@@ -59,6 +61,7 @@
             services: Vec::new(),
             attempts: 1,
             keep_turns: None,
+            sticky: false,
             resumable: false,
         }
     }
--- a/fw-gate/tests/gate/call_headers.rs
+++ b/fw-gate/tests/gate/call_headers.rs
@@ -44,13 +44,15 @@
             ("tokens", "1460,80"),
             ("budget", "2288"),
             ("cookie", "a=b; object=17"),
+            ("session", "s"),
         ]),
     )
     .unwrap();
     expect_that!(call.prompt_tokens, eq(1460));
     expect_that!(call.most_tokens, eq(80));
     expect_that!(call.budget, some(eq(2288)));
-    expect_that!(call.affinity.as_deref(), some(eq("17")));
+    expect_that!(call.object.as_deref(), some(eq("17")));
+    expect_that!(call.session.as_deref(), some(eq("s")));
 }
 
 #[gtest]
--- a/fw-gate/tests/gate/upstream_list.rs
+++ b/fw-gate/tests/gate/upstream_list.rs
@@ -1,7 +1,8 @@
 //! The list of upstreams.
 
-use fw_gate::process::fleet::{Fleet, Listed, Load, Want};
+use fw_gate::process::fleet::{self, Fleet, Listed, Load, Want, Warmth};
 use fw_plan::health::Seen;
+use fw_replica::trail;
 use googletest::prelude::*;
 
 fn listed(id: &str) -> Listed {
@@ -116,16 +117,100 @@
     expect_that!(one.load().calls, is_empty());
 }
 
+fn turn(session: Option<&str>) -> Want<'static> {
+    let lineage = trail::Lineage {
+        session: session.map(Into::into),
+        program: Some("p".into()),
+    };
+    Want {
+        warmth: Warmth::Prompt {
+            lineage,
+            tokens: 2_000,
+        },
+        ..Want::default()
+    }
+}
+
+/// A fleet of many upstreams, so that chance seldom hits the right one.
+fn many() -> std::sync::Arc<Fleet> {
+    let fleet = Fleet::new("a".into());
+    for at in 0..30 {
+        fleet.put(listed(&format!("u{at}")));
+    }
+    fleet
+}
+
 #[gtest]
-fn agrees_with_other_entries_where_a_program_goes() {
-    // A program's turns come through several entries. None has seen it before, and yet all send
-    // it to the same upstream, whose cache then has its prompt.
-    let program = "p".into();
+fn follows_a_session_that_came_through_another_entry() {
+    // A person's second turn comes in through another entry than the first. That entry sent it
+    // anywhere, and the whole prompt was read again; on the larger site five of six turns missed
+    // the engine that had it.
+    let fleet = many();
+    let lineage = trail::Lineage {
+        session: Some("s".into()),
+        program: None,
+    };
+    for id in ["u7", "u21"] {
+        let last = trail::Last {
+            session: Some(fleet::short(&id.into())),
+            program: None,
+        };
+        fleet.told_last(&lineage, last);
+        let lease = fleet.choose(&"s".into(), &turn(Some("s"))).unwrap();
+        expect_that!(lease.id, eq(id));
+    }
+}
+
+#[gtest]
+fn is_not_led_astray_by_tools() {
+    // Between two turns a program calls tools, whose requests name the same session and program.
+    // They run at another service; where they ran says nothing about where the prompt is.
+    let fleet = many();
+    let tools = Listed {
+        service: "tools".into(),
+        ..listed("tool")
+    };
+    fleet.put(tools);
+    let first = fleet.choose(&"s".into(), &turn(Some("s"))).unwrap();
+    let object = "17".into();
+    let call = Want {
+        warmth: Warmth::Object(&object),
+        ..Want::default()
+    };
+    fleet.choose(&"tools".into(), &call).unwrap();
+    fleet.choose(&"tools".into(), &Want::default()).unwrap();
+    let second = fleet.choose(&"s".into(), &turn(Some("s"))).unwrap();
+    expect_that!(second.id, eq(&first.id));
+}
+
+#[gtest]
+fn agrees_with_other_entries_where_an_object_goes() {
+    // An upstream that lately handled an object is twice as fast. Entries that each choose for
+    // themselves spread the object over all upstreams, and none stays warm.
+    let object = "17".into();
     let want = Want {
-        program: Some(&program),
-        prompt_tokens: 2_000,
+        warmth: Warmth::Object(&object),
         ..Want::default()
     };
+    let ids: Vec<_> = (0..5)
+        .map(|_| {
+            let fleet = many();
+            // The usual time of a call is known, some ten milliseconds.
+            let lease = fleet.choose(&"s".into(), &want).unwrap();
+            std::thread::sleep(std::time::Duration::from_millis(20));
+            lease.done(None);
+            drop(lease);
+            fleet.choose(&"s".into(), &want).unwrap().id.clone()
+        })
+        .collect();
+    expect_true!(ids.iter().all(|id| *id == ids[0]), "{ids:?}");
+}
+
+#[gtest]
+fn agrees_with_other_entries_where_a_program_goes() {
+    // A program's turns come through several entries. None has seen it before, and yet all send
+    // it to the same upstream, whose cache then has its prompt.
+    let want = turn(None);
     let ids: Vec<_> = (0..5)
         .map(|_| {
             let fleet = Fleet::new("a".into());
--- a/fw-plan/tests/plan/main.rs
+++ b/fw-plan/tests/plan/main.rs
@@ -15,6 +15,7 @@
 mod hot_key;
 mod long_jobs;
 mod overload;
+mod pace_noise;
 mod placement;
 mod poison_requests;
 mod queue_order;
--- a/fw-replica/src/client.rs
+++ b/fw-replica/src/client.rs
@@ -10,7 +10,7 @@
 use parking_lot::Mutex;
 use snafu::Snafu;
 
-use crate::{ledger, links, member, record, service};
+use crate::{ledger, links, member, record, service, trail};
 
 /// Pauses before a settlement is sent again to a replica that did not store it.
 const AGAIN: [Duration; 3] = [
@@ -49,6 +49,19 @@
     },
 }
 
+/// What a turn needs to begin.
+#[derive(Clone, Debug, Default)]
+pub struct Ask {
+    /// The tokens wanted; `None` for a program without a budget.
+    pub reserve: Option<service::Reserve>,
+    /// The newest turn of the chain wanted; `None` if the sender has it.
+    pub newest: Option<record::TurnId>,
+    /// The sender's own calls under way.
+    pub load: service::Load,
+    /// What the turn's prompt begins like.
+    pub lineage: trail::Lineage,
+}
+
 /// The replicas, as an entry or another replica sees them.
 #[derive(Debug)]
 pub struct Client {
@@ -139,32 +152,24 @@
     /// [`Error::Spent`] and [`Error::UnknownTurn`] are certain; after [`Error::Unsure`] the turn
     /// may be tried again. After each of them the reservation should be taken back.
     ///
-    /// `load` are the sender's own calls; `tell` hears of the others'.
+    /// `tell` hears of the other entries' calls, and where turns like this one ran last.
     pub async fn begin(
         self: &Arc<Self>,
-        reserve: Option<service::Reserve>,
-        newest: Option<record::TurnId>,
-        load: &service::Load,
-        tell: impl Fn(&[(u16, u16)]),
+        mut ask: Ask,
+        tell: impl Fn(&[(u16, u16)], trail::Last),
     ) -> Result<Vec<record::Turn>, Error> {
-        let (epoch, members) = self.members();
-        let mut round = self
-            .ask(epoch, &members, reserve.clone(), newest.clone(), load)
-            .await;
-        let mut members = members;
-        let mut reserve = reserve;
-        if self.may_improve(epoch, &round, &mut reserve) {
-            let (epoch, newer) = self.members();
-            round = self
-                .ask(epoch, &newer, reserve.clone(), newest.clone(), load)
-                .await;
-            members = newer;
+        let (epoch, mut members) = self.members();
+        let mut round = self.ask(epoch, &members, &ask).await;
+        if self.may_improve(epoch, &round, &mut ask.reserve) {
+            let newer;
+            (newer, members) = self.members();
+            round = self.ask(newer, &members, &ask).await;
         }
         if let Some(others) = &round.others {
-            tell(&others.calls);
+            tell(&others.calls, round.last);
             self.links.learn_peers(&others.peers);
         }
-        if let Some(reserve) = &reserve {
+        if let Some(reserve) = &ask.reserve {
             self.judge(members.len(), reserve, &round)?;
             self.check_union(reserve, &round).await?;
         }
@@ -172,7 +177,7 @@
             missing: Some(newest),
             ..service::Chain::default()
         };
-        match round.chain.or(newest.map(missing)) {
+        match round.chain.or(ask.newest.map(missing)) {
             Some(chain) => self.complete(&members, chain).await,
             None => Ok(Vec::new()),
         }
@@ -252,11 +257,12 @@
         self: &Arc<Self>,
         epoch: member::Epoch,
         members: &[SocketAddr],
-        reserve: Option<service::Reserve>,
-        newest: Option<record::TurnId>,
-        load: &service::Load,
+        ask: &Ask,
     ) -> Round {
         let quorum = member::Quorum::of(members.len(), self.faults);
+        let Ask {
+            reserve, newest, ..
+        } = ask;
         let asked = if reserve.is_some() { members.len() } else { 1 };
         let mut calls = FuturesUnordered::new();
         for (rank, addr) in members.iter().copied().take(asked).enumerate() {
@@ -264,7 +270,8 @@
                 epoch,
                 reserve: reserve.clone(),
                 chain: newest.clone().filter(|_| rank == 0),
-                load: load.clone(),
+                load: ask.load.clone(),
+                lineage: ask.lineage.clone(),
             };
             let client = Arc::clone(self);
             // On tasks of their own, so that those beyond the quorum are sent as well.
@@ -298,6 +305,7 @@
 
     fn count(&self, round: &mut Round, rank: usize, addr: SocketAddr, begun: service::Begun) {
         round.others.get_or_insert(begun.others);
+        round.last = round.last.or(begun.last);
         match begun.vote {
             None => {}
             Some(service::Vote::Accepted { digest }) => round.accepted.push((addr, digest)),
@@ -553,6 +561,8 @@
     chain: Option<service::Chain>,
     /// Other entries' calls under way, as the first replica to answer knows them.
     others: Option<service::Others>,
+    /// Where turns like this one ran last, as far as any replica knows.
+    last: trail::Last,
 }
 
 fn spent(reserve: &service::Reserve, known: &ledger::Ledger) -> Error {
--- a/fw-replica/src/lib.rs
+++ b/fw-replica/src/lib.rs
@@ -29,4 +29,5 @@
 pub mod service;
 pub mod state;
 pub mod sync;
+pub mod trail;
 pub mod writer;
--- a/fw-replica/src/server.rs
+++ b/fw-replica/src/server.rs
@@ -9,7 +9,7 @@
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
-use crate::{board, journal, ledger, member, record, service, state, writer};
+use crate::{board, journal, ledger, member, record, service, state, trail, writer};
 
 /// Most turns of a chain in one answer. Longer chains are read in several.
 const CHAIN: usize = 256;
@@ -36,6 +36,7 @@
     votes: AtomicBool,
     retire_told: watch::Sender<Vec<record::ReplicaId>>,
     board: board::Board,
+    trail: trail::Trail,
     /// How far each other replica has copied from here.
     readers: Mutex<HashMap<record::ReplicaId, u64>>,
 }
@@ -70,6 +71,7 @@
             votes: AtomicBool::new(false),
             retire_told: watch::Sender::default(),
             board: board::Board::default(),
+            trail: trail::Trail::default(),
             readers: Mutex::default(),
         }))
     }
@@ -347,6 +349,7 @@
 impl service::Replica for Server {
     async fn begin(self, _: tarpc::context::Context, req: service::Begin) -> service::Begun {
         let others = self.0.board.exchange(req.load);
+        let last = self.0.trail.last(&req.lineage);
         let chain = req.chain.map(|newest| self.0.read_chain(newest));
         let vote = match req.reserve {
             None => None,
@@ -356,10 +359,14 @@
             vote,
             chain: chain.unwrap_or_default(),
             others,
+            last,
         }
     }
 
     async fn finish(self, _: tarpc::context::Context, req: service::Finish) -> bool {
+        if let Some(ran) = &req.ran {
+            self.0.trail.note(ran);
+        }
         if self.0.is_retiring() {
             return false;
         }
--- a/fw-replica/src/service.rs
+++ b/fw-replica/src/service.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::{ledger, member, record};
+use crate::{ledger, member, record, trail};
 
 /// Asks for tokens for a turn, and for the chain that it continues.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -18,6 +18,8 @@
     pub chain: Option<record::TurnId>,
     /// The sender's own calls under way.
     pub load: Load,
+    /// What the turn's prompt begins like.
+    pub lineage: trail::Lineage,
 }
 
 /// One entry's calls under way, by upstream.
@@ -110,6 +112,8 @@
     pub chain: Chain,
     /// Of the other entries.
     pub others: Others,
+    /// Where turns whose prompts begin like this one's ran last.
+    pub last: trail::Last,
 }
 
 /// As much of a chain as a replica has.
@@ -130,6 +134,8 @@
     pub turn: Option<record::Turn>,
     /// The settlement of its tokens.
     pub charge: Option<record::Charge>,
+    /// Where it ran.
+    pub ran: Option<trail::Ran>,
 }
 
 /// Where a reader stands in a replica's list of records.
--- /dev/null
+++ b/fw-replica/src/trail.rs
@@ -0,0 +1,120 @@
+//! Which upstream ran the last turn of a session.
+//!
+//! *Load pattern:* a session's turns come in through several entries, and a program starts
+//! sub-agents whose prompts begin like its own. The engine that ran the last turn has its prompt in
+//! the cache.
+//!
+//! *Without it:* an entry knows only what it sent itself. Two turns of five came in through another
+//! entry than the one before; each was sent anywhere and its whole prompt read again.
+
+use lru::LruCache;
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// Sessions and programs remembered: those of a minute at a hundred new ones a second, in about a
+/// megabyte. The one not heard of for longest goes first.
+const REMEMBERED: usize = 8_192;
+
+/// Short hash of an upstream's id. Two of a few hundred may share one; a call then meets a cold
+/// cache, no more.
+pub type Upstream = u16;
+
+/// What a prompt begins like.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lineage {
+    /// Its session, if that had a turn before.
+    pub session: Option<SmolStr>,
+    /// Its program, for sessions that begin.
+    pub program: Option<SmolStr>,
+}
+
+/// The upstreams that ran the last turns of a lineage.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Last {
+    /// Of the session.
+    pub session: Option<Upstream>,
+    /// Of any session of the program.
+    pub program: Option<Upstream>,
+}
+
+impl Last {
+    /// What this or `other` knows; this one goes first.
+    pub fn or(self, other: Self) -> Self {
+        Self {
+            session: self.session.or(other.session),
+            program: self.program.or(other.program),
+        }
+    }
+}
+
+/// A turn that an upstream ran.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ran {
+    /// What its prompt begins like.
+    pub lineage: Lineage,
+    /// Where it ran.
+    pub upstream: Upstream,
+}
+
+/// The last upstreams of sessions and of programs, each by its id. Lost with the process, as it
+/// only makes calls faster.
+#[derive(Debug)]
+pub struct Trail {
+    sessions: Mutex<LruCache<SmolStr, Upstream>>,
+    programs: Mutex<LruCache<SmolStr, Upstream>>,
+}
+
+impl Default for Trail {
+    fn default() -> Self {
+        // Unbounded ones take no memory before they hold something; `put` bounds them.
+        Self {
+            sessions: Mutex::new(LruCache::unbounded()),
+            programs: Mutex::new(LruCache::unbounded()),
+        }
+    }
+}
+
+impl Trail {
+    /// Notes where a turn ran.
+    pub fn note(&self, ran: &Ran) {
+        let last = Last {
+            session: Some(ran.upstream),
+            program: Some(ran.upstream),
+        };
+        self.learn(&ran.lineage, last);
+    }
+
+    /// Takes what another knows of `lineage`.
+    pub fn learn(&self, lineage: &Lineage, last: Last) {
+        put(&self.sessions, lineage.session.as_ref(), last.session);
+        put(&self.programs, lineage.program.as_ref(), last.program);
+    }
+
+    /// Where the last turns of `lineage` ran.
+    pub fn last(&self, lineage: &Lineage) -> Last {
+        Last {
+            session: get(&self.sessions, lineage.session.as_ref()),
+            program: get(&self.programs, lineage.program.as_ref()),
+        }
+    }
+}
+
+fn put(
+    map: &Mutex<LruCache<SmolStr, Upstream>>,
+    key: Option<&SmolStr>,
+    upstream: Option<Upstream>,
+) {
+    let (Some(key), Some(upstream)) = (key, upstream) else {
+        return;
+    };
+    let mut map = map.lock();
+    map.put(key.clone(), upstream);
+    if map.len() > REMEMBERED {
+        map.pop_lru();
+    }
+}
+
+fn get(map: &Mutex<LruCache<SmolStr, Upstream>>, key: Option<&SmolStr>) -> Option<Upstream> {
+    map.lock().get(key?).copied()
+}
