Replicas are reached around a cut by an entry that reaches them; log lines bounded by kind

Each call wrote a warning, and the RPC library four more: a thousand lines a second from one entry. Ruled out: the member list (epoch unchanged), the replicas (others were answered all the while). Change: a relay answers with one byte once it is connected to the replica; all known relays are asked at once and the first that is connected is used; eight are told in place of three; the direct way has a head start of 60 ms, not 300, and is tried again beside the calls, not before one. A replica that does not answer is one line, as is its return; each place in the code writes 1,000 lines a second at most, the rest is counted; lines and spans of the RPC library are off. Tests: cut_off::asks_no_entry_that_is_cut_off_itself, log_budget::leave_the_rare_ones_in.

--- a/foxtailweir/src/lib.rs
+++ b/foxtailweir/src/lib.rs
@@ -11,6 +11,7 @@
 //! ```
 
 pub mod admin;
+pub mod budget;
 pub mod command;
 pub mod demo;
 pub mod logs;
--- a/foxtailweir/src/logs.rs
+++ b/foxtailweir/src/logs.rs
@@ -5,6 +5,10 @@
 use fw_conf::shared;
 use tracing_appender::non_blocking;
 use tracing_subscriber::filter;
+use tracing_subscriber::layer::{Layer, SubscriberExt};
+use tracing_subscriber::util::SubscriberInitExt;
+
+use crate::budget;
 
 /// Starts to write log lines; without effect if the process writes some already.
 pub fn start(log: &shared::Log) {
@@ -23,6 +27,9 @@
 /// Lines that wait to be written. Beyond that they are left out, so that no request waits for
 /// whoever reads them; the count of those left out is in the writer's own counter.
 const LINES: usize = 1_024;
+/// Lines of one kind in a second. A request writes one or two; a few hundred requests a second are
+/// an entry's usual most, so that only a storm is cut.
+const SAME_KIND: u32 = 1_000;
 
 /// Starts to write JSON lines on standard output, from a thread of their own. What waits is written
 /// when the guard is dropped.
@@ -31,14 +38,19 @@
         .buffered_lines_limit(LINES)
         .lossy(true)
         .finish(io::stdout());
-    let lines = tracing_subscriber::fmt()
+    // The calls to replicas have log lines of our own; those of the library would be one a call.
+    let kinds = filter::Targets::new()
+        .with_default(filter::LevelFilter::INFO)
+        .with_target("tarpc", filter::LevelFilter::OFF);
+    let lines = tracing_subscriber::fmt::layer()
         .json()
         .flatten_event(true)
         .with_current_span(false)
         .with_span_list(false)
-        .with_max_level(filter::LevelFilter::INFO)
-        .with_writer(writer);
+        .with_writer(writer)
+        .with_filter(budget::Budget::new(SAME_KIND))
+        .with_filter(kinds);
     // Fails only if a subscriber is set already.
-    let _already_set = lines.try_init();
+    let _already_set = tracing_subscriber::registry().with(lines).try_init();
     guard
 }
--- a/foxtailweir/tests/foxtailweir/main.rs
+++ b/foxtailweir/tests/foxtailweir/main.rs
@@ -3,6 +3,7 @@
 
 mod command_line;
 mod demo_script;
+mod log_budget;
 mod operating_page;
 mod real_entry;
 mod record_commands;
--- a/fw-replica/src/board.rs
+++ b/fw-replica/src/board.rs
@@ -18,8 +18,9 @@
 /// Entries remembered; beyond that those that have not told for long are dropped.
 const ENTRIES: usize = 512;
 
-/// Entries named to each other as a way around a cut.
-const PEERS: usize = 3;
+/// Entries named to each other as a way around a cut. A cut may take a third of the entries; that
+/// it takes all of eight is rare.
+const PEERS: usize = 8;
 
 /// The newest word of one entry.
 #[derive(Debug)]
--- a/fw-replica/src/links.rs
+++ b/fw-replica/src/links.rs
@@ -2,22 +2,38 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use parking_lot::Mutex;
+use tokio::net::TcpStream;
 
 use crate::{codec, relay, service};
 
 /// How long a replica that refused a connection is not tried again.
 const CONNECT: Duration = Duration::from_millis(300);
-/// How long a connection by way of another entry is used before the direct way is tried again.
-const DETOUR: Duration = Duration::from_secs(5);
+/// How long a connection by way of another entry is used before the direct way is tried again,
+/// beside the calls.
+const DETOUR: Duration = Duration::from_secs(2);
 /// Longest wait for one answer: several times a slow disk's sync with a queue before it.
 const ANSWER: Duration = Duration::from_millis(700);
 /// How long a replica that failed is asked last.
 const AVOID: Duration = Duration::from_secs(1);
 
+/// How long only the direct way is tried. A connection takes a millisecond or so; behind a cut,
+/// each moment longer is one more for all turns of the entry.
+const HEAD_START: Duration = Duration::from_millis(60);
+
+/// How a replica is reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Way {
+    Direct,
+    Around,
+}
+
 /// One connection, kept until it fails.
 #[derive(Debug, Default)]
 struct Link {
@@ -25,10 +41,22 @@
     /// Grows with each new connection, so that a late failure does not drop a newer one.
     generation: u64,
     failed: Option<Instant>,
-    /// Since when it goes by way of another entry.
+    /// When the direct way was tried last, while it goes by way of another entry.
     detour: Option<Instant>,
 }
 
+impl Link {
+    /// Calls go over `stream` from now on.
+    fn connect(&mut self, stream: TcpStream) -> service::ReplicaClient {
+        let framed = tarpc::serde_transport::new(codec::framed(stream), codec::Postcard::default());
+        let client = service::ReplicaClient::new(tarpc::client::Config::default(), framed).spawn();
+        self.failed = None;
+        self.generation += 1;
+        self.client = Some(client.clone());
+        client
+    }
+}
+
 /// What is known of a replica's speed.
 #[derive(Clone, Copy, Debug, Default)]
 struct Cost {
@@ -85,14 +113,14 @@
         let started = Instant::now();
         let connected = self.connected(&link, addr).await;
         let Some((client, generation)) = connected else {
-            self.note(addr, None);
+            self.failed(addr, "no connection");
             return None;
         };
         let mut cx = tarpc::context::current();
         cx.deadline = Instant::now() + ANSWER;
         match tokio::time::timeout(ANSWER, send(client, cx)).await {
             Ok(Ok(answer)) => {
-                self.note(addr, Some(started.elapsed()));
+                self.answered(addr, started.elapsed());
                 Some(answer)
             }
             failed => {
@@ -100,9 +128,7 @@
                     Ok(Err(err)) => err.to_string(),
                     _ => format!("no answer within {ANSWER:?}"),
                 };
-                tracing::warn!(%addr, why, "a call to a replica failed");
-                metrics::counter!("fw_replica_call_failures_total").increment(1);
-                self.note(addr, None);
+                self.failed(addr, &why);
                 let mut link = link.lock().await;
                 if link.generation == generation {
                     link.client = None;
@@ -114,47 +140,61 @@
 
     async fn connected(
         &self,
-        link: &tokio::sync::Mutex<Link>,
+        shared: &Arc<tokio::sync::Mutex<Link>>,
         addr: SocketAddr,
     ) -> Option<(service::ReplicaClient, u64)> {
-        let mut link = link.lock().await;
-        let detour_is_old = link.detour.is_some_and(|since| since.elapsed() > DETOUR);
-        if let Some(client) = link.client.as_ref().filter(|_| !detour_is_old) {
-            return Some((client.clone(), link.generation));
+        let mut link = shared.lock().await;
+        if let Some(client) = link.client.clone() {
+            if link.detour.is_some_and(|tried| tried.elapsed() > DETOUR) {
+                link.detour = Some(Instant::now());
+                tokio::spawn(straighten(Arc::clone(shared), addr));
+            }
+            return Some((client, link.generation));
         }
         // Callers that waited for a connection which was refused share the refusal.
         if link.failed.is_some_and(|at| at.elapsed() < CONNECT) {
             return None;
         }
-        let (direct, mut detour) = (relay::dial(addr).await, None);
-        let stream = match direct {
-            Some(stream) => Some(stream),
-            None => {
-                detour = Some(Instant::now());
-                self.dial_around(addr).await
-            }
-        };
-        let Some(stream) = stream else {
+        let Some((stream, way)) = self.dial(addr).await else {
             link.failed = Some(Instant::now());
             return None;
         };
-        let framed = tarpc::serde_transport::new(codec::framed(stream), codec::Postcard::default());
-        let client = service::ReplicaClient::new(tarpc::client::Config::default(), framed).spawn();
-        link.failed = None;
-        link.generation += 1;
-        link.client = Some(client.clone());
-        link.detour = detour;
+        link.detour = (way == Way::Around).then(Instant::now);
+        let client = link.connect(stream);
         Some((client, link.generation))
     }
 
-    /// Connects to a member by way of another entry; entries pass on to no other address.
-    async fn dial_around(&self, addr: SocketAddr) -> Option<tokio::net::TcpStream> {
+    /// Connects directly, or if that takes long by way of another entry.
+    async fn dial(&self, addr: SocketAddr) -> Option<(TcpStream, Way)> {
+        let mut direct = pin!(relay::dial(addr));
+        match tokio::time::timeout(HEAD_START, &mut direct).await {
+            Ok(Some(stream)) => return Some((stream, Way::Direct)),
+            Ok(None) => {
+                let stream = self.dial_around(addr).await?;
+                return Some((stream, Way::Around));
+            }
+            Err(_) => {}
+        }
+        tokio::select! {
+            Some(stream) = direct => Some((stream, Way::Direct)),
+            Some(stream) = self.dial_around(addr) => Some((stream, Way::Around)),
+            else => None,
+        }
+    }
+
+    /// Connects to a member by way of another entry, the first of those asked that reaches it.
+    /// Entries pass on to no other address.
+    async fn dial_around(&self, addr: SocketAddr) -> Option<TcpStream> {
         if !self.members.lock().contains(&addr) {
             return None;
         }
         let peers = self.peers.lock().clone();
-        for peer in peers {
-            if let Some(stream) = relay::dial_by(peer, addr).await {
+        let mut dials: FuturesUnordered<_> = peers
+            .into_iter()
+            .map(|peer| async move { (peer, relay::dial_by(peer, addr).await) })
+            .collect();
+        while let Some((peer, stream)) = dials.next().await {
+            if let Some(stream) = stream {
                 tracing::info!(%addr, %peer, "a replica is reached by way of another entry");
                 metrics::counter!("fw_replica_detours_total").increment(1);
                 return Some(stream);
@@ -163,17 +203,38 @@
         None
     }
 
-    /// Notes how long a call took; `None` if it failed.
-    fn note(&self, addr: SocketAddr, took: Option<Duration>) {
+    /// A call was answered after `took`.
+    fn answered(&self, addr: SocketAddr, took: Duration) {
         let mut costs = self.costs.lock();
         let cost = costs.entry(addr).or_default();
-        match took {
-            Some(took) if cost.took.is_zero() => cost.took = took,
-            Some(took) => cost.took = cost.took * 7 / 8 + took / 8,
-            None => cost.failed = Some(Instant::now()),
+        cost.took = if cost.took.is_zero() {
+            took
+        } else {
+            cost.took * 7 / 8 + took / 8
+        };
+        if cost.failed.take().is_some() {
+            tracing::info!(%addr, ms = took.as_millis() as u64, "a replica answers again");
         }
-        if took.is_some() {
-            cost.failed = None;
+    }
+
+    /// A call was not answered. Only the first of several in a row is logged.
+    fn failed(&self, addr: SocketAddr, why: &str) {
+        metrics::counter!("fw_replica_call_failures_total").increment(1);
+        let mut costs = self.costs.lock();
+        let cost = costs.entry(addr).or_default();
+        if cost.failed.replace(Instant::now()).is_none() {
+            tracing::warn!(%addr, why, "a replica does not answer");
         }
     }
 }
+
+/// Goes back to the direct way if there is one again.
+async fn straighten(link: Arc<tokio::sync::Mutex<Link>>, addr: SocketAddr) {
+    let Some(stream) = relay::dial(addr).await else {
+        return;
+    };
+    tracing::info!(%addr, "a replica is reached directly again");
+    let mut link = link.lock().await;
+    link.detour = None;
+    link.connect(stream);
+}
--- a/fw-replica/src/relay.rs
+++ b/fw-replica/src/relay.rs
@@ -5,7 +5,9 @@
 //! for as long as the cut lasts.
 //!
 //! A relay copies bytes, and only to addresses that are replicas'. The first seven bytes of a
-//! connection name the replica: a version, four bytes of address, two of port.
+//! connection name the replica: a version, four bytes of address, two of port. The relay answers
+//! with one byte, the version, once it is connected to the replica: an entry that is cut off itself
+//! accepts connections as well, and calls through it would end in silence.
 
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::sync::Arc;
@@ -20,6 +22,8 @@
 /// Longest wait for a connection. Within a region one takes a millisecond; a replica that is cut
 /// off must not hold up the quorum of the others.
 const CONNECT: Duration = Duration::from_millis(300);
+/// Longest wait for a relay to be connected to the replica: a little longer than it tries.
+const RELAYED: Duration = Duration::from_millis(350);
 /// Longest wait for the name of the replica.
 const NAMED: Duration = Duration::from_secs(1);
 /// Version of the first bytes.
@@ -34,7 +38,8 @@
     Some(stream)
 }
 
-/// Connects to the replica at `addr` by way of the entry whose relay is at `peer`.
+/// Connects to the replica at `addr` by way of the entry whose relay is at `peer`; `None` if that
+/// entry does not reach it either.
 pub async fn dial_by(peer: SocketAddr, addr: SocketAddr) -> Option<TcpStream> {
     let SocketAddr::V4(addr) = addr else {
         return None;
@@ -44,7 +49,8 @@
     name[1..5].copy_from_slice(&addr.ip().octets());
     name[5..].copy_from_slice(&addr.port().to_be_bytes());
     stream.write_all(&name).await.ok()?;
-    Some(stream)
+    let relayed = tokio::time::timeout(RELAYED, stream.read_u8()).await;
+    (relayed.ok()?.ok()? == VERSION).then_some(stream)
 }
 
 /// Passes connections on, for ever. Only replicas that `client` knows can be reached.
@@ -75,6 +81,7 @@
         return None;
     }
     let mut to = dial(addr).await?;
+    from.write_u8(VERSION).await.ok()?;
     tokio::io::copy_bidirectional(&mut from, &mut to)
         .await
         .ok()?;
