Programs under way go before those that begin, which are refused when they cannot be in time

Change: a turn with which a program begins (no replica knows one that ran) waits behind the others; with no slot after 400 ms it is refused with a time to return, 0.5 to 2 s drawn at random. Test: a burst over engines, played without a network: 839 of 1,000 programs in time, 500 before. Refusing costs failed programs and wins more that are in time; it is kept as a caller who can't be served in time is to be told at once.

--- a/fw-gate/src/process/fleet/mod.rs
+++ b/fw-gate/src/process/fleet/mod.rs
@@ -305,7 +305,8 @@
     ///
     /// # Errors
     ///
-    /// `NoUpstream` when none may get new work.
+    /// `NoUpstream` when none may get new work; `Overloaded` when a program would begin with the
+    /// call and those under way need all slots.
     pub async fn acquire(
         self: &Arc<Self>,
         service_id: &id::ServiceId,
@@ -329,7 +330,14 @@
         }
         drop(ticket);
         metrics::counter!("fw_gate_held_too_long_total").increment(1);
-        self.choose(service_id, want)
+        match self.hold.over(&want.hold, rand::random()) {
+            hold::Over::Send => self.choose(service_id, want),
+            hold::Over::Refuse(after) => {
+                let message = "programs under way need all slots";
+                let err = error::Error::new(error::Kind::Overloaded, message);
+                Err(err.with_retry_after(after))
+            }
+        }
     }
 
     /// The best upstream; `Some(None)` when none has a free slot and `only_free` asks for one,
@@ -460,6 +468,11 @@
         self.services.lock().values().cloned().collect()
     }
 
+    /// Whether no turn of a program is known to have run.
+    pub fn is_new(&self, lineage: &trail::Lineage) -> bool {
+        lineage.program.is_some() && self.trail.last(lineage).program.is_none()
+    }
+
     /// Where turns of `lineage` ran last, as a replica tells it: newer than what this entry knows
     /// if the last one came in through another.
     pub fn told_last(&self, lineage: &trail::Lineage, last: trail::Last) {
--- a/fw-gate/src/request/attempt.rs
+++ b/fw-gate/src/request/attempt.rs
@@ -99,10 +99,12 @@
     pub async fn choose(&self, tries: &Tries) -> Result<fleet::Lease, error::Error> {
         self.gate.check_poison(&self.fingerprint)?;
         let is_stream = self.route.kind == config::Kind::Stream;
+        let lineage = self.call.lineage();
+        let begins = is_stream && self.gate.fleet.is_new(&lineage);
         let object = self.call.object.as_ref().filter(|_| self.route.sticky);
         let warmth = match object {
             _ if is_stream => fleet::Warmth::Prompt {
-                lineage: self.call.lineage(),
+                lineage,
                 tokens: self.call.prompt_tokens,
             },
             Some(object) => fleet::Warmth::Object(object),
@@ -117,6 +119,7 @@
                     .call
                     .program_deadline
                     .is_some_and(|left| left.is_zero()),
+                begins,
             },
         };
         let fleet = &self.gate.fleet;
--- a/fw-plan/src/hold.rs
+++ b/fw-plan/src/hold.rs
@@ -4,17 +4,22 @@
 //! and run what arrives in the order of arrival.
 //!
 //! *Without it:* each turn is bound to an engine at once and waits in that engine's queue, also
-//! when another becomes free first; an urgent turn waits behind others, and a turn whose program
-//! is late already delays one that could still be in time.
+//! when another becomes free first; an urgent turn waits behind others, a turn whose program
+//! is late already delays one that could still be in time, and each program that begins makes all
+//! that are under way a little later, until none is in time.
 //!
 //! *Rule:* a call is sent only to an upstream with room, by what is known of everybody's calls.
 //! Until there is one it waits here, in order of arrival, as if those of less urgent routes and of
-//! programs that are late already had arrived a little later. After [`Options::most`] it is sent
-//! all the same, so that a wrong picture of the load holds nobody back for long.
+//! programs that are late already had arrived a little later, and those with which a program begins
+//! a good deal later. After [`Options::most`] it is sent all the same, so that a wrong picture of
+//! the load holds nobody back for long; but a call with which a program begins is refused, with a
+//! time to return: its program could no longer be in time, and would make others late.
 //!
-//! *Grounds:* strict priority served the urgent route 2 in 100 better and the other 8 in 100
-//! worse, and less in all; in pure order of arrival the urgent route, whose programs are longer,
-//! came off worse by 5 in 100. [`Options`] names the figures.
+//! *Grounds:* strict priority of routes served the urgent route 2 in 100 better and the other 8 in
+//! 100 worse, and less in all; in pure order of arrival the urgent route, whose programs are longer,
+//! came off worse by 5 in 100. With programs that begin behind the others, 84 of 100 programs in
+//! place of 50 are in time over five seconds of 1.7 times what the engines can do, played in the
+//! tests. [`Options`] names the figures.
 
 use std::time::Duration;
 
@@ -29,8 +34,14 @@
     pub less_urgent: Duration,
     /// How much later a call seems to arrive whose program has missed its time.
     pub late: Duration,
+    /// How much later a call seems to arrive with which a program begins: longer than any is held
+    /// back, so that it waits for all that are under way.
+    pub begins: Duration,
     /// Longest time that a call is held back: well below a caller's patience of some seconds.
     pub most: Duration,
+    /// When callers are asked to return at the earliest and at the latest, after a refusal: a burst
+    /// lasts some seconds, and they must not all return at once.
+    pub back: (Duration, Duration),
     /// Pause after which the picture of the load is looked at again if nothing is heard.
     pub look: Duration,
 }
@@ -41,7 +52,9 @@
             beyond: 2.0,
             less_urgent: Duration::from_millis(80),
             late: Duration::from_millis(300),
+            begins: Duration::from_millis(1_000),
             most: Duration::from_millis(400),
+            back: (Duration::from_millis(500), Duration::from_millis(2_000)),
             look: Duration::from_millis(25),
         }
     }
@@ -54,6 +67,17 @@
     pub priority: u32,
     /// Whether the call's program has missed its time.
     pub late: bool,
+    /// Whether the program begins with it.
+    pub begins: bool,
+}
+
+/// What becomes of a call that was held back for [`Options::most`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Over {
+    /// It is sent, whether there is room or not.
+    Send,
+    /// It is refused; the caller may return after this time.
+    Refuse(Duration),
 }
 
 /// A call's place among those that wait: the least goes first.
@@ -71,12 +95,27 @@
     pub fn rank(&self, call: &Call, now: Duration, number: u64) -> Rank {
         let less = self.less_urgent * call.priority.min(LEAST_URGENT);
         let late = if call.late { self.late } else { Duration::ZERO };
+        let begins = if call.begins {
+            self.begins
+        } else {
+            Duration::ZERO
+        };
         Rank {
-            seems: now + less + late,
+            seems: now + less + late + begins,
             number,
         }
     }
 
+    /// What becomes of `call` now that it was held back for so long; `draw` is uniform in
+    /// `0.0..1.0`.
+    pub fn over(&self, call: &Call, draw: f64) -> Over {
+        if !call.begins {
+            return Over::Send;
+        }
+        let (soonest, latest) = self.back;
+        Over::Refuse(soonest + latest.saturating_sub(soonest).mul_f64(draw))
+    }
+
     /// Whether an upstream of `slots` that has `load` calls has room for another.
     pub fn has_room(&self, slots: u32, load: f64) -> bool {
         load + 1.0 <= f64::from(slots.max(1)) + self.beyond
--- a/fw-plan/tests/plan/held_calls.rs
+++ b/fw-plan/tests/plan/held_calls.rs
@@ -2,16 +2,18 @@
 
 use std::time::Duration;
 
-use fw_plan::hold::{Call, Options};
+use fw_plan::hold::{Call, Options, Over, Rank};
 use googletest::prelude::*;
 
 const URGENT: Call = Call {
     priority: 0,
     late: false,
+    begins: false,
 };
 const OTHER: Call = Call {
     priority: 1,
     late: false,
+    begins: false,
 };
 
 fn ms(ms: u64) -> Duration {
@@ -91,3 +93,106 @@
     expect_that!(other - before, le(80.0));
     expect_that!(same - urgent, ge(20.0));
 }
+
+/// Turns of a program, one after the other.
+const TURNS: u32 = 5;
+/// Ticks of ten milliseconds that a turn takes.
+const TURN: u64 = 20;
+/// Slots of all engines together.
+const SLOTS: usize = 60;
+
+/// One program in the play below.
+#[derive(Clone, Copy)]
+struct Program {
+    begun: u64,
+    turns: u32,
+}
+
+impl Program {
+    /// A program may take half as long again as it would take alone, and 200 ms.
+    fn is_late(&self, now: u64) -> bool {
+        now > self.begun + u64::from(TURNS) * TURN * 3 / 2 + 20
+    }
+}
+
+/// Plays a burst of programs, and returns how many were in time and how many there were.
+fn in_time(options: &Options) -> (u32, u32) {
+    let mut waiting = std::collections::BTreeMap::<Rank, (Program, u64)>::new();
+    let mut running: Vec<(u64, Program)> = Vec::new();
+    let (mut good, mut all, mut number) = (0, 0, 0);
+    for now in 0..4_000_u64 {
+        let mut ready: Vec<Program> = Vec::new();
+        running.retain_mut(|(until, program)| {
+            if *until > now {
+                return true;
+            }
+            program.turns += 1;
+            if program.turns < TURNS {
+                ready.push(*program);
+            } else {
+                good += u32::from(!program.is_late(now));
+            }
+            false
+        });
+        // Alone a slot serves a program a second: twice as many come for five seconds, then half.
+        let gap = if (500..1_000).contains(&now) { 1 } else { 3 };
+        if now < 2_000 && now % gap == 0 {
+            all += 1;
+            ready.push(Program {
+                begun: now,
+                turns: 0,
+            });
+        }
+        for program in ready {
+            number += 1;
+            let call = Call {
+                priority: 0,
+                late: program.is_late(now),
+                begins: program.turns == 0,
+            };
+            let rank = options.rank(&call, ms(now * 10), number);
+            waiting.insert(rank, (program, now));
+        }
+        let most = options.most.as_millis() as u64 / 10;
+        waiting.retain(|_, (program, since)| {
+            let call = Call {
+                begins: program.turns == 0,
+                ..URGENT
+            };
+            let over = now - *since >= most;
+            !over || options.over(&call, 0.0) == Over::Send
+        });
+        while running.len() < SLOTS
+            && let Some((_, (program, _))) = waiting.pop_first()
+        {
+            running.push((now + TURN, program));
+        }
+    }
+    (good, all)
+}
+
+#[gtest]
+fn lets_programs_under_way_finish_before_others_begin() {
+    // Programs come twice as fast as the engines can serve them. In order of arrival each new one
+    // makes all that are under way later, until nearly all of them miss their time.
+    let options = Options::default();
+    let arrival = Options {
+        begins: Duration::ZERO,
+        ..Options::default()
+    };
+    let (good, all) = in_time(&options);
+    let (before, _) = in_time(&arrival);
+    expect_that!(good, gt(before * 5 / 4), "of {all}");
+}
+
+#[gtest]
+fn refuses_only_what_has_not_begun() {
+    let options = Options::default();
+    let begins = Call {
+        begins: true,
+        ..URGENT
+    };
+    expect_that!(options.over(&URGENT, 0.5), eq(Over::Send));
+    expect_that!(options.over(&begins, 0.0), eq(Over::Refuse(ms(500))));
+    expect_that!(options.over(&begins, 1.0), eq(Over::Refuse(ms(2_000))));
+}
