fw-gate: choosing an upstream in small steps; its grounds are logged with the stream's end

Change: Fleet::pick is split into who is usable, what each is like, and the weights. The line of a stream's end tells what was known of its upstream when it was chosen: own calls, others' and how old that word was, the time to read what its cache lacked, its slowness. A turn that continues another never counts as a program's first, also when no replica remembers where the program ran.

--- a/fw-gate/src/process/fleet/lease.rs
+++ b/fw-gate/src/process/fleet/lease.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use fw_base::id;
-use fw_plan::{health, hold};
+use fw_plan::{assign, health, hold};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
@@ -41,6 +41,8 @@
     pub id: id::UpstreamId,
     /// Where it is called.
     pub addr: SocketAddr,
+    /// What was known of it when it was chosen, for log lines.
+    pub why: assign::Candidate,
     begun: Instant,
 }
 
@@ -60,6 +62,7 @@
         fleet: &Arc<Fleet>,
         service: &Arc<Mutex<Service>>,
         upstream: &mut Upstream,
+        why: assign::Candidate,
     ) -> Self {
         upstream.own += 1;
         Self {
@@ -67,6 +70,7 @@
             service: Arc::clone(service),
             id: upstream.listed.id.clone(),
             addr: upstream.listed.addr,
+            why,
             begun: Instant::now(),
         }
     }
--- a/fw-gate/src/process/fleet/mod.rs
+++ b/fw-gate/src/process/fleet/mod.rs
@@ -349,57 +349,20 @@
         only_free: bool,
     ) -> Option<Option<Lease>> {
         let mut locked = service.lock();
-        let now = self.now();
-        let usable = |upstream: &Upstream, strict: bool| {
-            let gone = upstream
-                .replaced_until
-                .is_some_and(|until| Instant::now() < until);
-            let listed = upstream.listed.takes_work && !gone;
-            let healthy = locked.health.decide(now, &upstream.listed.id).weight() > 0.0;
-            let tried = want.avoid.contains(&upstream.listed.id);
-            listed && (!strict || (healthy && !tried))
-        };
-        let pick = |strict: bool| -> Vec<usize> {
-            let all = 0..locked.upstreams.len();
-            all.filter(|at| usable(&locked.upstreams[*at], strict))
-                .collect()
-        };
-        let mut indices = pick(true);
-        if indices.is_empty() && want.avoid.is_empty() {
-            // All ejected: using one is better than using none.
-            indices = pick(false);
-        }
-        let among: Vec<_> = indices.iter().map(|at| &locked.upstreams[*at]).collect();
-        let warm = self.warm(&want.warmth, &among);
-        let cold = cold(&want.warmth, locked.mean);
-        let mut candidates: Vec<_> = indices
-            .iter()
-            .map(|at| self.candidate(&locked.upstreams[*at], &warm, cold))
-            .collect();
-        if candidates.is_empty() {
+        let usable = self.usable(&locked, want.avoid);
+        if usable.is_empty() {
             return None;
         }
-        if only_free {
-            let free = |candidate: &assign::Candidate| {
-                let load = candidate.load(&self.options);
-                self.hold.has_room(candidate.slots, load)
-            };
-            let kept = candidates.iter().zip(&indices).filter(|(c, _)| free(c));
-            (candidates, indices) = kept.map(|(c, at)| (*c, *at)).unzip();
-        }
-        let options = assign::Options {
-            call: if locked.mean > 0.0 {
-                Duration::from_secs_f64(locked.mean)
-            } else {
-                self.options.call
-            },
-            ..self.options.clone()
-        };
+        let options = self.weights(&locked);
+        let (indices, candidates): (Vec<_>, Vec<_>) = self
+            .candidates(&locked, &usable, &want.warmth)
+            .filter(|(_, c)| !only_free || self.hold.has_room(c.slots, c.load(&options)))
+            .unzip();
         let Some(chosen) = assign::choose(&options, &candidates, &mut rand::rng()) else {
             return Some(None);
         };
         let upstream = &mut locked.upstreams[indices[chosen]];
-        let lease = Lease::take(self, service, upstream);
+        let lease = Lease::take(self, service, upstream, candidates[chosen]);
         let upstream = upstream.short;
         drop(locked);
         if let Warmth::Prompt { lineage, .. } = &want.warmth {
@@ -409,6 +372,57 @@
         Some(Some(lease))
     }
 
+    /// Where the upstreams are that may get a call which failed at `avoid`.
+    fn usable(&self, service: &Service, avoid: &[id::UpstreamId]) -> Vec<usize> {
+        let now = self.now();
+        let takes_work = |at: &usize| {
+            let upstream = &service.upstreams[*at];
+            let replaced = upstream.replaced_until;
+            upstream.listed.takes_work && replaced.is_none_or(|until| Instant::now() >= until)
+        };
+        let listed: Vec<_> = (0..service.upstreams.len()).filter(takes_work).collect();
+        let good = |at: &&usize| {
+            let id = &service.upstreams[**at].listed.id;
+            service.health.decide(now, id).weight() > 0.0 && !avoid.contains(id)
+        };
+        let usable: Vec<_> = listed.iter().filter(good).copied().collect();
+        if usable.is_empty() && avoid.is_empty() {
+            // All ejected: using one is better than using none.
+            return listed;
+        }
+        usable
+    }
+
+    /// The weights of the costs, with the service's own time of a call.
+    fn weights(&self, service: &Service) -> assign::Options {
+        let call = if service.mean > 0.0 {
+            Duration::from_secs_f64(service.mean)
+        } else {
+            self.options.call
+        };
+        assign::Options {
+            call,
+            ..self.options.clone()
+        }
+    }
+
+    /// What is known of the upstreams at `indices`.
+    fn candidates<'a>(
+        &'a self,
+        service: &'a Service,
+        indices: &'a [usize],
+        warmth: &Warmth<'_>,
+    ) -> impl Iterator<Item = (usize, assign::Candidate)> + use<'a> {
+        let among: Vec<_> = indices.iter().map(|at| &service.upstreams[*at]).collect();
+        let warm = self.warm(warmth, &among);
+        let cold = cold(warmth, service.mean);
+        let candidate = move |at: &usize| {
+            let candidate = self.candidate(&service.upstreams[*at], &warm, cold);
+            (*at, candidate)
+        };
+        indices.iter().map(candidate)
+    }
+
     /// A further call to an upstream that was chosen before, if it may still get work.
     pub fn again(
         self: &Arc<Self>,
@@ -421,7 +435,8 @@
         if !upstream.listed.takes_work {
             return None;
         }
-        Some(Lease::take(self, &service, upstream))
+        let why = assign::Candidate::default();
+        Some(Lease::take(self, &service, upstream, why))
     }
 
     /// The entry's own calls under way.
--- a/fw-gate/src/request/attempt.rs
+++ b/fw-gate/src/request/attempt.rs
@@ -100,7 +100,7 @@
         self.gate.check_poison(&self.fingerprint)?;
         let is_stream = self.route.kind == config::Kind::Stream;
         let lineage = self.call.lineage();
-        let begins = is_stream && self.gate.fleet.is_new(&lineage);
+        let begins = is_stream && self.call.previous.is_none() && self.gate.fleet.is_new(&lineage);
         let object = self.call.object.as_ref().filter(|_| self.route.sticky);
         let warmth = match object {
             _ if is_stream => fleet::Warmth::Prompt {
--- a/fw-gate/src/request/stream.rs
+++ b/fw-gate/src/request/stream.rs
@@ -163,9 +163,11 @@
         let mut begun = begun;
         let mut resumes = 0;
         let mut last_upstream = begun.lease.id.clone();
+        let mut why;
         let outcome = loop {
             let (upstream, addr) = (begun.lease.id.clone(), begun.lease.addr);
             last_upstream.clone_from(&upstream);
+            why = begun.lease.why;
             if let Some(turn) = &mut self.turn {
                 turn.runs_at(&upstream);
             }
@@ -205,6 +207,11 @@
             resumes,
             outcome,
             upstream = %last_upstream,
+            own = why.own,
+            others = why.others,
+            others_age_ms = why.age.as_millis() as u64,
+            miss_ms = why.miss.as_millis() as u64,
+            slowness = why.slowness,
             replicas_ms = self.times.replicas.as_millis() as u64,
             head_ms = self.times.head.as_millis() as u64,
             first_ms = ms(self.times.first),
