--- a/fw-replica/tests/replica/main.rs
+++ b/fw-replica/tests/replica/main.rs
@@ -4,6 +4,7 @@
 mod budget_ledger;
 mod budget_model;
 mod call_board;
+mod journal_machine;
 mod journal_segments;
 mod list_change;
 mod state_pages;
