--- a/fw-gate/src/request/ingress.rs
+++ b/fw-gate/src/request/ingress.rs
@@ -26,7 +26,15 @@
     let mut res = match answered(&gate, req, started).await {
         Ok(res) => res,
         Err(err) => {
-            tracing::info!(request = ?id, ?program, kind = err.kind.row().label, message = err.message, ran = ?err.ran(), ms = started.elapsed().as_millis() as u64, "request not served");
+            tracing::info!(
+                request = id.as_ref().and_then(|id| id.to_str().ok()),
+                program = program.as_ref().and_then(|id| id.to_str().ok()),
+                kind = err.kind.row().label,
+                why = err.message,
+                ran = ?err.ran(),
+                ms = started.elapsed().as_millis() as u64,
+                "request not served"
+            );
             let mut res = answer::of_error(&err);
             if let Some(id) = id {
                 res.headers_mut()
