--- a/fw-replica/src/client.rs
+++ b/fw-replica/src/client.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_util::StreamExt;
 use futures_util::future::join_all;
@@ -18,6 +18,34 @@
     Duration::from_millis(500),
     Duration::from_millis(2_000),
 ];
+/// Longest wait for the chain from the one member asked for it, once the votes are in. It takes up
+/// to ten milliseconds; a member that has frozen would hold the turn up for its whole time-out.
+pub const CHAIN_LATE: Duration = Duration::from_millis(40);
+
+/// How long answers of members are waited for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wait {
+    /// Until the next one.
+    Open,
+    /// Until the next one, but no longer than this; then all members are asked for the chain.
+    AtMost(Duration),
+    /// No longer.
+    Over,
+}
+
+/// How long to wait, when the votes have been in for `voted`, if they are.
+pub fn wait(voted: Option<Duration>, chain_due: bool) -> Wait {
+    let Some(voted) = voted else {
+        return Wait::Open;
+    };
+    let left = CHAIN_LATE.saturating_sub(voted);
+    if chain_due && !left.is_zero() {
+        Wait::AtMost(left)
+    } else {
+        Wait::Over
+    }
+}
+
 /// Why a turn may not begin.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum Error {
@@ -282,7 +310,20 @@
         let mut round = Round::default();
         let mut chain_due = newest.is_some() && !members.is_empty();
         let mut left = calls.len();
-        while let Some(done) = calls.next().await {
+        let mut voted = reserve.is_none().then(Instant::now);
+        loop {
+            let next = match wait(voted.map(|at| at.elapsed()), chain_due) {
+                Wait::Over => break,
+                Wait::Open => calls.next().await,
+                Wait::AtMost(time) => match tokio::time::timeout(time, calls.next()).await {
+                    Ok(next) => next,
+                    Err(_) => {
+                        metrics::counter!("fw_replica_late_chains_total").increment(1);
+                        break;
+                    }
+                },
+            };
+            let Some(done) = next else { break };
             left -= 1;
             let Ok((rank, addr, begun)) = done else {
                 continue;
@@ -293,11 +334,9 @@
             if let Some(begun) = begun {
                 self.count(&mut round, rank, addr, begun);
             }
-            let voted = reserve.is_none()
-                || round.accepted.len() >= quorum.vote
-                || round.accepted.len() + left < quorum.vote;
-            if voted && !chain_due {
-                break;
+            let accepted = round.accepted.len();
+            if accepted >= quorum.vote || accepted + left < quorum.vote {
+                voted.get_or_insert_with(Instant::now);
             }
         }
         round
--- a/fw-replica/tests/replica/main.rs
+++ b/fw-replica/tests/replica/main.rs
@@ -6,6 +6,7 @@
 mod call_board;
 mod journal_machine;
 mod journal_segments;
+mod late_chain;
 mod list_change;
 mod state_pages;
 mod torn_journal;
