fw-replica: a refusal keeps no charge in memory alone

Read from the code: a refused reservation merged the charges that it was told of into the ledger in memory; they then counted as known, so that copying never brought them to that disk, nor to the disks of replicas that copy from it. Ruled out by reading: votes before the sync, sizes of quorums, expiry, a copy from too few sources. Change: a refusal leaves the ledger as it was; a charge that the disk refused is news until it is stored. Both tests fail without their guard.

--- a/fw-replica/src/server.rs
+++ b/fw-replica/src/server.rs
@@ -52,10 +52,21 @@
         opts: journal::Options,
         run: u64,
     ) -> Result<Arc<Self>, journal::Error> {
+        let begun = std::time::Instant::now();
+        let mut records = 0_u64;
         let mut state = state::State::new(run);
-        let apply = |record: record::Record, place| state.apply(&record, place);
+        let apply = |record: record::Record, place| {
+            records += 1;
+            state.apply(&record, place);
+        };
         let journal = journal::Journal::open(dir, opts, apply)?;
         state.expire(unix_ms());
+        tracing::info!(
+            records,
+            segments = journal.files().count(),
+            ms = begun.elapsed().as_millis() as u64,
+            "journal read"
+        );
         let view = state.view().clone();
         let files = journal.files();
         let writer = writer::Writer::start(journal).map_err(|source| journal::Error::Io {
@@ -329,8 +340,7 @@
             }
         };
         // The ledger has them already, so that a reservation which races sees them.
-        let stored = charges.into_iter().map(record::Record::Charge);
-        let stored = join_all(stored.map(|record| self.write(record))).await;
+        let stored = join_all(charges.into_iter().map(|charge| self.store_charge(charge))).await;
         if stored.into_iter().all(|ok| ok) {
             let digest = self.state.lock().digest(&reserve);
             service::Vote::Accepted { digest }
@@ -340,6 +350,15 @@
             }
         }
     }
+
+    /// Stores a charge that the ledger has; whether it then is on disk.
+    async fn store_charge(&self, charge: record::Charge) -> bool {
+        let stored = self.write(record::Record::Charge(charge.clone())).await;
+        if !stored {
+            self.state.lock().not_stored(charge);
+        }
+        stored
+    }
 }
 
 /// One connection's view of the replica.
--- a/fw-replica/src/state.rs
+++ b/fw-replica/src/state.rs
@@ -26,6 +26,9 @@
     synced: bool,
     view: member::View,
     bulletin: Option<service::Bulletin>,
+    /// Turns that were charged without the charge being on disk, as the disk refused it, and their
+    /// programs.
+    not_stored: HashMap<record::TurnId, record::ProgramId>,
 }
 
 impl State {
@@ -40,6 +43,7 @@
             synced: false,
             view: member::View::default(),
             bulletin: None,
+            not_stored: HashMap::new(),
         }
     }
 
@@ -49,6 +53,7 @@
             record::Record::Turn(turn) => self.apply_turn(turn, place),
             record::Record::Charge(charge) => {
                 self.charge(charge);
+                self.not_stored.remove(&charge.turn);
                 let listed = service::Listed::Charge(charge.clone());
                 self.order.push_back((charge.until(), listed));
             }
@@ -75,12 +80,18 @@
 
     /// Charges `reserve` if it stays within the budget, and returns what then has to be stored;
     /// all charges known if it does not.
+    ///
+    /// *Failure:* a refusal kept the charges that it was told of in memory only. They counted as
+    /// known, so that they were never copied to this disk from others'. Once members had been
+    /// replaced and all power was lost, a program that had spent its budget was granted it again.
+    /// So a refusal leaves the ledger as it was.
     pub fn reserve(
         &mut self,
         reserve: &service::Reserve,
         now: record::UnixMs,
     ) -> Result<Vec<record::Charge>, Vec<ledger::Line>> {
-        let ledger = self.ledgers.entry(reserve.program.clone()).or_default();
+        let known = self.ledgers.get(&reserve.program);
+        let mut ledger = known.cloned().unwrap_or_default();
         let charge = |line: &ledger::Line| record::Charge {
             program: reserve.program.clone(),
             turn: line.turn.clone(),
@@ -99,10 +110,16 @@
             settled: false,
         };
         ledger.merge(&line, now);
+        self.ledgers.insert(reserve.program.clone(), ledger);
         charges.push(charge(&line));
         Ok(charges)
     }
 
+    /// The disk refused `charge`, which is charged already: it has to be stored yet.
+    pub fn not_stored(&mut self, charge: record::Charge) {
+        self.not_stored.insert(charge.turn, charge.program);
+    }
+
     /// Digest of what is known of the program, but for the turn of `reserve`.
     pub fn digest(&self, reserve: &service::Reserve) -> u64 {
         let ledger = self.ledgers.get(&reserve.program);
@@ -122,6 +139,9 @@
 
     /// Whether storing `charge` would say anything new.
     pub fn is_news(&self, charge: &record::Charge) -> bool {
+        if self.not_stored.contains_key(&charge.turn) {
+            return true;
+        }
         let ledger = self.ledgers.get(&charge.program);
         ledger.is_none_or(|ledger| ledger.is_news(&ledger::Line::from(charge)))
     }
@@ -186,6 +206,8 @@
         let keep = record::KEEP_CHARGE;
         self.ledgers
             .retain(|_, ledger| record::add(ledger.touched(), keep) > now);
+        self.not_stored
+            .retain(|_, program| self.ledgers.contains_key(program));
         while self.order.front().is_some_and(|(until, _)| *until <= now) {
             let Some((_, listed)) = self.order.pop_front() else {
                 break;
--- a/fw-replica/tests/replica/budget_ledger.rs
+++ b/fw-replica/tests/replica/budget_ledger.rs
@@ -1,6 +1,8 @@
 //! Charges of one program.
 
 use fw_replica::ledger::{Ledger, Line};
+use fw_replica::state::State;
+use fw_replica::{journal, record, service};
 use googletest::prelude::*;
 
 fn line(turn: &str, tokens: u64, settled: bool) -> Line {
@@ -32,3 +34,53 @@
     expect_that!(ledger.total(), eq(10));
     expect_true!(ledger.allows(&"a".into(), 30, 10));
 }
+
+fn reserve(turn: &str, known: Vec<Line>) -> service::Reserve {
+    service::Reserve {
+        program: "p".into(),
+        turn: turn.into(),
+        tokens: 50,
+        budget: 100,
+        known,
+    }
+}
+
+// A program that has spent its budget asks again. A replica that had missed its charges hears of
+// them with the question, refuses, and took them for known from then on: it never copied them from
+// the others' lists to its own disk. The others were replaced one by one, all power was lost, and
+// the program was granted its whole budget again.
+#[gtest]
+fn a_refusal_leaves_charges_to_be_copied() {
+    let mut state = State::new(1);
+    let known = vec![line("t1", 50, true), line("t2", 50, true)];
+    expect_that!(state.reserve(&reserve("t3", known), 1), err(len(eq(2))));
+    for turn in ["t1", "t2"] {
+        let charge = record::Charge {
+            program: "p".into(),
+            turn: turn.into(),
+            tokens: 50,
+            settled: true,
+            made: 1,
+        };
+        expect_true!(state.is_news(&charge));
+    }
+}
+
+// The disk refuses a charge for a moment. The replica does not grant the reservation, but counts
+// the charge in memory, and must still copy it from those that have it on disk.
+#[gtest]
+fn a_charge_that_the_disk_refused_is_still_news() {
+    let mut state = State::new(1);
+    let charges = state.reserve(&reserve("t", Vec::new()), 1).unwrap();
+    let charge = charges[0].clone();
+    expect_false!(state.is_news(&charge));
+    state.not_stored(charge.clone());
+    expect_true!(state.is_news(&charge));
+    let place = journal::Place {
+        segment: 1,
+        at: 0,
+        len: 1,
+    };
+    state.apply(&record::Record::Charge(charge.clone()), place);
+    expect_false!(state.is_news(&charge));
+}
