fw-gate: requests wait for an entry that has just started

Cause: after a loss of all power entries are up before they know a configuration. Change: a request waits for the configuration, 600 ms at most; while nothing is known the replicas are asked at once and together, every 50 ms. Log lines tell the time that the caller and the program have.

--- a/fw-gate/src/process/gate.rs
+++ b/fw-gate/src/process/gate.rs
@@ -10,11 +10,16 @@
 use fw_plan::{poison, retry};
 use fw_replica::{client, member, record};
 use parking_lot::Mutex;
+use tokio::sync::watch;
 
 use super::{fleet, snapshot, turns};
 use crate::names;
 use crate::version::config;
 
+/// How long a request waits for an entry that has just started and knows no configuration yet: the
+/// replicas of a system that starts as a whole are back within half a second.
+const START: Duration = Duration::from_millis(600);
+
 /// What an entry is told at its start.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -56,7 +61,7 @@
     pub replicas: Arc<client::Client>,
     /// Turns seen lately.
     pub turns: turns::Turns,
-    config: Mutex<Option<Arc<config::Config>>>,
+    config: watch::Sender<Option<Arc<config::Config>>>,
     poison: Mutex<poison::Poison>,
     retries: Mutex<HashMap<id::ServiceId, retry::Budget>>,
     started: Instant,
@@ -75,12 +80,12 @@
             replicas: client::Client::new(opts.faults, opts.seeds.clone()),
             opts,
             turns: turns::Turns::default(),
-            config: Mutex::default(),
+            config: watch::Sender::default(),
             poison: Mutex::new(poison::Poison::new(poison::Options::default())),
             retries: Mutex::default(),
             started: Instant::now(),
             stopping: AtomicBool::new(false),
-            in_touch: AtomicBool::new(true),
+            in_touch: AtomicBool::new(false),
             snapshot: Mutex::default(),
         })
     }
@@ -153,7 +158,11 @@
     /// answer.
     pub async fn ask_others(self: Arc<Self>) {
         loop {
-            tokio::time::sleep(snapshot::ASK).await;
+            let pause = match self.config() {
+                Some(_) => snapshot::ASK,
+                None => snapshot::ASK_FIRST,
+            };
+            tokio::time::sleep(pause).await;
             if self.in_touch.load(Ordering::Relaxed) {
                 continue;
             }
@@ -180,28 +189,42 @@
 
     /// Puts `config` in force unless a newer one is.
     pub fn configure(&self, config: config::Config) {
-        let mut known = self.config.lock();
-        let newest = known.as_ref().map_or(0, |known| known.version);
-        if config.version <= newest && known.is_some() {
-            return;
-        }
-        tracing::info!(
-            version = config.version,
-            from = newest,
-            routes = config.routes.len(),
-            "configuration in force"
-        );
-        *known = Some(Arc::new(config));
+        self.config.send_if_modified(|known| {
+            let newest = known.as_ref().map_or(0, |known| known.version);
+            if config.version <= newest && known.is_some() {
+                return false;
+            }
+            tracing::info!(
+                version = config.version,
+                from = newest,
+                routes = config.routes.len(),
+                "configuration in force"
+            );
+            *known = Some(Arc::new(config));
+            true
+        });
     }
 
     /// The configuration in force.
     pub fn config(&self) -> Option<Arc<config::Config>> {
-        self.config.lock().clone()
+        self.config.borrow().clone()
+    }
+
+    /// The configuration in force, also if it is about to be read: that takes an entry some ten
+    /// milliseconds from its start, or some hundred if it has to wait for a replica that tells it.
+    ///
+    /// *Failure:* after a loss of all power, callers wait in the queue of the entry's socket. Refused
+    /// in its first moment, they used up the few attempts that they make, and gave up before the
+    /// entry could have served them. They are not refused before [`START`] is over.
+    pub async fn config_soon(&self) -> Option<Arc<config::Config>> {
+        let mut config = self.config.subscribe();
+        let known = tokio::time::timeout(START, config.wait_for(Option::is_some)).await;
+        known.ok()?.ok()?.clone()
     }
 
     /// Whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
-        let known = self.config.lock().is_some() && self.fleet.is_known();
+        let known = self.config.borrow().is_some() && self.fleet.is_known();
         known && self.replicas.epoch() > 0 && !self.is_stopping()
     }
 
--- a/fw-gate/src/process/snapshot.rs
+++ b/fw-gate/src/process/snapshot.rs
@@ -18,6 +18,8 @@
 
 /// Pause between two questions while the store does not answer.
 pub const ASK: Duration = Duration::from_millis(300);
+/// The same while nothing is known: callers wait for it.
+pub const ASK_FIRST: Duration = Duration::from_millis(50);
 
 /// What is known from the store.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/fw-gate/src/request/ingress.rs
+++ b/fw-gate/src/request/ingress.rs
@@ -23,15 +23,24 @@
     let names = &gate.opts.names;
     let id = req.headers().get(&names.request_id).cloned();
     let program = req.headers().get(&names.program).cloned();
+    let deadline = req.headers().get(&names.deadline_ms).cloned();
+    let program_left = req.headers().get(&names.program_deadline_ms).cloned();
     let mut res = match answered(&gate, req, started).await {
         Ok(res) => res,
         Err(err) => {
+            let text = |value: &Option<HeaderValue>| {
+                let value = value.as_ref()?;
+                value.to_str().ok().map(str::to_owned)
+            };
             tracing::info!(
-                request = id.as_ref().and_then(|id| id.to_str().ok()),
-                program = program.as_ref().and_then(|id| id.to_str().ok()),
+                request = text(&id),
+                program = text(&program),
+                deadline_ms = text(&deadline),
+                program_left_ms = text(&program_left),
                 kind = err.kind.row().label,
                 why = err.message,
                 ran = ?err.ran(),
+                retry_after_ms = ms(err.retry_after),
                 ms = started.elapsed().as_millis() as u64,
                 "request not served"
             );
@@ -51,15 +60,20 @@
     res
 }
 
+/// Milliseconds for a log line; -1 if there is no such time.
+pub(super) fn ms(time: Option<Duration>) -> i64 {
+    time.map_or(-1, |time| time.as_millis() as i64)
+}
+
 async fn answered(
     gate: &Arc<gate::Gate>,
     req: Request<Incoming>,
     started: Instant,
 ) -> Result<Response<body::Outgoing>, error::Error> {
-    let config = gate
-        .config()
-        .ok_or_else(|| error::Error::new(error::Kind::NotReady, "no configuration is known yet"))?;
     let (head, body) = req.into_parts();
+    let config = gate.config_soon().await;
+    let config = config
+        .ok_or_else(|| error::Error::new(error::Kind::NotReady, "no configuration is known yet"))?;
     let host = host(&head.headers, &head.uri);
     let route = config.route(host, head.uri.path()).ok_or_else(|| {
         let message = format!("no route covers `{host}` and `{}`", head.uri.path());
--- a/fw-gate/src/request/stream.rs
+++ b/fw-gate/src/request/stream.rs
@@ -14,6 +14,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use super::ingress::ms;
 use super::{attempt, body, call, events, plain, send, turn};
 use crate::process::gate;
 use crate::version::config;
@@ -125,11 +126,6 @@
     }
 }
 
-/// Milliseconds for a log line; -1 for what did not happen.
-fn ms(time: Option<Duration>) -> i64 {
-    time.map_or(-1, |time| time.as_millis() as i64)
-}
-
 /// How reading from one upstream ended.
 enum Ended {
     /// The stream is complete.
@@ -206,6 +202,11 @@
             events = self.events,
             resumes,
             outcome,
+            deadline_ms = ms(self.job.call.deadline),
+            program_left_ms = ms(self.job.call.program_deadline),
+            prompt = self.job.call.prompt_tokens,
+            most = self.job.call.most_tokens,
+            priority = self.job.route.priority,
             upstream = %last_upstream,
             own = why.own,
             others = why.others,
