Turns wait for the engine that has their prompt, and go by what time their program has left

Cause: in a burst each free place went to the turn that had waited longest, wherever its prompt was. A program due within the second waited behind those with seconds left. Change: places beyond the slots go to turns that are warm there, others wait 200 ms first; among those that wait, three tenths of the time left count as arriving later.

--- a/fw-gate/src/process/fleet/lease.rs
+++ b/fw-gate/src/process/fleet/lease.rs
@@ -6,6 +6,7 @@
 
 use fw_base::id;
 use fw_plan::{assign, health, hold};
+use fw_replica::trail;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
@@ -49,10 +50,12 @@
 impl Drop for Lease {
     fn drop(&mut self) {
         let mut service = self.service.lock();
+        let mut freed = None;
         if let Some(upstream) = service.find(&self.id) {
             upstream.own = upstream.own.saturating_sub(1);
+            freed = Some(upstream.short);
         }
-        service.wake_first();
+        service.wake(freed);
     }
 }
 
@@ -171,6 +174,37 @@
     };
 }
 
+/// A call that waits.
+#[derive(Debug)]
+pub(super) struct Waiter {
+    /// The upstream that has its prompt in the cache.
+    warm: Option<trail::Upstream>,
+    turn: Arc<Notify>,
+}
+
+impl Waiter {
+    /// Lets it look again.
+    pub(super) fn wake(&self) {
+        self.turn.notify_one();
+    }
+
+    /// Whether it waits for a place at `upstream` in the first place.
+    pub(super) fn is_warm_at(&self, upstream: trail::Upstream) -> bool {
+        self.warm == Some(upstream)
+    }
+}
+
+/// Upstreams that a waiting call may go to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Reach {
+    /// All.
+    All,
+    /// Only one that has its prompt in the cache.
+    Warm,
+    /// None yet.
+    None,
+}
+
 /// A call's place among those that wait; given up when dropped.
 pub(super) struct Ticket<'a> {
     service: &'a Mutex<Service>,
@@ -180,12 +214,21 @@
 }
 
 impl<'a> Ticket<'a> {
-    pub(super) fn draw(service: &'a Mutex<Service>, rank: impl FnOnce(u64) -> hold::Rank) -> Self {
+    /// `warm` has the call's prompt in its cache.
+    pub(super) fn draw(
+        service: &'a Mutex<Service>,
+        warm: Option<trail::Upstream>,
+        rank: impl FnOnce(u64) -> hold::Rank,
+    ) -> Self {
         let mut locked = service.lock();
         locked.arrivals += 1;
         let rank = rank(locked.arrivals);
         let turn = Arc::new(Notify::new());
-        locked.waiting.insert(rank, Arc::clone(&turn));
+        let waiter = Waiter {
+            warm,
+            turn: Arc::clone(&turn),
+        };
+        locked.waiting.insert(rank, waiter);
         Self {
             service,
             rank,
@@ -193,10 +236,14 @@
         }
     }
 
-    pub(super) fn is_first(&self) -> bool {
+    /// Which upstreams the call may go to by its place among those that wait.
+    pub(super) fn may_go(&self, options: &hold::Options) -> Reach {
         let service = self.service.lock();
-        let first = service.waiting.first_key_value();
-        first.is_some_and(|(rank, _)| *rank == self.rank)
+        match service.waiting.first_key_value() {
+            Some((first, _)) if *first == self.rank => Reach::All,
+            Some((first, _)) if options.may_pass(*first, self.rank) => Reach::Warm,
+            _ => Reach::None,
+        }
     }
 }
 
@@ -204,6 +251,6 @@
     fn drop(&mut self) {
         let mut service = self.service.lock();
         service.waiting.remove(&self.rank);
-        service.wake_first();
+        service.wake(None);
     }
 }
--- a/fw-gate/src/process/fleet/mod.rs
+++ b/fw-gate/src/process/fleet/mod.rs
@@ -12,15 +12,14 @@
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
-use tokio::sync::Notify;
 use xxhash_rust::xxh3;
 
 use crate::connection::link;
 
 mod lease;
 
-use lease::Ticket;
 pub use lease::{Lease, Load};
+use lease::{Reach, Ticket, Waiter};
 
 /// Prompt tokens that an engine reads in a millisecond, for the order of magnitude of what a lost
 /// cache costs; engines of today read some hundred.
@@ -29,6 +28,10 @@
 /// of today save a half.
 const WARM_GAIN: f64 = 0.5;
 
+/// Calls that wait and look again when news of the others' calls come: some may find the upstream
+/// free that has their prompt.
+const WOKEN: usize = 8;
+
 /// Start of an upstream, in milliseconds since the Unix epoch.
 pub type Born = u64;
 
@@ -93,6 +96,14 @@
     pace: pace::Pace,
 }
 
+/// What decides whether an upstream has room for a call.
+#[derive(Clone, Copy, Debug)]
+struct Open {
+    short: trail::Upstream,
+    slots: u32,
+    load: f64,
+}
+
 #[derive(Debug)]
 struct Service {
     upstreams: Vec<Upstream>,
@@ -102,7 +113,7 @@
     /// Smoothed time of a call's comparable part, in seconds.
     part: f64,
     /// Calls that are held back until there is a free slot.
-    waiting: BTreeMap<hold::Rank, Arc<Notify>>,
+    waiting: BTreeMap<hold::Rank, Waiter>,
     arrivals: u64,
 }
 
@@ -126,10 +137,13 @@
         }
     }
 
-    /// Lets the first that waits look again.
-    fn wake_first(&self) {
-        if let Some((_, first)) = self.waiting.first_key_value() {
-            first.notify_one();
+    /// Lets the first that waits look again, and the first whose prompt is in the cache of the
+    /// upstream that has `freed` a place.
+    fn wake(&self, freed: Option<trail::Upstream>) {
+        let first = self.waiting.values().next();
+        let warm = freed.and_then(|freed| self.waiting.values().find(|w| w.is_warm_at(freed)));
+        for waiter in first.into_iter().chain(warm) {
+            waiter.wake();
         }
     }
 
@@ -296,7 +310,7 @@
     ) -> Result<Lease, error::Error> {
         let none = || no_upstream(service_id);
         let service = self.service(service_id).ok_or_else(none)?;
-        let picked = self.pick(&service, want, false);
+        let picked = self.pick(&service, want, |_| true);
         picked.ok_or_else(none)?.ok_or_else(none)
     }
 
@@ -314,13 +328,24 @@
     ) -> Result<Lease, error::Error> {
         let none = || no_upstream(service_id);
         let service = self.service(service_id).ok_or_else(none)?;
-        let ticket = Ticket::draw(&service, |number| {
+        let warm = match &want.warmth {
+            Warmth::Prompt { lineage, .. } => self.trail.last(lineage).warmest(),
+            Warmth::Object(_) | Warmth::None => None,
+        };
+        let ticket = Ticket::draw(&service, warm, |number| {
             self.hold.rank(&want.hold, self.now(), number)
         });
-        let begun = Instant::now();
+        let begun = tokio::time::Instant::now();
         while begun.elapsed() < self.hold.most {
-            if ticket.is_first()
-                && let Some(lease) = self.pick(&service, want, true).ok_or_else(none)?
+            let reach = ticket.may_go(&self.hold);
+            let fits = |open: &Open| {
+                let warm = Some(open.short) == warm;
+                let waited = begun.elapsed();
+                let reached = reach == Reach::All || warm;
+                reached && self.hold.has_room(open.slots, open.load, warm, waited)
+            };
+            if reach != Reach::None
+                && let Some(lease) = self.pick(&service, want, fits).ok_or_else(none)?
             {
                 metrics::histogram!("fw_gate_held_seconds").record(begun.elapsed().as_secs_f64());
                 return Ok(lease);
@@ -340,13 +365,12 @@
         }
     }
 
-    /// The best upstream; `Some(None)` when none has a free slot and `only_free` asks for one,
-    /// `None` when there is none at all.
+    /// The best upstream that `fits`; `Some(None)` when none does, `None` when there is none at all.
     fn pick(
         self: &Arc<Self>,
         service: &Arc<Mutex<Service>>,
         want: &Want<'_>,
-        only_free: bool,
+        fits: impl Fn(&Open) -> bool,
     ) -> Option<Option<Lease>> {
         let mut locked = service.lock();
         let usable = self.usable(&locked, want.avoid);
@@ -356,7 +380,13 @@
         let options = self.weights(&locked);
         let (indices, candidates): (Vec<_>, Vec<_>) = self
             .candidates(&locked, &usable, &want.warmth)
-            .filter(|(_, c)| !only_free || self.hold.has_room(c.slots, c.load(&options)))
+            .filter(|(at, c)| {
+                fits(&Open {
+                    short: locked.upstreams[*at].short,
+                    slots: c.slots,
+                    load: c.load(&options),
+                })
+            })
             .unzip();
         let Some(chosen) = assign::choose(&options, &candidates, &mut rand::rng()) else {
             return Some(None);
@@ -475,7 +505,7 @@
                 upstream.others = others.get(&upstream.short).copied().unwrap_or(0).into();
                 upstream.reported = now;
             }
-            service.wake_first();
+            service.waiting.values().take(WOKEN).for_each(Waiter::wake);
         }
     }
 
--- a/fw-gate/src/request/attempt.rs
+++ b/fw-gate/src/request/attempt.rs
@@ -115,10 +115,7 @@
             avoid: &tries.avoid,
             hold: hold::Call {
                 priority: self.route.priority,
-                late: self
-                    .call
-                    .program_deadline
-                    .is_some_and(|left| left.is_zero()),
+                left: self.call.program_deadline,
                 begins,
             },
         };
--- /dev/null
+++ b/fw-gate/tests/gate/held_turns.rs
@@ -0,0 +1,113 @@
+//! Turns that wait for an upstream.
+
+use std::sync::Arc;
+
+use fw_gate::process::fleet::{Fleet, Lease, Listed, Want, Warmth};
+use fw_replica::trail;
+use googletest::prelude::*;
+
+/// Calls that fill an upstream of [`listed`]: its slots, and as many that queue there.
+const FULL: usize = 4;
+
+fn listed(id: &str) -> Listed {
+    Listed {
+        id: id.into(),
+        service: "s".into(),
+        addr: ([127, 0, 0, 1], 1).into(),
+        place: "a".into(),
+        slots: 2,
+        takes_work: true,
+        born: 1,
+    }
+}
+
+fn turn(session: &str) -> Want<'static> {
+    Want {
+        warmth: Warmth::Prompt {
+            lineage: trail::Lineage {
+                session: Some(session.into()),
+                program: Some("p".into()),
+            },
+            tokens: 2_000,
+        },
+        ..Want::default()
+    }
+}
+
+/// A fleet of two upstreams; the turns of `sessions` ran at the first of them last.
+fn fleet(sessions: &[&str]) -> Arc<Fleet> {
+    let fleet = Fleet::new("a".into());
+    fleet.put(listed("x"));
+    fleet.put(listed("y"));
+    for session in sessions {
+        let lineage = trail::Lineage {
+            session: Some((*session).into()),
+            program: None,
+        };
+        let last = trail::Last {
+            session: Some(fw_gate::process::fleet::short(&"x".into())),
+            program: None,
+        };
+        fleet.told_last(&lineage, last);
+    }
+    fleet
+}
+
+fn busy(fleet: &Arc<Fleet>, id: &str, calls: usize) -> Vec<Lease> {
+    (0..calls)
+        .map(|_| fleet.again(&"s".into(), &id.into()).unwrap())
+        .collect()
+}
+
+// A burst fills all engines. Each that becomes free is given to the turn that waited longest,
+// wherever its prompt is cached. Nearly every prompt is read again, which takes the engines a
+// quarter of their time, and they stay overloaded after the burst is over.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn wait_for_the_engine_that_has_their_prompt() {
+    let fleet = fleet(&["warm"]);
+    let mut at_x = busy(&fleet, "x", FULL);
+    let _at_y = busy(&fleet, "y", FULL - 1);
+    let (service, want) = ("s".into(), turn("warm"));
+    let waits = fleet.acquire(&service, &want);
+    // The other has room in its queue all the while.
+    let (lease, ()) = tokio::join!(waits, async { drop(at_x.pop()) });
+    expect_that!(lease.map(|lease| lease.id.clone()), ok(eq("x")));
+}
+
+// The same turn, but its engine stays full: it must not wait there for long.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn queue_elsewhere_after_a_while() {
+    let fleet = fleet(&["warm"]);
+    let _at_x = busy(&fleet, "x", FULL);
+    let _at_y = busy(&fleet, "y", FULL - 1);
+    let lease = fleet.acquire(&"s".into(), &turn("warm")).await;
+    expect_that!(lease.map(|lease| lease.id.clone()), ok(eq("y")));
+}
+
+// A turn whose prompt is cached nowhere has waited a little longer than one whose prompt is in the
+// cache of the engine that becomes free.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn pass_those_whose_prompt_is_elsewhere() {
+    let fleet = fleet(&["warm"]);
+    let mut at_x = busy(&fleet, "x", FULL);
+    let _at_y = busy(&fleet, "y", FULL);
+    let (service, cold, warm) = ("s".into(), turn("cold"), turn("warm"));
+    let first = fleet.acquire(&service, &cold);
+    let second = async {
+        let lease = fleet.acquire(&service, &warm).await.unwrap();
+        lease.id.clone()
+    };
+    let freed = async {
+        drop(at_x.pop());
+        std::future::pending::<()>().await;
+    };
+    tokio::select! {
+        biased;
+        lease = first => panic!("{:?} went to the turn that is cold there", lease.map(|l| l.id.clone())),
+        id = second => expect_that!(id, eq("x")),
+        () = freed => {}
+    }
+}
--- a/fw-gate/tests/gate/main.rs
+++ b/fw-gate/tests/gate/main.rs
@@ -3,6 +3,7 @@
 
 mod call_headers;
 mod event_split;
+mod held_turns;
 mod route_choice;
 mod turn_cache;
 mod upstream_list;
--- a/fw-plan/src/hold.rs
+++ b/fw-plan/src/hold.rs
@@ -10,8 +10,10 @@
 //!
 //! *Rule:* a call is sent only to an upstream with room, by what is known of everybody's calls.
 //! Until there is one it waits here, in order of arrival, as if those of less urgent routes and of
-//! programs that are late already had arrived a little later, and those with which a program begins
-//! a good deal later. After [`Options::most`] it is sent all the same, so that a wrong picture of
+//! programs that are late already had arrived a little later, those of programs that have much time
+//! left by a part of that time, and those with which a program begins a good deal later. Places
+//! beyond an upstream's slots go to calls whose prompt it has in its cache; others queue there only
+//! after a while. After [`Options::most`] it is sent all the same, so that a wrong picture of
 //! the load holds nobody back for long; but a call with which a program begins is refused, with a
 //! time to return: its program could no longer be in time, and would make others late.
 //!
@@ -29,9 +31,21 @@
     /// Calls beyond its slots that an upstream may get: the next ones, so that it does not idle for
     /// their way, and room for a picture of the load that is some tens of milliseconds old.
     pub beyond: f64,
+    /// How long a call waits for the upstream that has its prompt in the cache, or for one with a
+    /// free slot, before it queues elsewhere. Reading a prompt of some thousand tokens holds up all
+    /// of an engine's slots for some milliseconds: as much as one slot that idles for this long.
+    pub cold: Duration,
+    /// How much earlier another call may have arrived that is passed by one whose prompt is in the
+    /// cache of the upstream which has room.
+    pub pass: Duration,
     /// How much later a call of the next less urgent route seems to arrive. About the time that a
     /// slot takes to become free in a burst.
     pub less_urgent: Duration,
+    /// Part of the time left to a program by which its call seems to arrive later: of two that wait,
+    /// the one whose program is due first goes first, unless the other has waited much longer.
+    pub due: f64,
+    /// Most of the time left that counts.
+    pub due_most: Duration,
     /// How much later a call seems to arrive whose program has missed its time.
     pub late: Duration,
     /// How much later a call seems to arrive with which a program begins: longer than any is held
@@ -50,7 +64,11 @@
     fn default() -> Self {
         Self {
             beyond: 2.0,
+            cold: Duration::from_millis(200),
+            pass: Duration::from_millis(100),
             less_urgent: Duration::from_millis(80),
+            due: 0.3,
+            due_most: Duration::from_secs(3),
             late: Duration::from_millis(300),
             begins: Duration::from_millis(1_000),
             most: Duration::from_millis(400),
@@ -65,8 +83,9 @@
 pub struct Call {
     /// The route's priority; 0 is the most urgent.
     pub priority: u32,
-    /// Whether the call's program has missed its time.
-    pub late: bool,
+    /// Time left until the call's program is due; zero if it has missed its time, `None` if the
+    /// call belongs to none.
+    pub left: Option<Duration>,
     /// Whether the program begins with it.
     pub begins: bool,
 }
@@ -94,14 +113,18 @@
     /// The place of `call` that arrives at `now`; `number` grows with each arrival.
     pub fn rank(&self, call: &Call, now: Duration, number: u64) -> Rank {
         let less = self.less_urgent * call.priority.min(LEAST_URGENT);
-        let late = if call.late { self.late } else { Duration::ZERO };
+        let due = match call.left {
+            Some(Duration::ZERO) => self.late,
+            Some(left) => left.min(self.due_most).mul_f64(self.due),
+            None => Duration::ZERO,
+        };
         let begins = if call.begins {
             self.begins
         } else {
             Duration::ZERO
         };
         Rank {
-            seems: now + less + late + begins,
+            seems: now + less + due + begins,
             number,
         }
     }
@@ -116,8 +139,16 @@
         Over::Refuse(soonest + latest.saturating_sub(soonest).mul_f64(draw))
     }
 
-    /// Whether an upstream of `slots` that has `load` calls has room for another.
-    pub fn has_room(&self, slots: u32, load: f64) -> bool {
-        load + 1.0 <= f64::from(slots.max(1)) + self.beyond
+    /// Whether an upstream of `slots` that has `load` calls has room for another, which has `waited`
+    /// so long; `warm` if the upstream has its prompt in the cache.
+    pub fn has_room(&self, slots: u32, load: f64, warm: bool, waited: Duration) -> bool {
+        let may_queue = warm || waited >= self.cold;
+        let beyond = if may_queue { self.beyond } else { 0.0 };
+        load + 1.0 <= f64::from(slots.max(1)) + beyond
+    }
+
+    /// Whether a call of rank `other` may go before the `first`, to an upstream that has its prompt.
+    pub fn may_pass(&self, first: Rank, other: Rank) -> bool {
+        other.seems <= first.seems + self.pass
     }
 }
--- a/fw-plan/tests/plan/held_calls.rs
+++ b/fw-plan/tests/plan/held_calls.rs
@@ -7,12 +7,12 @@
 
 const URGENT: Call = Call {
     priority: 0,
-    late: false,
+    left: None,
     begins: false,
 };
 const OTHER: Call = Call {
     priority: 1,
-    late: false,
+    left: None,
     begins: false,
 };
 
@@ -36,7 +36,7 @@
     // makes another miss its time too.
     let options = Options::default();
     let late = Call {
-        late: true,
+        left: Some(Duration::ZERO),
         ..URGENT
     };
     let late = options.rank(&late, ms(0), 1);
@@ -47,9 +47,14 @@
 #[gtest]
 fn goes_where_there_is_room() {
     let options = Options::default();
-    expect_true!(options.has_room(6, 7.0));
-    expect_false!(options.has_room(6, 7.5));
-    expect_true!(options.has_room(0, 0.0));
+    expect_true!(options.has_room(6, 7.0, true, ms(0)));
+    expect_false!(options.has_room(6, 7.5, true, ms(0)));
+    expect_true!(options.has_room(0, 0.0, true, ms(0)));
+    // Without its prompt there, a call does not queue behind the slots until it has waited.
+    expect_true!(options.has_room(6, 5.0, false, ms(0)));
+    expect_false!(options.has_room(6, 5.5, false, ms(0)));
+    expect_true!(options.has_room(6, 7.0, false, options.cold));
+    expect_false!(options.has_room(6, 7.5, false, options.cold));
 }
 
 /// Plays a burst over one engine, and returns by class the mean wait of calls in milliseconds.
@@ -147,7 +152,7 @@
             number += 1;
             let call = Call {
                 priority: 0,
-                late: program.is_late(now),
+                left: program.is_late(now).then_some(Duration::ZERO),
                 begins: program.turns == 0,
             };
             let rank = options.rank(&call, ms(now * 10), number);
--- a/fw-plan/tests/plan/main.rs
+++ b/fw-plan/tests/plan/main.rs
@@ -10,6 +10,7 @@
 mod burst;
 mod cache_keeping;
 mod commit_window;
+mod due_order;
 mod held_calls;
 mod hot_caller;
 mod hot_key;
--- a/fw-replica/src/trail.rs
+++ b/fw-replica/src/trail.rs
@@ -39,6 +39,11 @@
 }
 
 impl Last {
+    /// The one that has most of the prompt in its cache.
+    pub fn warmest(self) -> Option<Upstream> {
+        self.session.or(self.program)
+    }
+
     /// What this or `other` knows; this one goes first.
     pub fn or(self, other: Self) -> Self {
         Self {
