fw-gate: programs that begin go to no agreed engine

Ablation: the first turn of a program went to the engine that all entries agreed on by its hash, as its sub-agents might come in through other entries. Replicas tell where a program ran, so that this is known.

--- a/fw-gate/src/process/fleet/mod.rs
+++ b/fw-gate/src/process/fleet/mod.rs
@@ -525,11 +525,10 @@
     }
 
     /// The upstreams that are probably faster than the rest: those that served the session and its
-    /// program last. Where none is known, and for objects, the one that all entries agree on, by
-    /// its hash with the key.
+    /// program last; for objects the one that all entries agree on, by its hash with the object.
     fn warm(&self, warmth: &Warmth<'_>, among: &[&Upstream]) -> trail::Last {
-        let agreed = |key: &SmolStr| {
-            let seed = xxh3::xxh3_64(key.as_bytes());
+        let agreed = |object: &SmolStr| {
+            let seed = xxh3::xxh3_64(object.as_bytes());
             let agreed = among.iter().max_by_key(|upstream| {
                 xxh3::xxh3_64_with_seed(upstream.listed.id.as_bytes(), seed)
             });
@@ -541,14 +540,7 @@
                 session: agreed(object),
                 program: None,
             },
-            Warmth::Prompt { lineage, .. } => {
-                let last = self.trail.last(lineage);
-                let key = lineage.program.as_ref().or(lineage.session.as_ref());
-                trail::Last {
-                    program: last.program.or_else(|| agreed(key?)),
-                    ..last
-                }
-            }
+            Warmth::Prompt { lineage, .. } => self.trail.last(lineage),
         }
     }
 
