fw-replica: a lost connection is tried again by way of other entries too

An entry cut off from the replicas lost its way around when the relaying entry was restarted; the task that connects again tried the direct way alone, and the entry refused 1,218 requests in seven seconds. Change: the task takes either way. The test waits in vain without it.

--- a/fw-replica/src/links.rs
+++ b/fw-replica/src/links.rs
@@ -52,10 +52,11 @@
 
 impl Link {
     /// Calls go over `stream` from now on.
-    fn connect(&mut self, stream: TcpStream) -> service::ReplicaClient {
+    fn connect(&mut self, stream: TcpStream, way: Way) -> service::ReplicaClient {
         let framed = tarpc::serde_transport::new(codec::framed(stream), codec::Postcard::default());
         let client = service::ReplicaClient::new(tarpc::client::Config::default(), framed).spawn();
         self.wanted = None;
+        self.detour = (way == Way::Around).then(Instant::now);
         self.generation += 1;
         self.client = Some(client.clone());
         client
@@ -74,17 +75,64 @@
 pub struct Links {
     links: Mutex<HashMap<SocketAddr, Arc<tokio::sync::Mutex<Link>>>>,
     costs: Mutex<HashMap<SocketAddr, Cost>>,
+    ways: Arc<Ways>,
+}
+
+/// How members can be reached.
+#[derive(Debug, Default)]
+struct Ways {
     /// Entries that pass connections on to members.
     peers: Mutex<Vec<SocketAddr>>,
     members: Mutex<Vec<SocketAddr>>,
 }
 
+impl Ways {
+    /// Connects directly, or if that takes long by way of another entry.
+    async fn dial(&self, addr: SocketAddr) -> Option<(TcpStream, Way)> {
+        let mut direct = pin!(relay::dial(addr));
+        match tokio::time::timeout(HEAD_START, &mut direct).await {
+            Ok(Some(stream)) => return Some((stream, Way::Direct)),
+            Ok(None) => {
+                let stream = self.dial_around(addr).await?;
+                return Some((stream, Way::Around));
+            }
+            Err(_) => {}
+        }
+        tokio::select! {
+            Some(stream) = direct => Some((stream, Way::Direct)),
+            Some(stream) = self.dial_around(addr) => Some((stream, Way::Around)),
+            else => None,
+        }
+    }
+
+    /// Connects to a member by way of another entry, the first of those asked that reaches it.
+    /// Entries pass on to no other address.
+    async fn dial_around(&self, addr: SocketAddr) -> Option<TcpStream> {
+        if !self.members.lock().contains(&addr) {
+            return None;
+        }
+        let peers = self.peers.lock().clone();
+        let mut dials: FuturesUnordered<_> = peers
+            .into_iter()
+            .map(|peer| async move { (peer, relay::dial_by(peer, addr).await) })
+            .collect();
+        while let Some((peer, stream)) = dials.next().await {
+            if let Some(stream) = stream {
+                tracing::info!(%addr, %peer, "a replica is reached by way of another entry");
+                metrics::counter!("fw_replica_detours_total").increment(1);
+                return Some(stream);
+            }
+        }
+        None
+    }
+}
+
 impl Links {
     /// The members are these from now on; connections to others are dropped.
     pub fn set_members(&self, members: Vec<SocketAddr>) {
         self.links.lock().retain(|addr, _| members.contains(addr));
         self.costs.lock().retain(|addr, _| members.contains(addr));
-        *self.members.lock() = members;
+        *self.ways.members.lock() = members;
     }
 
     /// Sorts replicas: the quickest first, those that failed lately last.
@@ -100,7 +148,7 @@
     /// Takes entries that pass connections on, unless there are none.
     pub fn learn_peers(&self, peers: &[SocketAddr]) {
         if !peers.is_empty() {
-            peers.clone_into(&mut self.peers.lock());
+            peers.clone_into(&mut self.ways.peers.lock());
         }
     }
 
@@ -161,55 +209,16 @@
             *wanted = Instant::now();
             return None;
         }
-        let Some((stream, way)) = self.dial(addr).await else {
+        let Some((stream, way)) = self.ways.dial(addr).await else {
             link.wanted = Some(Instant::now());
-            tokio::spawn(reconnect(Arc::clone(shared), addr));
+            let ways = Arc::clone(&self.ways);
+            tokio::spawn(reconnect(ways, Arc::clone(shared), addr));
             return None;
         };
-        link.detour = (way == Way::Around).then(Instant::now);
-        let client = link.connect(stream);
+        let client = link.connect(stream, way);
         Some((client, link.generation))
     }
 
-    /// Connects directly, or if that takes long by way of another entry.
-    async fn dial(&self, addr: SocketAddr) -> Option<(TcpStream, Way)> {
-        let mut direct = pin!(relay::dial(addr));
-        match tokio::time::timeout(HEAD_START, &mut direct).await {
-            Ok(Some(stream)) => return Some((stream, Way::Direct)),
-            Ok(None) => {
-                let stream = self.dial_around(addr).await?;
-                return Some((stream, Way::Around));
-            }
-            Err(_) => {}
-        }
-        tokio::select! {
-            Some(stream) = direct => Some((stream, Way::Direct)),
-            Some(stream) = self.dial_around(addr) => Some((stream, Way::Around)),
-            else => None,
-        }
-    }
-
-    /// Connects to a member by way of another entry, the first of those asked that reaches it.
-    /// Entries pass on to no other address.
-    async fn dial_around(&self, addr: SocketAddr) -> Option<TcpStream> {
-        if !self.members.lock().contains(&addr) {
-            return None;
-        }
-        let peers = self.peers.lock().clone();
-        let mut dials: FuturesUnordered<_> = peers
-            .into_iter()
-            .map(|peer| async move { (peer, relay::dial_by(peer, addr).await) })
-            .collect();
-        while let Some((peer, stream)) = dials.next().await {
-            if let Some(stream) = stream {
-                tracing::info!(%addr, %peer, "a replica is reached by way of another entry");
-                metrics::counter!("fw_replica_detours_total").increment(1);
-                return Some(stream);
-            }
-        }
-        None
-    }
-
     /// A call was answered after `took`.
     fn answered(&self, addr: SocketAddr, took: Duration) {
         let mut costs = self.costs.lock();
@@ -240,13 +249,13 @@
 /// *Failure:* after a loss of all power, entries are back some hundred milliseconds before the
 /// replicas. With a pause of 300 ms between two attempts, turns were refused for as long after the
 /// replicas were back.
-async fn reconnect(shared: Arc<tokio::sync::Mutex<Link>>, addr: SocketAddr) {
+async fn reconnect(ways: Arc<Ways>, shared: Arc<tokio::sync::Mutex<Link>>, addr: SocketAddr) {
     loop {
         tokio::time::sleep(AGAIN).await;
-        let stream = relay::dial(addr).await;
+        let connected = ways.dial(addr).await;
         let mut link = shared.lock().await;
-        if let Some(stream) = stream {
-            link.connect(stream);
+        if let Some((stream, way)) = connected {
+            link.connect(stream, way);
             return;
         }
         if link.wanted.is_none_or(|at| at.elapsed() >= TRY_FOR) {
@@ -263,6 +272,5 @@
     };
     tracing::info!(%addr, "a replica is reached directly again");
     let mut link = link.lock().await;
-    link.detour = None;
-    link.connect(stream);
+    link.connect(stream, Way::Direct);
 }
--- a/fw-replica/tests/replica/lost_links.rs
+++ b/fw-replica/tests/replica/lost_links.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use fw_replica::client::Client;
+use fw_replica::links::Links;
 use googletest::prelude::*;
 use tokio::net::TcpListener;
 
@@ -43,3 +44,20 @@
     }
     expect_that!(begun.elapsed(), eq(Duration::ZERO));
 }
+
+// An entry is cut off from the replicas and reaches them by way of another, which is restarted. For
+// a moment nobody passes its connections on; callers were then refused until the cut was over, as
+// only the direct way was tried again.
+#[gtest]
+#[tokio::test]
+async fn are_tried_again_by_way_of_other_entries() {
+    let replica = free_addr().await;
+    let links = Links::default();
+    links.set_members(vec![replica]);
+    let ping = links.call(replica, |client, cx| async move { client.ping(cx).await });
+    expect_that!(ping.await, none());
+    let relay = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    links.learn_peers(&[relay.local_addr().unwrap()]);
+    let asked = tokio::time::timeout(LONG, relay.accept()).await;
+    expect_that!(asked, ok(ok(anything())));
+}
