An upstream whose last call failed costs more; a broken turn's session has no place

Ruled out: crashes (a new connection is accepted), cuts. Change: for 2 s after a failed call an upstream costs 300 ms more, unless one ends well; where a turn broke after it may have run, its session and program are remembered as being nowhere, by the replicas too.

--- a/fw-gate/src/process/fleet/lease.rs
+++ b/fw-gate/src/process/fleet/lease.rs
@@ -136,6 +136,13 @@
         let mut service = self.service.lock();
         let before = service.health.decide(now, &self.id).weight() > 0.0;
         service.health.seen(now, &self.id, seen);
+        if let Some(upstream) = service.find(&self.id) {
+            upstream.failed = match seen {
+                health::Seen::Answered => None,
+                health::Seen::Failed | health::Seen::Down => Some(Instant::now()),
+                health::Seen::Leaving => upstream.failed,
+            };
+        }
         let after = service.health.decide(now, &self.id).weight() > 0.0;
         if before && !after {
             tracing::warn!(upstream = %self.id, ?seen, "upstream ejected");
--- a/fw-gate/src/process/fleet/mod.rs
+++ b/fw-gate/src/process/fleet/mod.rs
@@ -94,6 +94,8 @@
     reported: Instant,
     idle: Vec<link::Link>,
     pace: pace::Pace,
+    /// When a call to it failed, if none has ended well since.
+    failed: Option<Instant>,
 }
 
 /// What decides whether an upstream has room for a call.
@@ -182,7 +184,8 @@
 /// Short hash of an upstream's id. Two of a few hundred may share one; each then looks as busy as
 /// both.
 pub fn short(id: &id::UpstreamId) -> trail::Upstream {
-    (xxh3::xxh3_64(id.as_bytes()) & 0xffff) as u16
+    let hash = (xxh3::xxh3_64(id.as_bytes()) & 0xffff) as u16;
+    if hash == trail::NOWHERE { 1 } else { hash }
 }
 
 impl Fleet {
@@ -260,6 +263,7 @@
                     known.others = 0;
                     known.pace = pace::Pace::default();
                     known.replaced_until = None;
+                    known.failed = None;
                 }
                 known.listed = listed;
                 if restarted {
@@ -277,6 +281,7 @@
                     reported: Instant::now(),
                     idle: Vec::new(),
                     pace: pace::Pace::default(),
+                    failed: None,
                 });
                 service.tell_health(now);
             }
@@ -566,6 +571,7 @@
             miss,
             remote: upstream.listed.place != self.place,
             slowness: upstream.pace.slowness(&self.pace, self.now()),
+            failed: upstream.failed.map(|at| at.elapsed()),
         }
     }
 }
--- a/fw-gate/src/request/stream.rs
+++ b/fw-gate/src/request/stream.rs
@@ -69,13 +69,18 @@
 pub async fn run(mut job: Job) -> Result<Response<body::Outgoing>, error::Error> {
     let kept = job.route.keep_turns.is_some();
     let mut times = Times::start();
-    let ready = turn::begin(&job.gate, &job.call, &job.input, kept, job.until).await?;
+    let mut ready = turn::begin(&job.gate, &job.call, &job.input, kept, job.until).await?;
     job.out.body = ready.body;
     times.replicas = times.begun.elapsed();
     let begun = job
         .attempt()
         .run(|begun| std::future::ready(Ok(begun)))
-        .await?;
+        .await
+        .inspect_err(|err| {
+            if err.ran() != error::Ran::No {
+                ready.turn.broke();
+            }
+        })?;
     times.head = times.begun.elapsed();
     if !begun.head.status.is_success() {
         let whole = plain::collect(begun, job.until).await;
@@ -187,6 +192,9 @@
                     self.job.attempt().suspect(&upstream, addr).await;
                     let next = self.resume(&upstream, &mut resumes).await;
                     let Some(next) = next else {
+                        if let Some(turn) = &mut self.turn {
+                            turn.broke();
+                        }
                         self.break_off().await;
                         break "broken off";
                     };
--- a/fw-gate/src/request/turn.rs
+++ b/fw-gate/src/request/turn.rs
@@ -36,6 +36,18 @@
         });
     }
 
+    /// The turn broke at the upstream that ran it. Its caller will send it again, through whichever
+    /// entry, and is not to meet the same upstream for the sake of its cache.
+    pub fn broke(&mut self) {
+        self.gate
+            .fleet
+            .told_last(&self.lineage, trail::Last::nowhere());
+        self.ran = Some(trail::Ran {
+            lineage: self.lineage.clone(),
+            upstream: trail::NOWHERE,
+        });
+    }
+
     /// The caller got `tokens` more.
     pub fn hand_out(&mut self, tokens: id::Tokens) {
         if let Some(charge) = &mut self.charge {
--- a/fw-plan/src/assign.rs
+++ b/fw-plan/src/assign.rs
@@ -9,7 +9,7 @@
 //!
 //! *Rule:* an upstream's cost is the wait for a slot, which begins only when all of its slots are
 //! taken, a small cost for each call that shares its batch, the time to read what its cache lacks,
-//! and the way to another data centre. The reported load of others fades, as it is older with each
+//! the way to another data centre, and for some time that the last call there failed. The reported load of others fades, as it is older with each
 //! moment. The cheapest is taken; among equals chance decides, so that entries do not herd.
 //!
 //! *Grounds:* engines batch, so a call beside others is barely slower until the slots are taken,
@@ -32,6 +32,12 @@
     /// After which time half of a reported load is taken to be gone: calls last some hundred
     /// milliseconds.
     pub fade: Duration,
+    /// Cost of an upstream whose last call failed: a call that breaks there costs its caller a whole
+    /// turn, and one that may not be repeated is lost.
+    pub failed: Duration,
+    /// How long a failed call speaks against an upstream. A broken one then gets a call of each
+    /// entry in so much time, in place of a hundred of them.
+    pub suspect: Duration,
     /// How much the delay of another call by the reading of this one's prompt counts.
     pub held_up: f64,
     /// Span over which costs count as equal; below what the estimates can tell apart.
@@ -45,6 +51,8 @@
             shared: Duration::from_micros(1_500),
             remote: Duration::from_millis(4),
             fade: Duration::from_millis(400),
+            failed: Duration::from_millis(300),
+            suspect: Duration::from_secs(2),
             held_up: 0.5,
             noise: Duration::from_millis(1),
         }
@@ -68,6 +76,8 @@
     pub remote: bool,
     /// How much longer it takes than its peers; 1 for the usual.
     pub slowness: f64,
+    /// How long ago a call failed there, if none has ended well since.
+    pub failed: Option<Duration>,
 }
 
 impl Candidate {
@@ -86,10 +96,12 @@
         let call = ms(options.call);
         let wait = waiting * call / slots;
         let slow = (self.slowness - 1.0).max(0.0) * call;
+        let suspect = self.failed.is_some_and(|ago| ago < options.suspect);
+        let failed = if suspect { ms(options.failed) } else { 0.0 };
         let remote = if self.remote { ms(options.remote) } else { 0.0 };
         // While it reads this prompt, an engine holds up all that it generates.
         let read = ms(self.miss) * (1.0 + load * options.held_up);
-        wait + load * ms(options.shared) + read + slow + remote
+        wait + load * ms(options.shared) + read + slow + failed + remote
     }
 }
 
--- a/fw-plan/tests/plan/assign_upstream.rs
+++ b/fw-plan/tests/plan/assign_upstream.rs
@@ -63,6 +63,26 @@
     expect_that!(chosen(&[]), none());
 }
 
+#[gtest]
+fn avoids_one_whose_last_call_failed_for_some_time() {
+    // An upstream resets every connection within milliseconds, so that it always looks idle. It
+    // drew call after call until three in a row had failed, at each of many entries.
+    let broken = Candidate {
+        failed: Some(Duration::from_millis(100)),
+        ..usual()
+    };
+    let busy = Candidate { own: 7, ..usual() };
+    expect_that!(chosen(&[broken, busy]), some(eq(1)));
+    // Not for ever, and not if the others are full.
+    let later = Candidate {
+        failed: Some(Duration::from_secs(3)),
+        ..usual()
+    };
+    expect_that!(chosen(&[later, busy]), some(eq(0)));
+    let full = Candidate { own: 20, ..usual() };
+    expect_that!(chosen(&[broken, full]), some(eq(0)));
+}
+
 #[gtest]
 fn spreads_a_burst_of_one_entry() {
     // Sixty calls at once over three upstreams of six slots: none gets much more than its part.
--- a/fw-replica/src/trail.rs
+++ b/fw-replica/src/trail.rs
@@ -20,6 +20,9 @@
 /// cache, no more.
 pub type Upstream = u16;
 
+/// No upstream: where a turn broke, none has its prompt.
+pub const NOWHERE: Upstream = 0;
+
 /// What a prompt begins like.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Lineage {
@@ -39,6 +42,14 @@
 }
 
 impl Last {
+    /// A turn broke where it ran.
+    pub const fn nowhere() -> Self {
+        Self {
+            session: Some(NOWHERE),
+            program: Some(NOWHERE),
+        }
+    }
+
     /// The one that has most of the prompt in its cache.
     pub fn warmest(self) -> Option<Upstream> {
         self.session.or(self.program)
