--- /dev/null
+++ b/fw-replica/src/client/chain.rs
@@ -0,0 +1,70 @@
+//! Reading the chain of turns that a turn continues.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+
+use super::{Client, Error};
+use crate::{member, record, service};
+
+impl Client {
+    /// Asks for what is missing of a chain, one member after the other.
+    pub(super) async fn complete(
+        self: &Arc<Self>,
+        members: &[SocketAddr],
+        chain: service::Chain,
+    ) -> Result<Vec<record::Turn>, Error> {
+        let needed = member::Quorum::of(members.len(), self.faults).absent;
+        let mut turns = chain.turns;
+        let mut missing = chain.missing;
+        let mut absent: Vec<SocketAddr> = Vec::new();
+        if chain.certain {
+            absent.extend(members.first());
+        }
+        while let Some(id) = missing.take() {
+            let Some(found) = self.search(members, &mut absent, &id).await else {
+                if absent.len() >= needed {
+                    return Err(Error::UnknownTurn { turn: id });
+                }
+                return Err(Error::Unsure {
+                    answered: absent.len(),
+                    members: members.len(),
+                    needed,
+                });
+            };
+            turns.extend(found.turns);
+            missing = found.missing;
+            absent.clear();
+        }
+        Ok(turns)
+    }
+
+    /// The chain from `id` on by the first member that has that turn. `absent` collects those that
+    /// are certain not to have it.
+    pub(super) async fn search(
+        self: &Arc<Self>,
+        members: &[SocketAddr],
+        absent: &mut Vec<SocketAddr>,
+        id: &record::TurnId,
+    ) -> Option<service::Chain> {
+        let asked = members
+            .iter()
+            .copied()
+            .filter(|addr| !absent.contains(addr));
+        let mut calls: FuturesUnordered<_> = asked
+            .map(|addr| async move { (addr, self.call_chain(addr, id.clone()).await) })
+            .collect();
+        while let Some((addr, chain)) = calls.next().await {
+            let Some(chain) = chain else { continue };
+            if !chain.turns.is_empty() {
+                return Some(chain);
+            }
+            if chain.certain {
+                absent.push(addr);
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/fw-replica/src/client/vote.rs
@@ -0,0 +1,255 @@
+//! Reserving a turn's tokens by the votes of the members.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use futures_util::StreamExt;
+use futures_util::future::join_all;
+use futures_util::stream::FuturesUnordered;
+
+use super::{Ask, Client, Error};
+use crate::{ledger, member, record, service, trail};
+
+/// Longest wait for the chain from the one member asked for it, once the votes are in. It takes up
+/// to ten milliseconds; a member that has frozen would hold the turn up for its whole time-out.
+pub const CHAIN_LATE: Duration = Duration::from_millis(40);
+
+/// How long answers of members are waited for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wait {
+    /// Until the next one.
+    Open,
+    /// Until the next one, but no longer than this; then all members are asked for the chain.
+    AtMost(Duration),
+    /// No longer.
+    Over,
+}
+
+/// How long to wait, when the votes have been in for `voted`, if they are.
+pub fn wait(voted: Option<Duration>, chain_due: bool) -> Wait {
+    let Some(voted) = voted else {
+        return Wait::Open;
+    };
+    let left = CHAIN_LATE.saturating_sub(voted);
+    if chain_due && !left.is_zero() {
+        Wait::AtMost(left)
+    } else {
+        Wait::Over
+    }
+}
+
+/// What the replicas said.
+#[derive(Debug, Default)]
+struct Round {
+    /// Those that accepted, and the digest of what each knows.
+    accepted: Vec<(SocketAddr, u64)>,
+    refused: usize,
+    ledger: Vec<ledger::Line>,
+    chain: Option<service::Chain>,
+    /// Other entries' calls under way, as the first replica to answer knows them.
+    others: Option<service::Others>,
+    /// Where turns like this one ran last, as far as any replica knows.
+    last: trail::Last,
+}
+
+fn spent(reserve: &service::Reserve, known: &ledger::Ledger) -> Error {
+    Error::Spent {
+        used: known.total(),
+        wanted: reserve.tokens,
+        budget: reserve.budget,
+    }
+}
+
+impl Client {
+    /// Reserves tokens and reads the chain that ends with `newest`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Spent`] and [`Error::UnknownTurn`] are certain; after [`Error::Unsure`] the turn
+    /// may be tried again. After each of them the reservation should be taken back.
+    ///
+    /// `tell` hears of the other entries' calls, and where turns like this one ran last.
+    pub async fn begin(
+        self: &Arc<Self>,
+        mut ask: Ask,
+        tell: impl Fn(&[(u16, u16)], trail::Last),
+    ) -> Result<Vec<record::Turn>, Error> {
+        let (epoch, mut members) = self.members();
+        let mut round = self.ask(epoch, &members, &ask).await;
+        if self.may_improve(epoch, &round, &mut ask.reserve) {
+            let newer;
+            (newer, members) = self.members();
+            round = self.ask(newer, &members, &ask).await;
+        }
+        if let Some(others) = &round.others {
+            tell(&others.calls, round.last);
+            self.links.learn_peers(&others.peers);
+        }
+        if let Some(reserve) = &ask.reserve {
+            self.judge(members.len(), reserve, &round)?;
+            self.check_union(reserve, &round).await?;
+        }
+        let missing = |newest| service::Chain {
+            missing: Some(newest),
+            ..service::Chain::default()
+        };
+        match round.chain.or(ask.newest.map(missing)) {
+            Some(chain) => self.complete(&members, chain).await,
+            None => Ok(Vec::new()),
+        }
+    }
+
+    /// Whether asking again can change the outcome: a newer member list was learned, or the
+    /// replicas that refused did not know settlements that others know.
+    fn may_improve(
+        &self,
+        epoch: member::Epoch,
+        round: &Round,
+        reserve: &mut Option<service::Reserve>,
+    ) -> bool {
+        if self.epoch() > epoch {
+            return true;
+        }
+        let Some(reserve) = reserve else { return false };
+        if round.refused == 0 {
+            return false;
+        }
+        let union = ledger::Ledger::union(&round.ledger);
+        let fits = union.allows(&reserve.turn, reserve.tokens, reserve.budget);
+        reserve.known = union.lines();
+        reserve.known.retain(|line| line.turn != reserve.turn);
+        fits
+    }
+
+    fn judge(
+        &self,
+        members: usize,
+        reserve: &service::Reserve,
+        round: &Round,
+    ) -> Result<(), Error> {
+        let needed = member::Quorum::of(members, self.faults).vote;
+        if round.accepted.len() >= needed {
+            return Ok(());
+        }
+        // With so many refusals no majority can accept.
+        if round.refused > 0 && round.refused + needed > members {
+            return Err(spent(reserve, &ledger::Ledger::union(&round.ledger)));
+        }
+        Err(Error::Unsure {
+            answered: round.accepted.len() + round.refused,
+            members,
+            needed,
+        })
+    }
+
+    /// Checks what those that accepted know together, unless all know the same: each earlier
+    /// reservation is known to one of them at least, but not all to the same one.
+    async fn check_union(&self, reserve: &service::Reserve, round: &Round) -> Result<(), Error> {
+        let mut digests = round.accepted.iter().map(|(_, digest)| digest);
+        let first = digests.next();
+        if digests.all(|digest| Some(digest) == first) {
+            return Ok(());
+        }
+        metrics::counter!("fw_replica_unions_total").increment(1);
+        let asked = round.accepted.iter();
+        let asked = asked.map(|(addr, _)| self.call_ledger(*addr, reserve.program.clone()));
+        let mut lines = Vec::new();
+        for ledger in join_all(asked).await {
+            lines.extend(ledger.ok_or(Error::Unsure {
+                answered: 0,
+                members: round.accepted.len(),
+                needed: round.accepted.len(),
+            })?);
+        }
+        let union = ledger::Ledger::union(&lines);
+        if union.total() <= reserve.budget {
+            return Ok(());
+        }
+        Err(spent(reserve, &union))
+    }
+
+    /// Asks all members at once, the quickest for the chain too, until the outcome is certain.
+    async fn ask(
+        self: &Arc<Self>,
+        epoch: member::Epoch,
+        members: &[SocketAddr],
+        ask: &Ask,
+    ) -> Round {
+        let quorum = member::Quorum::of(members.len(), self.faults);
+        let Ask {
+            reserve, newest, ..
+        } = ask;
+        let asked = if reserve.is_some() { members.len() } else { 1 };
+        let mut calls = FuturesUnordered::new();
+        for (rank, addr) in members.iter().copied().take(asked).enumerate() {
+            let req = service::Begin {
+                epoch,
+                reserve: reserve.clone(),
+                chain: newest.clone().filter(|_| rank == 0),
+                load: ask.load.clone(),
+                lineage: ask.lineage.clone(),
+            };
+            let client = Arc::clone(self);
+            // On tasks of their own, so that those beyond the quorum are sent as well.
+            calls.push(tokio::spawn(async move {
+                (rank, addr, client.call_begin(addr, req).await)
+            }));
+        }
+        let mut round = Round::default();
+        let mut chain_due = newest.is_some() && !members.is_empty();
+        let mut left = calls.len();
+        let mut voted = reserve.is_none().then(Instant::now);
+        loop {
+            let next = match wait(voted.map(|at| at.elapsed()), chain_due) {
+                Wait::Over => break,
+                Wait::Open => calls.next().await,
+                Wait::AtMost(time) => match tokio::time::timeout(time, calls.next()).await {
+                    Ok(next) => next,
+                    Err(_) => {
+                        metrics::counter!("fw_replica_late_chains_total").increment(1);
+                        break;
+                    }
+                },
+            };
+            let Some(done) = next else { break };
+            left -= 1;
+            let Ok((rank, addr, begun)) = done else {
+                continue;
+            };
+            if rank == 0 {
+                chain_due = false;
+            }
+            if let Some(begun) = begun {
+                self.count(&mut round, rank, addr, begun);
+            }
+            let accepted = round.accepted.len();
+            if accepted >= quorum.vote || accepted + left < quorum.vote {
+                voted.get_or_insert_with(Instant::now);
+            }
+        }
+        round
+    }
+
+    fn count(&self, round: &mut Round, rank: usize, addr: SocketAddr, begun: service::Begun) {
+        round.others.get_or_insert(begun.others);
+        round.last = round.last.or(begun.last);
+        match begun.vote {
+            None => {}
+            Some(service::Vote::Accepted { digest }) => round.accepted.push((addr, digest)),
+            Some(service::Vote::Refused { ledger }) => {
+                round.refused += 1;
+                round.ledger.extend(ledger);
+            }
+            Some(service::Vote::Unsure {
+                why: service::Unsure::OldList(view),
+            }) => {
+                self.learn(view);
+            }
+            Some(service::Vote::Unsure { .. }) => {}
+        }
+        if rank == 0 {
+            round.chain = Some(begun.chain);
+        }
+    }
+}
