fw-gate: one way to a service that has upstreams, said once; a request with a configuration does not wait for one

Read once more: choosing and acquiring an upstream began alike and unpacked an option within an option; each request subscribed to the configuration though it was known; the tests made the same upstream twice; a line of a module's page ran on. Behaviour as before; tests keep their assertions.

--- a/fw-gate/src/process/fleet/choose.rs
+++ b/fw-gate/src/process/fleet/choose.rs
@@ -39,10 +39,9 @@
         service_id: &id::ServiceId,
         want: &Want<'_>,
     ) -> Result<Lease, error::Error> {
-        let none = || no_upstream(service_id);
-        let service = self.service(service_id).ok_or_else(none)?;
-        let picked = self.pick(&service, want, |_| true);
-        picked.ok_or_else(none)?.ok_or_else(none)
+        let service = self.served(service_id)?;
+        let picked = self.pick(service_id, &service, want, |_| true)?;
+        picked.ok_or_else(|| no_upstream(service_id))
     }
 
     /// Waits, for some time at most, until an upstream of `service` has room and the call is the first
@@ -57,8 +56,7 @@
         service_id: &id::ServiceId,
         want: &Want<'_>,
     ) -> Result<Lease, error::Error> {
-        let none = || no_upstream(service_id);
-        let service = self.service(service_id).ok_or_else(none)?;
+        let service = self.served(service_id)?;
         let warm = match &want.warmth {
             Warmth::Prompt { lineage, .. } => self.trail.last(lineage).warmest(),
             Warmth::Object(_) | Warmth::None => None,
@@ -76,7 +74,7 @@
                 reached && self.hold.has_room(open.slots, open.load, warm, waited)
             };
             if reach != Reach::None
-                && let Some(lease) = self.pick(&service, want, fits).ok_or_else(none)?
+                && let Some(lease) = self.pick(service_id, &service, want, fits)?
             {
                 metrics::histogram!("fw_gate_held_seconds").record(begun.elapsed().as_secs_f64());
                 return Ok(lease);
@@ -96,17 +94,31 @@
         }
     }
 
-    /// The best upstream that `fits`; `Some(None)` when none does, `None` when there is none at all.
+    /// The service of that name.
+    ///
+    /// # Errors
+    ///
+    /// `NoUpstream` when no upstream was ever listed for it.
+    fn served(&self, id: &id::ServiceId) -> Result<Arc<Mutex<Service>>, error::Error> {
+        self.service(id).ok_or_else(|| no_upstream(id))
+    }
+
+    /// The best upstream that `fits`, if any does.
+    ///
+    /// # Errors
+    ///
+    /// `NoUpstream` when none may get new work.
     fn pick(
         self: &Arc<Self>,
+        service_id: &id::ServiceId,
         service: &Arc<Mutex<Service>>,
         want: &Want<'_>,
         fits: impl Fn(&Open) -> bool,
-    ) -> Option<Option<Lease>> {
+    ) -> Result<Option<Lease>, error::Error> {
         let mut locked = service.lock();
         let usable = self.usable(&locked, want.avoid);
         if usable.is_empty() {
-            return None;
+            return Err(no_upstream(service_id));
         }
         let options = self.weights(&locked);
         let (indices, candidates): (Vec<_>, Vec<_>) = self
@@ -120,7 +132,7 @@
             })
             .unzip();
         let Some(chosen) = assign::choose(&options, &candidates, &mut rand::rng()) else {
-            return Some(None);
+            return Ok(None);
         };
         let upstream = &mut locked.upstreams[indices[chosen]];
         let lease = Lease::take(self, service, upstream, candidates[chosen]);
@@ -130,7 +142,7 @@
             let lineage = lineage.clone();
             self.trail.note(&trail::Ran { lineage, upstream });
         }
-        Some(Some(lease))
+        Ok(Some(lease))
     }
 
     /// Where the upstreams are that may get a call which failed at `avoid`.
--- a/fw-gate/src/process/gate.rs
+++ b/fw-gate/src/process/gate.rs
@@ -217,6 +217,10 @@
     /// in its first moment, they used up the few attempts that they make, and gave up before the
     /// entry could have served them. They are not refused before [`START`] is over.
     pub async fn config_soon(&self) -> Option<Arc<config::Config>> {
+        // Nearly always: no request but an entry's first ones has to wait.
+        if let Some(known) = self.config() {
+            return Some(known);
+        }
         let mut config = self.config.subscribe();
         let known = tokio::time::timeout(START, config.wait_for(Option::is_some)).await;
         known.ok()?.ok()?.clone()
--- a/fw-gate/tests/gate/held_turns.rs
+++ b/fw-gate/tests/gate/held_turns.rs
@@ -2,25 +2,15 @@
 
 use std::sync::Arc;
 
-use fw_gate::process::fleet::{Fleet, Lease, Listed, Want, Warmth};
+use fw_gate::process::fleet::{self, Fleet, Lease, Want, Warmth};
 use fw_replica::trail;
 use googletest::prelude::*;
 
+use crate::upstream_list::listed;
+
 /// Calls that fill an upstream of [`listed`]: its slots, and as many that queue there.
 const FULL: usize = 4;
 
-fn listed(id: &str) -> Listed {
-    Listed {
-        id: id.into(),
-        service: "s".into(),
-        addr: ([127, 0, 0, 1], 1).into(),
-        place: "a".into(),
-        slots: 2,
-        takes_work: true,
-        born: 1,
-    }
-}
-
 fn turn(session: &str) -> Want<'static> {
     Want {
         warmth: Warmth::Prompt {
@@ -35,7 +25,7 @@
 }
 
 /// A fleet of two upstreams; the turns of `sessions` ran at the first of them last.
-fn fleet(sessions: &[&str]) -> Arc<Fleet> {
+fn two_upstreams(sessions: &[&str]) -> Arc<Fleet> {
     let fleet = Fleet::new("a".into());
     fleet.put(listed("x"));
     fleet.put(listed("y"));
@@ -45,7 +35,7 @@
             program: None,
         };
         let last = trail::Last {
-            session: Some(fw_gate::process::fleet::short(&"x".into())),
+            session: Some(fleet::short(&"x".into())),
             program: None,
         };
         fleet.told_last(&lineage, last);
@@ -65,7 +55,7 @@
 #[gtest]
 #[tokio::test(start_paused = true)]
 async fn wait_for_the_engine_that_has_their_prompt() {
-    let fleet = fleet(&["warm"]);
+    let fleet = two_upstreams(&["warm"]);
     let mut at_x = busy(&fleet, "x", FULL);
     let _at_y = busy(&fleet, "y", FULL - 1);
     let (service, want) = ("s".into(), turn("warm"));
@@ -79,7 +69,7 @@
 #[gtest]
 #[tokio::test(start_paused = true)]
 async fn queue_elsewhere_after_a_while() {
-    let fleet = fleet(&["warm"]);
+    let fleet = two_upstreams(&["warm"]);
     let _at_x = busy(&fleet, "x", FULL);
     let _at_y = busy(&fleet, "y", FULL - 1);
     let lease = fleet.acquire(&"s".into(), &turn("warm")).await;
@@ -91,7 +81,7 @@
 #[gtest]
 #[tokio::test(start_paused = true)]
 async fn pass_those_whose_prompt_is_elsewhere() {
-    let fleet = fleet(&["warm"]);
+    let fleet = two_upstreams(&["warm"]);
     let mut at_x = busy(&fleet, "x", FULL);
     let _at_y = busy(&fleet, "y", FULL);
     let (service, cold, warm) = ("s".into(), turn("cold"), turn("warm"));
--- a/fw-gate/tests/gate/upstream_list.rs
+++ b/fw-gate/tests/gate/upstream_list.rs
@@ -5,7 +5,7 @@
 use fw_replica::trail;
 use googletest::prelude::*;
 
-fn listed(id: &str) -> Listed {
+pub(crate) fn listed(id: &str) -> Listed {
     Listed {
         id: id.into(),
         service: "s".into(),
--- a/fw-plan/src/assign.rs
+++ b/fw-plan/src/assign.rs
@@ -9,8 +9,9 @@
 //!
 //! *Rule:* an upstream's cost is the wait for a slot, which begins only when all of its slots are
 //! taken, a small cost for each call that shares its batch, the time to read what its cache lacks,
-//! the way to another data centre, and for some time that the last call there failed. The reported load of others fades, as it is older with each
-//! moment. The cheapest is taken; among equals chance decides, so that entries do not herd.
+//! the way to another data centre, and for some time that the last call there failed. The reported
+//! load of others fades, as it is older with each moment. The cheapest is taken; among equals chance
+//! decides, so that entries do not herd.
 //!
 //! *Grounds:* engines batch, so a call beside others is barely slower until the slots are taken,
 //! while a wait costs a whole call's time. [`Options`] names where each figure comes from.
