fw-local: a bad run of a soak tells what the entries decided

Cause: the record of a run holds what callers saw. Whether a program's turns were lost because a side was not asked, a shard was taken over, or an answer was never given again could not be told from it. Change: a bad run prints the decisions of every entry that was ever open, killed ones included, about each program that was not finished or not read, in one order of time; the soak writes the processes' logs beside its records. A turn refused because its program is known otherwise says since when the shard is kept and how each side stands. Lines about shards, leases and sides name the entry.

--- a/fw-entry/src/connection/heartbeat.rs
+++ b/fw-entry/src/connection/heartbeat.rs
@@ -88,7 +88,7 @@
     metrics::counter!(MISSED).increment(1);
     let was_reachable = side.update(|state| std::mem::replace(&mut state.reachable, false));
     if was_reachable {
-        info!(upstream = %side.instance.id, "side does not answer");
+        info!(entry = %entry.id, upstream = %side.instance.id, "side does not answer");
     }
     see(entry, side, health::Seen::Failed);
 }
@@ -127,7 +127,7 @@
         recover::run(Arc::clone(entry), Arc::clone(side), recovering).await;
     }
     if !was_reachable {
-        info!(upstream = %side.instance.id, "side answers");
+        info!(entry = %entry.id, upstream = %side.instance.id, "side answers");
     }
     if reply.revision < entry.records.revision() {
         push_records(entry, side).await;
@@ -147,7 +147,7 @@
     if before == reply.incarnation {
         return;
     }
-    info!(upstream = %side.instance.id, incarnation = reply.incarnation, "side started");
+    info!(entry = %entry.id, upstream = %side.instance.id, incarnation = reply.incarnation, "side started");
     let service = entry.sides.service(&side.instance.service);
     let mut service = service.lock();
     service.view.forget_cache(&side.instance.id);
--- a/fw-entry/src/connection/recover.rs
+++ b/fw-entry/src/connection/recover.rs
@@ -120,6 +120,24 @@
     entry.sides.all().iter().all(heard)
 }
 
+/// What is known of `shard` and of the sides that may hold turns of it, in words.
+pub fn standing(entry: &entry::Entry, shard: id::ShardId) -> String {
+    let since = entry.keeper.kept_since(shard);
+    let kept = since.map_or(Duration::ZERO, |since| since.elapsed());
+    let mut text = format!("shard {shard} kept for {kept:?}");
+    for side in entry.sides.all() {
+        let state = side.state();
+        let heard = state.heard.map(|heard| heard.elapsed());
+        let tries = state.recovering.get(&shard);
+        let reachable = state.reachable;
+        let upstream = &side.instance.id;
+        text.push_str(&format!(
+            "; {upstream}: reachable {reachable}, heard {heard:?} ago, tries {tries:?}"
+        ));
+    }
+    text
+}
+
 async fn ask(
     entry: &entry::Entry,
     side: &sides::Side,
@@ -159,7 +177,7 @@
         shard::Recovered::Gap => return Some(shard),
         shard::Recovered::Obsolete => {}
         shard::Recovered::Applied => {
-            info!(program = %name, turn, upstream = %side.instance.id, "turn recovered");
+            info!(entry = %entry.id, program = %name, turn, upstream = %side.instance.id, "turn recovered");
             entry
                 .explain
                 .note(&name, "recovered", format!("turn {turn} from a side"));
--- a/fw-entry/src/process/entry.rs
+++ b/fw-entry/src/process/entry.rs
@@ -56,7 +56,7 @@
     /// Plain requests to sides.
     pub http: fw_http::Client,
     /// Decisions, for operators.
-    pub explain: explain::Log,
+    pub explain: Arc<explain::Log>,
     /// Renders the metrics, if a recorder is installed.
     pub metrics: Option<metrics_exporter_prometheus::PrometheusHandle>,
     /// Turns under way.
--- a/fw-entry/src/process/serve.rs
+++ b/fw-entry/src/process/serve.rs
@@ -272,7 +272,7 @@
             head_timeout: PLAIN_HEAD_TIMEOUT,
             ..fw_http::Options::default()
         }),
-        explain: explain::Log::new(settings.explain.records_kept),
+        explain: Arc::new(explain::Log::new(settings.explain.records_kept)),
         metrics,
         tasks: TaskTracker::new(),
         requests: TaskTracker::new(),
--- a/fw-entry/src/turn/submit.rs
+++ b/fw-entry/src/turn/submit.rs
@@ -17,6 +17,7 @@
 
 use super::plan;
 use super::run;
+use crate::connection::recover;
 use crate::process::admission;
 use crate::process::entry;
 use crate::process::keepers;
@@ -102,11 +103,26 @@
     };
     metrics::counter!(SUBMITTED, "outcome" => outcome).increment(1);
     if let peer::SubmitReply::Refused(err) = &reply {
-        entry.explain.note(&program, "refused", err.to_string());
+        entry
+            .explain
+            .note(&program, "refused", why_refused(entry, &program, err));
     }
     reply
 }
 
+/// The error, and for a program that its caller knows otherwise what the shard was served on.
+fn why_refused(entry: &entry::Entry, program: &id::ProgramId, err: &error::Error) -> String {
+    use error::Kind::HistoryMismatch;
+    use error::Kind::UnknownProgram;
+    use error::Kind::WrongTurn;
+    let differs = matches!(err.kind, HistoryMismatch | UnknownProgram | WrongTurn);
+    if !differs {
+        return err.to_string();
+    }
+    let shard = entry.keeper.shard_of(program);
+    format!("{err}; {}", recover::standing(entry, shard))
+}
+
 fn take_in(entry: &Arc<entry::Entry>, req: peer::Submit) -> peer::SubmitReply {
     let shard = entry.keeper.shard_of(&req.program);
     let Some(fence) = entry.serving(shard) else {
--- a/fw-keep/src/keeper/flush.rs
+++ b/fw-keep/src/keeper/flush.rs
@@ -258,7 +258,7 @@
 fn lose(inner: &Inner, shard: id::ShardId, reason: &'static str) {
     *inner.slot(shard).lock() = Slot::Absent;
     metrics::counter!(keeper::LOST_TOTAL, "reason" => reason).increment(1);
-    tracing::warn!(shard, reason, "shard lost");
+    tracing::warn!(entry = %inner.opts.entry, shard, reason, "shard lost");
 }
 
 fn count(outcome: &'static str) {
--- a/fw-keep/src/keeper/lease.rs
+++ b/fw-keep/src/keeper/lease.rs
@@ -22,10 +22,10 @@
     loop {
         let lease = granted(&inner).await;
         inner.lease.send_replace(lease);
-        tracing::info!(lease, "lease granted");
+        tracing::info!(entry = %inner.opts.entry, lease, "lease granted");
         until_lapsed(&inner, lease).await;
         count("lapsed");
-        tracing::warn!(lease, "lease lapsed");
+        tracing::warn!(entry = %inner.opts.entry, lease, "lease lapsed");
         inner.lease.send_replace(0);
         inner.doubt();
     }
--- a/fw-keep/src/keeper/load.rs
+++ b/fw-keep/src/keeper/load.rs
@@ -156,7 +156,7 @@
         .with_retention(opts.retention)
         .with_max_pending(opts.max_pending);
     if let Some(reason) = loaded.damage() {
-        tracing::error!(shard, reason, "journal damaged");
+        tracing::error!(entry = %inner.opts.entry, shard, reason, "journal damaged");
     }
     let writer = Writer::new(
         &opts.root,
--- a/fw-keep/src/keeper/member.rs
+++ b/fw-keep/src/keeper/member.rs
@@ -131,7 +131,7 @@
         taken += outcome.taken.len();
         load::run(inner, outcome.taken).await;
     }
-    tracing::info!(taken, "shards taken");
+    tracing::info!(entry = %inner.opts.entry, taken, "shards taken");
 }
 
 impl Grace {
--- a/fw-local/examples/soak/main.rs
+++ b/fw-local/examples/soak/main.rs
@@ -49,6 +49,9 @@
             return ExitCode::from(2);
         }
     };
+    if let Some(folder) = &asked.record {
+        log_into(folder);
+    }
     let runtime = tokio::runtime::Runtime::new().expect("a runtime");
     let totals = runtime.block_on(soak(&asked));
     print_totals(&totals);
@@ -58,6 +61,18 @@
     }
 }
 
+/// Writes what the processes log into `folder`, beside the records.
+fn log_into(folder: &str) {
+    let path = Path::new(folder).join("log.txt");
+    match fs::File::create(&path) {
+        Ok(file) => tracing_subscriber::fmt()
+            .with_ansi(false)
+            .with_writer(Arc::new(file))
+            .init(),
+        Err(err) => eprintln!("log {} not written: {err}", path.display()),
+    }
+}
+
 fn options() -> Options {
     let mut opts = Options::new();
     opts.optopt("s", "seeds", "first and last seed", "FROM..TO");
--- a/fw-local/src/history/doors.rs
+++ b/fw-local/src/history/doors.rs
@@ -3,9 +3,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Weak;
+use std::time::Duration;
+use std::time::Instant;
 
 use fw_check::event;
 use fw_entry::process::entry;
+use fw_entry::process::explain;
 use fw_entry::process::serve;
 use parking_lot::Mutex;
 
@@ -20,12 +23,29 @@
     pub admin: SocketAddr,
     /// The entry itself, to see which records are in force there.
     pub entry: Weak<entry::Entry>,
+    /// When the entry started.
+    pub started: Instant,
+    /// Its decisions, which outlive it.
+    pub decisions: Arc<explain::Log>,
+}
+
+/// Something that an entry decided.
+#[derive(Clone, Debug)]
+pub struct Decision {
+    /// When, since the begin of the run.
+    pub at: Duration,
+    /// The entry's name in the record.
+    pub process: event::ProcessId,
+    /// What, and why.
+    pub event: explain::Event,
 }
 
 /// The entries that run. Callers are not sent to one that stops.
 #[derive(Default)]
 pub struct Doors {
     open: Mutex<Vec<Door>>,
+    /// Those that were ever open.
+    known: Mutex<Vec<Door>>,
 }
 
 /// The name that the entry of this index has in the record.
@@ -42,6 +62,8 @@
             callers: addresses.callers,
             admin: addresses.admin,
             entry: Arc::downgrade(running.entry()),
+            started: running.entry().start,
+            decisions: Arc::clone(&running.entry().explain),
         }
     }
 }
@@ -49,9 +71,26 @@
 impl Doors {
     /// Adds an entry.
     pub fn open(&self, door: Door) {
+        self.known.lock().push(door.clone());
         self.open.lock().push(door);
     }
 
+    /// What every entry that was ever open decided about `program`, in order of time since `begun`.
+    pub fn decisions(&self, program: &str, begun: Instant) -> Vec<Decision> {
+        let mut decisions = Vec::new();
+        for door in self.known.lock().iter() {
+            let started = door.started.saturating_duration_since(begun);
+            let events = door.decisions.of(program).into_iter();
+            decisions.extend(events.map(|event| Decision {
+                at: started + Duration::from_millis(event.at_ms),
+                process: door.process.clone(),
+                event,
+            }));
+        }
+        decisions.sort_by_key(|decision| decision.at);
+        decisions
+    }
+
     /// Takes an entry off.
     pub fn close(&self, entry: usize) {
         let process = name(entry);
--- a/fw-local/src/history/mod.rs
+++ b/fw-local/src/history/mod.rs
@@ -85,6 +85,8 @@
     pub programs: Vec<program::Outcome>,
     /// Programs whose history could not be read at the end.
     pub unread: Vec<id::ProgramId>,
+    /// What the entries decided about programs that were not finished or not read.
+    pub decisions: Vec<(id::ProgramId, Vec<doors::Decision>)>,
     /// Time that the run took.
     pub took: Duration,
 }
@@ -132,6 +134,12 @@
         for program in &self.unread {
             writeln!(f, "unread     {program}")?;
         }
+        for (program, decisions) in &self.decisions {
+            for doors::Decision { at, process, event } in decisions {
+                let (what, why) = (&event.what, &event.why);
+                writeln!(f, "{program} at {at:?}, {process}: {what}: {why}")?;
+            }
+        }
         write!(f, "{}", self.report)
     }
 }
@@ -187,6 +195,7 @@
     wait_freed(&driver.system, &programs, limit).await;
     operate::look(&cx);
     let entries = cx.recorder.entries();
+    let decisions = decisions(&cx, &programs, &unread, begun);
     driver.end();
     Ok(Outcome {
         report: check::record(&entries, &opts.check),
@@ -194,6 +203,7 @@
         faults,
         programs,
         unread,
+        decisions,
         took: begun.elapsed(),
     })
 }
@@ -258,6 +268,20 @@
     unread
 }
 
+/// What the entries decided about programs that were not finished or not read: the record tells what
+/// callers saw, these tell why.
+fn decisions(
+    cx: &calls::Context,
+    programs: &[program::Outcome],
+    unread: &[id::ProgramId],
+    begun: Instant,
+) -> Vec<(id::ProgramId, Vec<doors::Decision>)> {
+    let is_bad = |p: &&program::Outcome| !p.finished || unread.contains(&p.program);
+    let bad = programs.iter().filter(is_bad).map(|p| &p.program);
+    bad.map(|program| (program.clone(), cx.doors.decisions(program, begun)))
+        .collect()
+}
+
 /// Waits until no engine holds memory for a program that was ended, or `limit` has passed.
 async fn wait_freed(system: &system::System, programs: &[program::Outcome], limit: Duration) {
     let until = Instant::now() + limit;
