fw-entry: a committed answer whose end was an error is given again

Cause: an entry that alone was cut off from the store for longer than its lease breaks off a turn that it has committed in memory. If nobody took the shard, it keeps it again; the turn sent once more is found committed, and its old attempt, which ended with the error, was read again. Ruled out: a stale fencing number at a side, which leaves `failed` among the decisions. Change: an attempt that ended with an error no longer stands for a committed answer; the answer is given under it anew, as soon as the store has it. Test: store_outages::a_turn_broken_off_is_answered_again, one entry cut off; failed before with `keeper_lost` at both entries, passes now.

--- a/fw-entry/src/process/attempts.rs
+++ b/fw-entry/src/process/attempts.rs
@@ -69,6 +69,21 @@
         shard.get(&attempt).map(|slot| Arc::clone(&slot.buf))
     }
 
+    /// Whether reading `attempt` brings an answer, now or later: it is known, and the attempt under
+    /// which its turn goes on has not ended with an error.
+    pub fn has_answer(&self, mut attempt: id::AttemptId) -> bool {
+        while let Some(buf) = self.get(attempt) {
+            match buf.state() {
+                attempt::State::Moved(next) => attempt = next,
+                attempt::State::Failed(_) | attempt::State::Unknown => return false,
+                attempt::State::Queued | attempt::State::Running | attempt::State::Done(_) => {
+                    return true;
+                }
+            }
+        }
+        false
+    }
+
     /// Adds the attempt `new` under which the turn of `old` goes on, with the same readers.
     pub fn go_on(&self, old: id::AttemptId, new: id::AttemptId) -> Arc<buffer::Buffer> {
         let readers = self.readers(old).unwrap_or_default();
--- a/fw-entry/src/turn/commit.rs
+++ b/fw-entry/src/turn/commit.rs
@@ -12,6 +12,7 @@
 use super::run;
 use super::upstream;
 use crate::connection::recover;
+use crate::process::entry;
 
 impl run::Task {
     pub(super) async fn commit(self, buf: &Arc<buffer::Buffer>, finish: attempt::Finish) {
@@ -109,3 +110,35 @@
         }
     }
 }
+
+/// Ends `buf` with an answer that is committed in memory, once the store has it.
+pub(super) async fn end_once_durable(
+    entry: &entry::Entry,
+    buf: &buffer::Buffer,
+    finish: attempt::Finish,
+    ticket: keeper::Ticket,
+) {
+    let durable = tokio::select! {
+        durable = durable_or_cut_off(entry, ticket) => durable,
+        () = entry.killed.cancelled() => return,
+    };
+    match durable {
+        Ok(()) => buf.finish(finish),
+        Err(_) => buf.fail(run::lost()),
+    }
+}
+
+/// Waits until the store has a change, or the entry alone is cut off from it for so long that the
+/// shard may have another keeper.
+async fn durable_or_cut_off(
+    entry: &entry::Entry,
+    ticket: keeper::Ticket,
+) -> Result<(), keeper::Error> {
+    loop {
+        let durable = entry.keeper.durable(ticket).await;
+        let waits = durable == Err(keeper::Error::StoreUnavailable);
+        if !waits || entry.is_cut_off(entry.settings.keeper.lease_ttl) {
+            return durable;
+        }
+    }
+}
--- a/fw-entry/src/turn/submit.rs
+++ b/fw-entry/src/turn/submit.rs
@@ -15,6 +15,7 @@
 use fw_wire::transport;
 use rand::RngExt;
 
+use super::commit;
 use super::plan;
 use super::run;
 use crate::connection::recover;
@@ -143,10 +144,10 @@
             attempt,
             turn,
             answer,
-        }) => {
-            replay(entry, attempt, &req, answer);
-            peer::SubmitReply::Accepted { attempt, turn }
-        }
+        }) => match replay(entry, &req, attempt, answer) {
+            Ok(()) => peer::SubmitReply::Accepted { attempt, turn },
+            Err(_not_kept) => peer::SubmitReply::NotKeeper,
+        },
         Some(program::Outcome::Run(run)) => start(entry, req, plan, run),
     }
 }
@@ -243,26 +244,43 @@
     })
 }
 
-/// Makes a committed answer readable again, if its events are gone.
+/// Makes a committed answer readable again, if its events are gone or end with an error.
+///
+/// An entry that is cut off from the store breaks off a turn that it has committed in memory, and may
+/// keep the shard all the same. Read again, that end would refuse the turn for as long as ended
+/// attempts are kept, to callers of every entry. It was not the answer's end, so the answer is given
+/// after all, as soon as the store has it.
+///
+/// # Errors
+///
+/// Who keeps the shard instead, if it is not kept here any more.
 fn replay(
-    entry: &entry::Entry,
-    attempt: id::AttemptId,
+    entry: &Arc<entry::Entry>,
     req: &peer::Submit,
+    attempt: id::AttemptId,
     answer: program::Answer,
-) {
-    if entry.attempts.get(attempt).is_some() {
-        return;
+) -> Result<(), keeper::Owner> {
+    if entry.attempts.has_answer(attempt) {
+        return Ok(());
     }
+    let kept = entry.keeper.with_program(&req.program, |_| ())?;
+    let why = "an earlier end of the turn was lost or an error".to_owned();
+    entry.explain.note(&req.program, "answered again", why);
     let buf = entry.attempts.open(attempt);
     buf.push(events_of(&req.model, attempt, &answer));
-    buf.finish(attempt::Finish {
+    let finish = attempt::Finish {
         message: answer.message,
         finish_reason: answer.finish_reason,
         usage: answer.usage,
         queued: Duration::ZERO,
         first_token: Duration::ZERO,
         ran: Duration::ZERO,
-    });
+    };
+    let entry_of_task = Arc::clone(entry);
+    let end =
+        async move { commit::end_once_durable(&entry_of_task, &buf, finish, kept.ticket).await };
+    entry.tasks.spawn(end);
+    Ok(())
 }
 
 /// A committed answer as two chunks: the message, and the reason why it ended.
--- a/fw-local/src/history/mod.rs
+++ b/fw-local/src/history/mod.rs
@@ -85,7 +85,8 @@
     pub programs: Vec<program::Outcome>,
     /// Programs whose history could not be read at the end.
     pub unread: Vec<id::ProgramId>,
-    /// What the entries decided about programs that were not finished or not read.
+    /// What the entries decided about programs that went wrong: the record tells what callers saw,
+    /// these tell why.
     pub decisions: Vec<(id::ProgramId, Vec<doors::Decision>)>,
     /// Time that the run took.
     pub took: Duration,
@@ -195,10 +196,16 @@
     wait_freed(&driver.system, &programs, limit).await;
     operate::look(&cx);
     let entries = cx.recorder.entries();
-    let decisions = decisions(&cx, &programs, &unread, begun);
+    let report = check::record(&entries, &opts.check);
+    let suspects = suspects(&programs, &unread, &report);
+    let decided = |program: id::ProgramId| {
+        let decisions = cx.doors.decisions(&program, begun);
+        (program, decisions)
+    };
+    let decisions = suspects.into_iter().map(decided).collect();
     driver.end();
     Ok(Outcome {
-        report: check::record(&entries, &opts.check),
+        report,
         entries,
         faults,
         programs,
@@ -268,18 +275,19 @@
     unread
 }
 
-/// What the entries decided about programs that were not finished or not read: the record tells what
-/// callers saw, these tell why.
-fn decisions(
-    cx: &calls::Context,
+/// Programs that were not finished or not read, or that a violation names.
+fn suspects(
     programs: &[program::Outcome],
     unread: &[id::ProgramId],
-    begun: Instant,
-) -> Vec<(id::ProgramId, Vec<doors::Decision>)> {
-    let is_bad = |p: &&program::Outcome| !p.finished || unread.contains(&p.program);
-    let bad = programs.iter().filter(is_bad).map(|p| &p.program);
-    bad.map(|program| (program.clone(), cx.doors.decisions(program, begun)))
-        .collect()
+    report: &check::Report,
+) -> Vec<id::ProgramId> {
+    let report = report.to_string();
+    let is_suspect = |p: &&program::Outcome| {
+        let is_named = report.contains(&format!("{} ", p.program));
+        !p.finished || unread.contains(&p.program) || is_named
+    };
+    let suspects = programs.iter().filter(is_suspect);
+    suspects.map(|p| p.program.clone()).collect()
 }
 
 /// Waits until no engine holds memory for a program that was ended, or `limit` has passed.
--- a/fw-local/src/system.rs
+++ b/fw-local/src/system.rs
@@ -190,7 +190,20 @@
     ///
     /// When a port cannot be bound.
     pub async fn add_entry(&mut self, place: &'static str) -> io::Result<usize> {
-        let mut settings = self.opts.entry.clone();
+        self.add_entry_with(place, self.opts.entry.clone()).await
+    }
+
+    /// Starts another entry with settings of its own and returns its index. Addresses and place are
+    /// filled in.
+    ///
+    /// # Errors
+    ///
+    /// When a port cannot be bound.
+    pub async fn add_entry_with(
+        &mut self,
+        place: &'static str,
+        mut settings: entry_conf::Settings,
+    ) -> io::Result<usize> {
         settings.instance.place = place.into();
         let endpoint = self.store.endpoint(self.next_port).parse();
         settings.store.endpoints = vec![endpoint.map_err(io::Error::other)?];
@@ -261,8 +274,8 @@
         lowest.min().unwrap_or(0)
     }
 
-    /// Waits until every shard has a keeper, the keepers share them, and every side is heard by
-    /// every entry.
+    /// Waits until every shard has a keeper, those that keep shards share them, every side is heard by every
+    /// entry, and the entries know each other.
     ///
     /// # Errors
     ///
@@ -280,7 +293,8 @@
 
     fn is_ready(&self) -> bool {
         let running = || self.entries.iter().flatten().map(serve::Running::entry);
-        let kept: Vec<_> = running().map(|entry| entry.keeper.shards().len()).collect();
+        let keepers = running().filter(|entry| entry.settings.keeper.enabled);
+        let kept: Vec<_> = keepers.map(|entry| entry.keeper.shards().len()).collect();
         let fair = usize::from(id::SHARDS) / kept.len().max(1);
         let is_balanced = kept.iter().all(|kept| *kept >= fair / 2);
         let live = self
@@ -298,7 +312,9 @@
         });
         let has_records = running().all(|entry| entry.records.is_loaded());
         let all_kept = kept.iter().sum::<usize>() == usize::from(id::SHARDS);
-        all_kept && is_balanced && hears_all && has_records
+        let count = running().count();
+        let know_each_other = running().all(|entry| entry.keeper.entries().len() >= count);
+        all_kept && is_balanced && hears_all && has_records && know_each_other
     }
 
     fn running(&self, entry: usize) -> &serve::Running {
--- a/fw-local/tests/local/crashed_parts.rs
+++ b/fw-local/tests/local/crashed_parts.rs
@@ -29,21 +29,6 @@
     }
 }
 
-/// Waits until some engine runs a request, and says which.
-async fn busy_engine(system: &system::System) -> usize {
-    for _ in 0..500 {
-        let busy = system
-            .engines
-            .iter()
-            .position(|w| w.upstream.under_way() > 0);
-        if let Some(engine) = busy {
-            return engine;
-        }
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
-    panic!("no engine got the request");
-}
-
 // A shopkeeper watches a page being drafted when the engine behind it crashes. The turn runs again
 // on another engine; the text goes on where it stopped, and is what an undisturbed run gives.
 #[gtest]
@@ -53,7 +38,7 @@
     let undisturbed = rig::chat(system.callers(0), &long("draft")).await;
     let addr = system.callers(0);
     let task = tokio::spawn(async move { rig::chat(addr, &long("draft")).await });
-    let engine = busy_engine(&system).await;
+    let engine = rig::busy_engine(&system).await;
     tokio::time::sleep(Duration::from_millis(200)).await;
     system.engines[engine].upstream.crash();
     let answer = task.await.unwrap();
@@ -69,7 +54,7 @@
     let mut system = rig::with(slow()).await;
     let addr = system.callers(0);
     let task = tokio::spawn(async move { rig::chat(addr, &long("draft")).await });
-    let engine = busy_engine(&system).await;
+    let engine = rig::busy_engine(&system).await;
     tokio::time::sleep(Duration::from_millis(200)).await;
     system.kill_side(engine);
     let answer = task.await.unwrap();
@@ -136,7 +121,7 @@
         ..long("draft")
     };
     let task = tokio::spawn(async move { rig::chat(addr, &chat).await });
-    busy_engine(&system).await;
+    rig::busy_engine(&system).await;
     tokio::time::sleep(Duration::from_millis(200)).await;
     system.kill_entry(0);
     let answer = task.await.unwrap();
--- a/fw-local/tests/local/rig.rs
+++ b/fw-local/tests/local/rig.rs
@@ -3,7 +3,10 @@
 use std::net::SocketAddr;
 use std::ops::Deref;
 use std::ops::DerefMut;
+use std::time::Duration;
 
+use fw_base::error;
+use fw_keep::shard;
 use fw_local::caller;
 use fw_local::system;
 use serde_json::Value;
@@ -92,3 +95,45 @@
         ..ask(&format!("offer {turn}"))
     }
 }
+
+/// Waits until some engine runs a request, and says which.
+pub async fn busy_engine(system: &system::System) -> usize {
+    for _ in 0..500 {
+        let busy = system
+            .engines
+            .iter()
+            .position(|w| w.upstream.under_way() > 0);
+        if let Some(engine) = busy {
+            return engine;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("no engine got the request");
+}
+
+/// Waits until an entry has committed a turn of a program in memory.
+pub async fn committed(system: &system::System, entry: usize, program: &str) {
+    let running = system.entries[entry].as_ref().expect("the entry runs");
+    let name = program.into();
+    let turn = |shard: &mut shard::Shard| shard.program(&name).map_or(0, |known| known.turn());
+    for _ in 0..1_000 {
+        let known = running.entry().keeper.with_program(program, turn);
+        if known.is_ok_and(|known| known.value > 0) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("no turn was committed");
+}
+
+/// Sends a turn until its program is kept again after a lease that lapsed.
+pub async fn until_kept(addr: SocketAddr, turn: &caller::Chat) -> caller::Answer {
+    let mut answer = chat(addr, turn).await;
+    for _ in 0..10 {
+        if answer.kind != Some(error::Kind::KeeperUnavailable) {
+            break;
+        }
+        answer = chat(addr, turn).await;
+    }
+    answer
+}
--- a/fw-local/tests/local/store_outages.rs
+++ b/fw-local/tests/local/store_outages.rs
@@ -3,9 +3,12 @@
 use std::time::Duration;
 
 use fw_base::error;
+use fw_conf::entry as entry_conf;
+use fw_fake::engine;
 use fw_fake::store;
 use fw_local::agent;
 use fw_local::caller;
+use fw_local::system;
 use googletest::prelude::*;
 
 use super::rig;
@@ -153,3 +156,56 @@
         expect_that!(kept, some(eq(text.as_str())));
     }
 }
+
+/// An entry that answers callers and keeps no programs.
+fn answers_only() -> entry_conf::Settings {
+    let settings = system::quick_entry();
+    entry_conf::Settings {
+        keeper: entry_conf::Keeper {
+            enabled: false,
+            ..settings.keeper
+        },
+        ..settings
+    }
+}
+
+// One entry alone is cut off from the store for longer than its lease while it ends a turn. It
+// breaks the turn off, since another may keep the program by now: its caller hears `keeper_lost`.
+// But nobody took the program; with the store back the entry keeps it again, the turn committed.
+// The caller sends the turn again, and heard the same error from every entry for a minute: the
+// ended attempt was read again in place of the committed answer. What showed it: the decisions of
+// all entries end with `fenced`; no placement, failure or refusal follows it.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_turn_broken_off_is_answered_again() {
+    let mut system = rig::with(system::Options {
+        entries: vec!["hall-a"],
+        engine: engine::Options {
+            step: Duration::from_millis(20),
+            ..engine::Options::default()
+        },
+        ..system::Options::default()
+    })
+    .await;
+    let other = system.add_entry_with("hall-b", answers_only()).await;
+    let other = other.unwrap();
+    system.wait_ready().await.unwrap();
+    let turn = rig::delta("cut-off", 1);
+    let (addr, first) = (system.callers(0), turn.clone());
+    let task = tokio::spawn(async move { rig::chat(addr, &first).await });
+    let engine = rig::busy_engine(&system).await;
+    system
+        .store
+        .faults(0, |faults| faults.outage = Some(store::Outage::Hang));
+    rig::committed(&system, 0, "cut-off").await;
+    // No second holder: the answer may not be given out before the store has it.
+    system.kill_side(engine);
+    let broken = task.await.unwrap();
+    expect_that!(broken.kind, some(eq(error::Kind::KeeperLost)));
+    system.store.faults(0, |faults| faults.outage = None);
+    for entry in [other, 0] {
+        let again = rig::until_kept(system.callers(entry), &turn).await;
+        expect_that!(again.kind, none());
+        expect_true!(again.is_ok());
+    }
+}
