fw-entry: a taken shard serves once everyone who may hold its answers was heard

Cause: answers given out while the store is away are held by the keeper and a side. The side that held the answer had been killed, and the keeper was not asked. The same fault elsewhere, found by reading, each with a test of the rule: a side that missed one heartbeat counted as heard; so did one whose call for held turns failed; so did every side before the first instance list; a shard taken between the listing and the sending of a heartbeat counted as told. A turn passed on before the one that it follows was dropped and reported as taken. A held turn's wait for the store kept the turns of other programs waiting behind it, beyond the time after which the shard serves anyway. Change: who is waited for is decided by `fw_plan::takeover`. Entries keep what they gave out without the store (`process::held`) and tell it to whoever has taken the shard; before that they stop giving out more. A turn is offered to the next keeper until it is stored. A killed entry of a test ends its commits as well. Test: store_outages::answers_survive_their_side_and_a_lapsed_lease (failed before with `unknown_program`, three of three), plan taken_shards (seven cases).

--- a/fw-entry/src/connection/heartbeat.rs
+++ b/fw-entry/src/connection/heartbeat.rs
@@ -8,11 +8,13 @@
 use fw_base::id;
 use fw_plan::health;
 use fw_plan::place;
+use fw_plan::takeover;
 use fw_wire::side;
 use fw_wire::transport;
 use tracing::info;
 
-use super::recover;
+use super::pool;
+use super::recover_sides;
 use super::sides;
 use crate::process::entry;
 
@@ -38,15 +40,18 @@
 }
 
 async fn beat(entry: &Arc<entry::Entry>, side: &Arc<sides::Side>, interval: Duration) {
-    let req = request(entry, side);
+    // Before the shards are listed: one that is taken meanwhile is not in this heartbeat, and must not
+    // count as told to the side.
     let sent = Instant::now();
+    let req = request(entry, side);
     let cx = transport::context(interval);
     let addr = side.instance.side;
     let call = |client: side::SideClient| async move { client.heartbeat(cx, req).await };
     match entry.sides.pool.call(addr, call).await {
-        Ok(reply) if is_someone_else(side, &reply) => missed(entry, side),
+        // The side that was there is gone.
+        Ok(reply) if is_someone_else(side, &reply) => missed(entry, side, true),
         Ok(reply) => answered(entry, side, reply, sent).await,
-        Err(_) => missed(entry, side),
+        Err(failure) => missed(entry, side, failure == pool::Failure::Refused),
     }
 }
 
@@ -77,16 +82,19 @@
     let kept = entry.keeper.shards().into_iter().map(|kept| kept.shard);
     let is_new = |shard: &id::ShardId| {
         let since = entry.keeper.kept_since(*shard);
-        since > state.heard
+        since > state.holder.heard
     };
     let mut shards = state.shards.clone();
     shards.extend(kept.filter(is_new));
     shards
 }
 
-fn missed(entry: &entry::Entry, side: &sides::Side) {
+fn missed(entry: &entry::Entry, side: &sides::Side, gone: bool) {
     metrics::counter!(MISSED).increment(1);
-    let was_reachable = side.update(|state| std::mem::replace(&mut state.reachable, false));
+    let was_reachable = side.update(|state| {
+        state.holder.missed(Instant::now(), gone);
+        std::mem::replace(&mut state.reachable, false)
+    });
     if was_reachable {
         info!(entry = %entry.id, upstream = %side.instance.id, "side does not answer");
     }
@@ -113,7 +121,7 @@
         state.revision = reply.revision;
         state.cache_seen = reply.cache_seq;
         state.asked = reply.asked;
-        state.heard = Some(sent);
+        state.holder.answered(sent);
         state.shards.retain(mine);
         state.recovering.retain(|shard, _| mine(shard));
         for shard in reply.unrenewed.into_iter().filter(mine) {
@@ -124,7 +132,7 @@
         (std::mem::replace(&mut state.reachable, true), recovering)
     });
     if !recovering.is_empty() {
-        recover::run(Arc::clone(entry), Arc::clone(side), recovering).await;
+        recover_sides::run(Arc::clone(entry), Arc::clone(side), recovering).await;
     }
     if !was_reachable {
         info!(entry = %entry.id, upstream = %side.instance.id, "side answers");
@@ -141,6 +149,8 @@
         if before != reply.incarnation {
             state.shards.clear();
             state.cache_seen = 0;
+            state.holder = takeover::Holder::default();
+            state.recovering.clear();
         }
         before
     });
--- a/fw-entry/src/connection/mod.rs
+++ b/fw-entry/src/connection/mod.rs
@@ -4,4 +4,6 @@
 pub mod listen;
 pub mod pool;
 pub mod recover;
+pub mod recover_entries;
+pub mod recover_sides;
 pub mod sides;
--- a/fw-entry/src/connection/pool.rs
+++ b/fw-entry/src/connection/pool.rs
@@ -65,6 +65,8 @@
 /// Why a call brought no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
+    /// No process listens at the address: the call was not sent.
+    Refused,
     /// No connection: the call was not sent.
     Unsent,
     /// The connection failed, or stayed silent past the call's deadline: it may have been received.
@@ -96,7 +98,7 @@
     where
         F: Future<Output = Result<T, client::RpcError>>,
     {
-        let connection = self.get(addr).await.map_err(|_| Failure::Unsent)?;
+        let connection = self.get(addr).await.map_err(|err| unsent(&err))?;
         let answer = send(connection.client.clone()).await;
         if let Ok(answer) = answer {
             return Ok(answer);
@@ -151,3 +153,10 @@
         Arc::clone(slot)
     }
 }
+
+fn unsent(err: &io::Error) -> Failure {
+    match err.kind() {
+        io::ErrorKind::ConnectionRefused => Failure::Refused,
+        _ => Failure::Unsent,
+    }
+}
--- a/fw-entry/src/connection/sides.rs
+++ b/fw-entry/src/connection/sides.rs
@@ -5,14 +5,16 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
-use std::time::Instant;
 
 use fw_base::id;
 use fw_plan::health;
 use fw_plan::hedge;
 use fw_plan::place;
 use fw_plan::retry;
+use fw_plan::takeover;
 use fw_wire::side;
 use parking_lot::Mutex;
 use serde::Deserialize;
@@ -95,8 +97,8 @@
     pub shards: BTreeSet<id::ShardId>,
     /// Programs that the side asked after.
     pub asked: Vec<id::ProgramId>,
-    /// When the last heartbeat that was answered was sent.
-    pub heard: Option<Instant>,
+    /// When it was heard, as one that may hold turns of a shard; `owes` stands in `recovering`.
+    pub holder: takeover::Holder,
     /// Shards of which the side holds turns that are not in the journal, and how often it was
     /// asked for them.
     pub recovering: BTreeMap<id::ShardId, u32>,
@@ -137,6 +139,7 @@
     options: Options,
     services: Mutex<HashMap<id::ServiceId, Arc<Mutex<Service>>>>,
     sides: Mutex<HashMap<id::UpstreamId, Arc<Side>>>,
+    is_listed: AtomicBool,
 }
 
 /// What a new instance list changed.
@@ -156,6 +159,7 @@
             options,
             services: Mutex::default(),
             sides: Mutex::default(),
+            is_listed: AtomicBool::new(false),
         }
     }
 
@@ -180,6 +184,12 @@
         self.sides.lock().values().map(Arc::clone).collect()
     }
 
+    /// Whether an instance list has come since the start: before, no side is known, and some may hold
+    /// what this entry must not serve without.
+    pub fn is_listed(&self) -> bool {
+        self.is_listed.load(Ordering::Acquire)
+    }
+
     /// How many sides there are.
     pub fn len(&self) -> usize {
         self.sides.lock().len()
@@ -219,6 +229,7 @@
             kept
         });
         drop(sides);
+        self.is_listed.store(true, Ordering::Release);
         self.apply(now, list, &change);
         change
     }
--- a/fw-entry/src/process/entry.rs
+++ b/fw-entry/src/process/entry.rs
@@ -21,9 +21,11 @@
 use super::admission;
 use super::attempts;
 use super::explain;
+use super::held;
 use super::peers;
 use crate::connection::pool;
 use crate::connection::recover;
+use crate::connection::recover_entries;
 use crate::connection::sides;
 use crate::version::records;
 
@@ -41,6 +43,10 @@
     pub store: fw_store::Client,
     /// Shards, programs and claims kept here.
     pub keeper: keeper::Keeper,
+    /// Turns whose answers were given out without the store.
+    pub held: held::Held,
+    /// What was heard of other entries about shards taken here.
+    pub before: recover_entries::Before,
     /// Events of the attempts kept here.
     pub attempts: attempts::Table,
     /// Admission of turns and plain requests.
@@ -216,7 +222,17 @@
     }
 
     async fn recover(self, _cx: tarpc::context::Context, held: side::Held) -> bool {
-        recover::accept(&self.0, held)
+        recover::accept(&self.0, held).await
+    }
+
+    /// The keeper of the shards asks, so they are not this entry's any more. It stops giving out
+    /// answers of theirs before it tells what it gave out: an answer in between would be told to no one.
+    async fn held(self, _cx: tarpc::context::Context, req: peer::HeldQuery) -> side::HeldReply {
+        for (shard, fence) in &req.shards {
+            self.0.keeper.supersede(*shard, *fence);
+        }
+        let shards = req.shards.iter().map(|(shard, _)| *shard).collect();
+        self.0.held.reply(&shards, req.after)
     }
 
     async fn status(
--- a/fw-entry/src/process/keepers.rs
+++ b/fw-entry/src/process/keepers.rs
@@ -78,7 +78,7 @@
                 match elsewhere(entry, &address, &there).await {
                     Ok((place, Tried::Answered(answer))) => return Ok((place, answer)),
                     Ok((_, Tried::NotKeeper)) => "stale",
-                    Err(pool::Failure::Unsent) => "unreachable",
+                    Err(pool::Failure::Refused | pool::Failure::Unsent) => "unreachable",
                     Err(pool::Failure::Broken) if options.idempotent => {
                         received = Some(lost());
                         "broken"
--- a/fw-entry/src/process/members.rs
+++ b/fw-entry/src/process/members.rs
@@ -20,6 +20,7 @@
 pub async fn run(entry: Arc<entry::Entry>) {
     let Some(url) = entry.settings.platform.instances.clone() else {
         info!("no instance list is set: there are no upstreams");
+        entry.sides.listed(entry.now(), &[]);
         return std::future::pending().await;
     };
     let http = fw_http::Client::default();
--- a/fw-entry/src/process/mod.rs
+++ b/fw-entry/src/process/mod.rs
@@ -4,6 +4,7 @@
 pub mod attempts;
 pub mod entry;
 pub mod explain;
+pub mod held;
 pub mod keepers;
 pub mod members;
 pub mod peers;
--- a/fw-entry/src/process/serve.rs
+++ b/fw-entry/src/process/serve.rs
@@ -36,10 +36,12 @@
 use super::attempts;
 use super::entry;
 use super::explain;
+use super::held;
 use super::members;
 use super::peers;
 use crate::connection::listen;
 use crate::connection::pool;
+use crate::connection::recover_entries;
 use crate::connection::sides;
 use crate::request::router;
 use crate::version::records;
@@ -152,6 +154,7 @@
         loops.spawn(watch::run(Arc::clone(&entry)));
         loops.spawn(members::run(Arc::clone(&entry)));
         loops.spawn(peers::run(Arc::clone(&entry)));
+        loops.spawn(recover_entries::run(Arc::clone(&entry)));
         loops.spawn(sweep(Arc::clone(&entry)));
         let options = listen::Options {
             head_timeout: entry.settings.callers.idle_timeout,
@@ -247,6 +250,8 @@
         records: records::InForce::default(),
         store,
         keeper,
+        held: held::Held::default(),
+        before: recover_entries::Before::default(),
         attempts: attempts::Table::new(),
         admission: admission::Admission::new(admit_options(&settings.plan)),
         poison: Mutex::new(poison::Poison::new(poison::Options::default())),
--- a/fw-entry/src/request/follow.rs
+++ b/fw-entry/src/request/follow.rs
@@ -167,7 +167,7 @@
             match self.entry.peers.call(addr, read).await {
                 Ok(reply) => return Some(reply),
                 Err(pool::Failure::Broken) => {}
-                Err(pool::Failure::Unsent) => return None,
+                Err(pool::Failure::Refused | pool::Failure::Unsent) => return None,
             }
         }
         None
--- a/fw-entry/src/turn/commit.rs
+++ b/fw-entry/src/turn/commit.rs
@@ -14,6 +14,10 @@
 use crate::connection::recover;
 use crate::process::entry;
 
+/// How long a turn is offered to the next keeper of its shard. Longer than the store's outages are
+/// known to be; a turn that no keeper has taken by then continues no history that it has.
+const OFFERED_FOR: Duration = Duration::from_secs(120);
+
 impl run::Task {
     pub(super) async fn commit(self, buf: &Arc<buffer::Buffer>, finish: attempt::Finish) {
         metrics::counter!(run::TURNS).increment(1);
@@ -59,27 +63,62 @@
             }
             let alone = self.entry.is_cut_off(Duration::ZERO);
             if !held && !alone && self.is_held_by_side().await {
-                held = true;
-                self.explain("held", "the store does not answer".to_owned());
-                buf.finish(finish.clone());
+                held = self.give_out(buf, &finish, ticket);
             }
             durable = self.entry.keeper.durable(ticket).await;
         }
         if durable.is_err() {
             self.explain("fenced", "another entry keeps the program now".to_owned());
-            if held {
-                // The side that held the answer as well may be gone by now.
-                let _not_taken = recover::pass_on(&self.entry, &self.held(finish)).await;
-            }
             // Without effect on a caller that has the answer already.
             buf.fail(run::lost());
+            if held {
+                self.pass_on(finish).await;
+            }
             return;
         }
         self.explain("committed", format!("turn {}", self.run.turn));
         buf.finish(finish);
+        self.entry.held.remove(self.run.turn, self.run.attempt);
         self.forget().await;
     }
 
+    /// Gives the answer out although the store does not have it; false if the shard has another keeper
+    /// already. That one may have asked this entry what it gave out a moment ago, and is asked by the
+    /// caller next: it would not know the turn.
+    fn give_out(
+        &self,
+        buf: &buffer::Buffer,
+        finish: &attempt::Finish,
+        ticket: keeper::Ticket,
+    ) -> bool {
+        self.entry.held.insert(self.held(finish.clone()));
+        if !self.entry.keeper.is_kept(ticket) {
+            self.entry.held.remove(self.run.turn, self.run.attempt);
+            return false;
+        }
+        self.explain("held", "the store does not answer".to_owned());
+        buf.finish(finish.clone());
+        true
+    }
+
+    /// Offers the turn to the shard's next keeper until that has stored it. The side that held the
+    /// answer as well may be gone by now.
+    async fn pass_on(&self, finish: attempt::Finish) {
+        let held = self.held(finish);
+        let until = tokio::time::Instant::now() + OFFERED_FOR;
+        while tokio::time::Instant::now() < until {
+            let taken = recover::pass_on(&self.entry, &held).await;
+            if taken.is_ok() {
+                self.explain("passed on", format!("turn {}", self.run.turn));
+                break;
+            }
+            if self.entry.stopping.is_cancelled() {
+                break;
+            }
+        }
+        self.entry.held.remove(self.run.turn, self.run.attempt);
+    }
+
     /// Whether the side still has the answer. One that died since is no second holder: the answer
     /// would be lost with this entry, after its caller has seen it.
     async fn is_held_by_side(&self) -> bool {
--- a/fw-entry/src/turn/run.rs
+++ b/fw-entry/src/turn/run.rs
@@ -102,9 +102,16 @@
             () = killed.cancelled() => return,
         };
         metrics::histogram!(TOOK).record(self.arrived.elapsed().as_secs_f64());
-        match outcome {
-            Ok(finish) => self.commit(&buf, finish).await,
-            Err(err) => self.give_up(&buf, err).await,
+        let killed = self.entry.killed.clone();
+        let end = async {
+            match outcome {
+                Ok(finish) => self.commit(&buf, finish).await,
+                Err(err) => self.give_up(&buf, err).await,
+            }
+        };
+        tokio::select! {
+            () = end => {}
+            () = killed.cancelled() => {}
         }
     }
 
--- a/fw-entry/src/turn/upstream.rs
+++ b/fw-entry/src/turn/upstream.rs
@@ -92,7 +92,7 @@
             match self.entry.sides.pool.call(addr, call).await {
                 Ok(reply) => return Ok(reply),
                 Err(pool::Failure::Broken) => sent = true,
-                Err(pool::Failure::Unsent) => break,
+                Err(pool::Failure::Refused | pool::Failure::Unsent) => break,
             }
         }
         Err(if sent {
--- a/fw-keep/src/keeper/flush.rs
+++ b/fw-keep/src/keeper/flush.rs
@@ -242,6 +242,7 @@
     for (shard, fence) in &outcome.taken {
         if let Some(kept) = inner.slot(*shard).lock().kept() {
             kept.writer.set_fence(*fence);
+            kept.is_superseded = false;
         }
     }
     outcome.taken.iter().copied().collect()
--- a/fw-keep/src/keeper/inner.rs
+++ b/fw-keep/src/keeper/inner.rs
@@ -41,6 +41,8 @@
     pub(super) lease: watch::Sender<kv::LeaseId>,
     /// When the store answered last.
     pub(super) contact: Mutex<Instant>,
+    /// When a shard was loaded last.
+    pub(super) loaded: Mutex<Option<Instant>>,
     pub(super) window: Mutex<Duration>,
     pub(super) pacing: Mutex<window::Window>,
     pub(super) closing: watch::Sender<bool>,
@@ -61,6 +63,7 @@
             in_doubt: AtomicBool::new(false),
             lease: watch::Sender::new(0),
             contact: Mutex::new(Instant::now()),
+            loaded: Mutex::new(None),
             window,
             pacing: Mutex::new(window::Window::new(window::Options {
                 max: opts.window_max,
@@ -108,6 +111,27 @@
         Ok(Changed { value, ticket })
     }
 
+    /// Whether the shard of `ticket` has been kept without a break since the change, and serves.
+    pub(super) fn is_kept(&self, ticket: Ticket) -> bool {
+        let mut slot = self.slot(ticket.shard).lock();
+        let kept = slot.serving();
+        kept.is_some_and(|kept| kept.incarnation == ticket.incarnation)
+    }
+
+    /// Notes that another entry holds `shard` under `fence`.
+    pub(super) fn supersede(&self, shard: id::ShardId, fence: id::Fence) {
+        if usize::from(shard) >= self.slots.len() {
+            return;
+        }
+        let mut slot = self.slot(shard).lock();
+        let Some(kept) = slot.kept().filter(|kept| kept.writer.fence() < fence) else {
+            return;
+        };
+        kept.is_superseded = true;
+        drop(slot);
+        self.lapsed.notify_one();
+    }
+
     pub(super) fn mark_dirty(&self, shard: id::ShardId) {
         self.dirty.lock().insert(shard);
         self.dirtied.notify_one();
--- a/fw-keep/src/keeper/load.rs
+++ b/fw-keep/src/keeper/load.rs
@@ -169,7 +169,9 @@
     let mut slot = inner.slot(shard).lock();
     // Another task can't have loaded it meanwhile: only `member` loads.
     if slot.kept().is_none() {
-        *slot = Slot::Kept(Box::new(Kept::new(loaded, writer)));
+        let kept = Kept::new(loaded, writer);
+        *inner.loaded.lock() = Some(kept.since);
+        *slot = Slot::Kept(Box::new(kept));
     }
 }
 
--- a/fw-keep/src/keeper/mod.rs
+++ b/fw-keep/src/keeper/mod.rs
@@ -278,6 +278,38 @@
         self.inner.table.read().entries()
     }
 
+    /// The other entries that are live, or whose lease lapsed lately.
+    pub fn entries_lately(&self) -> Vec<(id::EntryId, SmolStr)> {
+        let table = self.inner.table.read();
+        let mut entries = table.entries();
+        entries.extend(table.lately_gone());
+        entries.retain(|(entry, _)| *entry != self.inner.opts.entry);
+        entries
+    }
+
+    /// The shards that were loaded after `since`, kept here still.
+    pub fn loaded_since(&self, since: Option<Instant>) -> Vec<KeptShard> {
+        let is_new = |at: Instant| since.is_none_or(|since| at > since);
+        if !self.inner.loaded.lock().is_some_and(is_new) {
+            return Vec::new();
+        }
+        let mut shards = self.shards();
+        shards.retain(|kept| self.kept_since(kept.shard).is_some_and(is_new));
+        shards
+    }
+
+    /// Whether the shard of `ticket` has been kept here without a break since the change, as far as
+    /// is known.
+    pub fn is_kept(&self, ticket: Ticket) -> bool {
+        self.inner.is_kept(ticket)
+    }
+
+    /// Notes that another entry holds `shard` under `fence`: if that is newer, the shard serves no more
+    /// until the store has been asked.
+    pub fn supersede(&self, shard: id::ShardId, fence: id::Fence) {
+        self.inner.supersede(shard, fence);
+    }
+
     /// Time since the store last answered this keeper.
     pub fn silence(&self) -> Duration {
         self.inner.contact.lock().elapsed()
--- a/fw-keep/src/keeper/slot.rs
+++ b/fw-keep/src/keeper/slot.rs
@@ -29,6 +29,8 @@
     pub(super) since: Instant,
     /// It is being handed over and serves no more.
     pub(super) is_leaving: bool,
+    /// Another entry was seen to have taken it since; the store is to be asked.
+    pub(super) is_superseded: bool,
     /// Position up to which changes are in the store.
     pub(super) progress: watch::Sender<shard::Position>,
 }
@@ -41,6 +43,7 @@
             incarnation: rand::random(),
             since: Instant::now(),
             is_leaving: false,
+            is_superseded: false,
             progress: watch::Sender::new(0),
         }
     }
@@ -74,6 +77,7 @@
 
     /// The shard, if it may be used by requests.
     pub(super) fn serving(&mut self) -> Option<&mut Kept> {
-        self.kept().filter(|kept| !kept.is_leaving)
+        self.kept()
+            .filter(|kept| !kept.is_leaving && !kept.is_superseded)
     }
 }
--- a/fw-keep/src/keeper/table.rs
+++ b/fw-keep/src/keeper/table.rs
@@ -62,8 +62,14 @@
     free_since: Vec<Instant>,
     /// Entries that left shards lying, and until when they get no more.
     passive: BTreeMap<id::EntryId, Instant>,
+    /// Entries whose key is gone, and since when.
+    gone: BTreeMap<id::EntryId, (EntryValue, Instant)>,
 }
 
+/// How long an entry is remembered whose key is gone. Its lease may have lapsed while it lives on and
+/// holds answers that its callers have and the store lacks; it goes on to offer them itself.
+const GONE_KEPT: Duration = Duration::from_secs(60);
+
 /// Rounds for which an entry that left shards lying gets no more: long enough that shards don't go
 /// to and fro around a stuck one, short enough that one that was merely slow gets its share again.
 const PASSIVE_ROUNDS: u32 = 20;
@@ -75,6 +81,7 @@
             owners: vec![None; shards],
             free_since: vec![Instant::now(); shards],
             passive: BTreeMap::new(),
+            gone: BTreeMap::new(),
         }
     }
 
@@ -85,6 +92,12 @@
             self.put(root, kv);
         }
         self.passive = before.passive;
+        self.gone = before.gone;
+        for (entry, value) in before.entries {
+            if !self.entries.contains_key(&entry) {
+                self.note_gone(entry, value);
+            }
+        }
         for (shard, since) in before.free_since.into_iter().enumerate() {
             if before.owners[shard].is_none() {
                 self.free_since[shard] = since;
@@ -107,6 +120,23 @@
             .collect()
     }
 
+    /// The entries whose key is gone for not longer than [`GONE_KEPT`].
+    pub(super) fn lately_gone(&self) -> Vec<(id::EntryId, SmolStr)> {
+        let gone = self.gone.iter();
+        let lately = gone.filter(|(id, (_, since))| {
+            since.elapsed() < GONE_KEPT && !self.entries.contains_key(*id)
+        });
+        lately
+            .map(|(id, (value, _))| (id.clone(), value.address.clone()))
+            .collect()
+    }
+
+    fn note_gone(&mut self, entry: id::EntryId, value: EntryValue) {
+        self.gone
+            .retain(|_, (_, since)| since.elapsed() < GONE_KEPT);
+        self.gone.insert(entry, (value, Instant::now()));
+    }
+
     pub(super) fn has_free(&self) -> bool {
         self.owners.iter().any(Option::is_none)
     }
@@ -202,7 +232,13 @@
 
     fn delete(&mut self, root: &str, key: &str) -> bool {
         match keys::parse_live(root, key) {
-            Some(keys::Live::Entry(entry)) => self.entries.remove(entry).is_some(),
+            Some(keys::Live::Entry(entry)) => {
+                let Some(value) = self.entries.remove(entry) else {
+                    return false;
+                };
+                self.note_gone(entry.into(), value);
+                true
+            }
             Some(keys::Live::Shard(shard)) if usize::from(shard) < self.owners.len() => {
                 self.note(shard, None);
                 true
--- a/fw-local/tests/local/rig.rs
+++ b/fw-local/tests/local/rig.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use fw_base::error;
+use fw_fake::engine;
 use fw_keep::shard;
 use fw_local::caller;
 use fw_local::system;
@@ -126,6 +127,19 @@
     panic!("no turn was committed");
 }
 
+/// Waits until an entry keeps the shard of a program.
+pub async fn kept_by(system: &system::System, entry: usize, program: &str) {
+    let running = system.entries[entry].as_ref().expect("the entry runs");
+    let keeper = &running.entry().keeper;
+    for _ in 0..1_000 {
+        if keeper.fence(keeper.shard_of(program)).is_some() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("the entry does not keep the program");
+}
+
 /// Sends a turn until its program is kept again after a lease that lapsed.
 pub async fn until_kept(addr: SocketAddr, turn: &caller::Chat) -> caller::Answer {
     let mut answer = chat(addr, turn).await;
@@ -137,3 +151,13 @@
     }
     answer
 }
+
+/// The engine that holds the cache of a program.
+pub fn engine_of(system: &system::System, program: &str) -> usize {
+    let holds = |worker: &system::Worker<engine::Engine>| {
+        let held = worker.upstream.held();
+        held.keys().any(|held| held == program)
+    };
+    let found = system.engines.iter().position(holds);
+    found.expect("an engine ran the program's turn")
+}
--- a/fw-local/tests/local/store_outages.rs
+++ b/fw-local/tests/local/store_outages.rs
@@ -157,6 +157,39 @@
     }
 }
 
+// The store is away for all while a program makes a turn: its keeper and the side beside the engine
+// hold the answer that the caller has. The side dies; the store is back, but not yet for the keeper,
+// whose lease lapses. Another entry takes the program from the journal, which lacks the turn, and
+// refused the next one as `unknown_program` or `wrong_turn`: it asked the sides that live, and not
+// the keeper before it, which lived and had the answer. What showed it: `shards taken` by others 0.9 s
+// before the keeper's `lease lapsed`, then `shard lost`.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_survive_their_side_and_a_lapsed_lease() {
+    let mut system = rig::system().await;
+    let program = rig::kept_by_first(&system, "lapsed");
+    system.store.set_outage(Some(store::Outage::Hang));
+    let first = rig::chat(system.callers(0), &rig::delta(&program, 1)).await;
+    expect_true!(first.is_ok());
+    let holder = rig::engine_of(&system, &program);
+    system.kill_side(holder);
+    // Back for the second entry only.
+    system.store.faults(1, |faults| faults.outage = None);
+    rig::kept_by(&system, 1, &program).await;
+    let next = rig::until_kept(system.callers(1), &rig::delta(&program, 2)).await;
+    expect_that!(next.kind, none());
+    let path = format!("/v1/programs/{program}");
+    let caller = caller::Caller::new();
+    let known = caller
+        .plain(system.callers(1), "GET", &path, &[], "".into())
+        .await;
+    expect_that!(
+        known.body["history"][1]["content"].as_str(),
+        some(eq(first.text.as_str()))
+    );
+    expect_that!(known.body["turn"].as_u64(), some(eq(2)));
+}
+
 /// An entry that answers callers and keeps no programs.
 fn answers_only() -> entry_conf::Settings {
     let settings = system::quick_entry();
--- a/fw-plan/src/lib.rs
+++ b/fw-plan/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod queue;
 pub mod retry;
 pub mod subset;
+pub mod takeover;
 pub mod window;
 
 /// A refusal: why, and when the same call may be sent again.
--- a/fw-plan/tests/plan/main.rs
+++ b/fw-plan/tests/plan/main.rs
@@ -26,6 +26,7 @@
 #[expect(dead_code, reason = "the example uses the rest")]
 mod sim;
 mod slow_upstream;
+mod taken_shards;
 mod upstream_health;
 mod watched_subset;
 mod workload;
--- a/fw-wire/src/peer.rs
+++ b/fw-wire/src/peer.rs
@@ -29,8 +29,12 @@
     /// Claims, or settles, a call that may run at most once.
     async fn claim(req: Claim) -> ClaimReply;
     /// Takes over a turn whose answer its caller has, and which its keeper could not make durable
-    /// before it lost the shard; false if the receiver does not keep the shard.
+    /// before it lost the shard; false if the receiver does not keep the shard, lacks a turn before
+    /// it, or could not store it.
     async fn recover(held: side::Held) -> bool;
+    /// The turns of shards that the sender has taken, whose answers the receiver gave out and the
+    /// store may lack.
+    async fn held(req: HeldQuery) -> side::HeldReply;
     /// How the entry stands.
     async fn status(from: PeerStatus) -> PeerStatus;
     /// The set of records in force, if newer than `than`.
@@ -215,3 +219,15 @@
     /// It is shutting down.
     pub leaving: bool,
 }
+
+/// Asks an entry for the turns that it holds of shards which the sender has taken.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct HeldQuery {
+    /// The shards, with the sender's fencing numbers.
+    pub shards: Vec<(id::ShardId, id::Fence)>,
+    /// Place of the last turn that an earlier reply brought.
+    pub after: Option<HeldPlace>,
+}
+
+/// Place of a held turn among those that an entry holds.
+pub type HeldPlace = (id::Turn, id::AttemptId);
