fw-keep: a keeper is not fenced off by its own acquisition

Symptom: answers that callers had were dropped from memory, with `shard lost` (reason `stale_fence`) and nobody else holding the shard. Cause: a lapsed shard is acquired again before its group is written on. The store took the acquisition and lost the answer four times; the group went round under the old fencing number, met the keeper's own new key and was taken for another's. `verify` repeats what is undecided, this place did not. Change: a shard is asked for until the store has told who holds it. Test: keeper_doubt::its_own_acquisition_does_not_fence_it_off, failed before (`StaleFence`), passes.

--- a/fw-keep/src/keeper/flush.rs
+++ b/fw-keep/src/keeper/flush.rs
@@ -176,26 +176,37 @@
 }
 
 /// Takes the shards of `lapsed` again, where nobody else has; returns what is left to write.
+///
+/// A shard is asked for until the store has told who holds it. Acquisitions take effect although their
+/// answers are lost: written on under the old fencing number, a group would meet this keeper's own new
+/// key, which looks like another's, and its changes would be dropped.
 async fn take_again(inner: &Inner, lapsed: Vec<Job>) -> Vec<Job> {
-    if lapsed.is_empty() {
-        return Vec::new();
+    let mut undecided = lapsed;
+    let mut taken = Vec::new();
+    let mut backoff = Backoff::new();
+    while !undecided.is_empty() {
+        wait_for_lease(inner).await;
+        let wants = undecided.iter().map(|job| acquire::Want {
+            shard: job.shard,
+            head: Some(job.before.clone()),
+        });
+        let outcome = acquire::run(inner, wants.collect()).await;
+        let fences = refence(inner, &outcome);
+        undecided.retain(|job| !outcome.lost.contains(&job.shard));
+        for job in std::mem::take(&mut undecided) {
+            match fences.get(&job.shard) {
+                Some(fence) => taken.push(Job {
+                    fence: *fence,
+                    ..job
+                }),
+                None => undecided.push(job),
+            }
+        }
+        if !undecided.is_empty() {
+            backoff.pause().await;
+        }
     }
-    wait_for_lease(inner).await;
-    let wants = lapsed.iter().map(|job| acquire::Want {
-        shard: job.shard,
-        head: Some(job.before.clone()),
-    });
-    let outcome = acquire::run(inner, wants.collect()).await;
-    let fences = refence(inner, &outcome);
-    let kept = lapsed
-        .into_iter()
-        .filter(|job| !outcome.lost.contains(&job.shard));
-    // Undecided ones go round again under their old fencing number, which can't succeed.
-    let refenced = kept.map(|job| Job {
-        fence: fences.get(&job.shard).copied().unwrap_or(job.fence),
-        ..job
-    });
-    refenced.collect()
+    taken
 }
 
 /// After a lapsed lease, takes all kept shards again, where nobody else has taken them and their
--- /dev/null
+++ b/fw-keep/tests/keep/keeper_doubt.rs
@@ -0,0 +1,39 @@
+//! What a keeper holds to be its own while it cannot be sure.
+
+use std::time::Duration;
+
+use fw_keep::journal::keys;
+use fw_keep::keeper;
+use googletest::prelude::*;
+
+use crate::fleet;
+use crate::fleet::Fleet;
+
+// A keeper's shard lapses while it has a change that the store lacks: a caller holds the answer. The
+// store takes the keeper's acquisition, and loses the answer to it four times in a row. The change was
+// written on under the old fencing number and met the keeper's own new key, which was taken for
+// another's: `shard lost` with reason `stale_fence`, nobody else holding it, and the change dropped.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn its_own_acquisition_does_not_fence_it_off() {
+    let fleet = Fleet::start(1).await;
+    let a = fleet.keeper("a", 0);
+    fleet::until_kept(&a, 16).await;
+    let lose = |chance| fleet.store.faults(0, |f| f.lose_probability = chance);
+    lose(1.0);
+    fleet
+        .store
+        .delete(&keys::owner(fleet::ROOT, a.shard_of("p")));
+    let ticket = fleet::turn(&a, "p", 1);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    lose(0.0);
+    let mut done = a.durable(ticket).await;
+    for _ in 0..40 {
+        if done != Err(keeper::Error::StoreUnavailable) {
+            break;
+        }
+        done = a.durable(ticket).await;
+    }
+    expect_that!(done, ok(anything()));
+    expect_that!(fleet::standing(&a, "p"), some((eq(1), anything())));
+}
--- a/fw-keep/tests/keep/main.rs
+++ b/fw-keep/tests/keep/main.rs
@@ -7,6 +7,7 @@
 mod held_turns;
 mod journal_replay;
 mod keeper_claims;
+mod keeper_doubt;
 mod keeper_handover;
 mod keeper_outage;
 mod keeper_roles;
