fw-keep, fw-entry: a keeper that may be past its lease refuses nothing for good

Cause: the keeper before the present one had not heard that its lease lapsed, and answered from memory: a keeper's memory is the past once another goes on with its programs. Commits and sides are fenced; refusals and reads of histories were not. Change: a keeper knows until when its lease runs at least, counted from the sending of the call that renewed it. Beyond that, refusals that end a program and reads of histories look for the keeper further. It serves no shard that the watched table shows elsewhere. A lease that lapses while the shards are looked at is a doubt of its own: it was cleared with the one before (found by reading; no test brings it about). Test: keeper_doubt, two cases, failed before.

--- a/fw-entry/src/process/entry.rs
+++ b/fw-entry/src/process/entry.rs
@@ -137,6 +137,15 @@
         recover::is_complete(self, shard).then_some(fence)
     }
 
+    /// Whether a refusal that rests on what is kept here may be given to a caller.
+    ///
+    /// A keeper whose lease may have lapsed, without its having heard so, knows the past of programs
+    /// that may have gone on elsewhere. It told callers, for good, that their next turn was out of order
+    /// or their program unknown. What the caller may send again does no harm.
+    pub fn may_say(&self, err: &error::Error) -> bool {
+        err.kind.row().retry || self.keeper.is_sure()
+    }
+
     /// Whether the keeper of `program`, if this is it, knows that its engine memory may be freed.
     pub fn is_gone(&self, program: &id::ProgramId) -> bool {
         let shard = self.keeper.shard_of(program);
--- a/fw-entry/src/turn/program.rs
+++ b/fw-entry/src/turn/program.rs
@@ -73,7 +73,8 @@
 /// Answers [`query`] at the keeper.
 pub fn look(entry: &entry::Entry, req: &peer::Query) -> peer::QueryReply {
     let shard = entry.keeper.shard_of(&req.program);
-    if entry.serving(shard).is_none() {
+    // What may be the past of a program that went on elsewhere is no answer.
+    if entry.serving(shard).is_none() || !entry.keeper.is_sure() {
         return peer::QueryReply::NotKeeper;
     }
     let found = entry.keeper.with_shard(shard, |shard| {
@@ -105,7 +106,8 @@
         return peer::QueryReply::NotKeeper;
     };
     match ended.value {
-        Err(err) => return peer::QueryReply::Refused(err),
+        Err(err) if entry.may_say(&err) => return peer::QueryReply::Refused(err),
+        Err(_unsure) => return peer::QueryReply::NotKeeper,
         Ok(Some(attempt)) => entry.attempts.stop(attempt),
         Ok(None) => {}
     }
--- a/fw-entry/src/turn/submit.rs
+++ b/fw-entry/src/turn/submit.rs
@@ -135,7 +135,10 @@
     };
     match begin(entry, &req, &plan) {
         None => peer::SubmitReply::NotKeeper,
-        Some(program::Outcome::Refused(err)) => peer::SubmitReply::Refused(err),
+        Some(program::Outcome::Refused(err)) if entry.may_say(&err) => {
+            peer::SubmitReply::Refused(err)
+        }
+        Some(program::Outcome::Refused(_unsure)) => peer::SubmitReply::NotKeeper,
         Some(program::Outcome::Attach { attempt, turn }) => {
             entry.attempts.attach(attempt);
             peer::SubmitReply::Accepted { attempt, turn }
--- a/fw-keep/src/keeper/flush.rs
+++ b/fw-keep/src/keeper/flush.rs
@@ -213,8 +213,10 @@
 /// journal is as this keeper left it; drops the others. Safety does not need this, since every
 /// commit compares the fencing number: it lets idle shards go on, too.
 async fn verify(inner: &Inner) {
+    // A lease that lapses while the shards are looked at is a doubt of its own.
+    let doubts = inner.doubts.load(Ordering::Acquire);
     if kept_heads(inner).is_empty() {
-        inner.in_doubt.store(false, Ordering::Release);
+        inner.cleared.store(doubts, Ordering::Release);
         return;
     }
     // All entries come here together when the store is back.
@@ -227,7 +229,7 @@
     let outcome = acquire::run(inner, wants).await;
     refence(inner, &outcome);
     if outcome.taken.len() + outcome.lost.len() == all {
-        inner.in_doubt.store(false, Ordering::Release);
+        inner.cleared.store(doubts, Ordering::Release);
     } else {
         inner.lapsed.notify_one();
     }
--- a/fw-keep/src/keeper/inner.rs
+++ b/fw-keep/src/keeper/inner.rs
@@ -1,7 +1,7 @@
 //! What a keeper's tasks and handles share.
 
 use std::collections::BTreeSet;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -35,12 +35,17 @@
     pub(super) dirtied: Notify,
     /// Kept shards were seen without keeper in the store.
     pub(super) lapsed: Notify,
-    /// Whether others may have taken the kept shards.
-    pub(super) in_doubt: AtomicBool,
+    /// How often it came to be in doubt whether others have taken the kept shards, and up to which of
+    /// these times all of them were looked at.
+    pub(super) doubts: AtomicU64,
+    pub(super) cleared: AtomicU64,
     /// The lease in force; 0 for none.
     pub(super) lease: watch::Sender<kv::LeaseId>,
     /// When the store answered last.
     pub(super) contact: Mutex<Instant>,
+    /// Until when the lease runs at least: it was granted or renewed, and the store counts from the
+    /// call's arrival, which is later than its sending.
+    pub(super) sure_until: Mutex<Instant>,
     /// When a shard was loaded last.
     pub(super) loaded: Mutex<Option<Instant>>,
     pub(super) window: Mutex<Duration>,
@@ -60,9 +65,11 @@
             dirty: Mutex::new(BTreeSet::new()),
             dirtied: Notify::new(),
             lapsed: Notify::new(),
-            in_doubt: AtomicBool::new(false),
+            doubts: AtomicU64::new(0),
+            cleared: AtomicU64::new(0),
             lease: watch::Sender::new(0),
             contact: Mutex::new(Instant::now()),
+            sure_until: Mutex::new(Instant::now()),
             loaded: Mutex::new(None),
             window,
             pacing: Mutex::new(window::Window::new(window::Options {
@@ -166,10 +173,24 @@
     /// after a silence in which it may have. Until each was looked at, what is in memory may be
     /// the past of programs that have gone on elsewhere.
     pub(super) fn doubt(&self) {
-        self.in_doubt.store(true, Ordering::Release);
+        self.doubts.fetch_add(1, Ordering::AcqRel);
         self.lapsed.notify_one();
     }
 
+    pub(super) fn is_in_doubt(&self) -> bool {
+        self.doubts.load(Ordering::Acquire) != self.cleared.load(Ordering::Acquire)
+    }
+
+    /// Notes until when the lease runs at least.
+    pub(super) fn sure_until(&self, until: Instant) {
+        let mut known = self.sure_until.lock();
+        *known = until.max(*known);
+    }
+
+    pub(super) fn is_sure(&self) -> bool {
+        !self.is_in_doubt() && Instant::now() < *self.sure_until.lock()
+    }
+
     pub(super) fn is_closing(&self) -> bool {
         *self.closing.borrow()
     }
--- a/fw-keep/src/keeper/lease.rs
+++ b/fw-keep/src/keeper/lease.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use fw_store::kv;
 
@@ -60,8 +61,10 @@
 }
 
 async fn try_grant(inner: &Inner) -> Option<kv::LeaseId> {
+    let sent = Instant::now();
     let lease = inner.store.grant(inner.opts.ttl).await.ok()?;
     inner.note_contact();
+    inner.sure_until(sent + lease.ttl);
     if inner.is_closing() {
         return Some(lease.id);
     }
@@ -88,9 +91,11 @@
     loop {
         // Early by up to a tenth, so that entries started together drift apart.
         tokio::time::sleep(period - keeper::jitter(period / 10)).await;
+        let sent = Instant::now();
         match inner.store.keep_alive(lease).await {
-            Ok(_) => {
+            Ok(renewed) => {
                 inner.note_contact();
+                inner.sure_until(sent + renewed.ttl);
                 count("renewed");
             }
             Err(fw_store::error::Error::LeaseGone { .. }) => return,
--- a/fw-keep/src/keeper/member.rs
+++ b/fw-keep/src/keeper/member.rs
@@ -16,6 +16,7 @@
 use crate::keeper::close;
 use crate::keeper::lease::Backoff;
 use crate::keeper::load;
+use crate::keeper::table::Table;
 
 /// Shards taken or handed over at a time. Between two keepers nobody answers for a shard: moved all
 /// together, each of thousands would be without a keeper until the last one has moved.
@@ -47,7 +48,10 @@
     loop {
         if let Ok(read) = inner.store.range(&kv::Range::prefix(&prefix)).await {
             inner.note_contact();
-            inner.table.write().reset(&inner.opts.root, read.kvs);
+            let mut table = inner.table.write();
+            table.reset(&inner.opts.root, read.kvs);
+            give_way(inner, &table);
+            drop(table);
             return inner.store.watch(prefix, read.revision + 1);
         }
         backoff.pause().await;
@@ -89,11 +93,20 @@
     for event in events {
         matters |= table.apply(&inner.opts.root, event);
     }
+    give_way(inner, &table);
     // Entries that act on tables a moment apart may each leave a shard to the other. What others
     // take changes the plan for the rest, so it is looked at again while anything is free.
     matters || (is_news && table.has_free())
 }
 
+/// Stops serving shards that others have taken. Their programs go on there: what is in memory here is
+/// their past, and callers of newer turns would be refused for good.
+fn give_way(inner: &Inner, table: &Table) {
+    for (shard, fence) in table.kept_by_others(inner.nonce) {
+        inner.supersede(shard, fence);
+    }
+}
+
 /// A burst of changes, as when a data centre restarts, is acted on once.
 fn settle(inner: &Inner) -> Duration {
     inner.opts.settle + keeper::jitter(inner.opts.settle)
--- a/fw-keep/src/keeper/mod.rs
+++ b/fw-keep/src/keeper/mod.rs
@@ -15,7 +15,6 @@
 mod table;
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
@@ -263,7 +262,13 @@
     /// is back after it may have, and the shards were not looked at yet. In an outage that goes on
     /// nobody can take them, and there is no doubt.
     pub fn is_in_doubt(&self) -> bool {
-        self.inner.in_doubt.load(Ordering::Acquire)
+        self.inner.is_in_doubt()
+    }
+
+    /// Whether nobody else can have taken the shards that are kept here: the lease still runs, by this
+    /// process's own clock, and no shard is in doubt.
+    pub fn is_sure(&self) -> bool {
+        self.inner.is_sure()
     }
 
     /// Since when `shard` is kept here, if it is.
--- a/fw-keep/src/keeper/table.rs
+++ b/fw-keep/src/keeper/table.rs
@@ -165,6 +165,17 @@
         mine.map(|(shard, holder)| (shard, holder.fence)).collect()
     }
 
+    /// The shards that other processes than `nonce` keep according to the store.
+    pub(super) fn kept_by_others(
+        &self,
+        nonce: u64,
+    ) -> impl Iterator<Item = (id::ShardId, id::Fence)> {
+        let numbered = (0..).zip(&self.owners);
+        let held = numbered.filter_map(|(shard, holder)| Some((shard, holder.as_ref()?)));
+        let theirs = held.filter(move |(_, holder)| holder.value.nonce != nonce);
+        theirs.map(|(shard, holder)| (shard, holder.fence))
+    }
+
     /// Notes the outcome of an own call before the watch shows it.
     pub(super) fn note(&mut self, shard: id::ShardId, holder: Option<Holder>) {
         let place = usize::from(shard);
--- a/fw-keep/tests/keep/keeper_doubt.rs
+++ b/fw-keep/tests/keep/keeper_doubt.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use fw_fake::store::Outage;
 use fw_keep::journal::keys;
 use fw_keep::keeper;
 use googletest::prelude::*;
@@ -37,3 +38,42 @@
     expect_that!(done, ok(anything()));
     expect_that!(fleet::standing(&a, "p"), some((eq(1), anything())));
 }
+
+// A keeper's lease lapses, the answers to its renewals are lost, and another entry takes its shards
+// and goes on with their programs. The watch shows the first who has them now. It went on to serve
+// what was in its memory, and told callers of the newer turns, for good, that they were out of order.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn it_serves_nothing_that_the_table_shows_elsewhere() {
+    let fleet = Fleet::start(2).await;
+    let a = fleet.keeper("a", 0);
+    fleet::until_kept(&a, 16).await;
+    fleet.store.faults(0, |faults| {
+        faults.lose_lease_probability = 1.0;
+        faults.lose_probability = 1.0;
+    });
+    fleet.lapse("a");
+    let b = fleet.keeper("b", 1);
+    fleet::until_kept(&b, 16).await;
+    fleet::until("a serves nothing", || a.shards().is_empty()).await;
+}
+
+// A keeper hears nothing of the store for longer than its lease, as it is cut off or was paused.
+// Another entry may have its shards by now and their programs may have gone on: what it knows is the
+// past. It may run turns, which are fenced when they commit, but it is not sure of anything.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn it_is_sure_for_no_longer_than_its_lease() {
+    let fleet = Fleet::start(2).await;
+    let a = fleet.keeper("a", 0);
+    fleet::until_kept(&a, 16).await;
+    expect_true!(a.is_sure());
+    fleet
+        .store
+        .faults(0, |faults| faults.outage = Some(Outage::Hang));
+    let b = fleet.keeper("b", 1);
+    fleet::until_kept(&b, 16).await;
+    expect_false!(a.is_sure());
+    fleet.store.faults(0, |faults| faults.outage = None);
+    fleet::until("a is sure again", || a.is_sure()).await;
+}
