fw-entry: an entry without records says so, and refuses nothing for good

Cause: an entry that started while the store hung had taken shards, and had read no operators' records yet. The absence of a record was told as a fact. `/readyz` said not ready, which other entries do not ask. Test: store_outages::an_entry_without_records_refuses_nothing_for_good; failed before.

--- a/fw-entry/src/process/entry.rs
+++ b/fw-entry/src/process/entry.rs
@@ -128,8 +128,12 @@
         self.keeper.silence() > silence && self.peer_list.reach_store(ttl / 2)
     }
 
-    /// The fencing number of `shard`, if it is kept here and all that is held of it is known.
+    /// The fencing number of `shard`, if it is kept here, all that is held of it is known, and so are
+    /// the records that its turns run by.
     pub fn serving(&self, shard: id::ShardId) -> Option<id::Fence> {
+        if !self.records.is_loaded() {
+            return None;
+        }
         if self.keeper.is_in_doubt() || self.is_cut_off(self.settings.keeper.lease_ttl) {
             return None;
         }
--- a/fw-local/tests/local/store_outages.rs
+++ b/fw-local/tests/local/store_outages.rs
@@ -242,3 +242,26 @@
         expect_true!(again.is_ok());
     }
 }
+
+// An entry starts while the store does not answer it, and callers or other entries reach it all the
+// same. It has no operators' records, refused turns for good as `unknown_model`, plain requests as
+// `unknown_route`, and took callers of any key for the team without one. It must say that the call
+// has not run and may be sent again; the program goes on at the next entry.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_without_records_refuses_nothing_for_good() {
+    let mut system = rig::system().await;
+    system
+        .store
+        .faults(2, |faults| faults.outage = Some(store::Outage::Hang));
+    let fresh = system.add_entry("hall-a").await.unwrap();
+    let turn = rig::chat(system.callers(fresh), &rig::ask("draft")).await;
+    expect_that!(turn.kind, some(eq(error::Kind::NotReady)));
+    expect_that!(turn.ran, some(eq(error::Ran::No)));
+    expect_that!(turn.retry_after, some(anything()));
+    let caller = caller::Caller::new();
+    let read = caller
+        .plain(system.callers(fresh), "GET", "/case/7", &[], "".into())
+        .await;
+    expect_that!(read.kind, some(eq(error::Kind::NotReady)));
+}
