fw-gate: a call that failed at the last healthy upstream goes to an ejected one

Symptom: `no_upstream` after one failed try while other upstreams are listed and take work. Cause: with every upstream ejected a first call is sent to one all the same, a further try was not: it has upstreams to avoid, and the exception held for calls without any. Change: upstreams where the call failed are left out first; among the others, the ejected ones serve if there is no healthy one. Test: upstream_list::sends_a_call_that_failed_to_an_ejected_one_if_there_is_no_other; failed before.

--- a/fw-gate/src/process/fleet/choose.rs
+++ b/fw-gate/src/process/fleet/choose.rs
@@ -154,14 +154,16 @@
             upstream.listed.takes_work && replaced.is_none_or(|until| Instant::now() >= until)
         };
         let listed: Vec<_> = (0..service.upstreams.len()).filter(takes_work).collect();
-        let good = |at: &&usize| {
-            let id = &service.upstreams[**at].listed.id;
-            service.health.decide(now, id).weight() > 0.0 && !avoid.contains(id)
+        let is_new = |at: &usize| !avoid.contains(&service.upstreams[*at].listed.id);
+        let is_healthy = |at: &usize| {
+            let id = &service.upstreams[*at].listed.id;
+            service.health.decide(now, id).weight() > 0.0
         };
-        let usable: Vec<_> = listed.iter().filter(good).copied().collect();
-        if usable.is_empty() && avoid.is_empty() {
-            // All ejected: using one is better than using none.
-            return listed;
+        let new: Vec<_> = listed.into_iter().filter(is_new).collect();
+        let usable: Vec<_> = new.iter().copied().filter(is_healthy).collect();
+        if usable.is_empty() {
+            // All ejected: using one is better than using none, also for a call that failed elsewhere.
+            return new;
         }
         usable
     }
--- a/fw-gate/tests/gate/upstream_list.rs
+++ b/fw-gate/tests/gate/upstream_list.rs
@@ -49,6 +49,29 @@
     expect_that!(fleet.choose(&"s".into(), &want), err(anything()));
 }
 
+// A call failed at the one upstream that is in use; the others are ejected, and may be back. Its caller
+// heard that there was no upstream, while a first call would have been sent to an ejected one.
+#[gtest]
+fn sends_a_call_that_failed_to_an_ejected_one_if_there_is_no_other() {
+    let fleet = Fleet::new("a".into());
+    for id in ["x", "y", "z"] {
+        fleet.put(listed(id));
+    }
+    for id in ["y", "z"] {
+        let lease = fleet.again(&"s".into(), &id.into()).unwrap();
+        lease.seen(Seen::Down);
+    }
+    let lease = fleet.choose(&"s".into(), &Want::default()).unwrap();
+    expect_that!(lease.id, eq("x"));
+    let avoid = ["x".into()];
+    let want = Want {
+        avoid: &avoid,
+        ..Want::default()
+    };
+    let lease = fleet.choose(&"s".into(), &want).unwrap();
+    expect_that!(lease.id, not(eq("x")));
+}
+
 #[gtest]
 fn forgets_what_a_restarted_one_was_like() {
     // An upstream crashes and starts again under its id. What was known of it is its
