fw-replica: a member whose joining the store did not answer knows that it joined

Symptom: no turn with a budget begins for some seconds after a replica's death (until the dead one is off the list, 6 s after its last sign), if the store loses the answer as another takes its place. Cause: the change took effect; the replica read the list, found itself there without having put itself there, and took itself for a member that had lost its disk: such a one reads all others but `f`, the dead one included, before it votes. Three of four listed have to vote, and two did. Change: a change that was not answered is remembered with the epoch that it was to replace; if the next list read is that very one, the change was this process's own. It counts only if the process has read the store before: an earlier start of the replica, with another disk, may have been listed.

--- a/fw-replica/src/sync.rs
+++ b/fw-replica/src/sync.rs
@@ -75,6 +75,10 @@
     /// Whether this process put the replica on the list. Listed otherwise and without data, it has
     /// lost its disk.
     joined: bool,
+    /// Epoch that the store's list had when this process read it last.
+    read: Option<member::Epoch>,
+    /// A change of the list that the store did not answer, and the epoch that it was to replace.
+    unanswered: Option<member::View>,
     /// Epoch that a majority was told of, and when it had been.
     announced: Option<(member::Epoch, Instant)>,
     /// Whether the list has just changed or been announced, so that there is more to do at once.
@@ -92,6 +96,8 @@
             client: client::Client::new(opts.faults, Vec::new()),
             founding: opts.first_start && shared.view().borrow().epoch == 0,
             joined: false,
+            read: None,
+            unanswered: None,
             opts,
             shared,
             registry,
@@ -330,7 +336,14 @@
     }
 
     async fn put(&mut self, from: member::Epoch, list: member::List) -> Result<(), member::Error> {
-        let epoch = self.registry.replace(from, list.clone()).await?;
+        let replaced = self.registry.replace(from, list.clone()).await;
+        // Since the store was read, only this process can have added the replica.
+        let is_ours = self.read.is_some_and(|read| read <= from);
+        if matches!(replaced, Err(member::Error::Unavailable { .. })) && is_ours {
+            let list = list.clone();
+            self.unanswered = Some(member::View { epoch: from, list });
+        }
+        let epoch = replaced?;
         self.joined |= list.members.contains_key(&self.opts.name);
         self.shared.learn(member::View { epoch, list }).await;
         self.hurries = true;
@@ -352,13 +365,34 @@
         self.replace(list).await
     }
 
-    async fn reload(&self) {
+    async fn reload(&mut self) {
         match self.registry.load().await {
             Ok(view) => {
+                self.read = Some(view.epoch);
                 self.shared.learn(view).await;
             }
             Err(err) => tracing::warn!(%err, "the member list cannot be read"),
         }
+        self.look_at_unanswered();
+    }
+
+    /// Finds out whether a change that the store did not answer has taken effect.
+    ///
+    /// *Failure:* a replica took a dead one's place and the answer was lost. Listed without having put
+    /// itself on the list, as it seemed, it took itself for a member that had lost its disk, and would
+    /// not vote before it had read the dead one: no reservation passed until that was off the list.
+    fn look_at_unanswered(&mut self) {
+        let view = self.shared.view().borrow().clone();
+        let Some(asked) = self.unanswered.take_if(|asked| view.epoch > asked.epoch) else {
+            return;
+        };
+        let took_effect = view.list == asked.list;
+        tracing::info!(
+            epoch = view.epoch,
+            took_effect,
+            "a change of the member list was not answered"
+        );
+        self.joined |= took_effect && view.list.members.contains_key(&self.opts.name);
     }
 }
 
