fw-replica: nobody is certain that a turn is absent towards a sender with an older member list

Suspected, not seen: a stored turn answered as unknown (404). Cause: an entry that goes by a member list from before a change asks members of that list. One that was replaced while frozen, and one that a turn stored under the newer list did not reach, are both certain not to have it; with the third down they are enough. Votes compare the list's epoch, answers about turns did not. Change: the question carries the epoch; a replica that knows a newer list is not certain. Left: between the writing of a new list and its announcement (some milliseconds) no member knows it yet. Test: absent_turns::nobody_is_certain_towards_an_older_list, fails without the guard.

--- a/fw-replica/src/client/calls.rs
+++ b/fw-replica/src/client/calls.rs
@@ -46,10 +46,13 @@
     pub(super) async fn call_chain(
         &self,
         addr: SocketAddr,
+        epoch: member::Epoch,
         id: record::TurnId,
     ) -> Option<service::Chain> {
         self.links
-            .call(addr, |client, cx| async move { client.chain(cx, id).await })
+            .call(addr, |client, cx| async move {
+                client.chain(cx, epoch, id).await
+            })
             .await
     }
 
--- a/fw-replica/src/client/chain.rs
+++ b/fw-replica/src/client/chain.rs
@@ -10,9 +10,10 @@
 use crate::{member, record, service};
 
 impl Client {
-    /// Asks for what is missing of a chain, one member after the other.
+    /// Asks `members`, those of the list of `epoch`, for what is missing of a chain.
     pub(super) async fn complete(
         self: &Arc<Self>,
+        epoch: member::Epoch,
         members: &[SocketAddr],
         chain: service::Chain,
     ) -> Result<Vec<record::Turn>, Error> {
@@ -24,7 +25,7 @@
             absent.extend(members.first());
         }
         while let Some(id) = missing.take() {
-            let Some(found) = self.search(members, &mut absent, &id).await else {
+            let Some(found) = self.search(epoch, members, &mut absent, &id).await else {
                 if absent.len() >= needed {
                     return Err(Error::UnknownTurn { turn: id });
                 }
@@ -45,6 +46,7 @@
     /// are certain not to have it.
     pub(super) async fn search(
         self: &Arc<Self>,
+        epoch: member::Epoch,
         members: &[SocketAddr],
         absent: &mut Vec<SocketAddr>,
         id: &record::TurnId,
@@ -54,7 +56,7 @@
             .copied()
             .filter(|addr| !absent.contains(addr));
         let mut calls: FuturesUnordered<_> = asked
-            .map(|addr| async move { (addr, self.call_chain(addr, id.clone()).await) })
+            .map(|addr| async move { (addr, self.call_chain(addr, epoch, id.clone()).await) })
             .collect();
         while let Some((addr, chain)) = calls.next().await {
             let Some(chain) = chain else { continue };
--- a/fw-replica/src/client/vote.rs
+++ b/fw-replica/src/client/vote.rs
@@ -75,12 +75,11 @@
         mut ask: Ask,
         tell: impl Fn(&[(u16, u16)], trail::Last),
     ) -> Result<Vec<record::Turn>, Error> {
-        let (epoch, mut members) = self.members();
+        let (mut epoch, mut members) = self.members();
         let mut round = self.ask(epoch, &members, &ask).await;
         if self.may_improve(epoch, &round, &mut ask.reserve) {
-            let newer;
-            (newer, members) = self.members();
-            round = self.ask(newer, &members, &ask).await;
+            (epoch, members) = self.members();
+            round = self.ask(epoch, &members, &ask).await;
         }
         if let Some(others) = &round.others {
             tell(&others.calls, round.last);
@@ -95,7 +94,7 @@
             ..service::Chain::default()
         };
         match round.chain.or(ask.newest.map(missing)) {
-            Some(chain) => self.complete(&members, chain).await,
+            Some(chain) => self.complete(epoch, &members, chain).await,
             None => Ok(Vec::new()),
         }
     }
--- a/fw-replica/src/server.rs
+++ b/fw-replica/src/server.rs
@@ -293,14 +293,20 @@
         }
     }
 
-    fn read_chain(&self, newest: record::TurnId) -> service::Chain {
+    /// The chain from `newest` on, for a sender that goes by the list of `epoch`.
+    ///
+    /// *Failure:* an entry that has not heard of a new member asks those of the old list: one that was
+    /// replaced while it was frozen, and one whose turn lies with the new member and a third. Both were
+    /// certain, and the entry took a stored turn for unknown. So nobody is certain towards a sender
+    /// whose list is older than its own.
+    fn read_chain(&self, epoch: member::Epoch, newest: record::TurnId) -> service::Chain {
         let mut turns = Vec::new();
         let mut wanted = Some(newest);
         while let Some(id) = wanted.take() {
             let found = (turns.len() < CHAIN).then(|| self.read(&id)).flatten();
             let Some(turn) = found else {
                 // What the index names but the disk refuses is no certain absence.
-                let certain = !self.has(&id) && self.is_voting();
+                let certain = !self.has(&id) && self.is_voting() && !self.is_newer(epoch);
                 return service::Chain {
                     turns,
                     missing: Some(id),
@@ -316,6 +322,11 @@
         }
     }
 
+    /// Whether a newer member list than that of `epoch` is known here.
+    fn is_newer(&self, epoch: member::Epoch) -> bool {
+        epoch < self.view.borrow().epoch
+    }
+
     fn unsure(&self, epoch: member::Epoch) -> Option<service::Unsure> {
         if self.is_retiring() {
             return Some(service::Unsure::Retiring);
@@ -323,8 +334,8 @@
         if !self.is_voting() {
             return Some(service::Unsure::Unsynced);
         }
-        let view = self.view.borrow();
-        (epoch < view.epoch).then(|| service::Unsure::OldList(view.clone()))
+        self.is_newer(epoch)
+            .then(|| service::Unsure::OldList(self.view.borrow().clone()))
     }
 
     async fn vote(&self, epoch: member::Epoch, reserve: service::Reserve) -> service::Vote {
@@ -369,7 +380,7 @@
     async fn begin(self, _: tarpc::context::Context, req: service::Begin) -> service::Begun {
         let others = self.0.board.exchange(req.load);
         let last = self.0.trail.last(&req.lineage);
-        let chain = req.chain.map(|newest| self.0.read_chain(newest));
+        let chain = req.chain.map(|newest| self.0.read_chain(req.epoch, newest));
         let vote = match req.reserve {
             None => None,
             Some(reserve) => Some(self.0.vote(req.epoch, reserve).await),
@@ -404,8 +415,13 @@
         self.0.ledger(&program)
     }
 
-    async fn chain(self, _: tarpc::context::Context, newest: record::TurnId) -> service::Chain {
-        self.0.read_chain(newest)
+    async fn chain(
+        self,
+        _: tarpc::context::Context,
+        epoch: member::Epoch,
+        newest: record::TurnId,
+    ) -> service::Chain {
+        self.0.read_chain(epoch, newest)
     }
 
     async fn list(
--- a/fw-replica/src/service.rs
+++ b/fw-replica/src/service.rs
@@ -123,7 +123,8 @@
     pub turns: Vec<record::Turn>,
     /// The first turn on the way that is not here.
     pub missing: Option<record::TurnId>,
-    /// Whether the replica would have that turn if it had been stored here.
+    /// Whether the replica would have that turn if it had been stored here, as a member of the list
+    /// that the sender goes by.
     pub certain: bool,
 }
 
@@ -191,8 +192,8 @@
     async fn finish(req: Finish) -> bool;
     /// Reads all charges of a program.
     async fn ledger(program: record::ProgramId) -> Vec<ledger::Line>;
-    /// Reads a chain from its newest turn.
-    async fn chain(newest: record::TurnId) -> Chain;
+    /// Reads a chain from its newest turn, for a sender that goes by the member list of `epoch`.
+    async fn chain(epoch: member::Epoch, newest: record::TurnId) -> Chain;
     /// Reads the list of records. `reader` has stored all that it was given before `after`.
     async fn list(reader: record::ReplicaId, after: Position) -> Page;
     /// Tells the newest member list known, and which replicas the operator wants emptied; `true`
--- /dev/null
+++ b/fw-replica/tests/replica/absent_turns.rs
@@ -0,0 +1,28 @@
+//! What a replica says of a turn that it does not have.
+
+use fw_replica::service::Replica;
+use fw_replica::{journal, member, server, service};
+use googletest::prelude::*;
+
+async fn asked(server: &server::Server, epoch: member::Epoch) -> service::Chain {
+    let cx = tarpc::context::current();
+    server.clone().chain(cx, epoch, "t".into()).await
+}
+
+// A member freezes and is replaced; a turn is stored with its successor and one of the others, which
+// then goes down. An entry that has not heard of the new list asks those of the old: the one that woke
+// and the third, neither of which has the turn. Both said that they were certain, and the caller heard
+// that there was no such turn, though it was stored on as many disks as it should.
+#[gtest]
+#[tokio::test]
+async fn nobody_is_certain_towards_an_older_list() {
+    let dir = tempfile::tempdir().unwrap();
+    let shared = server::Shared::open(dir.path(), journal::Options::default(), 1).unwrap();
+    shared.let_vote(true);
+    let list = member::List::default();
+    shared.learn(member::View { epoch: 2, list }).await;
+    let server = server::Server(shared);
+    expect_true!(asked(&server, 2).await.certain);
+    expect_true!(asked(&server, 3).await.certain);
+    expect_false!(asked(&server, 1).await.certain);
+}
--- a/fw-replica/tests/replica/main.rs
+++ b/fw-replica/tests/replica/main.rs
@@ -1,6 +1,7 @@
 //! Records, ledgers, member lists and the journal of replicas.
 #![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+mod absent_turns;
 mod budget_ledger;
 mod budget_model;
 mod call_board;
