fw-replica: a machine that takes another's name has not joined, it has lost its predecessor's disk

Symptom: a program that had spent its budget was granted it again (BUDGET). Cause: a replica that puts itself on the member list votes once it has copied from all others but `f`; one that is listed and finds its disk empty has lost what it had accepted, and needs one more. A machine replaced by an empty one of its name at another address put the new address on the list, and took itself for the first kind. With another member down, it copied from one that lacked the charges, and the two were a majority. Evidence: the test, three replicas: 200 in place of 402 or 503, five turns run where the budget held three. Change: only a list that lacked the replica makes it one that joined. Test: disk_loss::a_replica_replaced_at_another_address_votes_on_no_stale_copy; failed before.

--- a/fw-replica/src/sync.rs
+++ b/fw-replica/src/sync.rs
@@ -72,12 +72,13 @@
     started: Instant,
     /// Whether the system starts for the first time with this process.
     founding: bool,
-    /// Whether this process put the replica on the list. Listed otherwise and without data, it has
-    /// lost its disk.
+    /// Whether this process put the replica on a list that lacked it. Listed otherwise and without
+    /// data, it has lost its disk.
     joined: bool,
     /// Epoch that the store's list had when this process read it last.
     read: Option<member::Epoch>,
-    /// A change of the list that the store did not answer, and the epoch that it was to replace.
+    /// The change by which the replica was to join, if the store did not answer it, and the epoch that
+    /// it was to replace.
     unanswered: Option<member::View>,
     /// Epoch that a majority was told of, and when it had been.
     announced: Option<(member::Epoch, Instant)>,
@@ -336,15 +337,19 @@
     }
 
     async fn put(&mut self, from: member::Epoch, list: member::List) -> Result<(), member::Error> {
+        let joins = !self.is_listed() && list.members.contains_key(&self.opts.name);
         let replaced = self.registry.replace(from, list.clone()).await;
         // Since the store was read, only this process can have added the replica.
         let is_ours = self.read.is_some_and(|read| read <= from);
-        if matches!(replaced, Err(member::Error::Unavailable { .. })) && is_ours {
+        if matches!(replaced, Err(member::Error::Unavailable { .. })) && joins && is_ours {
             let list = list.clone();
             self.unanswered = Some(member::View { epoch: from, list });
         }
         let epoch = replaced?;
-        self.joined |= list.members.contains_key(&self.opts.name);
+        // *Failure:* a machine was replaced by an empty one of its name at another address. Having put
+        // that address on the list it took itself for one that had joined, and voted on fewer copies
+        // than hold all that its predecessor had accepted: a spent budget was granted again.
+        self.joined |= joins;
         self.shared.learn(member::View { epoch, list }).await;
         self.hurries = true;
         Ok(())
@@ -392,7 +397,7 @@
             took_effect,
             "a change of the member list was not answered"
         );
-        self.joined |= took_effect && view.list.members.contains_key(&self.opts.name);
+        self.joined |= took_effect;
     }
 }
 
