fw-entry: a turn whose shard was loaded anew is not told that its program was ended; nobody is asked for nothing

An answer whose turn is not under way any more, because its shard was lost and loaded anew, was told as `cancelled: the program was ended`, which is untrue and not to be sent again; it is `keeper_lost` now. No test brings it about: sides end such turns with `keeper_lost` before. The look for shards that were taken listed all other entries fifty times a second, which in a fleet of hundreds costs more than it brings: it ends at once when nothing was taken within the last five seconds.

--- a/fw-entry/src/connection/recover_entries.rs
+++ b/fw-entry/src/connection/recover_entries.rs
@@ -106,6 +106,10 @@
     loop {
         tokio::time::sleep(LOOK).await;
         while asking.try_join_next().is_some() {}
+        // Most of the time nothing was taken lately; in a large fleet even the list of others costs.
+        if waiting(&entry, None, Instant::now()).is_empty() {
+            continue;
+        }
         let others = others(&entry);
         entry.before.retain(&others);
         for (other, addr) in others {
--- a/fw-entry/src/turn/commit.rs
+++ b/fw-entry/src/turn/commit.rs
@@ -3,8 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use fw_base::error;
 use fw_keep::keeper;
 use fw_keep::program;
+use fw_keep::shard;
 use fw_wire::attempt;
 use fw_wire::buffer;
 use fw_wire::side;
@@ -36,15 +38,30 @@
         let now = keeper::now();
         let shard = self.plan.shard;
         let finished = self.entry.keeper.with_shard(shard, |shard| {
-            shard.finish(&self.req.program, self.run.attempt, answer, now)
+            let finished = shard.finish(&self.req.program, self.run.attempt, answer, now);
+            finished.ok_or_else(|| self.not_under_way(shard))
         });
         match finished {
             Err(_) => buf.fail(run::lost()),
-            Ok(changed) if changed.value.is_none() => buf.fail(run::ended()),
+            Ok(keeper::Changed {
+                value: Err(err), ..
+            }) => buf.fail(err),
             Ok(changed) => self.make_durable(buf, finish, changed.ticket).await,
         }
     }
 
+    /// Why the turn that was answered is not under way in its shard.
+    fn not_under_way(&self, shard: &shard::Shard) -> error::Error {
+        let program = shard.program(&self.req.program);
+        let has_ended = program.is_some_and(|known| known.status() == program::Status::Ended);
+        match has_ended {
+            true => run::ended(),
+            // The shard was lost and loaded anew meanwhile. To say that the program was ended would be
+            // untrue, and its caller would not send the turn again.
+            false => run::lost(),
+        }
+    }
+
     /// The caller learns the end of its answer once it is in the store. While the store does not
     /// answer, keeper and side both hold the answer: two instances, of which either may die.
     async fn make_durable(
