fw-entry: the look for taken shards reads one time, not all shards

Cause: the check that ends the look when nothing was taken lately listed the shards itself, for five seconds after each take-over, fifty times a second. Change: it compares the time of the last load.

--- a/fw-entry/src/connection/recover_entries.rs
+++ b/fw-entry/src/connection/recover_entries.rs
@@ -107,7 +107,9 @@
         tokio::time::sleep(LOOK).await;
         while asking.try_join_next().is_some() {}
         // Most of the time nothing was taken lately; in a large fleet even the list of others costs.
-        if waiting(&entry, None, Instant::now()).is_empty() {
+        let grace = takeover::Options::default().grace;
+        let loaded = entry.keeper.loaded_at();
+        if loaded.is_none_or(|at| at.elapsed() > grace) {
             continue;
         }
         let others = others(&entry);
--- a/fw-keep/src/keeper/mod.rs
+++ b/fw-keep/src/keeper/mod.rs
@@ -292,6 +292,11 @@
         entries
     }
 
+    /// When a shard was loaded last.
+    pub fn loaded_at(&self) -> Option<Instant> {
+        *self.inner.loaded.lock()
+    }
+
     /// The shards that were loaded after `since`, kept here still.
     pub fn loaded_since(&self, since: Option<Instant>) -> Vec<KeptShard> {
         let is_new = |at: Instant| since.is_none_or(|since| at > since);
