--- a/fw-entry/src/connection/recover_entries.rs
+++ b/fw-entry/src/connection/recover_entries.rs
@@ -23,8 +23,9 @@
 use super::recover;
 use crate::process::entry;
 
-/// Time between two looks for shards that were taken: small beside the time of taking them.
-const LOOK: Duration = Duration::from_millis(20);
+/// Time between two looks for shards that were taken: small beside the lease that was waited for, and
+/// long enough that the many loaded at a start are asked for together.
+const LOOK: Duration = Duration::from_millis(100);
 
 /// Pause before an entry that did not answer is asked again.
 const PAUSE: Duration = Duration::from_millis(200);
