fw-replica: a turn that is asked for again is judged again

Cause: a replica accepted a turn whose reservation it knew without looking at the budget. An undecided vote is asked for again after 60 ms with the same turn; by then its reservation, and that of a turn granted meanwhile, has been copied to all members. All accept, their digests agree, nobody adds up.

Change: Ledger::allows judges a known turn by all that is known. The digest is that of the moment of judging (by reading: copies that arrived while the disk wrote could make digests agree). The count of votes stands in fw_replica::tally, without network, so that the model plays the product's own rule.

--- a/fw-replica/src/client/vote.rs
+++ b/fw-replica/src/client/vote.rs
@@ -9,7 +9,7 @@
 use futures_util::stream::FuturesUnordered;
 
 use super::{Ask, Client, Error};
-use crate::{ledger, member, record, service, trail};
+use crate::{member, record, service, tally, trail};
 
 /// Longest wait for the chain from the one member asked for it, once the votes are in. It takes up
 /// to ten milliseconds; a member that has frozen would hold the turn up for its whole time-out.
@@ -42,10 +42,7 @@
 /// What the replicas said.
 #[derive(Debug, Default)]
 struct Round {
-    /// Those that accepted, and the digest of what each knows.
-    accepted: Vec<(SocketAddr, u64)>,
-    refused: usize,
-    ledger: Vec<ledger::Line>,
+    votes: tally::Tally<SocketAddr>,
     chain: Option<service::Chain>,
     /// Other entries' calls under way, as the first replica to answer knows them.
     others: Option<service::Others>,
@@ -53,9 +50,9 @@
     last: trail::Last,
 }
 
-fn spent(reserve: &service::Reserve, known: &ledger::Ledger) -> Error {
+fn spent(reserve: &service::Reserve, used: record::Tokens) -> Error {
     Error::Spent {
-        used: known.total(),
+        used,
         wanted: reserve.tokens,
         budget: reserve.budget,
     }
@@ -86,8 +83,7 @@
             self.links.learn_peers(&others.peers);
         }
         if let Some(reserve) = &ask.reserve {
-            self.judge(members.len(), reserve, &round)?;
-            self.check_union(reserve, &round).await?;
+            self.judge(members.len(), reserve, &round).await?;
         }
         let missing = |newest| service::Chain {
             missing: Some(newest),
@@ -111,61 +107,49 @@
             return true;
         }
         let Some(reserve) = reserve else { return false };
-        if round.refused == 0 {
+        let Some(known) = round.votes.again(reserve) else {
             return false;
-        }
-        let union = ledger::Ledger::union(&round.ledger);
-        let fits = union.allows(&reserve.turn, reserve.tokens, reserve.budget);
-        reserve.known = union.lines();
-        reserve.known.retain(|line| line.turn != reserve.turn);
-        fits
+        };
+        reserve.known = known;
+        true
     }
 
-    fn judge(
+    /// Whether the turn may run.
+    async fn judge(
         &self,
         members: usize,
         reserve: &service::Reserve,
         round: &Round,
     ) -> Result<(), Error> {
-        let needed = member::Quorum::of(members, self.faults).vote;
-        if round.accepted.len() >= needed {
-            return Ok(());
-        }
-        // With so many refusals no majority can accept.
-        if round.refused > 0 && round.refused + needed > members {
-            return Err(spent(reserve, &ledger::Ledger::union(&round.ledger)));
+        let quorum = member::Quorum::of(members, self.faults);
+        match round.votes.verdict(members, quorum) {
+            tally::Verdict::Run => Ok(()),
+            tally::Verdict::Compare => self.compare(reserve, round).await,
+            tally::Verdict::Spent { used } => Err(spent(reserve, used)),
+            tally::Verdict::Unsure { answered, needed } => Err(Error::Unsure {
+                answered,
+                members,
+                needed,
+            }),
         }
-        Err(Error::Unsure {
-            answered: round.accepted.len() + round.refused,
-            members,
-            needed,
-        })
     }
 
-    /// Checks what those that accepted know together, unless all know the same: each earlier
-    /// reservation is known to one of them at least, but not all to the same one.
-    async fn check_union(&self, reserve: &service::Reserve, round: &Round) -> Result<(), Error> {
-        let mut digests = round.accepted.iter().map(|(_, digest)| digest);
-        let first = digests.next();
-        if digests.all(|digest| Some(digest) == first) {
-            return Ok(());
-        }
+    /// Reads the ledgers of all that accepted, which together decide.
+    async fn compare(&self, reserve: &service::Reserve, round: &Round) -> Result<(), Error> {
         metrics::counter!("fw_replica_unions_total").increment(1);
-        let asked = round.accepted.iter();
-        let asked = asked.map(|(addr, _)| self.call_ledger(*addr, reserve.program.clone()));
-        let mut lines = Vec::new();
-        for ledger in join_all(asked).await {
-            lines.extend(ledger.ok_or(Error::Unsure {
-                answered: 0,
-                members: round.accepted.len(),
-                needed: round.accepted.len(),
-            })?);
-        }
-        let union = ledger::Ledger::union(&lines);
-        if union.total() <= reserve.budget {
-            return Ok(());
+        let asked = round.votes.accepted();
+        let asked = asked.map(|addr| self.call_ledger(addr, reserve.program.clone()));
+        let ledgers = join_all(asked).await;
+        let needed = ledgers.len();
+        let known: Vec<_> = ledgers.into_iter().flatten().collect();
+        if known.len() < needed {
+            return Err(Error::Unsure {
+                answered: known.len(),
+                members: needed,
+                needed,
+            });
         }
-        Err(spent(reserve, &union))
+        tally::compare(reserve, &known.concat()).map_err(|used| spent(reserve, used))
     }
 
     /// Asks all members at once, the quickest for the chain too, until the outcome is certain.
@@ -222,7 +206,7 @@
             if let Some(begun) = begun {
                 self.count(&mut round, rank, addr, begun);
             }
-            let accepted = round.accepted.len();
+            let accepted = round.votes.accepted().count();
             if accepted >= quorum.vote || accepted + left < quorum.vote {
                 voted.get_or_insert_with(Instant::now);
             }
@@ -235,11 +219,8 @@
         round.last = round.last.or(begun.last);
         match begun.vote {
             None => {}
-            Some(service::Vote::Accepted { digest }) => round.accepted.push((addr, digest)),
-            Some(service::Vote::Refused { ledger }) => {
-                round.refused += 1;
-                round.ledger.extend(ledger);
-            }
+            Some(service::Vote::Accepted { digest }) => round.votes.accept(addr, digest),
+            Some(service::Vote::Refused { ledger }) => round.votes.refuse(ledger),
             Some(service::Vote::Unsure {
                 why: service::Unsure::OldList(view),
             }) => {
--- a/fw-replica/src/ledger.rs
+++ b/fw-replica/src/ledger.rs
@@ -76,15 +76,24 @@
         true
     }
 
-    /// Whether `tokens` more for `turn` stay within `budget`. A turn that is known already costs
-    /// nothing more.
+    /// Whether `tokens` for `turn` and all other charges stay within `budget`. A turn that is known
+    /// already costs nothing more, but is judged again.
+    ///
+    /// *Failure:* too few replicas answered, and an entry asked again for its turn. By then replicas
+    /// had copied its reservation from each other, took the turn for granted, and accepted it beside
+    /// another turn that had been granted meanwhile: both ran where the budget held one.
     pub fn allows(
         &self,
         turn: &record::TurnId,
         tokens: record::Tokens,
         budget: record::Tokens,
     ) -> bool {
-        self.lines.contains_key(turn) || self.total.saturating_add(tokens) <= budget
+        let more = if self.lines.contains_key(turn) {
+            0
+        } else {
+            tokens
+        };
+        self.total.saturating_add(more) <= budget
     }
 
     /// What all of `ledgers` know together.
--- a/fw-replica/src/lib.rs
+++ b/fw-replica/src/lib.rs
@@ -29,5 +29,6 @@
 pub mod service;
 pub mod state;
 pub mod sync;
+pub mod tally;
 pub mod trail;
 pub mod writer;
--- a/fw-replica/src/server.rs
+++ b/fw-replica/src/server.rs
@@ -342,19 +342,21 @@
         if let Some(why) = self.unsure(epoch) {
             return service::Vote::Unsure { why };
         }
-        let reserved = self.state.lock().reserve(&reserve, unix_ms());
-        let charges = match reserved {
-            Ok(charges) => charges,
+        let voted = self.state.lock().vote(&reserve, unix_ms());
+        let granted = match voted {
+            Ok(granted) => granted,
             Err(ledger) => {
                 metrics::counter!("fw_replica_refused_total", "reason" => "budget").increment(1);
                 return service::Vote::Refused { ledger };
             }
         };
         // The ledger has them already, so that a reservation which races sees them.
-        let stored = join_all(charges.into_iter().map(|charge| self.store_charge(charge))).await;
+        let charges = granted.charges.into_iter();
+        let stored = join_all(charges.map(|charge| self.store_charge(charge))).await;
         if stored.into_iter().all(|ok| ok) {
-            let digest = self.state.lock().digest(&reserve);
-            service::Vote::Accepted { digest }
+            service::Vote::Accepted {
+                digest: granted.digest,
+            }
         } else {
             service::Vote::Unsure {
                 why: service::Unsure::Disk,
--- a/fw-replica/src/service.rs
+++ b/fw-replica/src/service.rs
@@ -75,7 +75,7 @@
 pub enum Vote {
     /// It is within the budget as far as this replica knows, and on disk.
     Accepted {
-        /// Digest of the charges known here but for this one.
+        /// Digest of the charges known here when it was judged, but for this one.
         digest: u64,
     },
     /// It is not within the budget.
--- a/fw-replica/src/state.rs
+++ b/fw-replica/src/state.rs
@@ -13,6 +13,15 @@
     until: record::UnixMs,
 }
 
+/// A reservation that is within the budget as far as is known here.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Granted {
+    /// What has to be stored before the replica may say so.
+    pub charges: Vec<record::Charge>,
+    /// Digest of the charges known when it was judged, but for its own.
+    pub digest: u64,
+}
+
 /// The index.
 #[derive(Debug)]
 pub struct State {
@@ -115,13 +124,31 @@
         Ok(charges)
     }
 
+    /// Judges `reserve`, and charges it if it stays within the budget.
+    ///
+    /// *Failure:* the digest was taken after the disk had the charges. Replicas that had accepted a
+    /// turn knowing different ones could by then have copied the missing ones from each other; their
+    /// digests agreed, though all together went beyond the budget. So it tells what was known when
+    /// the turn was judged.
+    pub fn vote(
+        &mut self,
+        reserve: &service::Reserve,
+        now: record::UnixMs,
+    ) -> Result<Granted, Vec<ledger::Line>> {
+        let charges = self.reserve(reserve, now)?;
+        Ok(Granted {
+            charges,
+            digest: self.digest(reserve),
+        })
+    }
+
     /// The disk refused `charge`, which is charged already: it has to be stored yet.
     pub fn not_stored(&mut self, charge: record::Charge) {
         self.not_stored.insert(charge.turn, charge.program);
     }
 
     /// Digest of what is known of the program, but for the turn of `reserve`.
-    pub fn digest(&self, reserve: &service::Reserve) -> u64 {
+    fn digest(&self, reserve: &service::Reserve) -> u64 {
         let ledger = self.ledgers.get(&reserve.program);
         ledger.map_or(0, |ledger| ledger.digest(&reserve.turn))
     }
--- a/fw-replica/tests/replica/budget_ledger.rs
+++ b/fw-replica/tests/replica/budget_ledger.rs
@@ -84,3 +84,58 @@
     state.apply(&record::Record::Charge(charge.clone()), place);
     expect_false!(state.is_news(&charge));
 }
+
+// Too few replicas answer an entry, which asks again for its turn. Meanwhile the replicas have copied
+// its reservation from each other, and that of a turn which was granted. Both together are more than
+// the budget: the turn was accepted everywhere all the same, as one that is known, and both ran.
+#[gtest]
+fn a_turn_that_is_asked_for_again_is_judged_again() {
+    let mut state = State::new(1);
+    let small = service::Reserve {
+        budget: 80,
+        ..reserve("again", Vec::new())
+    };
+    expect_that!(state.vote(&small, 1), ok(anything()));
+    let granted = record::Charge {
+        program: "p".into(),
+        turn: "granted".into(),
+        tokens: 50,
+        settled: false,
+        made: 1,
+    };
+    let place = journal::Place {
+        segment: 1,
+        at: 0,
+        len: 1,
+    };
+    state.apply(&record::Record::Charge(granted), place);
+    expect_that!(state.vote(&small, 1), err(len(eq(2))));
+}
+
+// Two replicas know one turn, a third knows another, and all accept a third turn where the budget
+// holds two. Before their disks have it they copy from each other. Told then, their digests agreed,
+// and nobody looked at what they know together.
+#[gtest]
+fn a_vote_tells_what_was_known_when_it_was_judged() {
+    let charge = |turn: &str| record::Charge {
+        program: "p".into(),
+        turn: turn.into(),
+        tokens: 50,
+        settled: false,
+        made: 1,
+    };
+    let place = journal::Place {
+        segment: 1,
+        at: 0,
+        len: 1,
+    };
+    let mut digests = Vec::new();
+    for (first, copied) in [("t1", "t2"), ("t2", "t1")] {
+        let mut state = State::new(1);
+        state.apply(&record::Record::Charge(charge(first)), place);
+        let granted = state.vote(&reserve("t3", Vec::new()), 1).unwrap();
+        state.apply(&record::Record::Charge(charge(copied)), place);
+        digests.push(granted.digest);
+    }
+    expect_that!(digests[0], not(eq(digests[1])));
+}
--- a/fw-replica/tests/replica/main.rs
+++ b/fw-replica/tests/replica/main.rs
@@ -5,6 +5,7 @@
 mod budget_ledger;
 mod budget_model;
 mod budget_power;
+mod budget_races;
 mod call_board;
 mod journal_machine;
 mod journal_segments;
