fw-entry, fw-keep: a call does not wait for news of a store that is away; commits go on while shards are taken again

What callers saw (KNOWN-RED store_outages::keyed_calls_are_refused_as_not_run): a publish request in an outage was refused only after 4 s, and the next one with 503 three seconds after the store was back.

The store went away before the entry had heard who took the shard; the call looked for a keeper for twice a lease, though nobody can take a shard, nor the entry hear of it, without the store. The outage of the test then outlasts the leases. After it every entry takes its 2,048 shards again, 60 a call, and the task that commits did nothing else: the claim was refused as store_unavailable 3.5 s after 'lease granted'.

Change: fw_plan::lookup decides who goes on looking (two unanswered renewals of the lease are an outage); verify commits between its calls. Two log lines: a keeper not found, a step of a claim. The rig of the local tests prints logs by RUST_LOG. Ruled out: shards swapped between the entries after the outage (seen in logs; a test of it passes before too).

--- a/fw-entry/src/process/keepers.rs
+++ b/fw-entry/src/process/keepers.rs
@@ -10,6 +10,7 @@
 use fw_base::error;
 use fw_base::id;
 use fw_keep::keeper;
+use fw_plan::lookup;
 use fw_wire::peer;
 use tarpc::client;
 
@@ -66,30 +67,38 @@
     H: Future<Output = Tried<T>>,
     R: Future<Output = Result<Tried<T>, client::RpcError>>,
 {
-    let give_up = tokio::time::Instant::now() + options.patience;
+    let opts = lookup::Options {
+        patience: options.patience.saturating_sub(PAUSE),
+        store_away: entry.settings.keeper.lease_ttl * 2 / 3,
+    };
+    let started = tokio::time::Instant::now();
     let mut received = None;
     loop {
-        let reason = match entry.keeper.owner(shard) {
+        let miss = match entry.keeper.owner(shard) {
             keeper::Owner::Mine => match here().await {
                 Tried::Answered(answer) => return Ok((Place::Here, answer)),
-                Tried::NotKeeper => "lost",
+                Tried::NotKeeper => lookup::Miss::Lost,
             },
             keeper::Owner::Other { address, .. } => {
                 match elsewhere(entry, &address, &there).await {
                     Ok((place, Tried::Answered(answer))) => return Ok((place, answer)),
-                    Ok((_, Tried::NotKeeper)) => "stale",
-                    Err(pool::Failure::Refused | pool::Failure::Unsent) => "unreachable",
+                    Ok((_, Tried::NotKeeper)) => lookup::Miss::Stale,
+                    Err(pool::Failure::Refused) => lookup::Miss::Refused,
+                    Err(pool::Failure::Unsent) => lookup::Miss::Unreachable,
                     Err(pool::Failure::Broken) if options.idempotent => {
                         received = Some(lost());
-                        "broken"
+                        lookup::Miss::Broken
                     }
                     Err(pool::Failure::Broken) => return Err(lost()),
                 }
             }
-            keeper::Owner::Nobody => "nobody",
+            keeper::Owner::Nobody => lookup::Miss::Nobody,
         };
+        let reason = miss.label();
         metrics::counter!(REDIRECTS, "reason" => reason).increment(1);
-        if tokio::time::Instant::now() + PAUSE >= give_up {
+        let (waited, silence) = (started.elapsed(), entry.keeper.silence());
+        if !lookup::goes_on(miss, waited, silence, &opts) {
+            tracing::warn!(entry = %entry.id, shard, reason, ?waited, ?silence, "no keeper was found in time");
             return Err(entry.keeper.unavailable().after(received));
         }
         tokio::time::sleep(PAUSE).await;
--- a/fw-entry/src/turn/claim.rs
+++ b/fw-entry/src/turn/claim.rs
@@ -111,6 +111,7 @@
         _ => "ok",
     };
     metrics::counter!(CLAIMS, "step" => step, "outcome" => outcome).increment(1);
+    tracing::info!(entry = %entry.id, key = %req.key, step, outcome, "claim");
     reply
 }
 
--- a/fw-keep/src/keeper/acquire.rs
+++ b/fw-keep/src/keeper/acquire.rs
@@ -11,7 +11,7 @@
 use crate::keeper::table::OwnerValue;
 
 /// Shards in one transaction, which has up to two steps for each; etcd allows 128.
-const BATCH: usize = 60;
+pub(super) const BATCH: usize = 60;
 
 /// Transactions tried for one batch. Each failure removes the shards that others hold, so more
 /// than a few mean that the store does not answer.
--- a/fw-keep/src/keeper/flush.rs
+++ b/fw-keep/src/keeper/flush.rs
@@ -32,28 +32,54 @@
 
 pub(super) async fn run(inner: Arc<Inner>) {
     let mut lease = inner.lease.subscribe();
-    let mut last: Option<Instant> = None;
+    let mut pace = Pace::default();
     loop {
         tokio::select! {
             () = inner.dirtied.notified() => {
-                if let Some(last) = last {
+                if let Some(next) = pace.next(&inner) {
                     // The first change after a quiet time goes at once; those close behind share
                     // the next call. So the rate is bounded and a lone turn need not wait.
-                    tokio::time::sleep_until(last + spacing(&inner)).await;
+                    tokio::time::sleep_until(next).await;
                 }
-                last = Some(Instant::now());
-                let round = collect(&inner);
-                write(&inner, round).await;
+                pace.commit(&inner).await;
             }
-            () = inner.lapsed.notified() => verify(&inner).await,
+            () = inner.lapsed.notified() => verify(&inner, &mut pace).await,
             _ = lease.changed() => {
                 lease.borrow_and_update();
-                verify(&inner).await;
+                verify(&inner, &mut pace).await;
             }
         }
     }
 }
 
+/// When group commits are made.
+#[derive(Default)]
+struct Pace {
+    /// When the last one began.
+    last: Option<Instant>,
+}
+
+impl Pace {
+    /// The earliest time of the next commit; `None` before the first.
+    fn next(&self, inner: &Inner) -> Option<Instant> {
+        Some(self.last? + spacing(inner))
+    }
+
+    async fn commit(&mut self, inner: &Inner) {
+        self.last = Some(Instant::now());
+        let round = collect(inner);
+        write(inner, round).await;
+    }
+
+    /// Makes a commit if something has changed and one is due.
+    async fn commit_if_due(&mut self, inner: &Inner) {
+        let is_due = self.next(inner).is_none_or(|next| next <= Instant::now());
+        if is_due && !inner.dirty.lock().is_empty() {
+            self.commit(inner).await;
+        }
+    }
+}
+
 /// Least time between two commits: longer the slower the store answers, and the more entries share
 /// its writes.
 fn spacing(inner: &Inner) -> Duration {
@@ -212,10 +238,14 @@
 /// After a lapsed lease, takes all kept shards again, where nobody else has taken them and their
 /// journal is as this keeper left it; drops the others. Safety does not need this, since every
 /// commit compares the fencing number: it lets idle shards go on, too.
-async fn verify(inner: &Inner) {
+///
+/// *Failure:* thousands of shards take many calls to the store, and no commit was made until the last of
+/// them. A publish request came seconds after the store was back, and was refused as its claim was
+/// not stored in time. So changes are committed between the calls; a commit takes its own shards again.
+async fn verify(inner: &Inner, pace: &mut Pace) {
     // A lease that lapses while the shards are looked at is a doubt of its own.
     let doubts = inner.doubts.load(Ordering::Acquire);
-    if kept_heads(inner).is_empty() {
+    if kept_shards(inner).is_empty() {
         inner.cleared.store(doubts, Ordering::Release);
         return;
     }
@@ -224,20 +254,30 @@
     if *inner.lease.borrow() == 0 {
         return;
     }
-    let wants = kept_heads(inner);
-    let all = wants.len();
-    let outcome = acquire::run(inner, wants).await;
-    refence(inner, &outcome);
-    if outcome.taken.len() + outcome.lost.len() == all {
+    let mut is_whole = true;
+    for shards in kept_shards(inner).chunks(acquire::BATCH) {
+        pace.commit_if_due(inner).await;
+        let wants = heads(inner, shards);
+        let asked = wants.len();
+        let outcome = acquire::run(inner, wants).await;
+        refence(inner, &outcome);
+        is_whole &= outcome.taken.len() + outcome.lost.len() == asked;
+    }
+    if is_whole {
         inner.cleared.store(doubts, Ordering::Release);
     } else {
         inner.lapsed.notify_one();
     }
 }
 
-/// The kept shards with the heads that their journals must have.
-fn kept_heads(inner: &Inner) -> Vec<acquire::Want> {
-    let kept = (0..inner.opts.shards).filter_map(|shard| {
+fn kept_shards(inner: &Inner) -> Vec<id::ShardId> {
+    let is_kept = |shard: &id::ShardId| inner.slot(*shard).lock().kept().is_some();
+    (0..inner.opts.shards).filter(is_kept).collect()
+}
+
+/// Those of `shards` that are kept, with the heads that their journals must have.
+fn heads(inner: &Inner, shards: &[id::ShardId]) -> Vec<acquire::Want> {
+    let kept = shards.iter().filter_map(|&shard| {
         let mut slot = inner.slot(shard).lock();
         let head = slot.kept()?.writer.stored_head().map(<[u8]>::to_vec);
         Some(acquire::Want {
--- a/fw-keep/tests/keep/keeper_outage.rs
+++ b/fw-keep/tests/keep/keeper_outage.rs
@@ -4,6 +4,7 @@
 
 use fw_base::error;
 use fw_fake::store::Outage;
+use fw_keep::journal::keys;
 use fw_keep::keeper;
 use fw_keep::keeper::Keeper;
 use fw_keep::program;
@@ -112,3 +113,47 @@
     })
     .await;
 }
+
+/// Shards of a keeper that needs many calls to take them all again.
+const MANY: u16 = 1_200;
+
+// The store was away for longer than the lease. Once it is back the keeper takes its hundreds of shards
+// again, sixty with each call. A publish request that came meanwhile was refused: its claim was not
+// stored before the last shard had been taken, seconds later. What showed it: a claim refused with
+// `store_unavailable` 3.5 s after `lease granted`.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn changes_are_stored_while_shards_are_taken_again() {
+    let fleet = Fleet::start(1).await;
+    let opts = keeper::Options {
+        shards: MANY,
+        ttl: Duration::from_secs(30),
+        ..Fleet::options("a")
+    };
+    let a = Keeper::open(fleet.client(0), opts);
+    fleet::until_kept(&a, usize::from(MANY)).await;
+    let owners = || {
+        let all = fleet.store.all();
+        let prefix = keys::owner(fleet::ROOT, 0);
+        let prefix = prefix.trim_end_matches('0');
+        let owned = all
+            .iter()
+            .filter(|kv| kv.key.starts_with(prefix.as_bytes()));
+        owned.count()
+    };
+    let all = owners();
+    expect_that!(all, ge(usize::from(MANY)));
+    // Slow enough that a turn comes while shards are taken.
+    fleet
+        .store
+        .faults(0, |faults| faults.delay = Duration::from_millis(40));
+    fleet.lapse("a");
+    fleet::until("the first shards are taken again", || owners() > 0).await;
+    let ticket = fleet::turn(&a, "p", 1);
+    let mut done = a.durable(ticket).await;
+    while done == Err(keeper::Error::StoreUnavailable) {
+        done = a.durable(ticket).await;
+    }
+    expect_that!(done, ok(anything()));
+    expect_that!(owners(), lt(all));
+}
--- a/fw-local/tests/local/rig.rs
+++ b/fw-local/tests/local/rig.rs
@@ -46,8 +46,20 @@
     with(system::Options::default()).await
 }
 
+/// Prints what the system logs if `RUST_LOG` says so. The system's tasks run on threads of their own,
+/// whose output the test runner does not hold back: run one test at a time.
+fn log() {
+    let off = tracing_subscriber::filter::LevelFilter::OFF.into();
+    let filter = tracing_subscriber::EnvFilter::builder().with_default_directive(off);
+    let filter = filter.from_env_lossy();
+    let lines = tracing_subscriber::fmt().with_env_filter(filter);
+    // Another test of this process has set it already.
+    let _already_set = lines.try_init();
+}
+
 /// A system of a given shape.
 pub async fn with(opts: system::Options) -> Rig {
+    log();
     let place = PLACES.acquire().await.expect("the semaphore stays open");
     let system = system::System::start(opts).await;
     Rig {
--- /dev/null
+++ b/fw-plan/src/lookup.rs
@@ -0,0 +1,68 @@
+//! Whether a call goes on looking for its program's keeper.
+//!
+//! *Load pattern:* a keeper dies, or is cut off, and its shard is free for a lease; or the platform's
+//! store is away, and with it all news of who keeps what.
+//!
+//! *Without it:* an officer's call waits for a keeper that cannot come: nobody can take a shard while
+//! the store is away, and nobody hears of it. It is refused seconds later all the same.
+//!
+//! *Rule:* a call looks again until its patience is over. While the store is away it looks again only
+//! where the keeper that is known may yet answer.
+//!
+//! *Grounds:* an entry hears from the store at least at each renewal of its lease.
+
+use std::time::Duration;
+
+/// Why a keeper did not answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Miss {
+    /// Nobody is known to keep the shard.
+    Nobody,
+    /// This entry kept it, and does so no more.
+    Lost,
+    /// The entry that was asked does not keep it.
+    Stale,
+    /// No process listens at the keeper's address.
+    Refused,
+    /// The keeper could not be connected to.
+    Unreachable,
+    /// The connection broke after the call was sent.
+    Broken,
+}
+
+impl Miss {
+    /// A counter's or log line's word for it.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Nobody => "nobody",
+            Self::Lost => "lost",
+            Self::Stale => "stale",
+            Self::Refused => "refused",
+            Self::Unreachable => "unreachable",
+            Self::Broken => "broken",
+        }
+    }
+
+    /// Whether the keeper may answer after all, without any news from the store.
+    fn may_pass(self) -> bool {
+        matches!(self, Self::Unreachable | Self::Broken)
+    }
+}
+
+/// How long a call looks for its keeper.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Options {
+    /// Longest time: a little more than a dead keeper's lease.
+    pub patience: Duration,
+    /// Silence of the store after which it counts as away: two renewals of the lease that were not
+    /// answered.
+    pub store_away: Duration,
+}
+
+/// Whether a call that has `waited` looks again, with the store silent for `silence`.
+pub fn goes_on(miss: Miss, waited: Duration, silence: Duration, opts: &Options) -> bool {
+    if waited >= opts.patience {
+        return false;
+    }
+    silence < opts.store_away || miss.may_pass()
+}
--- /dev/null
+++ b/fw-plan/tests/plan/keeper_lookup.rs
@@ -0,0 +1,45 @@
+//! Who waits for a program's keeper.
+
+use std::time::Duration;
+
+use fw_plan::lookup::{self, Miss};
+use googletest::prelude::*;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn goes_on(miss: Miss, waited: u64, silence: u64) -> bool {
+    let opts = lookup::Options {
+        patience: ms(4_000),
+        store_away: ms(1_400),
+    };
+    lookup::goes_on(miss, ms(waited), ms(silence), &opts)
+}
+
+#[gtest]
+fn waits_for_a_dead_keepers_lease() {
+    for miss in [Miss::Nobody, Miss::Lost, Miss::Stale, Miss::Refused] {
+        expect_true!(goes_on(miss, 3_000, 700), "{miss:?}");
+        expect_false!(goes_on(miss, 4_000, 700), "{miss:?}");
+    }
+}
+
+// The store goes away before an entry has heard who took a shard. A publish request came for it and
+// was refused only after four seconds, though nobody can take the shard, nor the entry hear of it,
+// until the store is back. What showed it: `no keeper was found in time`, "nobody", the store silent
+// for as long.
+#[gtest]
+fn does_not_wait_for_news_from_a_store_that_is_away() {
+    for miss in [Miss::Nobody, Miss::Lost, Miss::Stale, Miss::Refused] {
+        expect_false!(goes_on(miss, 0, 1_400), "{miss:?}");
+    }
+}
+
+#[gtest]
+fn waits_for_a_keeper_that_is_known_also_without_the_store() {
+    for miss in [Miss::Unreachable, Miss::Broken] {
+        expect_true!(goes_on(miss, 3_000, 9_000), "{miss:?}");
+        expect_false!(goes_on(miss, 4_000, 9_000), "{miss:?}");
+    }
+}
--- a/fw-plan/tests/plan/main.rs
+++ b/fw-plan/tests/plan/main.rs
@@ -14,6 +14,7 @@
 mod held_calls;
 mod hot_caller;
 mod hot_key;
+mod keeper_lookup;
 mod long_jobs;
 mod overload;
 mod pace_noise;
