fw-gate, fw-replica: one entry reads the platform's store and tells the others

Each also gave all members all that it knew whenever anything changed.

Change: fw_plan::reader decides who reads. A read, also one without news, is told to the members, at which the others wait; who hears of none for 0.8 to 1.2 s reads itself. Configuration and upstreams travel apart; a member tells of a read only when it has all its parts; an own read that another's has overtaken is dropped (test: it undid that an upstream is leaving). The others' calls under way are told by the nearest member only. fw-follow reads every 0.45 s; its test keeps 0.9 s by its own options, so that the bound of 12 calls in 9 s stays. Tests: store_reader (played, 100 entries, readers that die), store_news in fw-gate and fw-replica.

--- a/fw-follow/src/lib.rs
+++ b/fw-follow/src/lib.rs
@@ -103,9 +103,9 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            // A configuration must be in force within 2 s.
-            pace: Duration::from_millis(900),
-            wait: Duration::from_millis(1_000),
+            // A configuration must be in force within 2 s, wherever it has to be passed on to.
+            pace: Duration::from_millis(450),
+            wait: Duration::from_millis(450),
             retry: Duration::from_millis(250),
             retry_most: Duration::from_millis(1_000),
             settle: Duration::from_millis(2_200),
@@ -114,9 +114,22 @@
 }
 
 /// Follows `area` for ever and hands each step to `apply`.
-pub async fn follow<A: Area>(area: A, opts: Options, mut apply: impl FnMut(Step<A::Change>)) {
+///
+/// Before each read `turn` is waited for. It tells up to which revision all is known by other ways,
+/// so that nothing before it is read.
+pub async fn follow<A, T>(
+    area: A,
+    opts: Options,
+    turn: impl Fn() -> T,
+    mut apply: impl FnMut(Step<A::Change>),
+) where
+    A: Area,
+    T: Future<Output = Revision>,
+{
     let mut follower = Follower::new(opts);
     loop {
+        let known = turn().await;
+        follower.at = follower.at.map(|at| at.max(known));
         let step = follower.step(&area).await;
         if let Some(step) = step {
             apply(step);
--- a/fw-follow/tests/follow/store_outage.rs
+++ b/fw-follow/tests/follow/store_outage.rs
@@ -53,6 +53,9 @@
     }
 }
 
+/// Time between two reads.
+const PACE: Duration = Duration::from_millis(900);
+
 type Told = Arc<Mutex<Vec<(Duration, Step<&'static str>)>>>;
 
 fn start(fake: &Fake) -> Told {
@@ -61,7 +64,11 @@
     let note = Arc::clone(&told);
     tokio::spawn(fw_follow::follow(
         fake.clone(),
-        Options::default(),
+        Options {
+            pace: PACE,
+            ..Options::default()
+        },
+        async || 0,
         move |step| note.lock().push((begun.elapsed(), step)),
     ));
     told
--- a/fw-gate/src/process/fleet/mod.rs
+++ b/fw-gate/src/process/fleet/mod.rs
@@ -194,6 +194,11 @@
         self.started.elapsed()
     }
 
+    /// Names this entry to the others.
+    pub fn entry(&self) -> u32 {
+        self.entry
+    }
+
     /// Whether the list was ever read.
     pub fn is_known(&self) -> bool {
         self.known.load(Ordering::Relaxed)
--- a/fw-gate/src/process/gate.rs
+++ b/fw-gate/src/process/gate.rs
@@ -8,11 +8,11 @@
 
 use fw_base::{digest, error, id};
 use fw_plan::{poison, retry};
-use fw_replica::{client, member, record};
+use fw_replica::{client, member, record, service};
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
-use super::{fleet, snapshot, turns};
+use super::{fleet, reading, snapshot, turns};
 use crate::names;
 use crate::version::config;
 
@@ -66,17 +66,19 @@
     retries: Mutex<HashMap<id::ServiceId, retry::Budget>>,
     started: Instant,
     stopping: AtomicBool,
-    /// Whether the platform's store answers.
-    in_touch: AtomicBool,
-    /// What the replicas were told last, or told.
-    snapshot: Mutex<snapshot::Posted>,
+    /// Whether this entry reads the platform's store.
+    reading: reading::Reading,
+    /// What is passed on by way of the replicas.
+    known: Mutex<snapshot::Known>,
 }
 
 impl Gate {
     /// Knows nothing yet.
     pub fn new(opts: Options) -> Arc<Self> {
+        let fleet = fleet::Fleet::new(opts.place.clone());
         Arc::new(Self {
-            fleet: fleet::Fleet::new(opts.place.clone()),
+            reading: reading::Reading::new(fleet.entry()),
+            fleet,
             replicas: client::Client::new(opts.faults, opts.seeds.clone()),
             opts,
             turns: turns::Turns::default(),
@@ -85,15 +87,30 @@
             retries: Mutex::default(),
             started: Instant::now(),
             stopping: AtomicBool::new(false),
-            in_touch: AtomicBool::new(false),
-            snapshot: Mutex::default(),
+            known: Mutex::default(),
         })
     }
 
     /// Takes what was read from the platform's store.
+    ///
+    /// *Failure:* while a read was under way, another entry's newer one was heard of. Taken all the
+    /// same, the older one made an upstream that was leaving one that takes work. So it is dropped.
     pub fn apply(&self, step: fw_follow::Step<Change>) {
+        // Held to the end, so that what others read is taken before or after, not between.
+        let mut known = self.known.lock();
         match step {
-            fw_follow::Step::Lost => self.in_touch.store(false, Ordering::Relaxed),
+            fw_follow::Step::Lost => {}
+            fw_follow::Step::Whole { as_of, .. } | fw_follow::Step::News { as_of, .. }
+                if as_of < known.as_of() =>
+            {
+                let known = known.as_of();
+                tracing::info!(
+                    as_of,
+                    known,
+                    "a read of the store is older than what is known"
+                );
+                self.reading.has_read();
+            }
             fw_follow::Step::Whole {
                 changes,
                 settled,
@@ -107,8 +124,7 @@
                     }
                 }
                 self.fleet.replace(listed, settled);
-                self.in_touch.store(true, Ordering::Relaxed);
-                self.post(as_of);
+                self.post(as_of, &mut known);
             }
             fw_follow::Step::News {
                 changes,
@@ -118,7 +134,7 @@
                 for change in changes {
                     self.change(change, settled);
                 }
-                self.post(as_of);
+                self.post(as_of, &mut known);
             }
         }
     }
@@ -132,8 +148,6 @@
             Change::UpstreamGone(_) => {}
             Change::Members(view) => {
                 if self.replicas.learn(view) {
-                    // New members lack what was posted before.
-                    self.snapshot.lock().forget();
                     self.replicas.tell();
                 }
             }
@@ -141,49 +155,68 @@
         }
     }
 
-    /// Gives the replicas what is known from the store, if that has changed.
-    fn post(&self, as_of: fw_follow::Revision) {
+    /// Tells the replicas that the store was read, and what has changed.
+    fn post(&self, as_of: fw_follow::Revision, known: &mut snapshot::Known) {
         let Some(config) = self.config() else { return };
-        let known = snapshot::Snapshot {
-            config: config.as_ref().clone(),
-            upstreams: self.fleet.listing(),
+        let upstreams = self.fleet.listing();
+        let changed = known.read(as_of, &config, &upstreams);
+        self.reading.has_read();
+        let post = service::Post {
+            by: self.fleet.entry(),
+            as_of,
+            marks: known.marks(),
+            changed,
         };
-        let bulletin = self.snapshot.lock().news(as_of, &known);
-        if let Some(bulletin) = bulletin {
-            self.replicas.post(&bulletin);
-        }
+        self.replicas.post(&post, &known.whole(&config));
     }
 
-    /// Asks the replicas for what other entries know, for as long as the platform's store does not
-    /// answer.
-    pub async fn ask_others(self: Arc<Self>) {
+    /// Waits until this entry has to read the store; returns the revision up to which it knows it.
+    pub async fn turn_to_read(&self) -> fw_follow::Revision {
+        self.reading.turn().await;
+        self.known.lock().as_of()
+    }
+
+    /// Hears from the replicas what other entries read, for ever.
+    pub async fn hear_others(self: Arc<Self>) {
         loop {
-            let pause = match self.config() {
-                Some(_) => snapshot::ASK,
-                None => snapshot::ASK_FIRST,
-            };
-            tokio::time::sleep(pause).await;
-            if self.in_touch.load(Ordering::Relaxed) {
-                continue;
+            let marks = self.known.lock().marks();
+            let is_first = self.config().is_none();
+            let mut news = None;
+            if !is_first {
+                news = self.replicas.await_news(marks, snapshot::AWAIT).await;
             }
-            let after = self.snapshot.lock().as_of();
-            let Some(bulletin) = self.replicas.news(after).await else {
-                continue;
-            };
-            let Some(known) = self.snapshot.lock().read(&bulletin) else {
-                continue;
-            };
-            // The store may have answered in the meantime; what it says is newer.
-            if self.in_touch.load(Ordering::Relaxed) {
-                continue;
+            if news.is_none() {
+                let pause = match is_first {
+                    true => snapshot::ASK_FIRST,
+                    false => snapshot::ASK,
+                };
+                tokio::time::sleep(pause).await;
+                news = self.replicas.ask_news(marks).await;
             }
-            tracing::info!(
-                as_of = bulletin.as_of,
-                version = known.config.version,
-                "told by the replicas"
-            );
-            self.configure(known.config);
-            self.fleet.replace(known.upstreams, true);
+            if let Some(news) = news {
+                self.hear(news);
+            }
+        }
+    }
+
+    /// Takes what a replica tells.
+    pub fn hear(&self, news: service::News) {
+        let last = news.last;
+        let mut known = self.known.lock();
+        let told = known.hear(news.newer, last.map_or(0, |last| last.as_of));
+        let marks = known.marks();
+        if let Some(config) = told.config {
+            let version = config.version;
+            tracing::info!(version, as_of = marks.config, ?last, "told by a replica");
+            self.configure(config);
+        }
+        if let Some(upstreams) = told.upstreams {
+            let listed = upstreams.len();
+            tracing::debug!(listed, as_of = marks.upstreams, ?last, "told by a replica");
+            self.fleet.replace(upstreams, true);
+        }
+        if let Some(last) = last {
+            self.reading.heard(last.by, last.ago);
         }
     }
 
--- a/fw-gate/src/process/serve.rs
+++ b/fw-gate/src/process/serve.rs
@@ -71,10 +71,15 @@
     let told = Arc::clone(&gate);
     // Dropped with this future, so that an entry which is killed leaves nothing running.
     let mut tasks = JoinSet::new();
-    tasks.spawn(fw_follow::follow(area, opts.follow, move |step| {
+    let reader = Arc::clone(&gate);
+    let turn = move || {
+        let reader = Arc::clone(&reader);
+        async move { reader.turn_to_read().await }
+    };
+    tasks.spawn(fw_follow::follow(area, opts.follow, turn, move |step| {
         told.apply(step)
     }));
-    tasks.spawn(Arc::clone(&gate).ask_others());
+    tasks.spawn(Arc::clone(&gate).hear_others());
     tasks.spawn(relay::serve(relayed, Arc::clone(&gate.replicas)));
     let asked = Arc::clone(&gate);
     let path = opts.ready_path;
--- a/fw-gate/src/process/snapshot.rs
+++ b/fw-gate/src/process/snapshot.rs
@@ -1,87 +1,135 @@
-//! What an entry knows from the platform's store, passed on by way of the replicas.
+//! What an entry knows from the platform's store, as it is passed on by way of the replicas.
 //!
 //! *Failure:* all entries lose power while the store is away, or the store turns one entry away for
 //! seconds. Without a disk an entry that starts then knows no route and no upstream, and could
 //! serve nobody until the store is back.
 //!
-//! Entries that reach the store give the replicas what they know, whenever it changes; one that
-//! does not reach it asks them. A configuration never goes back, since an older version is not put
-//! in force, and an upstream list is taken only from a newer revision of the store.
+//! Whoever reads the store gives the replicas what has changed; everybody else hears of it from
+//! them. A configuration never goes back, since an older version is not put in force, and a part is
+//! taken only from a newer revision of the store.
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use fw_replica::service;
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 use super::fleet;
 use crate::version::config;
 
-/// Pause between two questions while the store does not answer.
+/// How long a replica is asked to wait for news.
+pub const AWAIT: Duration = Duration::from_millis(450);
+/// Pause before replicas that told nothing are asked again.
 pub const ASK: Duration = Duration::from_millis(300);
 /// The same while nothing is known: callers wait for it.
 pub const ASK_FIRST: Duration = Duration::from_millis(50);
 
-/// What is known from the store.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Snapshot {
-    /// The configuration in force.
-    pub config: config::Config,
-    /// The upstreams, by id.
-    pub upstreams: Vec<fleet::Listed>,
+/// The parts that are newer than what was known.
+#[derive(Debug, Default)]
+pub struct Told {
+    /// The configuration.
+    pub config: Option<config::Config>,
+    /// All upstreams.
+    pub upstreams: Option<Vec<fleet::Listed>>,
 }
 
-/// What was passed on last.
+/// What is known, and since which revision of the store.
 #[derive(Debug, Default)]
-pub struct Posted {
+pub struct Known {
+    marks: service::Marks,
+    /// Revision up to which all that the store holds is known.
     as_of: u64,
-    bytes: Vec<u8>,
+    version: Option<config::Version>,
+    upstreams: Bytes,
 }
 
-impl Posted {
-    /// A bulletin of `known`, if it differs from the last.
-    pub fn news(&mut self, as_of: u64, known: &Snapshot) -> Option<service::Bulletin> {
+impl Known {
+    /// Revisions of what is known.
+    pub fn marks(&self) -> service::Marks {
+        self.marks
+    }
+
+    /// Revision up to which all that the store holds is known.
+    pub fn as_of(&self) -> u64 {
+        self.as_of
+    }
+
+    /// The store was read, and held this at revision `as_of`. Returns what has changed.
+    pub fn read(
+        &mut self,
+        as_of: u64,
+        config: &config::Config,
+        upstreams: &[fleet::Listed],
+    ) -> service::Bulletins {
         self.as_of = self.as_of.max(as_of);
-        let bytes = match postcard::to_stdvec(known) {
-            Ok(bytes) => bytes,
-            Err(err) => {
-                tracing::error!(%err, "what is known cannot be encoded for the replicas");
-                return None;
-            }
-        };
-        if bytes == self.bytes {
-            return None;
+        let mut changed = service::Bulletins::default();
+        if self.version != Some(config.version) {
+            self.version = Some(config.version);
+            self.marks.config = as_of;
+            changed.config = bulletin(as_of, config);
         }
-        self.bytes.clone_from(&bytes);
-        Some(service::Bulletin {
-            as_of,
-            bytes: bytes.into(),
-        })
+        let list = bulletin(as_of, upstreams);
+        if let Some(list) = list.filter(|list| list.bytes != self.upstreams) {
+            self.marks.upstreams = as_of;
+            self.upstreams = list.bytes.clone();
+            changed.upstreams = Some(list);
+        }
+        changed
     }
 
-    /// The next bulletin is posted whether anything has changed or not.
-    pub fn forget(&mut self) {
-        self.bytes.clear();
+    /// All parts, for a replica that lacks some.
+    pub fn whole(&self, config: &config::Config) -> service::Bulletins {
+        service::Bulletins {
+            config: bulletin(self.marks.config, config),
+            upstreams: Some(service::Bulletin {
+                as_of: self.marks.upstreams,
+                bytes: self.upstreams.clone(),
+            }),
+        }
     }
 
-    /// Revision of the store up to which this entry knows.
-    pub fn as_of(&self) -> u64 {
-        self.as_of
+    /// Takes the parts that are newer than what is known; with them all is known up to `as_of`.
+    pub fn hear(&mut self, newer: service::Bulletins, as_of: u64) -> Told {
+        let service::Bulletins { config, upstreams } = newer;
+        let config = config.filter(|part| part.as_of > self.as_of.max(self.marks.config));
+        let upstreams = upstreams.filter(|part| part.as_of > self.as_of.max(self.marks.upstreams));
+        let mut told = Told::default();
+        if let Some(part) = config {
+            // One that cannot be read is not asked for again.
+            self.marks.config = part.as_of;
+            told.config = decode::<config::Config>(&part);
+            self.version = told.config.as_ref().map(|config| config.version);
+        }
+        if let Some(part) = upstreams {
+            self.marks.upstreams = part.as_of;
+            told.upstreams = decode(&part);
+            self.upstreams = part.bytes;
+        }
+        self.as_of = self.as_of.max(as_of);
+        told
     }
+}
 
-    /// Reads a bulletin, unless it is older than what is known.
-    pub fn read(&mut self, bulletin: &service::Bulletin) -> Option<Snapshot> {
-        if bulletin.as_of <= self.as_of {
-            return None;
+fn bulletin<T: Serialize + ?Sized>(as_of: u64, part: &T) -> Option<service::Bulletin> {
+    match postcard::to_stdvec(part) {
+        Ok(bytes) => Some(service::Bulletin {
+            as_of,
+            bytes: bytes.into(),
+        }),
+        Err(err) => {
+            tracing::error!(%err, "what is known cannot be encoded for the replicas");
+            None
         }
-        match postcard::from_bytes(&bulletin.bytes) {
-            Ok(known) => {
-                self.as_of = bulletin.as_of;
-                Some(known)
-            }
-            Err(err) => {
-                tracing::error!(%err, "a bulletin cannot be read");
-                None
-            }
+    }
+}
+
+fn decode<T: DeserializeOwned>(part: &service::Bulletin) -> Option<T> {
+    match postcard::from_bytes(&part.bytes) {
+        Ok(known) => Some(known),
+        Err(err) => {
+            tracing::error!(%err, as_of = part.as_of, "what a replica tells cannot be read");
+            None
         }
     }
 }
--- a/fw-gate/tests/gate/main.rs
+++ b/fw-gate/tests/gate/main.rs
@@ -6,5 +6,6 @@
 mod first_moments;
 mod held_turns;
 mod route_choice;
+mod store_news;
 mod turn_cache;
 mod upstream_list;
--- a/fw-plan/src/lib.rs
+++ b/fw-plan/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod place;
 pub mod poison;
 pub mod queue;
+pub mod reader;
 pub mod retry;
 pub mod subset;
 pub mod takeover;
--- a/fw-plan/tests/plan/main.rs
+++ b/fw-plan/tests/plan/main.rs
@@ -27,6 +27,7 @@
 #[expect(dead_code, reason = "the example uses the rest")]
 mod sim;
 mod slow_upstream;
+mod store_reader;
 mod taken_shards;
 mod upstream_health;
 mod watched_subset;
--- a/fw-replica/src/board.rs
+++ b/fw-replica/src/board.rs
@@ -36,15 +36,31 @@
 }
 
 impl Board {
-    /// Notes what an entry tells, and returns the sum of what the others told and where some of
-    /// them are.
+    /// Notes what an entry tells, and returns what the others told.
     pub fn exchange(&self, load: service::Load) -> service::Others {
+        let others = self.others(load.entry);
+        self.note(load);
+        others
+    }
+
+    /// Notes what an entry tells.
+    pub fn note(&self, load: service::Load) {
         let now = Instant::now();
         let mut entries = self.entries.lock();
+        entries.insert(load.entry, Told { at: now, load });
+        if entries.len() > ENTRIES {
+            entries.retain(|_, told| now.duration_since(told.at) <= FRESH);
+        }
+    }
+
+    /// The sum of what others than `entry` told, and where some of them are.
+    pub fn others(&self, entry: u32) -> service::Others {
+        let now = Instant::now();
+        let entries = self.entries.lock();
         let mut sum: HashMap<u16, u16> = HashMap::new();
         let mut peers = Vec::new();
-        for (entry, told) in entries.iter() {
-            if *entry == load.entry || now.duration_since(told.at) > FRESH {
+        for (other, told) in entries.iter() {
+            if *other == entry || now.duration_since(told.at) > FRESH {
                 continue;
             }
             for (upstream, count) in &told.load.calls {
@@ -55,10 +71,6 @@
                 peers.extend(told.load.relay);
             }
         }
-        entries.insert(load.entry, Told { at: now, load });
-        if entries.len() > ENTRIES {
-            entries.retain(|_, told| now.duration_since(told.at) <= FRESH);
-        }
         service::Others {
             calls: sum.into_iter().collect(),
             peers,
--- a/fw-replica/src/client/calls.rs
+++ b/fw-replica/src/client/calls.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -78,50 +79,74 @@
         told.await.unwrap_or(false)
     }
 
-    /// Gives all replicas a bulletin to keep.
-    pub fn post(self: &Arc<Self>, bulletin: &service::Bulletin) {
+    /// Tells all replicas what was read from the platform's store. `whole` has all parts, for one
+    /// that lacks any of them.
+    pub fn post(self: &Arc<Self>, post: &service::Post, whole: &service::Bulletins) {
         let (_, members) = self.members();
         for addr in members {
-            let (client, bulletin) = (Arc::clone(self), bulletin.clone());
+            let (client, post, whole) = (Arc::clone(self), post.clone(), whole.clone());
             tokio::spawn(async move {
-                // One that does not get it gets the next.
-                let _ = client
-                    .links
-                    .call(
-                        addr,
-                        |client, cx| async move { client.post(cx, bulletin).await },
-                    )
-                    .await;
+                let again = service::Post {
+                    changed: whole,
+                    ..post.clone()
+                };
+                if client.call_post(addr, post).await == Some(false) {
+                    // One that does not get it gets the next.
+                    client.call_post(addr, again).await;
+                }
             });
         }
     }
 
-    /// Asks replicas for a bulletin newer than revision `after`, and learns their member list.
-    pub async fn news(&self, after: u64) -> Option<service::Bulletin> {
+    async fn call_post(&self, addr: SocketAddr, post: service::Post) -> Option<bool> {
+        self.links
+            .call(
+                addr,
+                |client, cx| async move { client.post(cx, post).await },
+            )
+            .await
+    }
+
+    /// Waits at the nearest replica until an entry has read the platform's store, up to `wait`.
+    pub async fn await_news(&self, after: service::Marks, wait: Duration) -> Option<service::News> {
+        let (_, members) = self.members();
+        let addr = *members.first()?;
+        self.news_of(addr, after, wait).await
+    }
+
+    /// Asks all replicas at once for what is newer than `after`: one that is down would hold the
+    /// others' answers up. The first that has any tells.
+    pub async fn ask_news(&self, after: service::Marks) -> Option<service::News> {
         let (_, mut asked) = self.members();
         asked.extend(self.seeds.iter().copied());
-        // At once: one that is down would hold the others' answers up.
         let mut answers: FuturesUnordered<_> = asked
             .into_iter()
-            .map(|addr| self.news_of(addr, after))
+            .map(|addr| self.news_of(addr, after, Duration::ZERO))
             .collect();
-        while let Some(bulletin) = answers.next().await {
-            if bulletin.is_some() {
-                return bulletin;
+        let mut any = None;
+        while let Some(news) = answers.next().await {
+            let Some(news) = news else { continue };
+            if news.newer != service::Bulletins::default() {
+                return Some(news);
             }
+            any.get_or_insert(news);
         }
-        None
+        any
     }
 
-    /// The same of one replica.
-    pub async fn news_of(&self, addr: SocketAddr, after: u64) -> Option<service::Bulletin> {
-        let answer = self.links.call(
-            addr,
-            |client, cx| async move { client.news(cx, after).await },
-        );
-        let (bulletin, view) = answer.await?;
-        self.learn(view);
-        bulletin
+    /// The same of one replica, whose member list is learned.
+    pub async fn news_of(
+        &self,
+        addr: SocketAddr,
+        after: service::Marks,
+        wait: Duration,
+    ) -> Option<service::News> {
+        let answer = self.links.call_that_waits(addr, |client, cx| async move {
+            client.news(cx, after, wait).await
+        });
+        let news = answer.await?;
+        self.learn(news.view.clone());
+        Some(news)
     }
 
     /// Whether `addr` is a replica's, so that connections may be passed on to it.
--- a/fw-replica/src/client/vote.rs
+++ b/fw-replica/src/client/vote.rs
@@ -44,7 +44,7 @@
 struct Round {
     votes: tally::Tally<SocketAddr>,
     chain: Option<service::Chain>,
-    /// Other entries' calls under way, as the first replica to answer knows them.
+    /// Other entries' calls under way, as the nearest replica knows them.
     others: Option<service::Others>,
     /// Where turns like this one ran last, as far as any replica knows.
     last: trail::Last,
@@ -171,6 +171,7 @@
                 reserve: reserve.clone(),
                 chain: newest.clone().filter(|_| rank == 0),
                 load: ask.load.clone(),
+                wants_others: rank == 0,
                 lineage: ask.lineage.clone(),
             };
             let client = Arc::clone(self);
@@ -215,7 +216,7 @@
     }
 
     fn count(&self, round: &mut Round, rank: usize, addr: SocketAddr, begun: service::Begun) {
-        round.others.get_or_insert(begun.others);
+        round.others = round.others.take().or(begun.others);
         round.last = round.last.or(begun.last);
         match begun.vote {
             None => {}
--- a/fw-replica/src/journal/mod.rs
+++ b/fw-replica/src/journal/mod.rs
@@ -73,7 +73,8 @@
 struct Standing {
     synced: Option<record::Record>,
     members: Option<record::Record>,
-    bulletin: Option<record::Record>,
+    config: Option<record::Record>,
+    upstreams: Option<record::Record>,
 }
 
 impl Standing {
@@ -81,14 +82,15 @@
         let place = match record {
             record::Record::Synced(_) => &mut self.synced,
             record::Record::Members(_) => &mut self.members,
-            record::Record::Bulletin(_) => &mut self.bulletin,
+            record::Record::Config(_) => &mut self.config,
+            record::Record::Upstreams(_) => &mut self.upstreams,
             record::Record::Turn(_) | record::Record::Charge(_) => return,
         };
         *place = Some(record.clone());
     }
 
     fn records(&self) -> impl Iterator<Item = &record::Record> {
-        let all = [&self.synced, &self.members, &self.bulletin];
+        let all = [&self.synced, &self.members, &self.config, &self.upstreams];
         all.into_iter().flatten()
     }
 }
--- a/fw-replica/src/links.rs
+++ b/fw-replica/src/links.rs
@@ -152,8 +152,7 @@
         }
     }
 
-    /// Makes one call. A connection that fails or goes silent is dropped, so that the next call
-    /// makes a new one: a connection may go silent for good while new ones work.
+    /// Makes one call, and learns from it how quick the replica is.
     pub async fn call<T, F>(
         &self,
         addr: SocketAddr,
@@ -162,8 +161,24 @@
     where
         F: Future<Output = Result<T, tarpc::client::RpcError>>,
     {
-        let link = Arc::clone(self.links.lock().entry(addr).or_default());
         let started = Instant::now();
+        let answer = self.call_that_waits(addr, send).await?;
+        self.answered(addr, started.elapsed());
+        Some(answer)
+    }
+
+    /// Makes one call that the replica may hold for a while. A connection that fails or goes silent
+    /// is dropped, so that the next call makes a new one: a connection may go silent for good while
+    /// new ones work.
+    pub async fn call_that_waits<T, F>(
+        &self,
+        addr: SocketAddr,
+        send: impl FnOnce(service::ReplicaClient, tarpc::context::Context) -> F,
+    ) -> Option<T>
+    where
+        F: Future<Output = Result<T, tarpc::client::RpcError>>,
+    {
+        let link = Arc::clone(self.links.lock().entry(addr).or_default());
         let connected = self.connected(&link, addr).await;
         let Some((client, generation)) = connected else {
             self.failed(addr, "no connection");
@@ -172,10 +187,7 @@
         let mut cx = tarpc::context::current();
         cx.deadline = Instant::now() + ANSWER;
         match tokio::time::timeout(ANSWER, send(client, cx)).await {
-            Ok(Ok(answer)) => {
-                self.answered(addr, started.elapsed());
-                Some(answer)
-            }
+            Ok(Ok(answer)) => Some(answer),
             failed => {
                 let why = match failed {
                     Ok(Err(err)) => err.to_string(),
--- a/fw-replica/src/record.rs
+++ b/fw-replica/src/record.rs
@@ -83,8 +83,10 @@
     /// A member list that the replica has learned, so that it refuses older ones after a restart
     /// too.
     Members(member::View),
-    /// What entries know from the platform's store.
-    Bulletin(service::Bulletin),
+    /// The configuration, as entries know it from the platform's store.
+    Config(service::Bulletin),
+    /// The upstreams, as entries know them.
+    Upstreams(service::Bulletin),
 }
 
 impl Record {
@@ -94,7 +96,7 @@
         match self {
             Self::Turn(turn) => turn.until(),
             Self::Charge(charge) => charge.until(),
-            Self::Synced(_) | Self::Members(_) | Self::Bulletin(_) => 0,
+            Self::Synced(_) | Self::Members(_) | Self::Config(_) | Self::Upstreams(_) => 0,
         }
     }
 }
--- a/fw-replica/src/server.rs
+++ b/fw-replica/src/server.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use futures_util::future::join_all;
 use parking_lot::Mutex;
@@ -25,6 +25,16 @@
     since.unwrap_or(Duration::ZERO).as_millis() as record::UnixMs
 }
 
+/// `read`, unless what is `known` is as new or says the same.
+fn newer(
+    known: Option<&service::Bulletin>,
+    read: Option<service::Bulletin>,
+) -> Option<service::Bulletin> {
+    let read = read?;
+    let is_newer = known.is_none_or(|known| known.as_of < read.as_of);
+    is_newer.then_some(read)
+}
+
 /// A replica's data and the way to its disk.
 #[derive(Debug)]
 pub struct Shared {
@@ -37,6 +47,8 @@
     retire_told: watch::Sender<Vec<record::ReplicaId>>,
     board: board::Board,
     trail: trail::Trail,
+    /// Which entry read the platform's store last, up to which revision, and when it told.
+    reads: watch::Sender<Option<(u32, u64, Instant)>>,
     /// How far each other replica has copied from here.
     readers: Mutex<HashMap<record::ReplicaId, u64>>,
 }
@@ -52,7 +64,7 @@
         opts: journal::Options,
         run: u64,
     ) -> Result<Arc<Self>, journal::Error> {
-        let begun = std::time::Instant::now();
+        let begun = Instant::now();
         let mut records = 0_u64;
         let mut state = state::State::new(run);
         let apply = |record: record::Record, place| {
@@ -83,6 +95,7 @@
             retire_told: watch::Sender::default(),
             board: board::Board::default(),
             trail: trail::Trail::default(),
+            reads: watch::Sender::default(),
             readers: Mutex::default(),
         }))
     }
@@ -170,7 +183,8 @@
             record::Record::Charge(charge) => !self.is_news(charge),
             record::Record::Synced(_)
             | record::Record::Members(_)
-            | record::Record::Bulletin(_) => false,
+            | record::Record::Config(_)
+            | record::Record::Upstreams(_) => false,
         };
         if known {
             return true;
@@ -186,15 +200,47 @@
         true
     }
 
-    /// Keeps `bulletin` unless a newer one, or the same, is known.
-    pub async fn post(&self, bulletin: service::Bulletin) {
-        let known = self.bulletin();
-        let is_news = |known: service::Bulletin| {
-            known.as_of < bulletin.as_of && known.bytes != bulletin.bytes
-        };
-        if known.is_none_or(is_news) {
-            // One that the disk refuses is posted again with the next change.
-            self.write(record::Record::Bulletin(bulletin)).await;
+    /// Keeps `read` unless newer is known.
+    pub async fn keep(&self, read: service::Bulletins) {
+        let known = self.bulletins();
+        // What the disk refuses is missing here, and comes again with the next post.
+        if let Some(config) = newer(known.config.as_ref(), read.config) {
+            self.write(record::Record::Config(config)).await;
+        }
+        if let Some(upstreams) = newer(known.upstreams.as_ref(), read.upstreams) {
+            self.write(record::Record::Upstreams(upstreams)).await;
+        }
+    }
+
+    /// Keeps what an entry has read, unless newer is known; `false` if a part is missing here.
+    pub async fn post(&self, post: service::Post) -> bool {
+        self.keep(post.changed).await;
+        let has = self.bulletins().marks();
+        let is_whole = has.config >= post.marks.config && has.upstreams >= post.marks.upstreams;
+        if is_whole {
+            let last = Some((post.by, post.as_of, Instant::now()));
+            self.reads.send_replace(last);
+        }
+        is_whole
+    }
+
+    /// What is newer than `after`; waits up to `wait` until an entry has read the platform's store.
+    pub async fn news(&self, after: service::Marks, wait: Duration) -> service::News {
+        let mut reads = self.reads.subscribe();
+        if self.bulletins().after(after) == service::Bulletins::default() {
+            // Over without a read, the answer tells how old the last one is.
+            let _ = tokio::time::timeout(wait, reads.changed()).await;
+        }
+        // Taken before the parts, so that these are as new at least.
+        let last = *self.reads.borrow();
+        service::News {
+            newer: self.bulletins().after(after),
+            view: self.view.borrow().clone(),
+            last: last.map(|(by, as_of, at)| service::LastRead {
+                by,
+                as_of,
+                ago: at.elapsed(),
+            }),
         }
     }
 
@@ -213,9 +259,9 @@
         self.state.lock().ledger(program)
     }
 
-    /// The newest bulletin.
-    pub fn bulletin(&self) -> Option<service::Bulletin> {
-        self.state.lock().bulletin().cloned()
+    /// What entries know from the platform's store.
+    pub fn bulletins(&self) -> service::Bulletins {
+        self.state.lock().bulletins().clone()
     }
 
     /// Forgets what has been kept long enough at `now`, and removes the oldest segment of the
@@ -380,7 +426,10 @@
 
 impl service::Replica for Server {
     async fn begin(self, _: tarpc::context::Context, req: service::Begin) -> service::Begun {
-        let others = self.0.board.exchange(req.load);
+        let others = req
+            .wants_others
+            .then(|| self.0.board.others(req.load.entry));
+        self.0.board.note(req.load);
         let last = self.0.trail.last(&req.lineage);
         let chain = req.chain.map(|newest| self.0.read_chain(req.epoch, newest));
         let vote = match req.reserve {
@@ -458,18 +507,17 @@
         self.0.learn(view).await
     }
 
-    async fn post(self, _: tarpc::context::Context, bulletin: service::Bulletin) {
-        self.0.post(bulletin).await;
+    async fn post(self, _: tarpc::context::Context, post: service::Post) -> bool {
+        self.0.post(post).await
     }
 
     async fn news(
         self,
         _: tarpc::context::Context,
-        after: u64,
-    ) -> (Option<service::Bulletin>, member::View) {
-        let known = self.0.bulletin();
-        let newer = known.filter(|bulletin| bulletin.as_of > after);
-        (newer, self.0.view.borrow().clone())
+        after: service::Marks,
+        wait: Duration,
+    ) -> service::News {
+        self.0.news(after, wait).await
     }
 
     async fn ping(self, _: tarpc::context::Context) -> service::Pong {
--- a/fw-replica/src/service.rs
+++ b/fw-replica/src/service.rs
@@ -1,6 +1,7 @@
 //! The messages between entries and replicas, and among replicas.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -18,6 +19,9 @@
     pub chain: Option<record::TurnId>,
     /// The sender's own calls under way.
     pub load: Load,
+    /// Whether the answer is to tell those of the others: half a kilobyte with a hundred entries,
+    /// which one replica tells as well as all of them.
+    pub wants_others: bool,
     /// What the turn's prompt begins like.
     pub lineage: trail::Lineage,
 }
@@ -46,15 +50,87 @@
     pub peers: Vec<SocketAddr>,
 }
 
-/// What entries know from the platform's store, for one that cannot reach it.
+/// A part of what entries know from the platform's store, for those that do not read it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Bulletin {
-    /// Revision of the store that it reflects.
+    /// Revision of the store at which it changed last, as far as its reader knows.
     pub as_of: u64,
     /// The entries' own form.
     pub bytes: Bytes,
 }
 
+/// The parts, each of which changes by itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Bulletins {
+    /// The configuration: large, and changed a few times a minute.
+    pub config: Option<Bulletin>,
+    /// The upstreams: small, and changed more often.
+    pub upstreams: Option<Bulletin>,
+}
+
+impl Bulletins {
+    /// Revisions of the parts.
+    pub fn marks(&self) -> Marks {
+        let of = |part: &Option<Bulletin>| part.as_ref().map_or(0, |part| part.as_of);
+        Marks {
+            config: of(&self.config),
+            upstreams: of(&self.upstreams),
+        }
+    }
+
+    /// The parts that are newer than `marks`.
+    pub fn after(self, marks: Marks) -> Self {
+        Self {
+            config: self.config.filter(|part| part.as_of > marks.config),
+            upstreams: self.upstreams.filter(|part| part.as_of > marks.upstreams),
+        }
+    }
+}
+
+/// Revisions of the parts that somebody has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Marks {
+    /// Of the configuration.
+    pub config: u64,
+    /// Of the upstreams.
+    pub upstreams: u64,
+}
+
+/// An entry has read the platform's store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Post {
+    /// Names the entry.
+    pub by: u32,
+    /// Revision up to which it has read.
+    pub as_of: u64,
+    /// Revisions of what is known now.
+    pub marks: Marks,
+    /// What has changed.
+    pub changed: Bulletins,
+}
+
+/// The last time that an entry read the platform's store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LastRead {
+    /// Names the entry.
+    pub by: u32,
+    /// Revision up to which it read.
+    pub as_of: u64,
+    /// How long ago.
+    pub ago: Duration,
+}
+
+/// What a replica knows of the platform's store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// The parts that are newer than the asker's.
+    pub newer: Bulletins,
+    /// The newest member list.
+    pub view: member::View,
+    /// The last read of which the replica knows all parts. With `newer` the asker knows them too.
+    pub last: Option<LastRead>,
+}
+
 /// A reservation of tokens.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Reserve {
@@ -110,8 +186,8 @@
     pub vote: Option<Vote>,
     /// Of the chain.
     pub chain: Chain,
-    /// Of the other entries.
-    pub others: Others,
+    /// Of the other entries, if wanted.
+    pub others: Option<Others>,
     /// Where turns whose prompts begin like this one's ran last.
     pub last: trail::Last,
 }
@@ -199,10 +275,10 @@
     /// Tells the newest member list known, and which replicas the operator wants emptied; `true`
     /// once the replica refuses older lists, also after a restart.
     async fn tell(view: member::View, retire: Vec<record::ReplicaId>) -> bool;
-    /// Keeps a bulletin unless a newer one is known.
-    async fn post(bulletin: Bulletin);
-    /// The newest bulletin, if it is newer than revision `after`, and the member list.
-    async fn news(after: u64) -> (Option<Bulletin>, member::View);
+    /// Keeps what an entry has read, unless newer is known; `false` if a part is missing here.
+    async fn post(post: Post) -> bool;
+    /// What is newer than `after`. Waits up to `wait` until an entry has read the store.
+    async fn news(after: Marks, wait: Duration) -> News;
     /// Asks how the replica is.
     async fn ping() -> Pong;
     /// Reads turns by their ids; those that are not here are left out.
--- a/fw-replica/src/state.rs
+++ b/fw-replica/src/state.rs
@@ -34,7 +34,7 @@
     dropped: u64,
     synced: bool,
     view: member::View,
-    bulletin: Option<service::Bulletin>,
+    bulletins: service::Bulletins,
     /// Turns that were charged without the charge being on disk, as the disk refused it, and their
     /// programs.
     not_stored: HashMap<record::TurnId, record::ProgramId>,
@@ -51,7 +51,7 @@
             dropped: 0,
             synced: false,
             view: member::View::default(),
-            bulletin: None,
+            bulletins: service::Bulletins::default(),
             not_stored: HashMap::new(),
         }
     }
@@ -68,7 +68,8 @@
             }
             record::Record::Synced(synced) => self.synced = *synced,
             record::Record::Members(view) => self.learn(view),
-            record::Record::Bulletin(bulletin) => self.bulletin = Some(bulletin.clone()),
+            record::Record::Config(config) => self.bulletins.config = Some(config.clone()),
+            record::Record::Upstreams(list) => self.bulletins.upstreams = Some(list.clone()),
         }
     }
 
@@ -179,9 +180,9 @@
         }
     }
 
-    /// The newest bulletin.
-    pub fn bulletin(&self) -> Option<&service::Bulletin> {
-        self.bulletin.as_ref()
+    /// What entries know from the platform's store.
+    pub fn bulletins(&self) -> &service::Bulletins {
+        &self.bulletins
     }
 
     /// The newest member list known.
--- a/fw-replica/src/sync.rs
+++ b/fw-replica/src/sync.rs
@@ -427,9 +427,11 @@
 ) {
     let begun = Instant::now();
     if !shared.is_voting()
-        && let Some(bulletin) = client.news_of(addr, 0).await
+        && let Some(news) = client
+            .news_of(addr, shared.bulletins().marks(), Duration::ZERO)
+            .await
     {
-        shared.post(bulletin).await;
+        shared.keep(news.newer).await;
     }
     if read_to_end(client, shared, me, addr, source)
         .await
--- a/fw-replica/tests/replica/journal_segments.rs
+++ b/fw-replica/tests/replica/journal_segments.rs
@@ -94,7 +94,11 @@
     };
     assert!(replica.learn(view.clone()).await);
     assert!(replica.mark_synced(true).await);
-    replica.post(bulletin.clone()).await;
+    let bulletins = service::Bulletins {
+        config: Some(bulletin.clone()),
+        upstreams: Some(bulletin),
+    };
+    replica.keep(bulletins.clone()).await;
     store_turns(&replica, 0..20, START).await;
     expire(&replica, LATER).await;
     expect_that!(dir.path().join("records-00000001.log").exists(), eq(false));
@@ -102,7 +106,7 @@
     let replica = open(dir.path());
     expect_that!(*replica.view().borrow(), eq(&view));
     expect_that!(replica.is_synced(), eq(true));
-    expect_that!(replica.bulletin(), some(eq(&bulletin)));
+    expect_that!(replica.bulletins(), eq(&bulletins));
 }
 
 #[gtest]
--- a/fw-replica/tests/replica/main.rs
+++ b/fw-replica/tests/replica/main.rs
@@ -13,4 +13,5 @@
 mod list_change;
 mod lost_links;
 mod state_pages;
+mod store_news;
 mod torn_journal;
