--- a/fw-plan/src/reader.rs
+++ b/fw-plan/src/reader.rs
@@ -3,7 +3,7 @@
 //! *Load pattern:* a hundred entries follow one store; each call is paid for, and its rates grow more
 //! slowly than the fleet. An entry that reads dies, freezes, or is alone cut off from the store.
 //!
-//! *Without it:* every entry reads once a second, and the calls grow with the fleet.
+//! *Without it:* every entry reads for itself, and the calls grow with the fleet.
 //!
 //! *Rule:* whoever reads tells all others by way of the replicas, also that nothing has changed. An
 //! entry reads only while what it hears is older than its patience. Each draws its own, so that one
--- a/fw-replica/src/member.rs
+++ b/fw-replica/src/member.rs
@@ -36,8 +36,9 @@
 /// Time by which each replica that stands by lets the one before it go first.
 ///
 /// *Failure:* a cut took a third of the machines, so that nearly every one of thirty that stood by heard
-/// too few members. Each copied all records from all members it reached, for as long as the cut lasted:
-/// 2 GB between data centres in half a minute, beside reservations that went to the same members.
+/// too few members. Each copied all records from all members it reached, for as long as the cut lasted,
+/// and turns waited for the votes of the same members. One after the other, few have begun when a cut
+/// ends; a member that is lost is replaced by the first, which waits for nobody.
 pub const LETS_BY: Duration = Duration::from_secs(2);
 
 /// One member.
--- a/fw-replica/src/service.rs
+++ b/fw-replica/src/service.rs
@@ -19,8 +19,8 @@
     pub chain: Option<record::TurnId>,
     /// The sender's own calls under way.
     pub load: Load,
-    /// Whether the answer is to tell those of the others: half a kilobyte with a hundred entries,
-    /// which one replica tells as well as all of them.
+    /// Whether the answer is to tell those of the others, a number for each upstream: one replica tells
+    /// them as well as all.
     pub wants_others: bool,
     /// What the turn's prompt begins like.
     pub lineage: trail::Lineage,
