--- a/fw-keep/src/keeper/member.rs
+++ b/fw-keep/src/keeper/member.rs
@@ -79,7 +79,7 @@
             _ = lease.changed() => act_at = act_at.min(time::Instant::now() + settle(inner)),
             () = time::sleep_until(act_at) => {
                 let pause = match act(inner, grace).await {
-                    Left::Some => Duration::ZERO,
+                    Left::More => Duration::ZERO,
                     Left::Nothing => inner.opts.ttl / 3,
                 };
                 act_at = time::Instant::now() + pause;
@@ -119,7 +119,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Left {
     /// Some shards are to be taken yet.
-    Some,
+    More,
     /// It waits for news.
     Nothing,
 }
@@ -164,7 +164,7 @@
     tracing::info!(entry = %inner.opts.entry, asked, taken, lost, "shards taken");
     // What others hold is still free in a table that lags; it is not asked for again at once.
     let goes_on = taken > 0 && taken + lost == asked;
-    if goes_on { Left::Some } else { Left::Nothing }
+    if goes_on { Left::More } else { Left::Nothing }
 }
 
 /// The shards to take next out of `free`, those first that calls wait for.
--- a/fw-replica/src/server.rs
+++ b/fw-replica/src/server.rs
@@ -28,7 +28,7 @@
     since.unwrap_or(Duration::ZERO).as_millis() as record::UnixMs
 }
 
-/// `read`, unless what is `known` is as new or says the same.
+/// `read`, unless what is `known` is as new.
 fn newer(
     known: Option<&service::Bulletin>,
     read: Option<service::Bulletin>,
