fw-replica, fw-gate: a changed member list is told at once; a replica leaves once another has its place

Cause, from logs: a member was to be emptied at 6.5 s and left at 7.55 s, when the two others had copied everything. The replica that stood by had not taken its place; one of the two left went down, and no reservation had a majority until 9.8 s. Which of the two comes first is a matter of phases, which one reader for all had shifted. And entries that wait for news were not told of the new list: they asked the machine that was gone, 700 ms a call, until they read the list themselves at 8.46 s.

Change: news is a changed list too, and replicas that do not answer are gone around without a pause; a replica that is to leave waits up to 4 s until enough others are members (member::may_leave). Tests: store_news::a_changed_member_list_is_told_at_once, list_change::leaves_only_once_another_has_its_place.

--- a/fw-gate/src/process/gate.rs
+++ b/fw-gate/src/process/gate.rs
@@ -185,17 +185,19 @@
             if !is_first {
                 news = self.replicas.await_news(marks, snapshot::AWAIT).await;
             }
-            if news.is_none() {
-                let pause = match is_first {
-                    true => snapshot::ASK_FIRST,
-                    false => snapshot::ASK,
-                };
-                tokio::time::sleep(pause).await;
-                news = self.replicas.ask_news(marks).await;
-            }
             if let Some(news) = news {
                 self.hear(news);
+                continue;
+            }
+            // The nearest does not answer, or none is known.
+            if let Some(news) = self.replicas.ask_news(marks).await {
+                self.hear(news);
             }
+            let pause = match is_first {
+                true => snapshot::ASK_FIRST,
+                false => snapshot::ASK,
+            };
+            tokio::time::sleep(pause).await;
         }
     }
 
--- a/fw-replica/src/member.rs
+++ b/fw-replica/src/member.rs
@@ -33,6 +33,20 @@
 /// How long a member must be silent before a replica that stands by takes its place.
 pub const REPLACE_AFTER: Duration = Duration::from_millis(2_500);
 
+/// How long a replica that is to leave waits for another to take its place, if there is none that
+/// stands by: some looks of those that do.
+pub const SUCCESSOR: Duration = Duration::from_secs(4);
+
+/// Whether a replica that has been told to leave for `told` may do so, as far as the number of those
+/// that stay in `list` goes.
+///
+/// *Failure:* it left as soon as the others had copied everything, a moment before one that stood by
+/// took its place. Two of three members were left, the next of them went down, and no turn could begin
+/// until it was back.
+pub fn may_leave(list: &List, told: Duration, faults: usize) -> bool {
+    list.members.len() >= wanted_members(faults) || told >= SUCCESSOR
+}
+
 /// Time by which each replica that stands by lets the one before it go first.
 ///
 /// *Failure:* a cut took a third of the machines, so that nearly every one of thirty that stood by heard
--- a/fw-replica/src/server.rs
+++ b/fw-replica/src/server.rs
@@ -230,12 +230,23 @@
         is_whole
     }
 
-    /// What is newer than `after`; waits up to `wait` until an entry has read the platform's store.
+    /// What is newer than `after`; waits up to `wait` until an entry has read the platform's store, or
+    /// the member list has changed.
+    ///
+    /// *Failure:* a member left, and entries that waited here were not told. They went on to ask it for
+    /// votes after it was gone, for as long as it took until one of them had read the list in the store.
     pub async fn news(&self, after: service::Marks, wait: Duration) -> service::News {
         let mut reads = self.reads.subscribe();
+        let mut view = self.view.subscribe();
         if self.bulletins().after(after) == service::Bulletins::default() {
+            let changed = async {
+                tokio::select! {
+                    _ = reads.changed() => {}
+                    _ = view.changed() => {}
+                }
+            };
             // Over without a read, the answer tells how old the last one is.
-            let _ = tokio::time::timeout(wait, reads.changed()).await;
+            let _ = tokio::time::timeout(wait, changed).await;
         }
         // Taken before the parts, so that these are as new at least.
         let last = *self.reads.borrow();
--- a/fw-replica/src/sync.rs
+++ b/fw-replica/src/sync.rs
@@ -88,6 +88,8 @@
     hurries: bool,
     /// Since when too few members are heard and stay.
     short_since: Option<Instant>,
+    /// When this replica was told to leave.
+    retired: Option<Instant>,
 }
 
 impl Sync {
@@ -111,6 +113,7 @@
             announced: None,
             hurries: false,
             short_since: None,
+            retired: None,
         }
     }
 
@@ -125,6 +128,7 @@
         loop {
             if retire.borrow_and_update().contains(&self.opts.name) && !self.shared.is_retiring() {
                 tracing::info!("to be emptied: nothing new is taken");
+                self.retired = Some(Instant::now());
                 self.shared.retire();
             }
             self.look().await;
@@ -378,10 +382,13 @@
     async fn leave(&mut self, list: member::List) -> Result<(), member::Error> {
         let needed = (self.opts.faults + 1).min(list.members.len());
         let copied = self.shared.copied_by(&list);
-        if copied < needed || list.members.is_empty() {
+        let told = self.retired.map_or(Duration::ZERO, |at| at.elapsed());
+        let is_replaced = member::may_leave(&list, told, self.opts.faults);
+        if copied < needed || list.members.is_empty() || !is_replaced {
             tracing::info!(
                 copied,
                 needed,
+                is_replaced,
                 "others have to copy before this replica leaves"
             );
             return Ok(());
--- a/fw-replica/tests/replica/list_change.rs
+++ b/fw-replica/tests/replica/list_change.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use fw_replica::member::{
-    LETS_BY, List, Member, Next, SILENT_FOR, Situation, needed_sources, spreads,
+    LETS_BY, List, Member, Next, SILENT_FOR, SUCCESSOR, Situation, may_leave, needed_sources,
+    spreads,
 };
 use fw_replica::record::ReplicaId;
 use googletest::prelude::*;
@@ -163,3 +164,13 @@
     case.short_for = LETS_BY * 2;
     expect_that!(case.decide(), matches_pattern!(Next::Change(anything())));
 }
+
+// One of three members is to be taken away. It left when the two others had copied everything, just
+// before a fourth took its place; then one of the two lost its power, and no turn began for two seconds.
+// Without anyone to take its place it leaves all the same, or the machine could never be taken away.
+#[gtest]
+fn leaves_only_once_another_has_its_place() {
+    expect_false!(may_leave(&list(&["a", "b"]), Duration::ZERO, 1));
+    expect_true!(may_leave(&list(&["a", "b", "d"]), Duration::ZERO, 1));
+    expect_true!(may_leave(&list(&["a", "b"]), SUCCESSOR, 1));
+}
--- a/fw-replica/tests/replica/store_news.rs
+++ b/fw-replica/tests/replica/store_news.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use fw_replica::journal;
 use fw_replica::server::Shared;
 use fw_replica::service::{Bulletin, Bulletins, Marks, Post};
+use fw_replica::{journal, member};
 use googletest::prelude::*;
 
 fn part(as_of: u64) -> Option<Bulletin> {
@@ -57,3 +57,28 @@
     expect_that!(news.last.unwrap().as_of, eq(9));
     expect_that!(news.newer, eq(&Bulletins::default()));
 }
+
+// A member leaves, and its machine is taken away. Entries that waited for news at it were not told, and
+// went on to ask it for votes: turns waited for a second. What showed it: `member list` at the replicas,
+// and 0.6 s later `a replica does not answer` at all entries.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_changed_member_list_is_told_at_once() {
+    let dir = tempfile::tempdir().unwrap();
+    let replica = Shared::open(dir.path(), journal::Options::default(), 1).unwrap();
+    let view = member::View {
+        epoch: 7,
+        list: member::List::default(),
+    };
+    let begun = tokio::time::Instant::now();
+    let waits = async {
+        let news = replica
+            .news(Marks::default(), Duration::from_secs(60))
+            .await;
+        (news, begun.elapsed())
+    };
+    let ((news, waited), learned) = tokio::join!(waits, replica.learn(view.clone()));
+    expect_that!(learned, eq(true));
+    expect_that!(news.view, eq(&view));
+    expect_that!(waited, lt(Duration::from_secs(60)));
+}
