--- a/fw-gate/src/process/gate.rs
+++ b/fw-gate/src/process/gate.rs
@@ -167,7 +167,7 @@
             marks: known.marks(),
             changed,
         };
-        self.replicas.post(&post, &known.whole(&config));
+        self.replicas.post(&post, known.whole(config));
     }
 
     /// Waits until this entry has to read the store; returns the revision up to which it knows it.
--- a/fw-gate/src/process/snapshot.rs
+++ b/fw-gate/src/process/snapshot.rs
@@ -8,6 +8,7 @@
 //! them. A configuration never goes back, since an older version is not put in force, and a part is
 //! taken only from a newer revision of the store.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -78,14 +79,17 @@
         changed
     }
 
-    /// All parts, for a replica that lacks some.
-    pub fn whole(&self, config: &config::Config) -> service::Bulletins {
-        service::Bulletins {
-            config: bulletin(self.marks.config, config),
-            upstreams: Some(service::Bulletin {
-                as_of: self.marks.upstreams,
-                bytes: self.upstreams.clone(),
-            }),
+    /// Makes all parts, for a replica that lacks some. Rarely wanted, so the configuration is encoded
+    /// only then.
+    pub fn whole(&self, config: Arc<config::Config>) -> impl Fn() -> service::Bulletins + use<> {
+        let marks = self.marks;
+        let upstreams = service::Bulletin {
+            as_of: marks.upstreams,
+            bytes: self.upstreams.clone(),
+        };
+        move || service::Bulletins {
+            config: bulletin(marks.config, config.as_ref()),
+            upstreams: Some(upstreams.clone()),
         }
     }
 
--- a/fw-gate/tests/gate/first_moments.rs
+++ b/fw-gate/tests/gate/first_moments.rs
@@ -9,7 +9,8 @@
 
 use crate::call_headers;
 
-fn gate() -> Arc<Gate> {
+/// An entry that knows nothing yet.
+pub(crate) fn gate() -> Arc<Gate> {
     Gate::new(gate::Options {
         place: "a".into(),
         faults: 1,
--- a/fw-gate/tests/gate/store_news.rs
+++ b/fw-gate/tests/gate/store_news.rs
@@ -1,29 +1,18 @@
 //! What one entry reads from the platform's store, and the others hear of.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use fw_follow::Step;
 use fw_gate::process::fleet::Want;
-use fw_gate::process::gate::{self, Change, Gate};
+use fw_gate::process::gate::Change;
 use fw_gate::process::snapshot::Known;
 use fw_gate::version::config::Config;
 use fw_replica::{member, service};
 use googletest::prelude::*;
 
-use crate::call_headers;
+use crate::first_moments::gate;
 use crate::upstream_list::listed;
 
-fn gate() -> Arc<Gate> {
-    Gate::new(gate::Options {
-        place: "a".into(),
-        faults: 1,
-        names: call_headers::names(),
-        seeds: Vec::new(),
-        relay: None,
-    })
-}
-
 fn config(version: u64) -> Config {
     Config {
         version,
--- a/fw-plan/src/reader.rs
+++ b/fw-plan/src/reader.rs
@@ -10,8 +10,8 @@
 //! takes over when the reader falls silent, and the others hear of it in time. Of two that read, the one
 //! with the higher number stops.
 //!
-//! *Grounds:* [`Options::patience`] is above the time between two reads, with one of them lost, and well
-//! below the two seconds in which a change has to be in force.
+//! *Grounds:* [`Options::patience`] is above the time between two reads, and well below the
+//! two seconds in which a change has to be in force.
 
 use std::ops::Range;
 use std::time::Duration;
--- a/fw-replica/src/client/calls.rs
+++ b/fw-replica/src/client/calls.rs
@@ -79,18 +79,23 @@
         told.await.unwrap_or(false)
     }
 
-    /// Tells all replicas what was read from the platform's store. `whole` has all parts, for one
+    /// Tells all replicas what was read from the platform's store. `whole` makes all parts, for one
     /// that lacks any of them.
-    pub fn post(self: &Arc<Self>, post: &service::Post, whole: &service::Bulletins) {
+    pub fn post(
+        self: &Arc<Self>,
+        post: &service::Post,
+        whole: impl Fn() -> service::Bulletins + Send + Sync + 'static,
+    ) {
+        let whole = Arc::new(whole);
         let (_, members) = self.members();
         for addr in members {
-            let (client, post, whole) = (Arc::clone(self), post.clone(), whole.clone());
+            let (client, post, whole) = (Arc::clone(self), post.clone(), Arc::clone(&whole));
             tokio::spawn(async move {
-                let again = service::Post {
-                    changed: whole,
-                    ..post.clone()
-                };
-                if client.call_post(addr, post).await == Some(false) {
+                if client.call_post(addr, post.clone()).await == Some(false) {
+                    let again = service::Post {
+                        changed: whole(),
+                        ..post
+                    };
                     // One that does not get it gets the next.
                     client.call_post(addr, again).await;
                 }
--- a/fw-replica/tests/replica/budget_ledger.rs
+++ b/fw-replica/tests/replica/budget_ledger.rs
@@ -35,6 +35,13 @@
     expect_true!(ledger.allows(&"a".into(), 30, 10));
 }
 
+/// Where a record would lie; nothing is read back here.
+const PLACE: journal::Place = journal::Place {
+    segment: 1,
+    at: 0,
+    len: 1,
+};
+
 fn reserve(turn: &str, known: Vec<Line>) -> service::Reserve {
     service::Reserve {
         program: "p".into(),
@@ -76,12 +83,7 @@
     expect_false!(state.is_news(&charge));
     state.not_stored(charge.clone());
     expect_true!(state.is_news(&charge));
-    let place = journal::Place {
-        segment: 1,
-        at: 0,
-        len: 1,
-    };
-    state.apply(&record::Record::Charge(charge.clone()), place);
+    state.apply(&record::Record::Charge(charge.clone()), PLACE);
     expect_false!(state.is_news(&charge));
 }
 
@@ -103,12 +105,7 @@
         settled: false,
         made: 1,
     };
-    let place = journal::Place {
-        segment: 1,
-        at: 0,
-        len: 1,
-    };
-    state.apply(&record::Record::Charge(granted), place);
+    state.apply(&record::Record::Charge(granted), PLACE);
     expect_that!(state.vote(&small, 1), err(len(eq(2))));
 }
 
@@ -124,17 +121,12 @@
         settled: false,
         made: 1,
     };
-    let place = journal::Place {
-        segment: 1,
-        at: 0,
-        len: 1,
-    };
     let mut digests = Vec::new();
     for (first, copied) in [("t1", "t2"), ("t2", "t1")] {
         let mut state = State::new(1);
-        state.apply(&record::Record::Charge(charge(first)), place);
+        state.apply(&record::Record::Charge(charge(first)), PLACE);
         let granted = state.vote(&reserve("t3", Vec::new()), 1).unwrap();
-        state.apply(&record::Record::Charge(charge(copied)), place);
+        state.apply(&record::Record::Charge(charge(copied)), PLACE);
         digests.push(granted.digest);
     }
     expect_that!(digests[0], not(eq(digests[1])));
