--- a/fw-base/src/lib.rs
+++ b/fw-base/src/lib.rs
@@ -9,6 +9,7 @@
 //! ```
 
 pub mod chat;
+pub mod clock;
 pub mod digest;
 pub mod error;
 pub mod id;
