fw-gate, fw-replica, platform: API keys, revocation, turns of teams, quotas at every entry

Change: - The adapter decodes teams; keys become digests there, and nothing of ours holds or tells them. - 401 for no key, an unknown one or a malformed header; the header leaves no entry, and what a caller says of its team is replaced by what its key says. - Each entry proves how old its knowledge is. A read counts from when it was asked; replicas hand out a moment of their clock before each read, and a post counts as asked no later than the moment that it hands back, so that one that was held up looks as old as it is. Beyond nine tenths of the time given for a revocation requests with keys get 503, and the entry is not ready. - Ids of turns, programs and sessions carry their team, with a character between that no header holds. Records on disk keep their form; those without a team stay so. - Requests are taken from their team's account; counts travel with reservations, and by themselves where little is left.

Ruled out: a moment from the post before the read alone. After an outage it was as old as the outage, and entries refused for a second longer than they had to.

--- a/fw-base/src/error.rs
+++ b/fw-base/src/error.rs
@@ -102,6 +102,10 @@
     UnknownTurn => 404, No, false, "unknown_turn";
     /// The body did not arrive in time.
     SlowRequest => 408, No, true, "slow_request";
+    /// The team has used up its quota.
+    QuotaExceeded => 429, No, true, "quota_exceeded";
+    /// What the entry knows of API keys is too old to accept one.
+    StaleKeys => 503, No, true, "stale_keys";
     /// The entry has no configuration yet.
     NotReady => 503, No, true, "not_ready";
     /// Too few replicas answer to say whether the turn may run.
--- a/fw-gate/src/names.rs
+++ b/fw-gate/src/names.rs
@@ -33,6 +33,8 @@
     pub budget: HeaderName,
     /// The turn that this one continues.
     pub previous: HeaderName,
+    /// The team that a request belongs to, towards upstreams.
+    pub team: HeaderName,
     /// The last event that the caller has.
     pub resume_after: HeaderName,
     /// Headers that only the entry may set towards an upstream: from a caller they are dropped.
--- a/fw-gate/src/process/gate.rs
+++ b/fw-gate/src/process/gate.rs
@@ -6,13 +6,13 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use fw_base::{digest, error, id};
-use fw_plan::{poison, retry};
+use fw_base::{clock, digest, error, id};
+use fw_plan::{poison, quota, retry, staleness};
 use fw_replica::{client, member, record, service};
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
-use super::{fleet, reading, snapshot, turns};
+use super::{fleet, quotas, reading, snapshot, turns};
 use crate::names;
 use crate::version::config;
 
@@ -20,6 +20,12 @@
 /// replicas of a system that starts as a whole are back within half a second.
 const START: Duration = Duration::from_millis(600);
 
+/// Pause between two looks at what others have not been told of quotas.
+const TELL: Duration = Duration::from_millis(50);
+
+/// Longest wait for the moments of replicas before a read of the store.
+const MOMENTS: Duration = Duration::from_millis(30);
+
 /// What an entry is told at its start.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -33,6 +39,28 @@
     pub seeds: Vec<SocketAddr>,
     /// Where this entry passes connections of others on to replicas.
     pub relay: Option<SocketAddr>,
+    /// How old the knowledge of keys may be by which one is accepted; `None` if there is no bound.
+    pub keys_stale_after: Option<Duration>,
+    /// How requests are counted for teams' quotas.
+    pub quota: quota::Options,
+}
+
+/// What is in force, and whether it is new enough to accept API keys by it.
+#[derive(Clone, Debug)]
+pub struct InForce {
+    /// The configuration.
+    pub config: Arc<config::Config>,
+    /// Whether keys may be accepted by it.
+    pub keys: staleness::Outcome,
+}
+
+/// A read of the store that is under way.
+#[derive(Clone, Debug, Default)]
+struct Asked {
+    /// When it was asked, since boot.
+    at: Option<Duration>,
+    /// Moments of the replicas before it was.
+    moments: client::Moments,
 }
 
 /// One change that the entry learns of.
@@ -70,17 +98,23 @@
     reading: reading::Reading,
     /// What is passed on by way of the replicas.
     known: Mutex<snapshot::Known>,
+    /// The read of the store that is under way.
+    asked: Mutex<Asked>,
+    /// Up to which moment all changes are known.
+    knowledge: watch::Sender<staleness::Knowledge>,
+    /// What teams may send.
+    pub quotas: Arc<quotas::Quotas>,
 }
 
 impl Gate {
     /// Knows nothing yet.
     pub fn new(opts: Options) -> Arc<Self> {
         let fleet = fleet::Fleet::new(opts.place.clone());
+        let knowledge = staleness::Knowledge::new(opts.keys_stale_after);
         Arc::new(Self {
             reading: reading::Reading::new(fleet.entry()),
             fleet,
             replicas: client::Client::new(opts.faults, opts.seeds.clone()),
-            opts,
             turns: turns::Turns::default(),
             config: watch::Sender::default(),
             poison: Mutex::new(poison::Poison::new(poison::Options::default())),
@@ -88,6 +122,10 @@
             started: Instant::now(),
             stopping: AtomicBool::new(false),
             known: Mutex::default(),
+            asked: Mutex::default(),
+            knowledge: watch::Sender::new(knowledge),
+            quotas: quotas::Quotas::new(opts.quota),
+            opts,
         })
     }
 
@@ -110,6 +148,7 @@
                     "a read of the store is older than what is known"
                 );
                 self.reading.has_read();
+                self.prove();
             }
             fw_follow::Step::Whole {
                 changes,
@@ -155,24 +194,45 @@
         }
     }
 
+    /// All changes are known that the store had acknowledged when it was asked last.
+    fn prove(&self) {
+        if let Some(at) = self.asked.lock().at {
+            self.proven(at);
+        }
+    }
+
+    /// All changes are known that the store had acknowledged at `asked`, since boot.
+    fn proven(&self, asked: Duration) {
+        self.knowledge
+            .send_modify(|knowledge| knowledge.proven(asked));
+    }
+
     /// Tells the replicas that the store was read, and what has changed.
     fn post(&self, as_of: fw_follow::Revision, known: &mut snapshot::Known) {
         let Some(config) = self.config() else { return };
         let upstreams = self.fleet.listing();
         let changed = known.read(as_of, &config, &upstreams);
         self.reading.has_read();
+        self.prove();
         let post = service::Post {
             by: self.fleet.entry(),
             as_of,
+            asked: None,
             marks: known.marks(),
             changed,
         };
-        self.replicas.post(&post, known.whole(config));
+        let moments = self.asked.lock().moments.clone();
+        self.replicas.post(&post, &moments, known.whole(config));
     }
 
     /// Waits until this entry has to read the store; returns the revision up to which it knows it.
     pub async fn turn_to_read(&self) -> fw_follow::Revision {
         self.reading.turn().await;
+        self.replicas.ask_moments(MOMENTS).await;
+        *self.asked.lock() = Asked {
+            at: Some(clock::since_boot()),
+            moments: self.replicas.moments(),
+        };
         self.known.lock().as_of()
     }
 
@@ -180,18 +240,20 @@
     pub async fn hear_others(self: Arc<Self>) {
         loop {
             let marks = self.known.lock().marks();
+            let asked = clock::since_boot();
             let is_first = self.config().is_none();
             let mut news = None;
             if !is_first {
                 news = self.replicas.await_news(marks, snapshot::AWAIT).await;
             }
             if let Some(news) = news {
-                self.hear(news);
+                self.hear(news, asked);
                 continue;
             }
             // The nearest does not answer, or none is known.
+            let asked = clock::since_boot();
             if let Some(news) = self.replicas.ask_news(marks).await {
-                self.hear(news);
+                self.hear(news, asked);
             }
             let pause = match is_first {
                 true => snapshot::ASK_FIRST,
@@ -201,9 +263,30 @@
         }
     }
 
-    /// Takes what a replica tells.
-    pub fn hear(&self, news: service::News) {
-        let last = news.last;
+    /// Tells the replicas for ever what this entry has let through of teams with a quota, where the next
+    /// turn would tell it too late.
+    pub async fn tell_quotas(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(TELL).await;
+            let Some(config) = self.config() else {
+                continue;
+            };
+            let teams = config.teams.as_ref();
+            let due = self.quotas.due(teams.map_or(&[], |teams| teams.all()));
+            let entry = self.fleet.entry();
+            let heard = |spent: &service::Spent, known: &_| self.quotas.heard(&spent.team, known);
+            tokio::join!(
+                self.replicas
+                    .spend(entry, &due.tell, client::Reach::All, heard),
+                self.replicas
+                    .spend(entry, &due.ask, client::Reach::Nearest, heard),
+            );
+        }
+    }
+
+    /// Takes what a replica tells that was asked at `asked`, since boot.
+    pub fn hear(&self, news: service::News, asked: Duration) {
+        let (last, held) = (news.last, news.held);
         let mut known = self.known.lock();
         let told = known.hear(news.newer, last.map_or(0, |last| last.as_of));
         let marks = known.marks();
@@ -217,8 +300,13 @@
             tracing::debug!(listed, as_of = marks.upstreams, ?last, "told by a replica");
             self.fleet.replace(upstreams, true);
         }
-        if let Some(last) = last {
-            self.reading.heard(last.by, last.ago);
+        let Some(last) = last else { return };
+        self.reading.heard(last.by, last.ago);
+        // The answer was made so long after the question, at least.
+        let told = asked + held;
+        let read = last.asked.and_then(|ago| told.checked_sub(ago));
+        if let Some(read) = read.filter(|_| known.is_readable()) {
+            self.proven(read);
         }
     }
 
@@ -261,10 +349,37 @@
         known.ok()?.ok()?.clone()
     }
 
+    /// What is in force, also if it is about to be read, as for [`Self::config_soon`].
+    pub async fn in_force_soon(&self) -> Option<InForce> {
+        self.config_soon().await?;
+        let keys = self.keys_soon().await;
+        // Read after the proof, and so at least as new.
+        let config = self.config()?;
+        Some(InForce { config, keys })
+    }
+
+    /// Whether keys may be accepted. An entry that has just started waits until it has read the store.
+    async fn keys_soon(&self) -> staleness::Outcome {
+        let is_fresh = |knowledge: &staleness::Knowledge| {
+            knowledge.decide(clock::since_boot()) == staleness::Outcome::Fresh
+        };
+        let left = START.saturating_sub(self.now());
+        if !left.is_zero() {
+            let mut knowledge = self.knowledge.subscribe();
+            // Over without news, what is known decides.
+            let _ = tokio::time::timeout(left, knowledge.wait_for(is_fresh)).await;
+        }
+        self.knowledge.borrow().decide(clock::since_boot())
+    }
+
     /// Whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
-        let known = self.config.borrow().is_some() && self.fleet.is_known();
-        known && self.replicas.epoch() > 0 && !self.is_stopping()
+        let config = self.config();
+        let has_teams = config.as_ref().is_some_and(|config| config.teams.is_some());
+        let keys = self.knowledge.borrow().decide(clock::since_boot());
+        let is_fresh = !has_teams || keys == staleness::Outcome::Fresh;
+        let known = config.is_some() && self.fleet.is_known();
+        known && is_fresh && self.replicas.epoch() > 0 && !self.is_stopping()
     }
 
     /// From now on connections are closed with their next answer.
--- a/fw-gate/src/process/mod.rs
+++ b/fw-gate/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod fleet;
 pub mod gate;
+pub mod quotas;
 pub mod reading;
 pub mod serve;
 pub mod snapshot;
--- a/fw-gate/src/process/serve.rs
+++ b/fw-gate/src/process/serve.rs
@@ -80,6 +80,7 @@
         told.apply(step)
     }));
     tasks.spawn(Arc::clone(&gate).hear_others());
+    tasks.spawn(Arc::clone(&gate).tell_quotas());
     tasks.spawn(relay::serve(relayed, Arc::clone(&gate.replicas)));
     let asked = Arc::clone(&gate);
     let path = opts.ready_path;
--- a/fw-gate/src/process/snapshot.rs
+++ b/fw-gate/src/process/snapshot.rs
@@ -43,6 +43,8 @@
     as_of: u64,
     version: Option<config::Version>,
     upstreams: Bytes,
+    /// A configuration was told in a form that cannot be read, and none since that can.
+    is_unreadable: bool,
 }
 
 impl Known {
@@ -56,6 +58,11 @@
         self.as_of
     }
 
+    /// Whether the newest configuration that was told could be read.
+    pub fn is_readable(&self) -> bool {
+        !self.is_unreadable
+    }
+
     /// The store was read, and held this at revision `as_of`. Returns what has changed.
     pub fn read(
         &mut self,
@@ -67,6 +74,7 @@
         let mut changed = service::Bulletins::default();
         if self.version != Some(config.version) {
             self.version = Some(config.version);
+            self.is_unreadable = false;
             self.marks.config = as_of;
             changed.config = bulletin(as_of, config);
         }
@@ -103,6 +111,7 @@
             // One that cannot be read is not asked for again.
             self.marks.config = part.as_of;
             told.config = decode::<config::Config>(&part);
+            self.is_unreadable = told.config.is_none();
             self.version = told.config.as_ref().map(|config| config.version);
         }
         if let Some(part) = upstreams {
--- a/fw-gate/src/request/attempt.rs
+++ b/fw-gate/src/request/attempt.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use super::{call, send};
-use crate::process::{fleet, gate};
+use crate::process::{fleet, gate, quotas};
 use crate::version::config;
 
 /// A request on its way: what every attempt of it needs.
@@ -28,6 +28,10 @@
     pub fingerprint: digest::Digest,
     /// When the caller gives up, or the route does.
     pub until: Instant,
+    /// Its rank; 0 goes first.
+    pub priority: u32,
+    /// What it took of its team's quota, if the team has one.
+    pub credit: Option<&'a quotas::Credit>,
 }
 
 /// Attempts made so far.
@@ -74,8 +78,7 @@
                 Err(err) => return Err(err.after(tries.earlier.take())),
             };
             let (upstream, addr) = (lease.id.clone(), lease.addr);
-            let sent = send::once(&self.gate.opts.names, self.out, lease, self.until).await;
-            let finished = match sent {
+            let finished = match self.send(lease).await {
                 Ok(begun) => finish(begun).await,
                 Err(failed) => Err(failed),
             };
@@ -91,6 +94,25 @@
         }
     }
 
+    /// Sends the request to the upstream of `lease`; an attempt that may have run is paid for.
+    ///
+    /// # Errors
+    ///
+    /// When there is no answer that may be passed on.
+    pub async fn send(&self, lease: fleet::Lease) -> Result<send::Begun, send::Failed> {
+        if let Some(credit) = self.credit {
+            credit.sent();
+        }
+        let sent = send::once(&self.gate.opts.names, self.out, lease, self.until).await;
+        let has_not_run = |failed: &send::Failed| failed.err.ran() == error::Ran::No;
+        if let Some(credit) = self.credit
+            && sent.as_ref().is_err_and(has_not_run)
+        {
+            credit.not_run();
+        }
+        sent
+    }
+
     /// An upstream for the next attempt; that of a stream waits for a free slot.
     ///
     /// # Errors
@@ -114,7 +136,7 @@
             warmth,
             avoid: &tries.avoid,
             hold: hold::Call {
-                priority: self.route.priority,
+                priority: self.priority,
                 left: self.call.program_deadline,
                 begins,
             },
--- a/fw-gate/src/request/call.rs
+++ b/fw-gate/src/request/call.rs
@@ -27,7 +27,11 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Call {
     /// Id of the caller's attempt.
-    pub id: record::TurnId,
+    pub id: SmolStr,
+    /// The team that it belongs to, if callers have teams.
+    pub team: Option<id::TeamId>,
+    /// The turn that it is.
+    pub turn: record::TurnId,
     /// How long the caller waits; `None` if it does not say.
     pub deadline: Option<Duration>,
     /// The program.
@@ -59,6 +63,21 @@
         }
     }
 
+    /// The call as one of `team`: whatever its caller names is the team's own. Two teams may choose the
+    /// same ids, and neither reaches what is the other's.
+    pub fn of_team(self, team: &id::TeamId) -> Self {
+        // No header holds this character, so that ids of two teams never look alike.
+        let own = |id: SmolStr| smol_str::format_smolstr!("{team}\u{b7}{id}");
+        Self {
+            team: Some(team.clone()),
+            turn: own(self.turn),
+            program: self.program.map(own),
+            session: self.session.map(own),
+            previous: self.previous.map(own),
+            ..self
+        }
+    }
+
     /// Decodes `headers`.
     ///
     /// # Errors
@@ -71,7 +90,9 @@
         };
         let (prompt_tokens, most_tokens) = tokens(names, headers)?;
         Ok(Self {
+            turn: id.clone(),
             id,
+            team: None,
             deadline: number(headers, &names.deadline_ms)?.map(Duration::from_millis),
             program: text(headers, &names.program)?,
             session: text(headers, &names.session)?,
--- a/fw-gate/src/request/ingress.rs
+++ b/fw-gate/src/request/ingress.rs
@@ -4,17 +4,19 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use fw_base::{digest, error};
+use fw_base::{digest, error, id};
+use fw_plan::{quota, staleness};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
 use hyper::{HeaderMap, Request, Response, Uri};
 use rand::RngExt;
+use smol_str::SmolStr;
 use tokio::time::Instant;
 
-use super::{answer, attempt, body, call, plain, send, stream};
-use crate::process::gate;
-use crate::version::config;
+use super::{answer, attempt, auth, body, call, plain, send, stream};
+use crate::process::{gate, quotas};
+use crate::version::{config, team};
 
 /// Answers one request. Dropping the future, as when the caller closes its connection, ends
 /// whatever is under way for it.
@@ -71,24 +73,31 @@
     started: Instant,
 ) -> Result<Response<body::Outgoing>, error::Error> {
     let (head, body) = req.into_parts();
-    let config = gate.config_soon().await;
-    let config = config
+    let in_force = gate.in_force_soon().await;
+    let gate::InForce { config, keys } = in_force
         .ok_or_else(|| error::Error::new(error::Kind::NotReady, "no configuration is known yet"))?;
     let host = host(&head.headers, &head.uri);
     let route = config.route(host, head.uri.path()).ok_or_else(|| {
         let message = format!("no route covers `{host}` and `{}`", head.uri.path());
         error::Error::new(error::Kind::UnknownRoute, message)
     })?;
+    let team = team(&config, keys, route, &head.headers)?;
     let names = &gate.opts.names;
-    let call = call::Call::read(names, &head.headers)?;
+    let mut call = call::Call::read(names, &head.headers)?;
+    if let Some(team) = team {
+        call = call.of_team(&team.name);
+    }
+    let credit = take_credit(gate, team, route, &call)?;
     let patience = call.deadline.unwrap_or(route.timeout).min(route.timeout);
     let until = started + patience;
     let input = read(body, config.limits.body_bytes, until).await?;
     let service = route
         .service(rand::rng().random())
         .ok_or_else(|| error::Error::new(error::Kind::NoUpstream, "the route has no service"))?;
-    let out = outbound(gate, &head, &call, input.clone())?;
-    let fingerprint = fingerprint(&head.uri, &input);
+    let out = outbound(gate, &head, &call, config.teams.is_some(), input.clone())?;
+    let fingerprint = fingerprint(call.team.as_ref(), &head.uri, &input);
+    let priority = team.and_then(|team| team.priority);
+    let priority = priority.unwrap_or(route.priority);
     if route.kind == config::Kind::Stream {
         let job = stream::Job {
             gate: Arc::clone(gate),
@@ -100,6 +109,8 @@
             input,
             fingerprint,
             until,
+            priority,
+            credit: credit.map(Arc::new),
         };
         return stream::run(job).await;
     }
@@ -111,10 +122,49 @@
         out: &out,
         fingerprint,
         until,
+        priority,
+        credit: credit.as_ref(),
     };
     plain::run(&job).await
 }
 
+/// The team of a request; `None` if it needs none.
+fn team<'a>(
+    config: &'a config::Config,
+    keys: staleness::Outcome,
+    route: &config::Route,
+    headers: &HeaderMap,
+) -> Result<Option<&'a team::Team>, error::Error> {
+    if let staleness::Outcome::Stale { age } = keys
+        && config.teams.is_some()
+        && !route.is_open
+    {
+        let message = format!("no key is accepted by what was known {age:?} ago");
+        return Err(error::Error::new(error::Kind::StaleKeys, message));
+    }
+    auth::team(config, route, headers).map_err(|refusal| {
+        metrics::counter!("fw_gate_unauthorized_total", "reason" => refusal.label()).increment(1);
+        refusal.into()
+    })
+}
+
+/// Takes the request from its team's quota.
+fn take_credit(
+    gate: &gate::Gate,
+    team: Option<&team::Team>,
+    route: &config::Route,
+    call: &call::Call,
+) -> Result<Option<quotas::Credit>, error::Error> {
+    let Some(team) = team else { return Ok(None) };
+    let is_turn = route.kind == config::Kind::Stream;
+    let begins = is_turn && call.previous.is_none() && gate.fleet.is_new(&call.lineage());
+    let stage = match begins {
+        true => quota::Stage::Begins,
+        false => quota::Stage::GoesOn,
+    };
+    gate.quotas.take(team, stage)
+}
+
 /// The host named by the request, without a port.
 fn host<'a>(headers: &'a HeaderMap, uri: &'a Uri) -> &'a str {
     let named = headers.get(header::HOST);
@@ -149,6 +199,7 @@
     gate: &gate::Gate,
     head: &hyper::http::request::Parts,
     call: &call::Call,
+    has_teams: bool,
     body: Bytes,
 ) -> Result<send::Outbound, error::Error> {
     let names = &gate.opts.names;
@@ -161,6 +212,14 @@
     for name in &names.reserved {
         headers.remove(name);
     }
+    if has_teams {
+        headers.remove(header::AUTHORIZATION);
+        headers.remove(&names.team);
+    }
+    if let Some(team) = &call.team {
+        let team = HeaderValue::from_bytes(team.as_bytes()).map_err(|_| bad("team name"))?;
+        headers.insert(names.team.clone(), team);
+    }
     if !headers.contains_key(header::HOST)
         && let Some(host) = head.uri.authority()
         && let Ok(host) = HeaderValue::from_str(host.as_str())
@@ -177,8 +236,11 @@
 }
 
 /// What requests that are sent again have in common.
-fn fingerprint(uri: &Uri, body: &Bytes) -> digest::Digest {
-    let mut bytes = Vec::with_capacity(uri.path().len() + 1 + body.len());
+fn fingerprint(team: Option<&id::TeamId>, uri: &Uri, body: &Bytes) -> digest::Digest {
+    let team = team.map_or("", SmolStr::as_str);
+    let mut bytes = Vec::with_capacity(team.len() + 1 + uri.path().len() + 1 + body.len());
+    bytes.extend_from_slice(team.as_bytes());
+    bytes.push(0);
     bytes.extend_from_slice(uri.path().as_bytes());
     bytes.push(0);
     bytes.extend_from_slice(body);
--- a/fw-gate/src/request/mod.rs
+++ b/fw-gate/src/request/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod answer;
 pub mod attempt;
+pub mod auth;
 pub mod body;
 pub mod call;
 pub mod events;
--- a/fw-gate/src/request/stream.rs
+++ b/fw-gate/src/request/stream.rs
@@ -16,7 +16,7 @@
 
 use super::ingress::ms;
 use super::{attempt, body, call, events, plain, send, turn};
-use crate::process::gate;
+use crate::process::{gate, quotas};
 use crate::version::config;
 
 /// How often a broken stream goes on elsewhere.
@@ -45,6 +45,10 @@
     pub fingerprint: digest::Digest,
     /// When the caller gives up, or the route does.
     pub until: Instant,
+    /// Its rank; 0 goes first.
+    pub priority: u32,
+    /// What it took of its team's quota, if the team has one.
+    pub credit: Option<Arc<quotas::Credit>>,
 }
 
 impl Job {
@@ -57,6 +61,8 @@
             out: &self.out,
             fingerprint: self.fingerprint,
             until: self.until,
+            priority: self.priority,
+            credit: self.credit.as_deref(),
         }
     }
 }
@@ -214,7 +220,8 @@
             program_left_ms = ms(self.job.call.program_deadline),
             prompt = self.job.call.prompt_tokens,
             most = self.job.call.most_tokens,
-            priority = self.job.route.priority,
+            team = self.job.call.team.as_deref(),
+            priority = self.job.priority,
             upstream = %last_upstream,
             own = why.own,
             others = why.others,
@@ -341,7 +348,8 @@
             };
             let id = lease.id.clone();
             tracing::info!(request = %self.job.call.id, upstream = %id, after = ?self.last, "stream goes on");
-            match send::once(names, &self.job.out, lease, self.job.until).await {
+            let attempt = self.job.attempt();
+            match attempt.send(lease).await {
                 Ok(begun) if begun.head.status.is_success() => return Some(begun),
                 Ok(_) => avoid.push(id),
                 Err(failed) => {
@@ -359,7 +367,7 @@
         let job = &self.job;
         job.gate.survived(&job.fingerprint);
         let record = job.route.keep_turns.map(|keep| record::Turn {
-            id: job.call.id.clone(),
+            id: job.call.turn.clone(),
             parent: job.call.previous.clone(),
             input: job.input.clone(),
             output: std::mem::take(&mut self.output).freeze(),
--- a/fw-gate/src/request/turn.rs
+++ b/fw-gate/src/request/turn.rs
@@ -134,7 +134,7 @@
     let rest = if reserve.is_none() && seen.missing.is_none() {
         Vec::new()
     } else {
-        ask(gate, reserve, seen.missing, &turn.lineage, until).await?
+        ask(gate, call, reserve, seen.missing, until).await?
     };
     let rest: Vec<_> = rest.into_iter().map(Arc::new).collect();
     for record in &rest {
@@ -149,11 +149,12 @@
 
 async fn ask(
     gate: &Arc<gate::Gate>,
+    call: &call::Call,
     reserve: Option<service::Reserve>,
     newest: Option<record::TurnId>,
-    lineage: &trail::Lineage,
     until: Instant,
 ) -> Result<Vec<record::Turn>, error::Error> {
+    let lineage = call.lineage();
     let patience = until.min(Instant::now() + PATIENCE);
     loop {
         let load = service::Load {
@@ -165,10 +166,14 @@
             newest: newest.clone(),
             load,
             lineage: lineage.clone(),
+            spent: call.team.as_ref().and_then(|team| gate.quotas.spent(team)),
         };
-        let tell = |others: &[(u16, u16)], last| {
-            gate.fleet.told_others(others);
-            gate.fleet.told_last(lineage, last);
+        let tell = |told: client::Told<'_>| {
+            gate.fleet.told_others(told.calls);
+            gate.fleet.told_last(&lineage, told.last);
+            if let (Some(team), Some(spent)) = (&call.team, &told.spent) {
+                gate.quotas.heard(team, spent);
+            }
         };
         let err = match gate.replicas.begin(ask, tell).await {
             Ok(chain) => return Ok(chain),
@@ -189,7 +194,7 @@
 fn reserve(call: &call::Call) -> Option<service::Reserve> {
     Some(service::Reserve {
         program: call.program.clone()?,
-        turn: call.id.clone(),
+        turn: call.turn.clone(),
         tokens: call.most_tokens,
         budget: call.budget?,
         known: Vec::new(),
--- a/fw-gate/src/version/config.rs
+++ b/fw-gate/src/version/config.rs
@@ -7,6 +7,8 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use super::team;
+
 /// Number of a configuration; grows in uneven steps.
 pub type Version = u64;
 
@@ -47,6 +49,8 @@
     pub sticky: bool,
     /// Whether a broken stream may go on at another upstream.
     pub resumable: bool,
+    /// Whether requests need no API key.
+    pub is_open: bool,
 }
 
 impl Default for Route {
@@ -63,6 +67,7 @@
             keep_turns: None,
             sticky: false,
             resumable: false,
+            is_open: false,
         }
     }
 }
@@ -142,6 +147,8 @@
     pub services: HashMap<id::ServiceId, Service>,
     /// Bounds on what callers send.
     pub limits: Limits,
+    /// The teams; `None` where requests need no API key.
+    pub teams: Option<team::Teams>,
 }
 
 impl Config {
--- a/fw-gate/src/version/mod.rs
+++ b/fw-gate/src/version/mod.rs
@@ -1,3 +1,4 @@
 //! What lives as long as a version of the operators' configuration.
 
 pub mod config;
+pub mod team;
--- a/fw-gate/tests/gate/call_headers.rs
+++ b/fw-gate/tests/gate/call_headers.rs
@@ -22,6 +22,7 @@
         program_deadline_ms: header("program-deadline"),
         budget: header("budget"),
         previous: header("previous"),
+        team: header("team"),
         resume_after: header("resume-after"),
         reserved: Vec::new(),
     }
--- a/fw-gate/tests/gate/first_moments.rs
+++ b/fw-gate/tests/gate/first_moments.rs
@@ -5,6 +5,7 @@
 
 use fw_gate::process::gate::{self, Gate};
 use fw_gate::version::config::Config;
+use fw_plan::quota;
 use googletest::prelude::*;
 
 use crate::call_headers;
@@ -17,6 +18,8 @@
         names: call_headers::names(),
         seeds: Vec::new(),
         relay: None,
+        keys_stale_after: None,
+        quota: quota::Options::default(),
     })
 }
 
--- a/fw-gate/tests/gate/main.rs
+++ b/fw-gate/tests/gate/main.rs
@@ -1,6 +1,7 @@
 //! The entry's parts that need no network.
 #![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+mod api_keys;
 mod call_headers;
 mod event_split;
 mod first_moments;
--- a/fw-gate/tests/gate/store_news.rs
+++ b/fw-gate/tests/gate/store_news.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use fw_base::clock;
 use fw_follow::Step;
 use fw_gate::process::fleet::Want;
 use fw_gate::process::gate::Change;
@@ -32,10 +33,12 @@
     service::News {
         newer,
         view: member::View::default(),
+        held: Duration::ZERO,
         last: Some(service::LastRead {
             by: 1,
             as_of,
             ago: Duration::ZERO,
+            asked: None,
         }),
     }
 }
@@ -57,7 +60,7 @@
         ..listed("x")
     };
     let newer = other.read(5, &config(2), &[leaving]);
-    gate.hear(news(newer, 5));
+    gate.hear(news(newer, 5), clock::since_boot());
     gate.apply(read(4, vec![Change::Upstream(listed("x"))]));
     let chosen = gate.fleet.choose(&"s".into(), &Want::default());
     expect_that!(chosen.is_err(), eq(true));
@@ -69,7 +72,8 @@
 async fn a_later_read_counts_again() {
     let gate = gate();
     let mut other = Known::default();
-    gate.hear(news(other.read(5, &config(2), &[listed("x")]), 5));
+    let newer = other.read(5, &config(2), &[listed("x")]);
+    gate.hear(news(newer, 5), clock::since_boot());
     gate.apply(read(6, vec![Change::UpstreamGone("x".into())]));
     let chosen = gate.fleet.choose(&"s".into(), &Want::default());
     expect_that!(chosen.is_err(), eq(true));
--- a/fw-replica/src/board.rs
+++ b/fw-replica/src/board.rs
@@ -74,6 +74,7 @@
         service::Others {
             calls: sum.into_iter().collect(),
             peers,
+            spent: None,
         }
     }
 }
--- a/fw-replica/src/client/calls.rs
+++ b/fw-replica/src/client/calls.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use futures_util::StreamExt;
+use futures_util::future::join_all;
 use futures_util::stream::FuturesUnordered;
+use fw_plan::quota;
 
 use super::Client;
 use crate::{ledger, member, record, service};
@@ -79,17 +81,22 @@
         told.await.unwrap_or(false)
     }
 
-    /// Tells all replicas what was read from the platform's store. `whole` makes all parts, for one
-    /// that lacks any of them.
+    /// Tells all replicas what was read from the platform's store, which was asked after `moments`.
+    /// `whole` makes all parts, for one that lacks any of them.
     pub fn post(
         self: &Arc<Self>,
         post: &service::Post,
+        moments: &super::Moments,
         whole: impl Fn() -> service::Bulletins + Send + Sync + 'static,
     ) {
         let whole = Arc::new(whole);
         let (_, members) = self.members();
         for addr in members {
-            let (client, post, whole) = (Arc::clone(self), post.clone(), Arc::clone(&whole));
+            let (client, whole) = (Arc::clone(self), Arc::clone(&whole));
+            let post = service::Post {
+                asked: moments.get(&addr).copied(),
+                ..post.clone()
+            };
             tokio::spawn(async move {
                 if client.call_post(addr, post.clone()).await == Some(false) {
                     let again = service::Post {
@@ -103,12 +110,71 @@
         }
     }
 
+    /// Tells one replica; whether it has all parts then.
     async fn call_post(&self, addr: SocketAddr, post: service::Post) -> Option<bool> {
+        let posted = self.links.call(
+            addr,
+            |client, cx| async move { client.post(cx, post).await },
+        );
+        let posted = posted.await?;
+        self.moments.lock().insert(addr, posted.now);
+        Some(posted.is_whole)
+    }
+
+    /// Learns the present moment of each replica that tells it within `wait`.
+    pub async fn ask_moments(&self, wait: Duration) {
+        let (_, members) = self.members();
+        let asked = members.into_iter().map(|addr| async move {
+            let moment = self
+                .links
+                .call(addr, |client, cx| async move { client.moment(cx).await });
+            if let Some(moment) = moment.await {
+                self.moments.lock().insert(addr, moment);
+            }
+        });
+        // Of those that are late, what they told before counts.
+        let _ = tokio::time::timeout(wait, join_all(asked)).await;
+    }
+
+    /// Tells replicas what `entry` has let through of some teams; `heard` is told what each knows of all
+    /// entries.
+    pub async fn spend(
+        self: &Arc<Self>,
+        entry: u32,
+        spent: &[service::Spent],
+        reach: super::Reach,
+        heard: impl Fn(&service::Spent, &quota::Heard),
+    ) {
+        if spent.is_empty() {
+            return;
+        }
+        let (_, members) = self.members();
+        let asked = match reach {
+            super::Reach::All => members.len(),
+            super::Reach::Nearest => 1,
+        };
+        let mut answers: FuturesUnordered<_> = members
+            .into_iter()
+            .take(asked)
+            .map(|addr| self.call_spend(addr, entry, spent.to_vec()))
+            .collect();
+        while let Some(answer) = answers.next().await {
+            for (spent, known) in spent.iter().zip(answer.unwrap_or_default()) {
+                heard(spent, &known);
+            }
+        }
+    }
+
+    async fn call_spend(
+        &self,
+        addr: SocketAddr,
+        entry: u32,
+        spent: Vec<service::Spent>,
+    ) -> Option<Vec<quota::Heard>> {
         self.links
-            .call(
-                addr,
-                |client, cx| async move { client.post(cx, post).await },
-            )
+            .call(addr, |client, cx| async move {
+                client.spend(cx, entry, spent).await
+            })
             .await
     }
 
--- a/fw-replica/src/client/mod.rs
+++ b/fw-replica/src/client/mod.rs
@@ -3,10 +3,12 @@
 //! [`Client`] knows the members; its calls stand by what they are for: reserving tokens by a vote,
 //! reading chains, storing what came of a turn, and the single calls to one replica.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use fw_plan::quota;
 use parking_lot::Mutex;
 use snafu::Snafu;
 
@@ -67,8 +69,33 @@
     pub load: service::Load,
     /// What the turn's prompt begins like.
     pub lineage: trail::Lineage,
+    /// What the sender has let through of the turn's team.
+    pub spent: Option<service::Spent>,
 }
 
+/// What the replicas tell of others with a turn that begins.
+#[derive(Clone, Copy, Debug)]
+pub struct Told<'a> {
+    /// Others' calls under way, by the short hash of the upstream's id.
+    pub calls: &'a [(u16, u16)],
+    /// Where turns like this one ran last.
+    pub last: trail::Last,
+    /// Requests of the turn's team that others have let through.
+    pub spent: Option<quota::Heard>,
+}
+
+/// Which replicas a call goes to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    /// All members.
+    All,
+    /// The one that answers soonest.
+    Nearest,
+}
+
+/// Moments of replicas, by their addresses.
+pub type Moments = HashMap<SocketAddr, service::Moment>;
+
 /// The replicas, as an entry or another replica sees them.
 #[derive(Debug)]
 pub struct Client {
@@ -79,6 +106,8 @@
     retire: Mutex<Vec<record::ReplicaId>>,
     /// Where replicas may be found while no member list is known.
     seeds: Vec<SocketAddr>,
+    /// The last moment that each replica told.
+    moments: Mutex<Moments>,
 }
 
 impl Client {
@@ -91,6 +120,7 @@
             links: links::Links::default(),
             retire: Mutex::default(),
             seeds,
+            moments: Mutex::default(),
         })
     }
 
@@ -101,7 +131,9 @@
             return false;
         }
         tracing::info!(epoch = view.epoch, members = ?view.list.members, "member list");
-        self.links.set_members(view.list.addrs().collect());
+        let members: Vec<_> = view.list.addrs().collect();
+        self.moments.lock().retain(|addr, _| members.contains(addr));
+        self.links.set_members(members);
         *known = view;
         true
     }
@@ -139,6 +171,11 @@
         }
     }
 
+    /// The last moment that each replica told: what is asked from now on is asked after it.
+    pub fn moments(&self) -> Moments {
+        self.moments.lock().clone()
+    }
+
     /// Epoch of the member list; 0 if none is known.
     pub fn epoch(&self) -> member::Epoch {
         self.view.lock().epoch
--- a/fw-replica/src/client/vote.rs
+++ b/fw-replica/src/client/vote.rs
@@ -8,7 +8,7 @@
 use futures_util::future::join_all;
 use futures_util::stream::FuturesUnordered;
 
-use super::{Ask, Client, Error};
+use super::{Ask, Client, Error, Told};
 use crate::{member, record, service, tally, trail};
 
 /// Longest wait for the chain from the one member asked for it, once the votes are in. It takes up
@@ -66,11 +66,11 @@
     /// [`Error::Spent`] and [`Error::UnknownTurn`] are certain; after [`Error::Unsure`] the turn
     /// may be tried again. After each of them the reservation should be taken back.
     ///
-    /// `tell` hears of the other entries' calls, and where turns like this one ran last.
+    /// `tell` hears of the other entries, and where turns like this one ran last.
     pub async fn begin(
         self: &Arc<Self>,
         mut ask: Ask,
-        tell: impl Fn(&[(u16, u16)], trail::Last),
+        tell: impl Fn(Told<'_>),
     ) -> Result<Vec<record::Turn>, Error> {
         let (mut epoch, mut members) = self.members();
         let mut round = self.ask(epoch, &members, &ask).await;
@@ -79,7 +79,11 @@
             round = self.ask(epoch, &members, &ask).await;
         }
         if let Some(others) = &round.others {
-            tell(&others.calls, round.last);
+            tell(Told {
+                calls: &others.calls,
+                last: round.last,
+                spent: others.spent,
+            });
             self.links.learn_peers(&others.peers);
         }
         if let Some(reserve) = &ask.reserve {
@@ -173,6 +177,7 @@
                 load: ask.load.clone(),
                 wants_others: rank == 0,
                 lineage: ask.lineage.clone(),
+                spent: ask.spent.clone(),
             };
             let client = Arc::clone(self);
             // On tasks of their own, so that those beyond the quorum are sent as well.
--- a/fw-replica/src/lib.rs
+++ b/fw-replica/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod serve;
 pub mod server;
 pub mod service;
+pub mod spending;
 pub mod state;
 pub mod sync;
 pub mod tally;
--- a/fw-replica/src/serve.rs
+++ b/fw-replica/src/serve.rs
@@ -12,6 +12,7 @@
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
+use xxhash_rust::xxh3;
 
 use crate::service::Replica;
 use crate::{codec, journal, member, server, sync};
@@ -62,7 +63,9 @@
     registry: member::SharedRegistry,
     stop: impl Future<Output = ()>,
 ) -> Result<(), Error> {
-    let run = u64::from(std::process::id()) ^ server::unix_ms().rotate_left(20);
+    // Replicas that start together may have the same process id, each on its own machine.
+    let name = xxh3::xxh3_64(opts.sync.name.as_bytes());
+    let run = name ^ u64::from(std::process::id()) ^ server::unix_ms().rotate_left(20);
     let shared = server::Shared::open(&opts.dir, journal::Options::default(), run)?;
     tracing::info!(
         replica = %opts.sync.name,
--- a/fw-replica/src/server.rs
+++ b/fw-replica/src/server.rs
@@ -6,10 +6,12 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use futures_util::future::join_all;
+use fw_base::clock;
+use fw_plan::quota;
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
-use crate::{board, journal, ledger, member, record, service, state, trail, writer};
+use crate::{board, journal, ledger, member, record, service, spending, state, trail, writer};
 
 /// Most turns of a chain in one answer. Longer chains are read in several.
 const CHAIN: usize = 256;
@@ -38,6 +40,19 @@
     is_newer.then_some(read)
 }
 
+/// The last read of the platform's store that an entry told of.
+#[derive(Clone, Copy, Debug)]
+struct LastRead {
+    /// Who read.
+    by: u32,
+    /// Up to which revision all is known here.
+    as_of: u64,
+    /// When it told.
+    at: Instant,
+    /// All that the store had acknowledged at this time since boot is known here, if that is proven.
+    asked: Option<Duration>,
+}
+
 /// A replica's data and the way to its disk.
 #[derive(Debug)]
 pub struct Shared {
@@ -50,8 +65,11 @@
     retire_told: watch::Sender<Vec<record::ReplicaId>>,
     board: board::Board,
     trail: trail::Trail,
-    /// Which entry read the platform's store last, up to which revision, and when it told.
-    reads: watch::Sender<Option<(u32, u64, Instant)>>,
+    spending: spending::Spending,
+    /// The last read of the platform's store that an entry told of.
+    reads: watch::Sender<Option<LastRead>>,
+    /// Names this start of the replica.
+    run: u64,
     /// Replicas that stand by, and when they asked last.
     standbys: Mutex<BTreeMap<record::ReplicaId, Instant>>,
     /// How far each other replica has copied from here.
@@ -100,6 +118,8 @@
             retire_told: watch::Sender::default(),
             board: board::Board::default(),
             trail: trail::Trail::default(),
+            spending: spending::Spending::default(),
+            run,
             reads: watch::Sender::default(),
             standbys: Mutex::default(),
             readers: Mutex::default(),
@@ -218,16 +238,40 @@
         }
     }
 
-    /// Keeps what an entry has read, unless newer is known; `false` if a part is missing here.
-    pub async fn post(&self, post: service::Post) -> bool {
+    /// Keeps what an entry has read, unless newer is known.
+    ///
+    /// *Failure:* a post was held up by a cut for seconds, and what it told counted as new when it
+    /// came: a key that had been taken away meanwhile was accepted. So a read counts as asked no later
+    /// than the last moment of this replica that its reader had been told before.
+    pub async fn post(&self, post: service::Post) -> service::Posted {
         self.keep(post.changed).await;
         let has = self.bulletins().marks();
         let is_whole = has.config >= post.marks.config && has.upstreams >= post.marks.upstreams;
         if is_whole {
-            let last = Some((post.by, post.as_of, Instant::now()));
-            self.reads.send_replace(last);
+            let asked = post.asked.filter(|asked| asked.run == self.run);
+            let asked = asked.map(|asked| asked.at);
+            self.reads.send_modify(|last| {
+                let (as_of, known) = last.map_or((0, None), |last| (last.as_of, last.asked));
+                *last = Some(LastRead {
+                    by: post.by,
+                    as_of: post.as_of.max(as_of),
+                    at: Instant::now(),
+                    asked: asked.max(known),
+                });
+            });
+        }
+        service::Posted {
+            is_whole,
+            now: self.moment(),
+        }
+    }
+
+    /// The present moment, for others to hand back.
+    fn moment(&self) -> service::Moment {
+        service::Moment {
+            run: self.run,
+            at: clock::since_boot(),
         }
-        is_whole
     }
 
     /// What is newer than `after`; waits up to `wait` until an entry has read the platform's store, or
@@ -236,6 +280,7 @@
     /// *Failure:* a member left, and entries that waited here were not told. They went on to ask it for
     /// votes after it was gone, for as long as it took until one of them had read the list in the store.
     pub async fn news(&self, after: service::Marks, wait: Duration) -> service::News {
+        let begun = Instant::now();
         let mut reads = self.reads.subscribe();
         let mut view = self.view.subscribe();
         if self.bulletins().after(after) == service::Bulletins::default() {
@@ -253,10 +298,14 @@
         service::News {
             newer: self.bulletins().after(after),
             view: self.view.borrow().clone(),
-            last: last.map(|(by, as_of, at)| service::LastRead {
-                by,
-                as_of,
-                ago: at.elapsed(),
+            held: begun.elapsed(),
+            last: last.map(|last| service::LastRead {
+                by: last.by,
+                as_of: last.as_of,
+                ago: last.at.elapsed(),
+                asked: last
+                    .asked
+                    .map(|asked| clock::since_boot().saturating_sub(asked)),
             }),
         }
     }
@@ -452,9 +501,14 @@
 
 impl service::Replica for Server {
     async fn begin(self, _: tarpc::context::Context, req: service::Begin) -> service::Begun {
-        let others = req
-            .wants_others
-            .then(|| self.0.board.others(req.load.entry));
+        let entry = req.load.entry;
+        let spent = req
+            .spent
+            .map(|spent| self.0.spending.exchange(entry, &spent));
+        let others = req.wants_others.then(|| service::Others {
+            spent,
+            ..self.0.board.others(req.load.entry)
+        });
         self.0.board.note(req.load);
         let last = self.0.trail.last(&req.lineage);
         let chain = req.chain.map(|newest| self.0.read_chain(req.epoch, newest));
@@ -533,10 +587,21 @@
         self.0.learn(view).await
     }
 
-    async fn post(self, _: tarpc::context::Context, post: service::Post) -> bool {
+    async fn post(self, _: tarpc::context::Context, post: service::Post) -> service::Posted {
         self.0.post(post).await
     }
 
+    async fn spend(
+        self,
+        _: tarpc::context::Context,
+        entry: u32,
+        spent: Vec<service::Spent>,
+    ) -> Vec<quota::Heard> {
+        let spent = spent.iter();
+        let told = spent.map(|spent| self.0.spending.exchange(entry, spent));
+        told.collect()
+    }
+
     async fn news(
         self,
         _: tarpc::context::Context,
@@ -546,6 +611,10 @@
         self.0.news(after, wait).await
     }
 
+    async fn moment(self, _: tarpc::context::Context) -> service::Moment {
+        self.0.moment()
+    }
+
     async fn ping(
         self,
         _: tarpc::context::Context,
--- a/fw-replica/src/service.rs
+++ b/fw-replica/src/service.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use fw_base::id;
+use fw_plan::quota;
 use serde::{Deserialize, Serialize};
 
 use crate::{ledger, member, record, trail};
@@ -24,6 +26,17 @@
     pub wants_others: bool,
     /// What the turn's prompt begins like.
     pub lineage: trail::Lineage,
+    /// What the sender has let through of the turn's team.
+    pub spent: Option<Spent>,
+}
+
+/// Requests of a team that an entry has let through.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Spent {
+    /// The team.
+    pub team: id::TeamId,
+    /// Their counts.
+    pub told: quota::Told,
 }
 
 /// One entry's calls under way, by upstream.
@@ -48,6 +61,8 @@
     pub calls: Vec<(u16, u16)>,
     /// Where some of them pass connections on to replicas.
     pub peers: Vec<SocketAddr>,
+    /// Requests of the team named, if any was.
+    pub spent: Option<quota::Heard>,
 }
 
 /// A part of what entries know from the platform's store, for those that do not read it.
@@ -103,12 +118,32 @@
     pub by: u32,
     /// Revision up to which it has read.
     pub as_of: u64,
+    /// A moment of the receiver before which the read was not asked, if the sender knows one.
+    pub asked: Option<Moment>,
     /// Revisions of what is known now.
     pub marks: Marks,
     /// What has changed.
     pub changed: Bulletins,
 }
 
+/// A moment by the clock of a replica, which the receiver only hands back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Moment {
+    /// Names the start of the replica.
+    pub run: u64,
+    /// Time since the boot of its machine.
+    pub at: Duration,
+}
+
+/// Answer to [`Post`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Posted {
+    /// Whether no part is missing here.
+    pub is_whole: bool,
+    /// When it was answered.
+    pub now: Moment,
+}
+
 /// The last time that an entry read the platform's store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LastRead {
@@ -116,8 +151,11 @@
     pub by: u32,
     /// Revision up to which it read.
     pub as_of: u64,
-    /// How long ago.
+    /// How long ago it told so.
     pub ago: Duration,
+    /// How long ago the read was asked at most; `None` if that is not proven. A post that was held up
+    /// on its way looks new.
+    pub asked: Option<Duration>,
 }
 
 /// What a replica knows of the platform's store.
@@ -127,6 +165,8 @@
     pub newer: Bulletins,
     /// The newest member list.
     pub view: member::View,
+    /// How long the answer was held back.
+    pub held: Duration,
     /// The last read of which the replica knows all parts. With `newer` the asker knows them too.
     pub last: Option<LastRead>,
 }
@@ -277,10 +317,14 @@
     /// Tells the newest member list known, and which replicas the operator wants emptied; `true`
     /// once the replica refuses older lists, also after a restart.
     async fn tell(view: member::View, retire: Vec<record::ReplicaId>) -> bool;
-    /// Keeps what an entry has read, unless newer is known; `false` if a part is missing here.
-    async fn post(post: Post) -> bool;
+    /// Keeps what an entry has read, unless newer is known.
+    async fn post(post: Post) -> Posted;
+    /// Counts what an entry has let through of some teams; returns what is known of each.
+    async fn spend(entry: u32, spent: Vec<Spent>) -> Vec<quota::Heard>;
     /// What is newer than `after`. Waits up to `wait` until an entry has read the store.
     async fn news(after: Marks, wait: Duration) -> News;
+    /// Tells the present moment.
+    async fn moment() -> Moment;
     /// Asks how the replica is; `standby` names the asker if it stands by.
     async fn ping(standby: Option<record::ReplicaId>) -> Pong;
     /// Reads turns by their ids; those that are not here are left out.
--- /dev/null
+++ b/fw-replica/src/spending.rs
@@ -0,0 +1,37 @@
+//! Requests that entries let through, by team, as they tell them.
+
+use std::collections::HashMap;
+use std::time::Instant;
+
+use fw_base::id;
+use fw_plan::quota;
+use parking_lot::Mutex;
+
+use crate::service;
+
+/// The counts of all teams. Lost with the process: entries tell a replica that starts anew what they
+/// have let through lately.
+#[derive(Debug)]
+pub struct Spending {
+    started: Instant,
+    teams: Mutex<HashMap<id::TeamId, quota::Sum>>,
+}
+
+impl Default for Spending {
+    fn default() -> Self {
+        Self {
+            started: Instant::now(),
+            teams: Mutex::default(),
+        }
+    }
+}
+
+impl Spending {
+    /// Counts what `entry` has let through, and returns what is known of all.
+    pub fn exchange(&self, entry: u32, spent: &service::Spent) -> quota::Heard {
+        let now = self.started.elapsed();
+        let mut teams = self.teams.lock();
+        let team = teams.entry(spent.team.clone()).or_default();
+        team.exchange(entry, &spent.told, now)
+    }
+}
--- a/fw-replica/tests/replica/main.rs
+++ b/fw-replica/tests/replica/main.rs
@@ -14,4 +14,5 @@
 mod lost_links;
 mod state_pages;
 mod store_news;
+mod team_spending;
 mod torn_journal;
--- a/fw-replica/tests/replica/store_news.rs
+++ b/fw-replica/tests/replica/store_news.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use fw_replica::server::Shared;
-use fw_replica::service::{Bulletin, Bulletins, Marks, Post};
+use fw_replica::service::{Bulletin, Bulletins, Marks, Moment, Post};
 use fw_replica::{journal, member};
 use googletest::prelude::*;
 
@@ -18,6 +18,7 @@
     Post {
         by: 1,
         as_of,
+        asked: None,
         marks,
         changed,
     }
@@ -39,20 +40,20 @@
         upstreams: part(6),
         ..Bulletins::default()
     };
-    expect_that!(replica.post(post(6, marks, upstreams)).await, eq(false));
+    expect_false!(replica.post(post(6, marks, upstreams)).await.is_whole);
     let news = replica.news(Marks::default(), Duration::ZERO).await;
     expect_that!(news.last, none());
     let whole = Bulletins {
         config: part(5),
         upstreams: part(6),
     };
-    expect_that!(replica.post(post(6, marks, whole.clone())).await, eq(true));
+    expect_true!(replica.post(post(6, marks, whole.clone())).await.is_whole);
     let news = replica.news(Marks::default(), Duration::ZERO).await;
     expect_that!(news.last.unwrap().as_of, eq(6));
     expect_that!(news.newer, eq(&whole));
     // That nothing has changed is news too.
     let same = post(9, marks, Bulletins::default());
-    expect_that!(replica.post(same).await, eq(true));
+    expect_true!(replica.post(same).await.is_whole);
     let news = replica.news(marks, Duration::ZERO).await;
     expect_that!(news.last.unwrap().as_of, eq(9));
     expect_that!(news.newer, eq(&Bulletins::default()));
@@ -82,3 +83,56 @@
     expect_that!(news.view, eq(&view));
     expect_that!(waited, lt(Duration::from_secs(60)));
 }
+
+fn read(as_of: u64, asked: Option<Moment>) -> Post {
+    Post {
+        asked,
+        ..post(as_of, Marks::default(), Bulletins::default())
+    }
+}
+
+async fn asked_ago(replica: &Shared) -> Option<Duration> {
+    let news = replica.news(Marks::default(), Duration::ZERO).await;
+    news.last.unwrap().asked
+}
+
+// A post that was held up on its way must not count as a new read when it comes: a key that was taken
+// away meanwhile would be accepted.
+#[gtest]
+#[tokio::test]
+async fn a_post_is_as_old_as_the_moment_before_its_read() {
+    let dir = tempfile::tempdir().unwrap();
+    let replica = Shared::open(dir.path(), journal::Options::default(), 1).unwrap();
+    let before = replica.post(read(5, None)).await.now;
+    expect_that!(asked_ago(&replica).await, none());
+    let late = Moment {
+        at: before.at.saturating_sub(Duration::from_secs(9)),
+        ..before
+    };
+    replica.post(read(6, Some(late))).await;
+    let age = asked_ago(&replica).await.unwrap();
+    expect_that!(age, ge(Duration::from_secs(9)));
+    replica.post(read(7, Some(before))).await;
+    let age = asked_ago(&replica).await.unwrap();
+    expect_that!(age, lt(Duration::from_secs(9)));
+    // An older one that comes after it takes nothing back.
+    replica.post(read(6, Some(late))).await;
+    let news = replica.news(Marks::default(), Duration::ZERO).await;
+    expect_that!(news.last.unwrap().as_of, eq(7));
+    expect_that!(
+        asked_ago(&replica).await.unwrap(),
+        lt(Duration::from_secs(9))
+    );
+}
+
+// A replica that started anew does not take a moment of its former start for one of its own.
+#[gtest]
+#[tokio::test]
+async fn a_moment_of_a_former_start_proves_nothing() {
+    let dir = tempfile::tempdir().unwrap();
+    let replica = Shared::open(dir.path(), journal::Options::default(), 1).unwrap();
+    let before = replica.post(read(5, None)).await.now;
+    let other = Moment { run: 2, ..before };
+    replica.post(read(6, Some(other))).await;
+    expect_that!(asked_ago(&replica).await, none());
+}
