fw-plan, fw-gate: no program begins while calls fill most of the slots; refused ones return sooner

Cause: every program began. With more under way than the engines' caches hold, prompts were read again with nearly every turn, turns took longer, and still more programs were under way. Refusing after 400 ms of waiting came too late and only where no slot at all was free. Change: a program is refused at once while the calls that are known (own, others', waiting here) fill more than 0.85 of all slots, 0.1 less for each step of urgency; it may return after 150 to 500 ms in place of 500 to 2,000. Decided once the replicas have told whether the program is known: turns without a turn before them, which come in through another entry, were taken for first ones. The quota of a turn is taken there too, for the same reason. Test: begin_limit plays a burst with bounded caches; in time in the burst and in the three seconds after its end under 0.2 of the programs without the limit, over 0.4 and 0.9 with it. held_calls names the options' bounds in place of their former figures; it checks the same span.

--- a/fw-gate/src/process/fleet/choose.rs
+++ b/fw-gate/src/process/fleet/choose.rs
@@ -94,6 +94,42 @@
         }
     }
 
+    /// Refuses a program of a route of `priority` that would begin while those under way need the upstreams
+    /// of `service`.
+    ///
+    /// *Failure:* a burst brought more programs than the engines could finish, and all began. Each then
+    /// took longer, so that more were under way at once than the engines' caches hold; prompts were read
+    /// again and again, and nearly none was in time until long after the burst.
+    ///
+    /// # Errors
+    ///
+    /// `Overloaded`, with a time to return.
+    pub fn admit(&self, service: &id::ServiceId, priority: u32) -> Result<(), error::Error> {
+        let Some(known) = self.service(service) else {
+            return Ok(());
+        };
+        let (slots, load) = self.occupancy(&known.lock());
+        if self.hold.may_begin(priority, slots, load) {
+            return Ok(());
+        }
+        metrics::counter!("fw_gate_programs_refused_total").increment(1);
+        let message = format!("programs under way have {load:.0} calls at {slots:.0} slots");
+        let err = error::Error::new(error::Kind::Overloaded, message);
+        Err(err.with_retry_after(self.hold.back_after(rand::random())))
+    }
+
+    /// Slots of all upstreams of a service that take calls, and calls that are there or wait here.
+    fn occupancy(&self, service: &Service) -> (f64, f64) {
+        let usable = self.usable(service, &[]);
+        let options = self.weights(service);
+        let candidates = self.candidates(service, &usable, &Warmth::None);
+        let at = candidates.map(|(_, c)| (f64::from(c.slots), c.load(&options)));
+        let waiting = service.waiting.len() as f64;
+        at.fold((0.0, waiting), |(slots, load), (more_slots, more)| {
+            (slots + more_slots, load + more)
+        })
+    }
+
     /// The service of that name.
     ///
     /// # Errors
--- a/fw-gate/src/process/quotas.rs
+++ b/fw-gate/src/process/quotas.rs
@@ -11,6 +11,7 @@
 use parking_lot::{Mutex, MutexGuard};
 use xxhash_rust::xxh3;
 
+use crate::request::call;
 use crate::version::team;
 
 /// Locks among which the accounts are spread.
@@ -45,33 +46,34 @@
         })
     }
 
-    /// Takes a request of `team` from its account; `None` if the team has no limit.
+    /// Takes a request from the account of its team; `None` if that has no `limit`.
     ///
     /// # Errors
     ///
     /// `QuotaExceeded`, with the time at which a request like this one may run.
     pub fn take(
         self: &Arc<Self>,
-        team: &team::Team,
+        call: &call::Call,
+        limit: Option<quota::Limit>,
         stage: quota::Stage,
     ) -> Result<Option<Credit>, error::Error> {
-        let Some(limit) = team.quota else {
+        let (Some(team), Some(limit)) = (&call.team, limit) else {
             return Ok(None);
         };
         let now = self.now();
-        let mut accounts = self.shard(&team.name);
-        let account = accounts.entry(team.name.clone()).or_default();
+        let mut accounts = self.shard(team);
+        let account = accounts.entry(team.clone()).or_default();
         match account.decide(limit, stage, now, &self.options) {
             quota::Outcome::Admitted => Ok(Some(Credit {
                 quotas: Arc::clone(self),
-                team: team.name.clone(),
+                team: team.clone(),
                 stage,
                 runs: AtomicU32::new(0),
             })),
             quota::Outcome::Refused(after) => {
                 let message = format!(
                     "team `{}` may send {} requests a second and {} at once",
-                    team.name, limit.rate, limit.burst
+                    team, limit.rate, limit.burst
                 );
                 let err = error::Error::new(error::Kind::QuotaExceeded, message);
                 Err(err.with_retry_after(after))
--- a/fw-gate/src/request/attempt.rs
+++ b/fw-gate/src/request/attempt.rs
@@ -94,6 +94,12 @@
         }
     }
 
+    /// Whether a program begins with the request.
+    pub fn begins(&self) -> bool {
+        let is_first = self.route.kind == config::Kind::Stream && self.call.previous.is_none();
+        is_first && self.gate.fleet.is_new(&self.call.lineage())
+    }
+
     /// Sends the request to the upstream of `lease`; an attempt that may have run is paid for.
     ///
     /// # Errors
@@ -122,7 +128,7 @@
         self.gate.check_poison(&self.fingerprint)?;
         let is_stream = self.route.kind == config::Kind::Stream;
         let lineage = self.call.lineage();
-        let begins = is_stream && self.call.previous.is_none() && self.gate.fleet.is_new(&lineage);
+        let begins = self.begins();
         let object = self.call.object.as_ref().filter(|_| self.route.sticky);
         let warmth = match object {
             _ if is_stream => fleet::Warmth::Prompt {
--- a/fw-gate/src/request/ingress.rs
+++ b/fw-gate/src/request/ingress.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 use super::{answer, attempt, auth, body, call, plain, send, stream};
-use crate::process::{gate, quotas};
+use crate::process::gate;
 use crate::version::{config, team};
 
 /// Answers one request. Dropping the future, as when the caller closes its connection, ends
@@ -87,7 +87,7 @@
     if let Some(team) = team {
         call = call.of_team(&team.name);
     }
-    let credit = take_credit(gate, team, route, &call)?;
+    let limit = team.and_then(|team| team.quota);
     let patience = call.deadline.unwrap_or(route.timeout).min(route.timeout);
     let until = started + patience;
     let input = read(body, config.limits.body_bytes, until).await?;
@@ -110,10 +110,12 @@
             fingerprint,
             until,
             priority,
-            credit: credit.map(Arc::new),
+            limit,
+            credit: None,
         };
         return stream::run(job).await;
     }
+    let credit = gate.quotas.take(&call, limit, quota::Stage::GoesOn)?;
     let job = attempt::Job {
         gate,
         route,
@@ -148,23 +150,6 @@
     })
 }
 
-/// Takes the request from its team's quota.
-fn take_credit(
-    gate: &gate::Gate,
-    team: Option<&team::Team>,
-    route: &config::Route,
-    call: &call::Call,
-) -> Result<Option<quotas::Credit>, error::Error> {
-    let Some(team) = team else { return Ok(None) };
-    let is_turn = route.kind == config::Kind::Stream;
-    let begins = is_turn && call.previous.is_none() && gate.fleet.is_new(&call.lineage());
-    let stage = match begins {
-        true => quota::Stage::Begins,
-        false => quota::Stage::GoesOn,
-    };
-    gate.quotas.take(team, stage)
-}
-
 /// The host named by the request, without a port.
 fn host<'a>(headers: &'a HeaderMap, uri: &'a Uri) -> &'a str {
     let named = headers.get(header::HOST);
--- a/fw-gate/src/request/stream.rs
+++ b/fw-gate/src/request/stream.rs
@@ -5,7 +5,7 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 use fw_base::{digest, error, id};
-use fw_plan::health;
+use fw_plan::{health, quota};
 use fw_replica::{record, server};
 use http_body_util::BodyExt;
 use hyper::Response;
@@ -47,11 +47,29 @@
     pub until: Instant,
     /// Its rank; 0 goes first.
     pub priority: u32,
-    /// What it took of its team's quota, if the team has one.
+    /// Its team's limit, if the team has one.
+    pub limit: Option<quota::Limit>,
+    /// What it took of that, once it was admitted.
     pub credit: Option<Arc<quotas::Credit>>,
 }
 
 impl Job {
+    /// Takes the turn from its team's quota, and refuses it if a program would begin with it that could
+    /// not be in time.
+    fn admit(&mut self) -> Result<(), error::Error> {
+        let begins = self.attempt().begins();
+        let stage = match begins {
+            true => quota::Stage::Begins,
+            false => quota::Stage::GoesOn,
+        };
+        let credit = self.gate.quotas.take(&self.call, self.limit, stage)?;
+        self.credit = credit.map(Arc::new);
+        match begins {
+            true => self.gate.fleet.admit(&self.service, self.priority),
+            false => Ok(()),
+        }
+    }
+
     fn attempt(&self) -> attempt::Job<'_> {
         attempt::Job {
             gate: &self.gate,
@@ -76,6 +94,8 @@
     let kept = job.route.keep_turns.is_some();
     let mut times = Times::start();
     let mut ready = turn::begin(&job.gate, &job.call, &job.input, kept, job.until).await?;
+    // Only now is it known whether the program has had a turn through another entry.
+    job.admit()?;
     job.out.body = ready.body;
     times.replicas = times.begun.elapsed();
     let begun = job
--- a/fw-plan/src/hold.rs
+++ b/fw-plan/src/hold.rs
@@ -13,9 +13,10 @@
 //! programs that are late already had arrived a little later, those of programs that have much time
 //! left by a part of that time, and those with which a program begins a good deal later. Places
 //! beyond an upstream's slots go to calls whose prompt it has in its cache; others queue there only
-//! after a while. After [`Options::most`] it is sent all the same, so that a wrong picture of
-//! the load holds nobody back for long; but a call with which a program begins is refused, with a
-//! time to return: its program could no longer be in time, and would make others late.
+//! after a while. No program begins while calls fill more than a part of all slots, since those under
+//! way will send more. After [`Options::most`] a call is sent all the same, so that a wrong picture of
+//! the load holds nobody back for long; but one with which a program begins is refused, with a time to
+//! return: its program could no longer be in time, and would make others late.
 //!
 //! *Grounds:* strict priority of routes served the urgent route 2 in 100 better and the other 8 in
 //! 100 worse, and less in all; in pure order of arrival the urgent route, whose programs are longer,
@@ -54,10 +55,15 @@
     /// How much later a call seems to arrive with which a program begins: longer than any is held
     /// back, so that it waits for all that are under way.
     pub begins: Duration,
+    /// Part of all slots up to which calls may be there when a program begins. Those under way send
+    /// further calls, which need the rest.
+    pub begin_part: f64,
+    /// By how much that part is smaller for programs of the next less urgent route.
+    pub begin_less_urgent: f64,
     /// Longest time that a call is held back: well below a caller's patience of some seconds.
     pub most: Duration,
-    /// When callers are asked to return at the earliest and at the latest, after a refusal: a burst
-    /// lasts some seconds, and they must not all return at once.
+    /// When callers are asked to return at the earliest and at the latest, after a refusal. A person
+    /// waits a second or two for a program, and callers must not all return at once.
     pub back: (Duration, Duration),
     /// Pause after which the picture of the load is looked at again if nothing is heard.
     pub look: Duration,
@@ -74,8 +80,10 @@
             due_most: Duration::from_secs(3),
             late: Duration::from_millis(300),
             begins: Duration::from_millis(1_000),
+            begin_part: 0.85,
+            begin_less_urgent: 0.1,
             most: Duration::from_millis(400),
-            back: (Duration::from_millis(500), Duration::from_millis(2_000)),
+            back: (Duration::from_millis(150), Duration::from_millis(500)),
             look: Duration::from_millis(25),
         }
     }
@@ -132,14 +140,26 @@
         }
     }
 
+    /// Whether a program of a route of `priority` may begin while all upstreams of its service, of `slots`
+    /// together, have `load` calls.
+    pub fn may_begin(&self, priority: u32, slots: f64, load: f64) -> bool {
+        let less = self.begin_less_urgent * f64::from(priority.min(LEAST_URGENT));
+        load < slots * (self.begin_part - less)
+    }
+
     /// What becomes of `call` now that it was held back for so long; `draw` is uniform in
     /// `0.0..1.0`.
     pub fn over(&self, call: &Call, draw: f64) -> Over {
         if !call.begins {
             return Over::Send;
         }
+        Over::Refuse(self.back_after(draw))
+    }
+
+    /// When a refused caller may return; `draw` is uniform in `0.0..1.0`.
+    pub fn back_after(&self, draw: f64) -> Duration {
         let (soonest, latest) = self.back;
-        Over::Refuse(soonest + latest.saturating_sub(soonest).mul_f64(draw))
+        soonest + latest.saturating_sub(soonest).mul_f64(draw)
     }
 
     /// Whether an upstream of `slots` that has `load` calls has room for another, which has `waited`
--- a/fw-plan/tests/plan/held_calls.rs
+++ b/fw-plan/tests/plan/held_calls.rs
@@ -198,6 +198,6 @@
         ..URGENT
     };
     expect_that!(options.over(&URGENT, 0.5), eq(Over::Send));
-    expect_that!(options.over(&begins, 0.0), eq(Over::Refuse(ms(500))));
-    expect_that!(options.over(&begins, 1.0), eq(Over::Refuse(ms(2_000))));
+    expect_that!(options.over(&begins, 0.0), eq(Over::Refuse(options.back.0)));
+    expect_that!(options.over(&begins, 1.0), eq(Over::Refuse(options.back.1)));
 }
--- a/fw-plan/tests/plan/main.rs
+++ b/fw-plan/tests/plan/main.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod assign_upstream;
+mod begin_limit;
 mod budget_bounds;
 mod burst;
 mod cache_keeping;
