fw-plan: programs begin up to a fifth beyond the slots, and return after 300 to 1,000 ms

Cause: on the earlier deployments the limit at 0.85 of the slots refused programs of short bursts that could have waited, and after 150 to 500 ms they had used up the attempts which their callers make. Ruled out: the limit alone. Change: 1.2 calls a slot, 0.1 less for each step of urgency; 300 to 1,000 ms.

--- a/fw-plan/src/hold.rs
+++ b/fw-plan/src/hold.rs
@@ -13,7 +13,7 @@
 //! programs that are late already had arrived a little later, those of programs that have much time
 //! left by a part of that time, and those with which a program begins a good deal later. Places
 //! beyond an upstream's slots go to calls whose prompt it has in its cache; others queue there only
-//! after a while. No program begins while calls fill more than a part of all slots, since those under
+//! after a while. No program begins while calls fill all slots and a part of the queues: those under
 //! way will send more. After [`Options::most`] a call is sent all the same, so that a wrong picture of
 //! the load holds nobody back for long; but one with which a program begins is refused, with a time to
 //! return: its program could no longer be in time, and would make others late.
@@ -55,10 +55,10 @@
     /// How much later a call seems to arrive with which a program begins: longer than any is held
     /// back, so that it waits for all that are under way.
     pub begins: Duration,
-    /// Part of all slots up to which calls may be there when a program begins. Those under way send
-    /// further calls, which need the rest.
+    /// Calls for each slot up to which a program may begin. Those under way send further calls, so that
+    /// more in the queues means that more are under way than can be in time.
     pub begin_part: f64,
-    /// By how much that part is smaller for programs of the next less urgent route.
+    /// By how much that is less for programs of the next less urgent route.
     pub begin_less_urgent: f64,
     /// Longest time that a call is held back: well below a caller's patience of some seconds.
     pub most: Duration,
@@ -80,10 +80,10 @@
             due_most: Duration::from_secs(3),
             late: Duration::from_millis(300),
             begins: Duration::from_millis(1_000),
-            begin_part: 0.85,
+            begin_part: 1.2,
             begin_less_urgent: 0.1,
             most: Duration::from_millis(400),
-            back: (Duration::from_millis(150), Duration::from_millis(500)),
+            back: (Duration::from_millis(300), Duration::from_millis(1_000)),
             look: Duration::from_millis(25),
         }
     }
