--- a/fw-plan/tests/plan/held_calls.rs
+++ b/fw-plan/tests/plan/held_calls.rs
@@ -198,6 +198,6 @@
         ..URGENT
     };
     expect_that!(options.over(&URGENT, 0.5), eq(Over::Send));
-    expect_that!(options.over(&begins, 0.0), eq(Over::Refuse(options.back.0)));
-    expect_that!(options.over(&begins, 1.0), eq(Over::Refuse(options.back.1)));
+    expect_that!(options.over(&begins, 0.0), eq(Over::Refuse(ms(300))));
+    expect_that!(options.over(&begins, 1.0), eq(Over::Refuse(ms(1_000))));
 }
