fw-gate: log where plain requests are served, by which list, and news that are not taken

The logs could not tell why an upstream that had left got requests: plain requests that were served had no line, and neither the age of the list nor news that were dropped could be seen.

--- a/fw-gate/src/process/fleet/lease.rs
+++ b/fw-gate/src/process/fleet/lease.rs
@@ -10,7 +10,7 @@
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
-use super::{Fleet, Service, Upstream};
+use super::{Fleet, ListState, Service, Upstream};
 use crate::connection::link;
 
 /// Idle connections kept to one upstream. More calls than that at once to one upstream from one
@@ -44,6 +44,8 @@
     pub addr: SocketAddr,
     /// What was known of it when it was chosen, for log lines.
     pub why: assign::Candidate,
+    /// By which state of the list it was chosen.
+    pub list: ListState,
     begun: Instant,
 }
 
@@ -74,6 +76,7 @@
             id: upstream.listed.id.clone(),
             addr: upstream.listed.addr,
             why,
+            list: fleet.list_state(),
             begun: Instant::now(),
         }
     }
--- a/fw-gate/src/process/fleet/mod.rs
+++ b/fw-gate/src/process/fleet/mod.rs
@@ -48,6 +48,15 @@
     pub born: Born,
 }
 
+/// The state of the list by which an upstream was chosen, for log lines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ListState {
+    /// Revision of the store that it reflects.
+    pub as_of: u64,
+    /// Time since the read of the store by which it was last confirmed; `None` if none was heard of.
+    pub age: Option<Duration>,
+}
+
 /// What makes one upstream faster than another for a call.
 #[derive(Clone, Debug, Default)]
 pub enum Warmth<'a> {
@@ -163,6 +172,8 @@
     trail: trail::Trail,
     /// Whether the list was ever read.
     known: AtomicBool,
+    /// The newest read of the store that the list reflects: its revision, and when it was made.
+    confirmed: Mutex<Option<(u64, Instant)>>,
     /// Names this entry to the others.
     entry: u32,
 }
@@ -186,6 +197,7 @@
             services: Mutex::default(),
             trail: trail::Trail::default(),
             known: AtomicBool::new(false),
+            confirmed: Mutex::default(),
             entry: rand::random(),
         })
     }
@@ -204,6 +216,20 @@
         self.known.load(Ordering::Relaxed)
     }
 
+    /// A read of the store that ended at `at` found the list as it is here at revision `as_of`.
+    pub fn confirm(&self, as_of: u64, at: Instant) {
+        *self.confirmed.lock() = Some((as_of, at));
+    }
+
+    /// By which state of the list upstreams are chosen now.
+    pub fn list_state(&self) -> ListState {
+        let confirmed = *self.confirmed.lock();
+        confirmed.map_or_else(ListState::default, |(as_of, at)| ListState {
+            as_of,
+            age: Some(at.elapsed()),
+        })
+    }
+
     fn service(&self, id: &id::ServiceId) -> Option<Arc<Mutex<Service>>> {
         self.services.lock().get(id).cloned()
     }
@@ -246,7 +272,8 @@
                 let restarted =
                     known.listed.born != listed.born || known.listed.addr != listed.addr;
                 if known.listed.takes_work != listed.takes_work || restarted {
-                    tracing::info!(upstream = %id, takes_work = listed.takes_work, restarted, "upstream changed");
+                    let as_of = self.list_state().as_of;
+                    tracing::info!(upstream = %id, takes_work = listed.takes_work, restarted, as_of, "upstream changed");
                 }
                 if restarted {
                     // It holds nothing of before: connections and load are its predecessor's.
@@ -286,7 +313,8 @@
             if service.find(id).is_none() {
                 continue;
             }
-            tracing::info!(upstream = %id, "upstream gone from the list");
+            let as_of = self.list_state().as_of;
+            tracing::info!(upstream = %id, as_of, "upstream gone from the list");
             service
                 .upstreams
                 .retain(|upstream| upstream.listed.id != *id);
--- a/fw-gate/src/process/gate.rs
+++ b/fw-gate/src/process/gate.rs
@@ -155,6 +155,7 @@
                 settled,
                 as_of,
             } => {
+                self.fleet.confirm(as_of, Instant::now());
                 let mut listed = Vec::new();
                 for change in changes {
                     match change {
@@ -170,6 +171,7 @@
                 settled,
                 as_of,
             } => {
+                self.fleet.confirm(as_of, Instant::now());
                 for change in changes {
                     self.change(change, settled);
                 }
@@ -288,6 +290,11 @@
     pub fn hear(&self, news: service::News, asked: Duration) {
         let (last, held) = (news.last, news.held);
         let mut known = self.known.lock();
+        let heard_of =
+            last.and_then(|last| Some((last.as_of, Instant::now().checked_sub(last.ago)?)));
+        if let Some((as_of, at)) = heard_of {
+            self.fleet.confirm(as_of, at);
+        }
         let told = known.hear(news.newer, last.map_or(0, |last| last.as_of));
         let marks = known.marks();
         if let Some(config) = told.config {
--- a/fw-gate/src/process/snapshot.rs
+++ b/fw-gate/src/process/snapshot.rs
@@ -101,11 +101,28 @@
         }
     }
 
+    /// Whether a part that a replica tells is newer than what is known, and than its own `mark`.
+    fn is_news(&self, part: &'static str, told: &service::Bulletin, mark: u64) -> bool {
+        if told.as_of > self.as_of.max(mark) {
+            return true;
+        }
+        metrics::counter!("fw_gate_news_dropped_total", "part" => part).increment(1);
+        tracing::info!(
+            part,
+            as_of = told.as_of,
+            known = self.as_of,
+            mark,
+            "what a replica tells is no newer than what is known; dropped"
+        );
+        false
+    }
+
     /// Takes the parts that are newer than what is known; with them all is known up to `as_of`.
     pub fn hear(&mut self, newer: service::Bulletins, as_of: u64) -> Told {
         let service::Bulletins { config, upstreams } = newer;
-        let config = config.filter(|part| part.as_of > self.as_of.max(self.marks.config));
-        let upstreams = upstreams.filter(|part| part.as_of > self.as_of.max(self.marks.upstreams));
+        let config = config.filter(|part| self.is_news("config", part, self.marks.config));
+        let upstreams =
+            upstreams.filter(|part| self.is_news("upstreams", part, self.marks.upstreams));
         let mut told = Told::default();
         if let Some(part) = config {
             // One that cannot be read is not asked for again.
--- a/fw-gate/src/request/plain.rs
+++ b/fw-gate/src/request/plain.rs
@@ -10,6 +10,7 @@
 use hyper::Response;
 use tokio::time::Instant;
 
+use super::ingress::ms;
 use super::{attempt, body, call, send};
 
 /// Longest answer that is collected; plain services send a few kilobytes.
@@ -21,11 +22,33 @@
 ///
 /// What to tell the caller when no upstream gave an answer.
 pub async fn run(job: &attempt::Job<'_>) -> Result<Response<body::Outgoing>, error::Error> {
-    let (head, whole) = job.run(|begun| collect(begun, job.until)).await?;
+    let (head, whole) = job.run(|begun| served(job, begun)).await?;
     job.gate.survived(&job.fingerprint);
     Ok(passed_on(head, body::Outgoing::from(whole)))
 }
 
+/// Reads the rest of the answer to a request, and logs where it was served.
+async fn served(
+    job: &attempt::Job<'_>,
+    begun: send::Begun,
+) -> Result<(hyper::http::response::Parts, Bytes), send::Failed> {
+    let (upstream, list) = (begun.lease.id.clone(), begun.lease.list);
+    let begun_at = Instant::now();
+    let (head, whole) = collect(begun, job.until).await?;
+    tracing::info!(
+        request = %job.call.id,
+        program = job.call.program.as_deref(),
+        route = %job.route.name,
+        status = head.status.as_u16(),
+        %upstream,
+        list_as_of = list.as_of,
+        list_age_ms = ms(list.age),
+        ms = begun_at.elapsed().as_millis() as u64,
+        "request served"
+    );
+    Ok((head, whole))
+}
+
 /// Reads the rest of an answer.
 ///
 /// # Errors
--- a/fw-gate/src/request/stream.rs
+++ b/fw-gate/src/request/stream.rs
@@ -191,10 +191,12 @@
         let mut resumes = 0;
         let mut last_upstream = begun.lease.id.clone();
         let mut why;
+        let mut list;
         let outcome = loop {
             let (upstream, addr) = (begun.lease.id.clone(), begun.lease.addr);
             last_upstream.clone_from(&upstream);
             why = begun.lease.why;
+            list = begun.lease.list;
             if let Some(turn) = &mut self.turn {
                 turn.runs_at(&upstream);
             }
@@ -248,6 +250,8 @@
             others_age_ms = why.age.as_millis() as u64,
             miss_ms = why.miss.as_millis() as u64,
             slowness = why.slowness,
+            list_as_of = list.as_of,
+            list_age_ms = ms(list.age),
             replicas_ms = self.times.replicas.as_millis() as u64,
             head_ms = self.times.head.as_millis() as u64,
             first_ms = ms(self.times.first),
