fw-gate, fw-replica: what is known of the store is compared by content, not by revision

Cause: a list was taken only from a higher revision than what an entry knew, and the revision of a replica's last read counted as known whatever was taken. A reader that keeps a removed upstream for a while tells its list at the revision of the removal, and the list without it later at the same revision. All others dropped that, for as long as no other upstream changed, and asked again at once, since the replica's revision was higher than theirs.

Change: parts are named by digests. A replica tells of a read, and an entry counts a revision as known, only if its parts have the digests that the reader named; a part of the same revision is taken, an older one is neither told nor taken. A part that cannot be read does not count as known. Configurations are encoded in a fixed order, so that equal ones have equal digests.

The same elsewhere: two posts at once could leave the older list on a replica's disk, with the newer one's revision (found by reading; the_newest_of_two_posts_at_once_is_kept_over_a_restart fails without the lock).

Ruled out: a reader that dies (no gap in reads), a replica that does not answer (no failed calls).

--- a/fw-base/src/digest.rs
+++ b/fw-base/src/digest.rs
@@ -11,7 +11,7 @@
 use crate::chat;
 
 /// Digest of a history; [`Digest::EMPTY`] for the one without messages. Written as 64 hex digits.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(into = "String", try_from = "String")]
 pub struct Digest([u8; 32]);
 
--- a/fw-gate/src/process/gate.rs
+++ b/fw-gate/src/process/gate.rs
@@ -241,21 +241,23 @@
     /// Hears from the replicas what other entries read, for ever.
     pub async fn hear_others(self: Arc<Self>) {
         loop {
-            let marks = self.known.lock().marks();
+            let known = self.known.lock().known();
             let asked = clock::since_boot();
             let is_first = self.config().is_none();
             let mut news = None;
             if !is_first {
-                news = self.replicas.await_news(marks, snapshot::AWAIT).await;
+                news = self.replicas.await_news(known, snapshot::AWAIT).await;
             }
             if let Some(news) = news {
-                self.hear(news, asked);
+                if !self.hear(&news, asked) {
+                    tokio::time::sleep(snapshot::ASK_FIRST).await;
+                }
                 continue;
             }
             // The nearest does not answer, or none is known.
             let asked = clock::since_boot();
-            if let Some(news) = self.replicas.ask_news(marks).await {
-                self.hear(news, asked);
+            if let Some(news) = self.replicas.ask_news(known).await {
+                self.hear(&news, asked);
             }
             let pause = match is_first {
                 true => snapshot::ASK_FIRST,
@@ -286,35 +288,39 @@
         }
     }
 
-    /// Takes what a replica tells that was asked at `asked`, since boot.
-    pub fn hear(&self, news: service::News, asked: Duration) {
-        let (last, held) = (news.last, news.held);
+    /// Takes what a replica tells that was asked at `asked`, since boot. Returns whether all is known
+    /// now that the replica knows.
+    pub fn hear(&self, news: &service::News, asked: Duration) -> bool {
+        let last = news.last;
         let mut known = self.known.lock();
-        let heard_of =
-            last.and_then(|last| Some((last.as_of, Instant::now().checked_sub(last.ago)?)));
-        if let Some((as_of, at)) = heard_of {
+        let Some(told) = known.hear(news) else {
+            return false;
+        };
+        let as_of = known.known().as_of;
+        let read_at = last.and_then(|last| Instant::now().checked_sub(last.ago));
+        if let Some(at) = read_at {
             self.fleet.confirm(as_of, at);
         }
-        let told = known.hear(news.newer, last.map_or(0, |last| last.as_of));
-        let marks = known.marks();
         if let Some(config) = told.config {
             let version = config.version;
-            tracing::info!(version, as_of = marks.config, ?last, "told by a replica");
+            tracing::info!(version, as_of, ?last, "told by a replica");
             self.configure(config);
         }
         if let Some(upstreams) = told.upstreams {
             let listed = upstreams.len();
-            tracing::debug!(listed, as_of = marks.upstreams, ?last, "told by a replica");
+            tracing::info!(listed, as_of, ?last, "told by a replica");
             self.fleet.replace(upstreams, true);
         }
-        let Some(last) = last else { return };
+        let Some(last) = last.filter(|_| told.is_whole) else {
+            return false;
+        };
         self.reading.heard(last.by, last.ago);
         // The answer was made so long after the question, at least.
-        let told = asked + held;
-        let read = last.asked.and_then(|ago| told.checked_sub(ago));
-        if let Some(read) = read.filter(|_| known.is_readable()) {
+        let told_at = asked + news.held;
+        if let Some(read) = last.asked.and_then(|ago| told_at.checked_sub(ago)) {
             self.proven(read);
         }
+        true
     }
 
     /// Puts `config` in force unless a newer one is.
--- a/fw-gate/src/process/snapshot.rs
+++ b/fw-gate/src/process/snapshot.rs
@@ -5,8 +5,8 @@
 //! serve nobody until the store is back.
 //!
 //! Whoever reads the store gives the replicas what has changed; everybody else hears of it from
-//! them. A configuration never goes back, since an older version is not put in force, and a part is
-//! taken only from a newer revision of the store.
+//! them. A configuration never goes back, since an older version is not put in force, and a part of an
+//! older revision of the store is not taken.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,29 +26,40 @@
 /// The same while nothing is known: callers wait for it.
 pub const ASK_FIRST: Duration = Duration::from_millis(50);
 
-/// The parts that are newer than what was known.
+/// What a replica tells, as far as it was not known.
 #[derive(Debug, Default)]
 pub struct Told {
     /// The configuration.
     pub config: Option<config::Config>,
     /// All upstreams.
     pub upstreams: Option<Vec<fleet::Listed>>,
+    /// Whether all is known now that the replica knows.
+    pub is_whole: bool,
 }
 
-/// What is known, and since which revision of the store.
+/// What is known, and of which revision of the store.
 #[derive(Debug, Default)]
 pub struct Known {
     marks: service::Marks,
     /// Revision up to which all that the store holds is known.
     as_of: u64,
+    /// Newest revision of which something is known. What a replica has on its disk says nothing of
+    /// what else there was.
+    newest: u64,
     version: Option<config::Version>,
     upstreams: Bytes,
-    /// A configuration was told in a form that cannot be read, and none since that can.
-    is_unreadable: bool,
+    /// Whether each part was told in a form that cannot be read, and not since in one that can.
+    is_unreadable: Unreadable,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Unreadable {
+    config: bool,
+    upstreams: bool,
 }
 
 impl Known {
-    /// Revisions of what is known.
+    /// Digests of what is known.
     pub fn marks(&self) -> service::Marks {
         self.marks
     }
@@ -58,9 +69,17 @@
         self.as_of
     }
 
-    /// Whether the newest configuration that was told could be read.
-    pub fn is_readable(&self) -> bool {
-        !self.is_unreadable
+    /// What is known, for replicas to tell what is lacking.
+    pub fn known(&self) -> service::Known {
+        service::Known {
+            as_of: self.newest,
+            marks: self.marks,
+        }
+    }
+
+    /// Whether the newest parts that were told could be read.
+    fn is_readable(&self) -> bool {
+        !self.is_unreadable.config && !self.is_unreadable.upstreams
     }
 
     /// The store was read, and held this at revision `as_of`. Returns what has changed.
@@ -71,18 +90,22 @@
         upstreams: &[fleet::Listed],
     ) -> service::Bulletins {
         self.as_of = self.as_of.max(as_of);
+        self.newest = self.newest.max(as_of);
         let mut changed = service::Bulletins::default();
-        if self.version != Some(config.version) {
+        if self.version != Some(config.version)
+            && let Some(part) = bulletin(as_of, config)
+        {
             self.version = Some(config.version);
-            self.is_unreadable = false;
-            self.marks.config = as_of;
-            changed.config = bulletin(as_of, config);
+            self.is_unreadable.config = false;
+            self.marks.config = part.digest();
+            changed.config = Some(part);
         }
         let list = bulletin(as_of, upstreams);
-        if let Some(list) = list.filter(|list| list.bytes != self.upstreams) {
-            self.marks.upstreams = as_of;
-            self.upstreams = list.bytes.clone();
-            changed.upstreams = Some(list);
+        if let Some(part) = list.filter(|part| part.digest() != self.marks.upstreams) {
+            self.is_unreadable.upstreams = false;
+            self.marks.upstreams = part.digest();
+            self.upstreams = part.bytes.clone();
+            changed.upstreams = Some(part);
         }
         changed
     }
@@ -90,54 +113,68 @@
     /// Makes all parts, for a replica that lacks some. Rarely wanted, so the configuration is encoded
     /// only then.
     pub fn whole(&self, config: Arc<config::Config>) -> impl Fn() -> service::Bulletins + use<> {
-        let marks = self.marks;
+        let as_of = self.as_of;
         let upstreams = service::Bulletin {
-            as_of: marks.upstreams,
+            as_of,
             bytes: self.upstreams.clone(),
         };
         move || service::Bulletins {
-            config: bulletin(marks.config, config.as_ref()),
+            config: bulletin(as_of, config.as_ref()),
             upstreams: Some(upstreams.clone()),
         }
     }
 
-    /// Whether a part that a replica tells is newer than what is known, and than its own `mark`.
-    fn is_news(&self, part: &'static str, told: &service::Bulletin, mark: u64) -> bool {
-        if told.as_of > self.as_of.max(mark) {
-            return true;
+    /// Takes what a replica tells; `None` if what is known is newer.
+    ///
+    /// *Failure:* a list was taken only from a higher revision than what was known, and the revision of
+    /// the replica's last read counted as known whatever was taken. A reader that had kept a removed
+    /// upstream for a while told its list anew at the same revision: nobody took it. So the revision
+    /// counts once the digests agree, and a list of the same revision is taken.
+    pub fn hear(&mut self, news: &service::News) -> Option<Told> {
+        let service::News { newer, last, .. } = news;
+        let as_of = last.map_or(newer.as_of(), |last| last.as_of);
+        // What lies on a disk, without a read since, may be of the same revision and another reader.
+        let is_older = match last {
+            Some(_) => as_of < self.newest,
+            None => as_of <= self.newest,
+        };
+        if is_older {
+            metrics::counter!("fw_gate_news_dropped_total").increment(1);
+            return None;
         }
-        metrics::counter!("fw_gate_news_dropped_total", "part" => part).increment(1);
-        tracing::info!(
-            part,
-            as_of = told.as_of,
-            known = self.as_of,
-            mark,
-            "what a replica tells is no newer than what is known; dropped"
-        );
-        false
+        self.newest = as_of;
+        let config = newer
+            .config
+            .as_ref()
+            .and_then(|part| self.hear_config(part));
+        let upstreams = newer.upstreams.as_ref();
+        let upstreams = upstreams.and_then(|part| self.hear_upstreams(part));
+        let is_whole = last.is_some() && self.is_readable() && self.marks == news.marks;
+        if is_whole {
+            self.as_of = as_of;
+        }
+        Some(Told {
+            config,
+            upstreams,
+            is_whole,
+        })
     }
 
-    /// Takes the parts that are newer than what is known; with them all is known up to `as_of`.
-    pub fn hear(&mut self, newer: service::Bulletins, as_of: u64) -> Told {
-        let service::Bulletins { config, upstreams } = newer;
-        let config = config.filter(|part| self.is_news("config", part, self.marks.config));
-        let upstreams =
-            upstreams.filter(|part| self.is_news("upstreams", part, self.marks.upstreams));
-        let mut told = Told::default();
-        if let Some(part) = config {
-            // One that cannot be read is not asked for again.
-            self.marks.config = part.as_of;
-            told.config = decode::<config::Config>(&part);
-            self.is_unreadable = told.config.is_none();
-            self.version = told.config.as_ref().map(|config| config.version);
-        }
-        if let Some(part) = upstreams {
-            self.marks.upstreams = part.as_of;
-            told.upstreams = decode(&part);
-            self.upstreams = part.bytes;
-        }
-        self.as_of = self.as_of.max(as_of);
-        told
+    fn hear_config(&mut self, part: &service::Bulletin) -> Option<config::Config> {
+        // One that cannot be read is not asked for again.
+        self.marks.config = part.digest();
+        let config = decode::<config::Config>(part);
+        self.is_unreadable.config = config.is_none();
+        self.version = config.as_ref().map(|config| config.version);
+        config
+    }
+
+    fn hear_upstreams(&mut self, part: &service::Bulletin) -> Option<Vec<fleet::Listed>> {
+        self.marks.upstreams = part.digest();
+        self.upstreams = part.bytes.clone();
+        let upstreams = decode(part);
+        self.is_unreadable.upstreams = upstreams.is_none();
+        upstreams
     }
 }
 
--- a/fw-gate/src/version/config.rs
+++ b/fw-gate/src/version/config.rs
@@ -1,6 +1,6 @@
 //! The operators' configuration, and which route a request takes.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use fw_base::id;
@@ -143,8 +143,8 @@
     pub version: Version,
     /// All routes.
     pub routes: Vec<Route>,
-    /// All services.
-    pub services: HashMap<id::ServiceId, Service>,
+    /// All services. Ordered, so that equal configurations are encoded alike.
+    pub services: BTreeMap<id::ServiceId, Service>,
     /// Bounds on what callers send.
     pub limits: Limits,
     /// The teams; `None` where requests need no API key.
--- a/fw-gate/src/version/team.rs
+++ b/fw-gate/src/version/team.rs
@@ -1,6 +1,6 @@
 //! The teams of a configuration, and the API keys that belong to them.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use fw_base::digest;
 use fw_base::id;
@@ -22,7 +22,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Teams {
     teams: Vec<Team>,
-    keys: HashMap<digest::Digest, usize>,
+    keys: BTreeMap<digest::Digest, usize>,
 }
 
 impl Teams {
--- a/fw-gate/tests/gate/store_news.rs
+++ b/fw-gate/tests/gate/store_news.rs
@@ -1,11 +1,12 @@
 //! What one entry reads from the platform's store, and the others hear of.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use fw_base::clock;
 use fw_follow::Step;
 use fw_gate::process::fleet::Want;
-use fw_gate::process::gate::Change;
+use fw_gate::process::gate::{Change, Gate};
 use fw_gate::process::snapshot::Known;
 use fw_gate::version::config::Config;
 use fw_replica::{member, service};
@@ -31,6 +32,7 @@
 
 fn news(newer: service::Bulletins, as_of: u64) -> service::News {
     service::News {
+        marks: newer.marks(),
         newer,
         view: member::View::default(),
         held: Duration::ZERO,
@@ -60,7 +62,7 @@
         ..listed("x")
     };
     let newer = other.read(5, &config(2), &[leaving]);
-    gate.hear(news(newer, 5), clock::since_boot());
+    gate.hear(&news(newer, 5), clock::since_boot());
     gate.apply(read(4, vec![Change::Upstream(listed("x"))]));
     let chosen = gate.fleet.choose(&"s".into(), &Want::default());
     expect_that!(chosen.is_err(), eq(true));
@@ -73,7 +75,7 @@
     let gate = gate();
     let mut other = Known::default();
     let newer = other.read(5, &config(2), &[listed("x")]);
-    gate.hear(news(newer, 5), clock::since_boot());
+    gate.hear(&news(newer, 5), clock::since_boot());
     gate.apply(read(6, vec![Change::UpstreamGone("x".into())]));
     let chosen = gate.fleet.choose(&"s".into(), &Want::default());
     expect_that!(chosen.is_err(), eq(true));
@@ -87,7 +89,7 @@
     let newer = reader.read(5, &config(2), &[listed("x")]);
     expect_that!(newer.config, some(anything()));
     let mut next = Known::default();
-    next.hear(newer, 5);
+    expect_true!(next.hear(&news(newer, 5)).unwrap().is_whole);
     let nothing = service::Bulletins::default();
     expect_that!(next.read(7, &config(2), &[listed("x")]), eq(&nothing));
     expect_that!(next.as_of(), eq(7));
@@ -96,3 +98,87 @@
     expect_that!(changed.config.is_none(), eq(true));
     expect_that!(changed.upstreams.unwrap().as_of, eq(8));
 }
+
+fn is_used(gate: &Arc<Gate>) -> bool {
+    gate.fleet.choose(&"s".into(), &Want::default()).is_ok()
+}
+
+// Guards against an upstream that stays in use as its removal is told at a revision known already.
+#[gtest]
+#[tokio::test]
+async fn a_list_of_the_same_revision_is_taken() {
+    let gate = gate();
+    let mut reader = Known::default();
+    let first = reader.read(5, &config(2), &[listed("x")]);
+    expect_true!(gate.hear(&news(first, 5), clock::since_boot()));
+    expect_true!(is_used(&gate));
+    let second = service::News {
+        marks: {
+            reader.read(5, &config(2), &[]);
+            reader.marks()
+        },
+        ..news(reader.whole(Arc::new(config(2)))(), 5)
+    };
+    expect_true!(gate.hear(&second, clock::since_boot()));
+    expect_false!(is_used(&gate));
+}
+
+// Guards against an entry that counts a revision as known and lacks what the store held at it.
+#[gtest]
+fn a_revision_counts_only_with_its_content() {
+    let mut reader = Known::default();
+    let first = reader.read(5, &config(2), &[listed("x")]);
+    let mut hearer = Known::default();
+    hearer.hear(&news(first, 5));
+    reader.read(7, &config(2), &[]);
+    let without_the_list = service::News {
+        marks: reader.marks(),
+        ..news(service::Bulletins::default(), 7)
+    };
+    expect_false!(hearer.hear(&without_the_list).unwrap().is_whole);
+    expect_that!(hearer.as_of(), eq(5));
+    let whole = news(reader.whole(Arc::new(config(2)))(), 7);
+    expect_true!(hearer.hear(&whole).unwrap().is_whole);
+    expect_that!(hearer.as_of(), eq(7));
+}
+
+// Guards against an entry that relies on others who tell it a list that it cannot read.
+#[gtest]
+fn an_unreadable_list_does_not_count_as_known() {
+    let mut reader = Known::default();
+    let mut first = reader.read(5, &config(2), &[listed("x")]);
+    if let Some(part) = &mut first.upstreams {
+        part.bytes = "\u{ff}\u{ff}".into();
+    }
+    let mut hearer = Known::default();
+    let told = hearer.hear(&news(first.clone(), 5)).unwrap();
+    expect_that!(told.upstreams, none());
+    expect_false!(told.is_whole);
+    // Nor when nothing is told anew.
+    let again = service::News {
+        marks: first.marks(),
+        ..news(service::Bulletins::default(), 6)
+    };
+    expect_false!(hearer.hear(&again).unwrap().is_whole);
+    expect_that!(hearer.as_of(), eq(0));
+    // Its own read makes up for it.
+    hearer.read(6, &config(2), &[listed("x")]);
+    expect_that!(hearer.as_of(), eq(6));
+}
+
+// Guards against a list on a replica's disk that takes the place of a newer one.
+#[gtest]
+fn what_lies_on_a_disk_is_taken_only_if_it_is_newer() {
+    let mut reader = Known::default();
+    let old = reader.read(5, &config(2), &[listed("x")]);
+    let new = reader.read(7, &config(3), &[]);
+    let on_disk = |parts: service::Bulletins| service::News {
+        last: None,
+        ..news(parts, 0)
+    };
+    let mut hearer = Known::default();
+    expect_true!(hearer.hear(&on_disk(new)).is_some());
+    expect_true!(hearer.hear(&on_disk(old)).is_none());
+    // Nobody has said that all is known up to then.
+    expect_that!(hearer.as_of(), eq(0));
+}
--- a/fw-replica/src/client/calls.rs
+++ b/fw-replica/src/client/calls.rs
@@ -179,20 +179,20 @@
     }
 
     /// Waits at the nearest replica until an entry has read the platform's store, up to `wait`.
-    pub async fn await_news(&self, after: service::Marks, wait: Duration) -> Option<service::News> {
+    pub async fn await_news(&self, known: service::Known, wait: Duration) -> Option<service::News> {
         let (_, members) = self.members();
         let addr = *members.first()?;
-        self.news_of(addr, after, wait).await
+        self.news_of(addr, known, wait).await
     }
 
-    /// Asks all replicas at once for what is newer than `after`: one that is down would hold the
+    /// Asks all replicas at once for what the owner of `known` lacks: one that is down would hold the
     /// others' answers up. The first that has any tells.
-    pub async fn ask_news(&self, after: service::Marks) -> Option<service::News> {
+    pub async fn ask_news(&self, known: service::Known) -> Option<service::News> {
         let (_, mut asked) = self.members();
         asked.extend(self.seeds.iter().copied());
         let mut answers: FuturesUnordered<_> = asked
             .into_iter()
-            .map(|addr| self.news_of(addr, after, Duration::ZERO))
+            .map(|addr| self.news_of(addr, known, Duration::ZERO))
             .collect();
         let mut any = None;
         while let Some(news) = answers.next().await {
@@ -209,11 +209,11 @@
     pub async fn news_of(
         &self,
         addr: SocketAddr,
-        after: service::Marks,
+        known: service::Known,
         wait: Duration,
     ) -> Option<service::News> {
         let answer = self.links.call_that_waits(addr, |client, cx| async move {
-            client.news(cx, after, wait).await
+            client.news(cx, known, wait).await
         });
         let news = answer.await?;
         self.learn(news.view.clone());
--- a/fw-replica/src/server.rs
+++ b/fw-replica/src/server.rs
@@ -30,14 +30,15 @@
     since.unwrap_or(Duration::ZERO).as_millis() as record::UnixMs
 }
 
-/// `read`, unless what is `known` is as new.
-fn newer(
+/// `read`, unless it is what is `known`, or that is newer.
+fn changed(
     known: Option<&service::Bulletin>,
     read: Option<service::Bulletin>,
 ) -> Option<service::Bulletin> {
     let read = read?;
-    let is_newer = known.is_none_or(|known| known.as_of < read.as_of);
-    is_newer.then_some(read)
+    let changes =
+        |known: &service::Bulletin| known.as_of <= read.as_of && known.bytes != read.bytes;
+    known.is_none_or(changes).then_some(read)
 }
 
 /// The last read of the platform's store that an entry told of.
@@ -68,6 +69,8 @@
     spending: spending::Spending,
     /// The last read of the platform's store that an entry told of.
     reads: watch::Sender<Option<LastRead>>,
+    /// Held while bulletins are compared and written, so that the newest is written last.
+    keeping: tokio::sync::Mutex<()>,
     /// Names this start of the replica.
     run: u64,
     /// Replicas that stand by, and when they asked last.
@@ -120,6 +123,7 @@
             trail: trail::Trail::default(),
             spending: spending::Spending::default(),
             run,
+            keeping: tokio::sync::Mutex::default(),
             reads: watch::Sender::default(),
             standbys: Mutex::default(),
             readers: Mutex::default(),
@@ -228,12 +232,13 @@
 
     /// Keeps `read` unless newer is known.
     pub async fn keep(&self, read: service::Bulletins) {
+        let _keeping = self.keeping.lock().await;
         let known = self.bulletins();
         // What the disk refuses is missing here, and comes again with the next post.
-        if let Some(config) = newer(known.config.as_ref(), read.config) {
+        if let Some(config) = changed(known.config.as_ref(), read.config) {
             self.write(record::Record::Config(config)).await;
         }
-        if let Some(upstreams) = newer(known.upstreams.as_ref(), read.upstreams) {
+        if let Some(upstreams) = changed(known.upstreams.as_ref(), read.upstreams) {
             self.write(record::Record::Upstreams(upstreams)).await;
         }
     }
@@ -243,11 +248,16 @@
     /// *Failure:* a post was held up by a cut for seconds, and what it told counted as new when it
     /// came: a key that had been taken away meanwhile was accepted. So a read counts as asked no later
     /// than the last moment of this replica that its reader had been told before.
+    ///
+    /// *Failure:* a replica that had missed a changed list took the next post, which said only that
+    /// nothing had changed since, for a proof of the list that it had. So the digests have to agree.
     pub async fn post(&self, post: service::Post) -> service::Posted {
-        self.keep(post.changed).await;
-        let has = self.bulletins().marks();
-        let is_whole = has.config >= post.marks.config && has.upstreams >= post.marks.upstreams;
-        if is_whole {
+        let is_older = post.as_of < self.as_of();
+        if !is_older {
+            self.keep(post.changed).await;
+        }
+        let is_whole = is_older || self.state.lock().marks() == post.marks;
+        if is_whole && !is_older {
             let asked = post.asked.filter(|asked| asked.run == self.run);
             let asked = asked.map(|asked| asked.at);
             self.reads.send_modify(|last| {
@@ -266,6 +276,18 @@
         }
     }
 
+    /// Newest revision of the store of which something is known here.
+    fn as_of(&self) -> u64 {
+        let read = self.reads.borrow().map_or(0, |last| last.as_of);
+        read.max(self.state.lock().bulletins().as_of())
+    }
+
+    /// Whether the owner of `known` lacks a part that is not older than what it knows.
+    fn has_news(&self, known: service::Known) -> bool {
+        let lacks = self.state.lock().marks().unlike(known.marks);
+        !lacks.is_empty() && self.as_of() >= known.as_of
+    }
+
     /// The present moment, for others to hand back.
     fn moment(&self) -> service::Moment {
         service::Moment {
@@ -274,16 +296,16 @@
         }
     }
 
-    /// What is newer than `after`; waits up to `wait` until an entry has read the platform's store, or
+    /// What the owner of `known` lacks; waits up to `wait` until an entry has read the platform's store, or
     /// the member list has changed.
     ///
     /// *Failure:* a member left, and entries that waited here were not told. They went on to ask it for
     /// votes after it was gone, for as long as it took until one of them had read the list in the store.
-    pub async fn news(&self, after: service::Marks, wait: Duration) -> service::News {
+    pub async fn news(&self, known: service::Known, wait: Duration) -> service::News {
         let begun = Instant::now();
         let mut reads = self.reads.subscribe();
         let mut view = self.view.subscribe();
-        if self.bulletins().after(after) == service::Bulletins::default() {
+        if !self.has_news(known) {
             let changed = async {
                 tokio::select! {
                     _ = reads.changed() => {}
@@ -295,8 +317,16 @@
         }
         // Taken before the parts, so that these are as new at least.
         let last = *self.reads.borrow();
+        let has_news = self.has_news(known);
+        let state = self.state.lock();
+        let (newer, marks) = match has_news {
+            true => (state.bulletins_unlike(known.marks), state.marks()),
+            false => (service::Bulletins::default(), state.marks()),
+        };
+        drop(state);
         service::News {
-            newer: self.bulletins().after(after),
+            newer,
+            marks,
             view: self.view.borrow().clone(),
             held: begun.elapsed(),
             last: last.map(|last| service::LastRead {
@@ -339,6 +369,14 @@
         self.state.lock().bulletins().clone()
     }
 
+    /// Newest revision, and digests, of what entries know from the platform's store.
+    pub fn known(&self) -> service::Known {
+        service::Known {
+            as_of: self.as_of(),
+            marks: self.state.lock().marks(),
+        }
+    }
+
     /// Forgets what has been kept long enough at `now`, and removes the oldest segment of the
     /// journal if nothing else is in it.
     pub async fn expire(&self, now: record::UnixMs) {
@@ -605,10 +643,10 @@
     async fn news(
         self,
         _: tarpc::context::Context,
-        after: service::Marks,
+        known: service::Known,
         wait: Duration,
     ) -> service::News {
-        self.0.news(after, wait).await
+        self.0.news(known, wait).await
     }
 
     async fn moment(self, _: tarpc::context::Context) -> service::Moment {
--- a/fw-replica/src/service.rs
+++ b/fw-replica/src/service.rs
@@ -7,6 +7,7 @@
 use fw_base::id;
 use fw_plan::quota;
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3;
 
 use crate::{ledger, member, record, trail};
 
@@ -65,15 +66,27 @@
     pub spent: Option<quota::Heard>,
 }
 
+/// Digest of a part's bytes; 0 if there is none.
+///
+/// A revision of the store does not determine a part: its reader may have read it over several pages.
+pub type PartDigest = u64;
+
 /// A part of what entries know from the platform's store, for those that do not read it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Bulletin {
-    /// Revision of the store at which it changed last, as far as its reader knows.
+    /// Revision of the store that it reflects.
     pub as_of: u64,
     /// The entries' own form.
     pub bytes: Bytes,
 }
 
+impl Bulletin {
+    /// Digest of the bytes.
+    pub fn digest(&self) -> PartDigest {
+        xxh3::xxh3_64(&self.bytes).max(1)
+    }
+}
+
 /// The parts, each of which changes by itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Bulletins {
@@ -84,31 +97,55 @@
 }
 
 impl Bulletins {
-    /// Revisions of the parts.
+    /// Digests of the parts.
     pub fn marks(&self) -> Marks {
-        let of = |part: &Option<Bulletin>| part.as_ref().map_or(0, |part| part.as_of);
+        let of = |part: &Option<Bulletin>| part.as_ref().map_or(0, Bulletin::digest);
         Marks {
             config: of(&self.config),
             upstreams: of(&self.upstreams),
         }
     }
 
-    /// The parts that are newer than `marks`.
-    pub fn after(self, marks: Marks) -> Self {
-        Self {
-            config: self.config.filter(|part| part.as_of > marks.config),
-            upstreams: self.upstreams.filter(|part| part.as_of > marks.upstreams),
-        }
+    /// Newest revision that a part reflects.
+    pub fn as_of(&self) -> u64 {
+        let parts = self.config.iter().chain(&self.upstreams);
+        parts.map(|part| part.as_of).max().unwrap_or(0)
     }
 }
 
-/// Revisions of the parts that somebody has.
+/// Digests of the parts that somebody has.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Marks {
     /// Of the configuration.
-    pub config: u64,
+    pub config: PartDigest,
     /// Of the upstreams.
-    pub upstreams: u64,
+    pub upstreams: PartDigest,
+}
+
+impl Marks {
+    /// Which of the parts that somebody has, these, the owner of `others` lacks: not that part, but
+    /// none or another.
+    pub fn unlike(&self, others: Self) -> Self {
+        let unlike = |own, other| if own == other { 0 } else { own };
+        Self {
+            config: unlike(self.config, others.config),
+            upstreams: unlike(self.upstreams, others.upstreams),
+        }
+    }
+
+    /// Whether there is no part.
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+/// What an asker knows of the platform's store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Known {
+    /// Newest revision of which it knows something.
+    pub as_of: u64,
+    /// Digests of its parts.
+    pub marks: Marks,
 }
 
 /// An entry has read the platform's store.
@@ -120,7 +157,7 @@
     pub as_of: u64,
     /// A moment of the receiver before which the read was not asked, if the sender knows one.
     pub asked: Option<Moment>,
-    /// Revisions of what is known now.
+    /// Digests of what is known now.
     pub marks: Marks,
     /// What has changed.
     pub changed: Bulletins,
@@ -161,8 +198,10 @@
 /// What a replica knows of the platform's store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct News {
-    /// The parts that are newer than the asker's.
+    /// The parts that the asker lacks; none while it knows a newer revision.
     pub newer: Bulletins,
+    /// Digests of all parts that the replica has.
+    pub marks: Marks,
     /// The newest member list.
     pub view: member::View,
     /// How long the answer was held back.
@@ -321,8 +360,8 @@
     async fn post(post: Post) -> Posted;
     /// Counts what an entry has let through of some teams; returns what is known of each.
     async fn spend(entry: u32, spent: Vec<Spent>) -> Vec<quota::Heard>;
-    /// What is newer than `after`. Waits up to `wait` until an entry has read the store.
-    async fn news(after: Marks, wait: Duration) -> News;
+    /// What an asker lacks. Waits up to `wait` until an entry has read the store.
+    async fn news(known: Known, wait: Duration) -> News;
     /// Tells the present moment.
     async fn moment() -> Moment;
     /// Asks how the replica is; `standby` names the asker if it stands by.
--- a/fw-replica/src/state.rs
+++ b/fw-replica/src/state.rs
@@ -35,6 +35,8 @@
     synced: bool,
     view: member::View,
     bulletins: service::Bulletins,
+    /// Digests of the bulletins.
+    marks: service::Marks,
     /// Turns that were charged without the charge being on disk, as the disk refused it, and their
     /// programs.
     not_stored: HashMap<record::TurnId, record::ProgramId>,
@@ -52,6 +54,7 @@
             synced: false,
             view: member::View::default(),
             bulletins: service::Bulletins::default(),
+            marks: service::Marks::default(),
             not_stored: HashMap::new(),
         }
     }
@@ -68,8 +71,14 @@
             }
             record::Record::Synced(synced) => self.synced = *synced,
             record::Record::Members(view) => self.learn(view),
-            record::Record::Config(config) => self.bulletins.config = Some(config.clone()),
-            record::Record::Upstreams(list) => self.bulletins.upstreams = Some(list.clone()),
+            record::Record::Config(config) => {
+                self.marks.config = config.digest();
+                self.bulletins.config = Some(config.clone());
+            }
+            record::Record::Upstreams(list) => {
+                self.marks.upstreams = list.digest();
+                self.bulletins.upstreams = Some(list.clone());
+            }
         }
     }
 
@@ -185,6 +194,21 @@
         &self.bulletins
     }
 
+    /// Digests of the bulletins.
+    pub fn marks(&self) -> service::Marks {
+        self.marks
+    }
+
+    /// The bulletins that the owner of `marks` lacks.
+    pub fn bulletins_unlike(&self, marks: service::Marks) -> service::Bulletins {
+        let lacks = self.marks.unlike(marks);
+        let service::Bulletins { config, upstreams } = &self.bulletins;
+        service::Bulletins {
+            config: config.clone().filter(|_| lacks.config != 0),
+            upstreams: upstreams.clone().filter(|_| lacks.upstreams != 0),
+        }
+    }
+
     /// The newest member list known.
     pub fn view(&self) -> &member::View {
         &self.view
--- a/fw-replica/src/sync.rs
+++ b/fw-replica/src/sync.rs
@@ -455,9 +455,7 @@
 ) {
     let begun = Instant::now();
     if !shared.is_voting()
-        && let Some(news) = client
-            .news_of(addr, shared.bulletins().marks(), Duration::ZERO)
-            .await
+        && let Some(news) = client.news_of(addr, shared.known(), Duration::ZERO).await
     {
         shared.keep(news.newer).await;
     }
--- a/fw-replica/tests/replica/store_news.rs
+++ b/fw-replica/tests/replica/store_news.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use fw_replica::server::Shared;
-use fw_replica::service::{Bulletin, Bulletins, Marks, Moment, Post};
+use fw_replica::service::{Bulletin, Bulletins, Known, Marks, Moment, Post};
 use fw_replica::{journal, member};
 use googletest::prelude::*;
 
@@ -32,29 +32,27 @@
 async fn a_read_is_told_only_with_all_its_parts() {
     let dir = tempfile::tempdir().unwrap();
     let replica = Shared::open(dir.path(), journal::Options::default(), 1).unwrap();
-    let marks = Marks {
-        config: 5,
-        upstreams: 6,
+    let whole = Bulletins {
+        config: part(5),
+        upstreams: part(6),
     };
+    let marks = whole.marks();
     let upstreams = Bulletins {
         upstreams: part(6),
         ..Bulletins::default()
     };
     expect_false!(replica.post(post(6, marks, upstreams)).await.is_whole);
-    let news = replica.news(Marks::default(), Duration::ZERO).await;
+    let news = replica.news(Known::default(), Duration::ZERO).await;
     expect_that!(news.last, none());
-    let whole = Bulletins {
-        config: part(5),
-        upstreams: part(6),
-    };
     expect_true!(replica.post(post(6, marks, whole.clone())).await.is_whole);
-    let news = replica.news(Marks::default(), Duration::ZERO).await;
+    let news = replica.news(Known::default(), Duration::ZERO).await;
     expect_that!(news.last.unwrap().as_of, eq(6));
     expect_that!(news.newer, eq(&whole));
     // That nothing has changed is news too.
     let same = post(9, marks, Bulletins::default());
     expect_true!(replica.post(same).await.is_whole);
-    let news = replica.news(marks, Duration::ZERO).await;
+    let known = Known { as_of: 6, marks };
+    let news = replica.news(known, Duration::ZERO).await;
     expect_that!(news.last.unwrap().as_of, eq(9));
     expect_that!(news.newer, eq(&Bulletins::default()));
 }
@@ -74,7 +72,7 @@
     let begun = tokio::time::Instant::now();
     let waits = async {
         let news = replica
-            .news(Marks::default(), Duration::from_secs(60))
+            .news(Known::default(), Duration::from_secs(60))
             .await;
         (news, begun.elapsed())
     };
@@ -84,6 +82,96 @@
     expect_that!(waited, lt(Duration::from_secs(60)));
 }
 
+fn upstreams(as_of: u64, bytes: &'static str) -> Bulletins {
+    let bytes = bytes.into();
+    Bulletins {
+        upstreams: Some(Bulletin { as_of, bytes }),
+        ..Bulletins::default()
+    }
+}
+
+// Guards against a list that its readers know differently at one revision and that never spreads.
+#[gtest]
+#[tokio::test]
+async fn a_list_that_differs_at_the_same_revision_is_told() {
+    let dir = tempfile::tempdir().unwrap();
+    let replica = Shared::open(dir.path(), journal::Options::default(), 1).unwrap();
+    let old = upstreams(6, "x, y");
+    expect_true!(
+        replica
+            .post(post(6, old.marks(), old.clone()))
+            .await
+            .is_whole
+    );
+    let new = upstreams(6, "y");
+    // A post that says only that nothing has changed does not prove another list.
+    let unchanged = post(9, new.marks(), Bulletins::default());
+    expect_false!(replica.post(unchanged).await.is_whole);
+    expect_true!(
+        replica
+            .post(post(6, new.marks(), new.clone()))
+            .await
+            .is_whole
+    );
+    let known = Known {
+        as_of: 6,
+        marks: old.marks(),
+    };
+    let news = replica.news(known, Duration::ZERO).await;
+    expect_that!(news.newer, eq(&new));
+    expect_that!(news.marks, eq(new.marks()));
+}
+
+// Guards against a held-up post that puts an older list in the place of a newer one.
+#[gtest]
+#[tokio::test]
+async fn an_older_post_changes_nothing() {
+    let dir = tempfile::tempdir().unwrap();
+    let replica = Shared::open(dir.path(), journal::Options::default(), 1).unwrap();
+    let (old, new) = (upstreams(6, "x, y"), upstreams(8, "y"));
+    let first = replica.post(post(8, new.marks(), new.clone()));
+    let second = replica.post(post(6, old.marks(), old.clone()));
+    tokio::join!(first, second);
+    expect_that!(replica.bulletins(), eq(&new));
+    let news = replica.news(Known::default(), Duration::ZERO).await;
+    expect_that!(news.last.unwrap().as_of, eq(8));
+}
+
+// Guards against two posts at once of which the older one reaches the disk last.
+#[gtest]
+#[tokio::test]
+async fn the_newest_of_two_posts_at_once_is_kept_over_a_restart() {
+    let dir = tempfile::tempdir().unwrap();
+    let replica = Shared::open(dir.path(), journal::Options::default(), 1).unwrap();
+    let (old, new) = (upstreams(6, "x, y"), upstreams(8, "y"));
+    let first = replica.post(post(6, old.marks(), old.clone()));
+    let second = replica.post(post(8, new.marks(), new.clone()));
+    tokio::join!(first, second);
+    expect_that!(replica.bulletins(), eq(&new));
+    drop(replica);
+    let replica = Shared::open(dir.path(), journal::Options::default(), 2).unwrap();
+    expect_that!(replica.bulletins(), eq(&new));
+}
+
+// Guards against an asker that is told at once, again and again, what it does not take.
+#[gtest]
+#[tokio::test]
+async fn parts_older_than_what_the_asker_knows_are_not_told() {
+    let dir = tempfile::tempdir().unwrap();
+    let replica = Shared::open(dir.path(), journal::Options::default(), 1).unwrap();
+    let old = upstreams(6, "x, y");
+    replica.post(post(6, old.marks(), old.clone())).await;
+    let known = Known {
+        as_of: 7,
+        marks: upstreams(7, "y").marks(),
+    };
+    let begun = std::time::Instant::now();
+    let wait = Duration::from_millis(30);
+    let news = replica.news(known, wait).await;
+    expect_that!(news.newer, eq(&Bulletins::default()));
+    expect_that!(begun.elapsed(), ge(wait));
+}
+
 fn read(as_of: u64, asked: Option<Moment>) -> Post {
     Post {
         asked,
@@ -92,7 +180,7 @@
 }
 
 async fn asked_ago(replica: &Shared) -> Option<Duration> {
-    let news = replica.news(Marks::default(), Duration::ZERO).await;
+    let news = replica.news(Known::default(), Duration::ZERO).await;
     news.last.unwrap().asked
 }
 
@@ -117,7 +205,7 @@
     expect_that!(age, lt(Duration::from_secs(9)));
     // An older one that comes after it takes nothing back.
     replica.post(read(6, Some(late))).await;
-    let news = replica.news(Marks::default(), Duration::ZERO).await;
+    let news = replica.news(Known::default(), Duration::ZERO).await;
     expect_that!(news.last.unwrap().as_of, eq(7));
     expect_that!(
         asked_ago(&replica).await.unwrap(),
