fw-plan, fw-gate: an upstream that was listed since the store's last outage has left when it is missing

Cause: a reader that had failed to read was in doubt for 2.2 s after its own first answer and ignored removals meanwhile; it counted its own failures, whether or not the store had been away for others, and told everybody the list with the upstreams that it kept. So a removal after an outage came up to 3 s late, and an entry that was cut off alone brought an upstream back at all entries that had dropped it.

Change: fw_plan::lapse decides by gaps between reads of whichever entry. What a read after the gap listed has left when it is missing. Replicas tell since when reads have followed each other, by the moments at which they were asked. The list is told as it was read. The second whole read after each outage is gone with the doubt.

Also: fw-replica's server.rs is split; what concerns reads of the store stands in server/news.rs, the entry's list in fleet/list.rs.

--- a/fw-follow/src/lib.rs
+++ b/fw-follow/src/lib.rs
@@ -7,8 +7,7 @@
 //!
 //! *Rule:* one watch in each [`Options::pace`] brings all that has changed since the last. A call
 //! that fails or takes too long means doubt: the next one is made on a fresh connection after a
-//! pause that grows, and once one succeeds after doubt everything is read whole, and once more
-//! after [`Options::settle`], by when entries that lapsed in the meantime are back.
+//! pause that grows, and once one succeeds after doubt everything is read whole.
 
 use std::time::Duration;
 
@@ -63,12 +62,10 @@
 /// What the follower tells.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step<C> {
-    /// All that is there. What is missing is gone only if `settled`.
+    /// All that is there.
     Whole {
         /// One change for each thing.
         changes: Vec<C>,
-        /// Whether things that lapsed during an outage have had time to come back.
-        settled: bool,
         /// The store's revision.
         as_of: Revision,
     },
@@ -76,8 +73,6 @@
     News {
         /// The changes, oldest first.
         changes: Vec<C>,
-        /// As above.
-        settled: bool,
         /// The store's revision.
         as_of: Revision,
     },
@@ -96,8 +91,6 @@
     pub retry: Duration,
     /// Longest pause after a failure.
     pub retry_most: Duration,
-    /// After an outage, how long things that lapsed may take to come back.
-    pub settle: Duration,
 }
 
 impl Default for Options {
@@ -108,7 +101,6 @@
             wait: Duration::from_millis(450),
             retry: Duration::from_millis(250),
             retry_most: Duration::from_millis(1_000),
-            settle: Duration::from_millis(2_200),
         }
     }
 }
@@ -144,8 +136,6 @@
     at: Option<Revision>,
     failures: u32,
     begun: Instant,
-    /// Set after an outage: when the whole is to be read once more.
-    settles: Option<Instant>,
 }
 
 impl Follower {
@@ -155,15 +145,11 @@
             at: None,
             failures: 0,
             begun: Instant::now(),
-            settles: None,
         }
     }
 
     async fn step<A: Area>(&mut self, area: &A) -> Option<Step<A::Change>> {
         self.begun = Instant::now();
-        if self.settles.is_some_and(|at| at <= self.begun) {
-            self.at = None;
-        }
         let (whole, read) = match self.at {
             None => (true, area.whole().await),
             Some(after) => (false, area.changes(after, self.opts.wait).await),
@@ -182,26 +168,13 @@
     fn took<C>(&mut self, whole: bool, read: Read<C>) -> Step<C> {
         if std::mem::take(&mut self.failures) > 0 {
             tracing::info!(as_of = read.as_of, "the platform's store answers again");
-            self.settles = Some(Instant::now() + self.opts.settle);
-        }
-        if whole && self.settles.is_some_and(|at| at <= Instant::now()) {
-            self.settles = None;
         }
-        let settled = self.settles.is_none();
         self.at = Some(read.as_of);
         let Read { changes, as_of } = read;
         if whole {
-            Step::Whole {
-                changes,
-                settled,
-                as_of,
-            }
+            Step::Whole { changes, as_of }
         } else {
-            Step::News {
-                changes,
-                settled,
-                as_of,
-            }
+            Step::News { changes, as_of }
         }
     }
 
--- a/fw-gate/src/process/fleet/lease.rs
+++ b/fw-gate/src/process/fleet/lease.rs
@@ -10,7 +10,7 @@
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
-use super::{Fleet, ListState, Service, Upstream};
+use super::{Fleet, Service, State, Upstream};
 use crate::connection::link;
 
 /// Idle connections kept to one upstream. More calls than that at once to one upstream from one
@@ -45,7 +45,7 @@
     /// What was known of it when it was chosen, for log lines.
     pub why: assign::Candidate,
     /// By which state of the list it was chosen.
-    pub list: ListState,
+    pub list: State,
     begun: Instant,
 }
 
--- /dev/null
+++ b/fw-gate/src/process/fleet/list.rs
@@ -0,0 +1,268 @@
+//! The list of upstreams, as reads of the platform's store change it.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use fw_base::{clock, id};
+use fw_plan::{lapse, pace};
+use parking_lot::Mutex;
+
+use super::{Fleet, Listed, Service, Upstream, short};
+
+/// A read of the platform's store, by this entry or another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Read {
+    /// Revision that it reflects.
+    pub as_of: u64,
+    /// How long ago it was made.
+    pub ago: Duration,
+}
+
+impl Read {
+    /// A read of this entry's that has just ended.
+    pub fn own(as_of: u64) -> Self {
+        let ago = Duration::ZERO;
+        Self { as_of, ago }
+    }
+}
+
+/// What a read says of the list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum List {
+    /// All that is listed.
+    Whole(Vec<Listed>),
+    /// What has changed, oldest first.
+    Changes(Vec<Change>),
+}
+
+/// A change of the list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// One is listed, or has changed.
+    Put(Listed),
+    /// One is no longer listed.
+    Gone(id::UpstreamId),
+}
+
+impl Change {
+    /// The upstream that is listed.
+    pub fn listed(self) -> Option<Listed> {
+        match self {
+            Self::Put(listed) => Some(listed),
+            Self::Gone(_) => None,
+        }
+    }
+}
+
+/// The state of the list by which an upstream was chosen, for log lines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct State {
+    /// Revision of the store that it reflects.
+    pub as_of: u64,
+    /// Time since the read of the store by which it was last confirmed; `None` if none was heard of.
+    pub age: Option<Duration>,
+}
+
+/// An upstream that is no longer listed.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Missing {
+    /// When a read listed it last, since boot; `None` if none did that this entry knows of.
+    listed: Option<Duration>,
+}
+
+/// The reads of the store that the list is from. Times are since boot.
+#[derive(Debug)]
+pub(super) struct Reads {
+    steady: lapse::Reads,
+    /// Revision of the last read.
+    as_of: u64,
+    /// When the last read was made.
+    last: Option<Duration>,
+}
+
+impl Reads {
+    /// None was made yet.
+    pub(super) fn new(opts: lapse::Options) -> Self {
+        Self {
+            steady: lapse::Reads::new(opts),
+            as_of: 0,
+            last: None,
+        }
+    }
+}
+
+impl Fleet {
+    /// Whether the list was ever read.
+    pub fn is_known(&self) -> bool {
+        self.known.load(Ordering::Relaxed)
+    }
+
+    /// By which state of the list upstreams are chosen now.
+    pub fn list_state(&self) -> State {
+        let reads = self.reads.lock();
+        State {
+            as_of: reads.as_of,
+            age: reads.last.map(|at| clock::since_boot().saturating_sub(at)),
+        }
+    }
+
+    /// Others made reads without a gap, the first and the last so long ago.
+    pub fn note_reads(&self, first: Duration, last: Duration) {
+        let now = clock::since_boot();
+        let span = lapse::Span {
+            first: now.saturating_sub(first),
+            last: now.saturating_sub(last),
+        };
+        self.reads.lock().steady.note(span);
+    }
+
+    /// Takes what `read` says of the list. Without a read, it is what somebody knew at some time.
+    pub fn apply(&self, read: Option<Read>, list: List) {
+        let at = read.map(|read| clock::since_boot().saturating_sub(read.ago));
+        if let (Some(read), Some(at)) = (read, at) {
+            let mut reads = self.reads.lock();
+            reads.as_of = read.as_of;
+            reads.steady.note(lapse::Span::single(at));
+        }
+        match list {
+            List::Whole(list) => self.replace(list),
+            List::Changes(changes) => changes.into_iter().for_each(|change| self.change(change)),
+        }
+        let mut reads = self.reads.lock();
+        reads.last = reads.last.max(at);
+        drop(reads);
+        self.drop_gone();
+    }
+
+    fn change(&self, change: Change) {
+        match change {
+            Change::Put(listed) => self.put(listed),
+            Change::Gone(id) => self.miss(&id),
+        }
+    }
+
+    fn replace(&self, list: Vec<Listed>) {
+        self.known.store(true, Ordering::Relaxed);
+        let known = self.listing();
+        let missing = known
+            .into_iter()
+            .filter(|known| !list.iter().any(|listed| listed.id == known.id));
+        missing.for_each(|known| self.miss(&known.id));
+        for listed in list {
+            self.put(listed);
+        }
+    }
+
+    /// Adds or changes one upstream.
+    pub fn put(&self, listed: Listed) {
+        let service = {
+            let mut services = self.services.lock();
+            let service = services.entry(listed.service.clone());
+            Arc::clone(service.or_insert_with(|| Arc::new(Mutex::new(Service::new()))))
+        };
+        let mut service = service.lock();
+        let now = self.now();
+        let id = listed.id.clone();
+        let Some(known) = service.find(&id) else {
+            tracing::info!(upstream = %id, service = %listed.service, addr = %listed.addr, takes_work = listed.takes_work, "upstream listed");
+            service.upstreams.push(Upstream::new(listed));
+            service.tell_health(now);
+            return;
+        };
+        let restarted = known.listed.born != listed.born || known.listed.addr != listed.addr;
+        if known.listed.takes_work != listed.takes_work || restarted {
+            let as_of = self.list_state().as_of;
+            tracing::info!(upstream = %id, takes_work = listed.takes_work, restarted, as_of, "upstream changed");
+        }
+        known.missing = None;
+        known.listed = listed;
+        if restarted {
+            known.forget();
+            service.health.restarted(now, &id);
+        }
+    }
+
+    /// An upstream is not on the list any more.
+    fn miss(&self, id: &id::UpstreamId) {
+        let (listed, outcome) = {
+            let reads = self.reads.lock();
+            (reads.last, reads.steady.decide(reads.last))
+        };
+        for service in self.all_services() {
+            let mut service = service.lock();
+            let Some(upstream) = service.find(id).filter(|u| u.missing.is_none()) else {
+                continue;
+            };
+            upstream.missing = Some(Missing { listed });
+            if outcome == lapse::Outcome::Kept {
+                tracing::info!(upstream = %id, "upstream missing after an outage of the store; used until lapsed ones are back");
+            }
+        }
+    }
+
+    /// Drops the missing upstreams that have left.
+    fn drop_gone(&self) {
+        let (steady, as_of) = {
+            let reads = self.reads.lock();
+            (reads.steady.clone(), reads.as_of)
+        };
+        let is_gone = |upstream: &Upstream| {
+            let listed = upstream.missing.map(|missing| missing.listed);
+            listed.is_some_and(|listed| steady.decide(listed) == lapse::Outcome::Gone)
+        };
+        for service in self.all_services() {
+            let mut service = service.lock();
+            let before = service.upstreams.len();
+            service.upstreams.retain(|upstream| {
+                let gone = is_gone(upstream);
+                if gone {
+                    tracing::info!(upstream = %upstream.listed.id, as_of, "upstream gone from the list");
+                }
+                !gone
+            });
+            if service.upstreams.len() < before {
+                service.tell_health(self.now());
+            }
+        }
+    }
+
+    /// All upstreams on the list, by id.
+    pub fn listing(&self) -> Vec<Listed> {
+        let mut listing = Vec::new();
+        for service in self.all_services() {
+            let service = service.lock();
+            let listed = service.upstreams.iter().filter(|u| u.missing.is_none());
+            listing.extend(listed.map(|u| u.listed.clone()));
+        }
+        listing.sort_by(|a, b| a.id.cmp(&b.id));
+        listing
+    }
+}
+
+impl Upstream {
+    /// One that is listed for the first time.
+    fn new(listed: Listed) -> Self {
+        Self {
+            short: short(&listed.id),
+            listed,
+            missing: None,
+            replaced_until: None,
+            own: 0,
+            others: 0,
+            reported: Instant::now(),
+            idle: Vec::new(),
+            pace: pace::Pace::default(),
+            failed: None,
+        }
+    }
+
+    /// It was restarted and holds nothing of before: connections and load are its predecessor's.
+    fn forget(&mut self) {
+        self.idle.clear();
+        self.others = 0;
+        self.pace = pace::Pace::default();
+        self.replaced_until = None;
+        self.failed = None;
+    }
+}
--- a/fw-gate/src/process/fleet/mod.rs
+++ b/fw-gate/src/process/fleet/mod.rs
@@ -3,11 +3,11 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
 
 use fw_base::id;
-use fw_plan::{assign, health, hold, pace};
+use fw_plan::{assign, health, hold, lapse, pace};
 use fw_replica::{service, trail};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
@@ -18,9 +18,11 @@
 
 mod choose;
 mod lease;
+mod list;
 
 use lease::Waiter;
 pub use lease::{Lease, Load};
+pub use list::{Change, List, Read, State};
 
 /// Calls that wait and look again when news of the others' calls come: some may find the upstream
 /// free that has their prompt.
@@ -48,15 +50,6 @@
     pub born: Born,
 }
 
-/// The state of the list by which an upstream was chosen, for log lines.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ListState {
-    /// Revision of the store that it reflects.
-    pub as_of: u64,
-    /// Time since the read of the store by which it was last confirmed; `None` if none was heard of.
-    pub age: Option<Duration>,
-}
-
 /// What makes one upstream faster than another for a call.
 #[derive(Clone, Debug, Default)]
 pub enum Warmth<'a> {
@@ -88,6 +81,8 @@
 #[derive(Debug)]
 struct Upstream {
     listed: Listed,
+    /// Set while it is missing from the list, and kept.
+    missing: Option<list::Missing>,
     /// Until when another upstream is taken to have its address.
     replaced_until: Option<Instant>,
     /// Short hash of its id, as entries name it to each other.
@@ -172,8 +167,8 @@
     trail: trail::Trail,
     /// Whether the list was ever read.
     known: AtomicBool,
-    /// The newest read of the store that the list reflects: its revision, and when it was made.
-    confirmed: Mutex<Option<(u64, Instant)>>,
+    /// The reads of the store that the list is from.
+    reads: Mutex<list::Reads>,
     /// Names this entry to the others.
     entry: u32,
 }
@@ -186,8 +181,9 @@
 }
 
 impl Fleet {
-    /// Knows no upstream yet; `place` is the entry's own data centre.
-    pub fn new(place: id::PlaceId) -> Arc<Self> {
+    /// Knows no upstream yet; `place` is the entry's own data centre, and `lapse` says how outages of
+    /// the store are told.
+    pub fn new(place: id::PlaceId, lapse: lapse::Options) -> Arc<Self> {
         Arc::new(Self {
             place,
             started: Instant::now(),
@@ -197,7 +193,7 @@
             services: Mutex::default(),
             trail: trail::Trail::default(),
             known: AtomicBool::new(false),
-            confirmed: Mutex::default(),
+            reads: Mutex::new(list::Reads::new(lapse)),
             entry: rand::random(),
         })
     }
@@ -211,117 +207,10 @@
         self.entry
     }
 
-    /// Whether the list was ever read.
-    pub fn is_known(&self) -> bool {
-        self.known.load(Ordering::Relaxed)
-    }
-
-    /// A read of the store that ended at `at` found the list as it is here at revision `as_of`.
-    pub fn confirm(&self, as_of: u64, at: Instant) {
-        *self.confirmed.lock() = Some((as_of, at));
-    }
-
-    /// By which state of the list upstreams are chosen now.
-    pub fn list_state(&self) -> ListState {
-        let confirmed = *self.confirmed.lock();
-        confirmed.map_or_else(ListState::default, |(as_of, at)| ListState {
-            as_of,
-            age: Some(at.elapsed()),
-        })
-    }
-
     fn service(&self, id: &id::ServiceId) -> Option<Arc<Mutex<Service>>> {
         self.services.lock().get(id).cloned()
     }
 
-    /// Takes the whole list. Whatever is missing is gone, unless the list is not `settled`: then it
-    /// is used until a settled one comes.
-    pub fn replace(&self, list: Vec<Listed>, settled: bool) {
-        self.known.store(true, Ordering::Relaxed);
-        let missing: Vec<_> = {
-            let services = self.services.lock();
-            let known = services.values().flat_map(|service| {
-                let service = service.lock();
-                let ids = service.upstreams.iter().map(|u| u.listed.id.clone());
-                ids.collect::<Vec<_>>()
-            });
-            known
-                .filter(|id| !list.iter().any(|listed| listed.id == *id))
-                .collect()
-        };
-        for listed in list {
-            self.put(listed);
-        }
-        for id in missing.iter().filter(|_| settled) {
-            self.remove(id);
-        }
-    }
-
-    /// Adds or changes one upstream.
-    pub fn put(&self, listed: Listed) {
-        let service = {
-            let mut services = self.services.lock();
-            let service = services.entry(listed.service.clone());
-            Arc::clone(service.or_insert_with(|| Arc::new(Mutex::new(Service::new()))))
-        };
-        let mut service = service.lock();
-        let now = self.now();
-        let id = listed.id.clone();
-        match service.find(&id) {
-            Some(known) => {
-                let restarted =
-                    known.listed.born != listed.born || known.listed.addr != listed.addr;
-                if known.listed.takes_work != listed.takes_work || restarted {
-                    let as_of = self.list_state().as_of;
-                    tracing::info!(upstream = %id, takes_work = listed.takes_work, restarted, as_of, "upstream changed");
-                }
-                if restarted {
-                    // It holds nothing of before: connections and load are its predecessor's.
-                    known.idle.clear();
-                    known.others = 0;
-                    known.pace = pace::Pace::default();
-                    known.replaced_until = None;
-                    known.failed = None;
-                }
-                known.listed = listed;
-                if restarted {
-                    service.health.restarted(now, &id);
-                }
-            }
-            None => {
-                tracing::info!(upstream = %id, service = %listed.service, addr = %listed.addr, takes_work = listed.takes_work, "upstream listed");
-                service.upstreams.push(Upstream {
-                    short: short(&listed.id),
-                    listed,
-                    replaced_until: None,
-                    own: 0,
-                    others: 0,
-                    reported: Instant::now(),
-                    idle: Vec::new(),
-                    pace: pace::Pace::default(),
-                    failed: None,
-                });
-                service.tell_health(now);
-            }
-        }
-    }
-
-    /// An upstream is not on the list any more.
-    pub fn remove(&self, id: &id::UpstreamId) {
-        for service in self.all_services() {
-            let mut service = service.lock();
-            if service.find(id).is_none() {
-                continue;
-            }
-            let as_of = self.list_state().as_of;
-            tracing::info!(upstream = %id, as_of, "upstream gone from the list");
-            service
-                .upstreams
-                .retain(|upstream| upstream.listed.id != *id);
-            service.tell_health(self.now());
-        }
-    }
-
     /// A further call to an upstream that was chosen before, if it may still get work.
     pub fn again(
         self: &Arc<Self>,
@@ -353,17 +242,6 @@
         }
     }
 
-    /// All upstreams on the list, by id.
-    pub fn listing(&self) -> Vec<Listed> {
-        let mut listing = Vec::new();
-        for service in self.all_services() {
-            let service = service.lock();
-            listing.extend(service.upstreams.iter().map(|u| u.listed.clone()));
-        }
-        listing.sort_by(|a, b| a.id.cmp(&b.id));
-        listing
-    }
-
     /// Other entries' calls under way, as a replica tells them.
     pub fn told_others(&self, others: &[(u16, u16)]) {
         let now = Instant::now();
--- a/fw-gate/src/process/gate.rs
+++ b/fw-gate/src/process/gate.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use fw_base::{clock, digest, error, id};
-use fw_plan::{poison, quota, retry, staleness};
+use fw_plan::{lapse, poison, quota, retry, staleness};
 use fw_replica::{client, member, record, service};
 use parking_lot::Mutex;
 use tokio::sync::watch;
@@ -43,6 +43,8 @@
     pub keys_stale_after: Option<Duration>,
     /// How requests are counted for teams' quotas.
     pub quota: quota::Options,
+    /// How outages of the platform's store are told.
+    pub lapse: lapse::Options,
 }
 
 /// What is in force, and whether it is new enough to accept API keys by it.
@@ -68,10 +70,8 @@
 pub enum Change {
     /// A configuration.
     Config(Box<config::Config>),
-    /// An upstream is there, or has changed.
-    Upstream(fleet::Listed),
-    /// An upstream is no longer listed, or its entry cannot be used.
-    UpstreamGone(id::UpstreamId),
+    /// Of the list of upstreams.
+    Upstream(fleet::Change),
     /// The replicas.
     Members(member::View),
     /// The operator wants a replica emptied.
@@ -109,7 +109,7 @@
 impl Gate {
     /// Knows nothing yet.
     pub fn new(opts: Options) -> Arc<Self> {
-        let fleet = fleet::Fleet::new(opts.place.clone());
+        let fleet = fleet::Fleet::new(opts.place.clone(), opts.lapse.clone());
         let knowledge = staleness::Knowledge::new(opts.keys_stale_after);
         Arc::new(Self {
             reading: reading::Reading::new(fleet.entry()),
@@ -150,50 +150,36 @@
                 self.reading.has_read();
                 self.prove();
             }
-            fw_follow::Step::Whole {
-                changes,
-                settled,
-                as_of,
-            } => {
-                self.fleet.confirm(as_of, Instant::now());
-                let mut listed = Vec::new();
-                for change in changes {
-                    match change {
-                        Change::Upstream(upstream) => listed.push(upstream),
-                        other => self.change(other, settled),
-                    }
-                }
-                self.fleet.replace(listed, settled);
+            fw_follow::Step::Whole { changes, as_of } => {
+                let listed = self.take(changes).into_iter();
+                let list = fleet::List::Whole(listed.filter_map(fleet::Change::listed).collect());
+                self.fleet.apply(Some(fleet::Read::own(as_of)), list);
                 self.post(as_of, &mut known);
             }
-            fw_follow::Step::News {
-                changes,
-                settled,
-                as_of,
-            } => {
-                self.fleet.confirm(as_of, Instant::now());
-                for change in changes {
-                    self.change(change, settled);
-                }
+            fw_follow::Step::News { changes, as_of } => {
+                let list = fleet::List::Changes(self.take(changes));
+                self.fleet.apply(Some(fleet::Read::own(as_of)), list);
                 self.post(as_of, &mut known);
             }
         }
     }
 
-    fn change(&self, change: Change, settled: bool) {
-        match change {
-            Change::Config(config) => self.configure(*config),
-            Change::Upstream(listed) => self.fleet.put(listed),
-            Change::UpstreamGone(id) if settled => self.fleet.remove(&id),
-            // Listed again within moments, or missing from the next whole list.
-            Change::UpstreamGone(_) => {}
-            Change::Members(view) => {
-                if self.replicas.learn(view) {
-                    self.replicas.tell();
+    /// Takes all changes but those of the list of upstreams, which are returned.
+    fn take(&self, changes: Vec<Change>) -> Vec<fleet::Change> {
+        let mut list = Vec::new();
+        for change in changes {
+            match change {
+                Change::Upstream(change) => list.push(change),
+                Change::Config(config) => self.configure(*config),
+                Change::Members(view) => {
+                    if self.replicas.learn(view) {
+                        self.replicas.tell();
+                    }
                 }
+                Change::Retire(replica) => self.replicas.tell_retire(replica),
             }
-            Change::Retire(replica) => self.replicas.tell_retire(replica),
         }
+        list
     }
 
     /// All changes are known that the store had acknowledged when it was asked last.
@@ -297,20 +283,27 @@
             return false;
         };
         let as_of = known.known().as_of;
-        let read_at = last.and_then(|last| Instant::now().checked_sub(last.ago));
-        if let Some(at) = read_at {
-            self.fleet.confirm(as_of, at);
-        }
         if let Some(config) = told.config {
             let version = config.version;
             tracing::info!(version, as_of, ?last, "told by a replica");
             self.configure(config);
         }
-        if let Some(upstreams) = told.upstreams {
-            let listed = upstreams.len();
-            tracing::info!(listed, as_of, ?last, "told by a replica");
-            self.fleet.replace(upstreams, true);
+        if let Some(reads) = news.reads {
+            self.fleet.note_reads(reads.first, reads.last);
         }
+        let read = last.filter(|_| told.is_whole).map(|last| fleet::Read {
+            as_of: last.as_of,
+            ago: last.ago,
+        });
+        let list = told.upstreams.map_or_else(
+            || fleet::List::Changes(Vec::new()),
+            |upstreams| {
+                let listed = upstreams.len();
+                tracing::info!(listed, as_of, ?last, "told by a replica");
+                fleet::List::Whole(upstreams)
+            },
+        );
+        self.fleet.apply(read, list);
         let Some(last) = last.filter(|_| told.is_whole) else {
             return false;
         };
--- a/fw-gate/tests/gate/first_moments.rs
+++ b/fw-gate/tests/gate/first_moments.rs
@@ -5,7 +5,7 @@
 
 use fw_gate::process::gate::{self, Gate};
 use fw_gate::version::config::Config;
-use fw_plan::quota;
+use fw_plan::{lapse, quota};
 use googletest::prelude::*;
 
 use crate::call_headers;
@@ -20,6 +20,7 @@
         relay: None,
         keys_stale_after: None,
         quota: quota::Options::default(),
+        lapse: lapse::Options::default(),
     })
 }
 
--- /dev/null
+++ b/fw-plan/src/lapse.rs
@@ -0,0 +1,123 @@
+//! Whether an upstream that is missing from the list has left, or only its entry has lapsed.
+//!
+//! *Load pattern:* the platform's store is away for seconds, and entries of live upstreams lapse; they
+//! are back about two seconds after the store. Other upstreams leave in those very seconds.
+//!
+//! *Without it:* a service is left empty if all that are missing are taken for gone, and upstreams get
+//! calls after they have left if all are kept for a while.
+//!
+//! *Rule:* an outage shows as a gap between reads, whichever entry makes them. An upstream that a read
+//! after the last gap has listed, and that is missing now, has left. One that no such read has listed is
+//! kept until lapsed entries have had time to come back.
+
+use std::time::Duration;
+
+/// How outages are told, and how long their traces last.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Options {
+    /// Shortest time without a read in which an entry can lapse.
+    pub gap: Duration,
+    /// How long after the store's return lapsed entries may be missing.
+    pub settle: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            gap: Duration::from_millis(2_400),
+            settle: Duration::from_millis(2_200),
+        }
+    }
+}
+
+impl Options {
+    /// An entry that is renewed once in each `heartbeat` lapses after three without a renewal.
+    pub fn with_heartbeat(heartbeat: Duration) -> Self {
+        Self {
+            gap: heartbeat * 2,
+            ..Self::default()
+        }
+    }
+}
+
+/// Reads that follow each other without a gap. Times are those of the owner's clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Span {
+    /// When the first was made.
+    pub first: Duration,
+    /// When the last was made.
+    pub last: Duration,
+}
+
+impl Span {
+    /// A single read.
+    pub fn single(at: Duration) -> Self {
+        Self {
+            first: at,
+            last: at,
+        }
+    }
+
+    /// Both, if there is no gap between them; the later one if there is.
+    fn join(self, other: Self, gap: Duration) -> Self {
+        if self.first > other.last + gap {
+            return self;
+        }
+        if other.first > self.last + gap {
+            return other;
+        }
+        Self {
+            first: self.first.min(other.first),
+            last: self.last.max(other.last),
+        }
+    }
+}
+
+/// What to do with an upstream that is missing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It has left.
+    Gone,
+    /// Its entry may have lapsed: it is used on.
+    Kept,
+}
+
+/// The reads of the store that are known, by whichever entry.
+#[derive(Clone, Debug, Default)]
+pub struct Reads {
+    opts: Options,
+    span: Option<Span>,
+}
+
+impl Reads {
+    /// None is known yet.
+    pub fn new(opts: Options) -> Self {
+        Self { opts, span: None }
+    }
+
+    /// Reads were made, or are told of.
+    pub fn note(&mut self, reads: Span) {
+        let known = self.span;
+        self.span = Some(known.map_or(reads, |known| known.join(reads, self.opts.gap)));
+    }
+
+    /// The reads since the last gap.
+    pub fn span(&self) -> Option<Span> {
+        self.span
+    }
+
+    /// What to do with an upstream that is missing from the last read; `listed` is the time of the last
+    /// read that listed it.
+    pub fn decide(&self, listed: Option<Duration>) -> Outcome {
+        let Some(span) = self.span else {
+            return Outcome::Kept;
+        };
+        let has_left = listed.is_some_and(|listed| listed >= span.first);
+        let is_settled = span.last >= span.first + self.opts.settle;
+        if has_left || is_settled {
+            Outcome::Gone
+        } else {
+            Outcome::Kept
+        }
+    }
+}
--- a/fw-plan/src/lib.rs
+++ b/fw-plan/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod hedge;
 pub mod hold;
 pub mod keep;
+pub mod lapse;
 pub mod lookup;
 pub mod pace;
 pub mod place;
--- /dev/null
+++ b/fw-plan/tests/plan/lapsed_upstreams.rs
@@ -0,0 +1,105 @@
+//! Upstreams that are missing from the list.
+
+use std::time::Duration;
+
+use fw_plan::lapse::{Options, Outcome, Reads, Span};
+use googletest::prelude::*;
+
+const fn s(tenths: u64) -> Duration {
+    Duration::from_millis(tenths * 100)
+}
+
+/// Reads every 0.5 s over each of `spans`, in tenths of a second.
+fn reads(spans: &[std::ops::RangeInclusive<u64>]) -> Reads {
+    let mut reads = Reads::new(Options::default());
+    for span in spans {
+        for at in span.clone().step_by(5) {
+            reads.note(Span::single(s(at)));
+        }
+    }
+    reads
+}
+
+#[gtest]
+fn one_that_leaves_on_a_calm_day_is_gone_at_once() {
+    let reads = reads(&[0..=100]);
+    expect_that!(reads.decide(Some(s(95))), eq(Outcome::Gone));
+}
+
+// Guards against a service left empty by entries that lapsed while the store was away.
+#[gtest]
+fn one_that_lapsed_is_kept_until_it_has_had_time_to_come_back() {
+    let listed = Some(s(100));
+    expect_that!(
+        reads(&[0..=100, 180..=180]).decide(listed),
+        eq(Outcome::Kept)
+    );
+    expect_that!(
+        reads(&[0..=100, 180..=200]).decide(listed),
+        eq(Outcome::Kept)
+    );
+    expect_that!(
+        reads(&[0..=100, 180..=205]).decide(listed),
+        eq(Outcome::Gone)
+    );
+}
+
+// Guards against calls to an upstream that leaves moments after an outage.
+#[gtest]
+fn one_that_leaves_after_an_outage_is_gone_at_once() {
+    let reads = reads(&[0..=100, 180..=185]);
+    expect_that!(reads.decide(Some(s(180))), eq(Outcome::Gone));
+}
+
+// Guards against an entry that was cut off alone and takes its own silence for an outage.
+#[gtest]
+fn one_that_left_while_only_this_entry_was_cut_off_is_gone_at_once() {
+    let mut own = reads(&[0..=100, 180..=180]);
+    expect_that!(own.decide(Some(s(100))), eq(Outcome::Kept));
+    let others = Span {
+        first: s(3),
+        last: s(178),
+    };
+    own.note(others);
+    expect_that!(own.decide(Some(s(100))), eq(Outcome::Gone));
+}
+
+// Guards against a reader that starts anew and counts a short while of its own as an outage of all.
+#[gtest]
+fn reads_known_before_count_when_a_short_span_is_told() {
+    let mut reads = reads(&[0..=100]);
+    reads.note(Span::single(s(101)));
+    expect_that!(
+        reads.span(),
+        some(eq(Span {
+            first: s(0),
+            last: s(101)
+        }))
+    );
+    expect_that!(reads.decide(Some(s(100))), eq(Outcome::Gone));
+}
+
+#[gtest]
+fn a_span_before_the_gap_takes_nothing_back() {
+    let mut reads = reads(&[0..=100, 180..=185]);
+    reads.note(Span {
+        first: s(0),
+        last: s(99),
+    });
+    expect_that!(reads.decide(Some(s(100))), eq(Outcome::Kept));
+}
+
+#[gtest]
+fn nothing_is_gone_before_the_first_read() {
+    expect_that!(
+        Reads::new(Options::default()).decide(None),
+        eq(Outcome::Kept)
+    );
+}
+
+// Guards against a gap too short for entries to lapse that delays the news of one that leaves.
+#[gtest]
+fn a_reader_that_is_replaced_leaves_no_gap() {
+    let reads = reads(&[0..=100, 120..=120]);
+    expect_that!(reads.decide(Some(s(100))), eq(Outcome::Gone));
+}
--- a/fw-plan/tests/plan/main.rs
+++ b/fw-plan/tests/plan/main.rs
@@ -17,6 +17,7 @@
 mod hot_key;
 mod keeper_lookup;
 mod key_staleness;
+mod lapsed_upstreams;
 mod long_jobs;
 mod overload;
 mod pace_noise;
--- a/fw-replica/src/serve.rs
+++ b/fw-replica/src/serve.rs
@@ -8,6 +8,7 @@
 
 use futures_util::StreamExt;
 use fw_http::socket;
+use fw_plan::lapse;
 use snafu::{ResultExt, Snafu};
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::TcpListener;
@@ -30,6 +31,8 @@
     pub listen: Vec<SocketAddr>,
     /// Its folder for data.
     pub dir: PathBuf,
+    /// How outages of the platform's store are told.
+    pub lapse: lapse::Options,
     /// What it is among the others.
     pub sync: sync::Options,
 }
@@ -66,7 +69,12 @@
     // Replicas that start together may have the same process id, each on its own machine.
     let name = xxh3::xxh3_64(opts.sync.name.as_bytes());
     let run = name ^ u64::from(std::process::id()) ^ server::unix_ms().rotate_left(20);
-    let shared = server::Shared::open(&opts.dir, journal::Options::default(), run)?;
+    let shared_opts = server::Options {
+        lapse: opts.lapse,
+        run,
+        ..server::Options::default()
+    };
+    let shared = server::Shared::open(&opts.dir, shared_opts)?;
     tracing::info!(
         replica = %opts.sync.name,
         addr = ?opts.listen,
--- a/fw-replica/src/server.rs
+++ b/fw-replica/src/server/mod.rs
@@ -6,11 +6,12 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use futures_util::future::join_all;
-use fw_base::clock;
-use fw_plan::quota;
+use fw_plan::{lapse, quota};
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
+mod news;
+
 use crate::{board, journal, ledger, member, record, service, spending, state, trail, writer};
 
 /// Most turns of a chain in one answer. Longer chains are read in several.
@@ -30,28 +31,15 @@
     since.unwrap_or(Duration::ZERO).as_millis() as record::UnixMs
 }
 
-/// `read`, unless it is what is `known`, or that is newer.
-fn changed(
-    known: Option<&service::Bulletin>,
-    read: Option<service::Bulletin>,
-) -> Option<service::Bulletin> {
-    let read = read?;
-    let changes =
-        |known: &service::Bulletin| known.as_of <= read.as_of && known.bytes != read.bytes;
-    known.is_none_or(changes).then_some(read)
-}
-
-/// The last read of the platform's store that an entry told of.
-#[derive(Clone, Copy, Debug)]
-struct LastRead {
-    /// Who read.
-    by: u32,
-    /// Up to which revision all is known here.
-    as_of: u64,
-    /// When it told.
-    at: Instant,
-    /// All that the store had acknowledged at this time since boot is known here, if that is proven.
-    asked: Option<Duration>,
+/// What a replica is told at its start.
+#[derive(Clone, Debug, Default)]
+pub struct Options {
+    /// How its journal is kept.
+    pub journal: journal::Options,
+    /// How outages of the platform's store are told.
+    pub lapse: lapse::Options,
+    /// Differs for each start of the process.
+    pub run: u64,
 }
 
 /// A replica's data and the way to its disk.
@@ -67,12 +55,8 @@
     board: board::Board,
     trail: trail::Trail,
     spending: spending::Spending,
-    /// The last read of the platform's store that an entry told of.
-    reads: watch::Sender<Option<LastRead>>,
-    /// Held while bulletins are compared and written, so that the newest is written last.
-    keeping: tokio::sync::Mutex<()>,
-    /// Names this start of the replica.
-    run: u64,
+    /// Reads of the platform's store that entries told of.
+    reads: news::Reads,
     /// Replicas that stand by, and when they asked last.
     standbys: Mutex<BTreeMap<record::ReplicaId, Instant>>,
     /// How far each other replica has copied from here.
@@ -80,24 +64,20 @@
 }
 
 impl Shared {
-    /// Opens the journal in `dir`. `run` differs for each start of the process.
+    /// Opens the journal in `dir`.
     ///
     /// # Errors
     ///
     /// When the disk fails, or holds what cannot be read.
-    pub fn open(
-        dir: &std::path::Path,
-        opts: journal::Options,
-        run: u64,
-    ) -> Result<Arc<Self>, journal::Error> {
+    pub fn open(dir: &std::path::Path, opts: Options) -> Result<Arc<Self>, journal::Error> {
         let begun = Instant::now();
         let mut records = 0_u64;
-        let mut state = state::State::new(run);
+        let mut state = state::State::new(opts.run);
         let apply = |record: record::Record, place| {
             records += 1;
             state.apply(&record, place);
         };
-        let journal = journal::Journal::open(dir, opts, apply)?;
+        let journal = journal::Journal::open(dir, opts.journal, apply)?;
         state.expire(unix_ms());
         tracing::info!(
             records,
@@ -122,9 +102,7 @@
             board: board::Board::default(),
             trail: trail::Trail::default(),
             spending: spending::Spending::default(),
-            run,
-            keeping: tokio::sync::Mutex::default(),
-            reads: watch::Sender::default(),
+            reads: news::Reads::new(opts.run, opts.lapse),
             standbys: Mutex::default(),
             readers: Mutex::default(),
         }))
@@ -230,116 +208,6 @@
         true
     }
 
-    /// Keeps `read` unless newer is known.
-    pub async fn keep(&self, read: service::Bulletins) {
-        let _keeping = self.keeping.lock().await;
-        let known = self.bulletins();
-        // What the disk refuses is missing here, and comes again with the next post.
-        if let Some(config) = changed(known.config.as_ref(), read.config) {
-            self.write(record::Record::Config(config)).await;
-        }
-        if let Some(upstreams) = changed(known.upstreams.as_ref(), read.upstreams) {
-            self.write(record::Record::Upstreams(upstreams)).await;
-        }
-    }
-
-    /// Keeps what an entry has read, unless newer is known.
-    ///
-    /// *Failure:* a post was held up by a cut for seconds, and what it told counted as new when it
-    /// came: a key that had been taken away meanwhile was accepted. So a read counts as asked no later
-    /// than the last moment of this replica that its reader had been told before.
-    ///
-    /// *Failure:* a replica that had missed a changed list took the next post, which said only that
-    /// nothing had changed since, for a proof of the list that it had. So the digests have to agree.
-    pub async fn post(&self, post: service::Post) -> service::Posted {
-        let is_older = post.as_of < self.as_of();
-        if !is_older {
-            self.keep(post.changed).await;
-        }
-        let is_whole = is_older || self.state.lock().marks() == post.marks;
-        if is_whole && !is_older {
-            let asked = post.asked.filter(|asked| asked.run == self.run);
-            let asked = asked.map(|asked| asked.at);
-            self.reads.send_modify(|last| {
-                let (as_of, known) = last.map_or((0, None), |last| (last.as_of, last.asked));
-                *last = Some(LastRead {
-                    by: post.by,
-                    as_of: post.as_of.max(as_of),
-                    at: Instant::now(),
-                    asked: asked.max(known),
-                });
-            });
-        }
-        service::Posted {
-            is_whole,
-            now: self.moment(),
-        }
-    }
-
-    /// Newest revision of the store of which something is known here.
-    fn as_of(&self) -> u64 {
-        let read = self.reads.borrow().map_or(0, |last| last.as_of);
-        read.max(self.state.lock().bulletins().as_of())
-    }
-
-    /// Whether the owner of `known` lacks a part that is not older than what it knows.
-    fn has_news(&self, known: service::Known) -> bool {
-        let lacks = self.state.lock().marks().unlike(known.marks);
-        !lacks.is_empty() && self.as_of() >= known.as_of
-    }
-
-    /// The present moment, for others to hand back.
-    fn moment(&self) -> service::Moment {
-        service::Moment {
-            run: self.run,
-            at: clock::since_boot(),
-        }
-    }
-
-    /// What the owner of `known` lacks; waits up to `wait` until an entry has read the platform's store, or
-    /// the member list has changed.
-    ///
-    /// *Failure:* a member left, and entries that waited here were not told. They went on to ask it for
-    /// votes after it was gone, for as long as it took until one of them had read the list in the store.
-    pub async fn news(&self, known: service::Known, wait: Duration) -> service::News {
-        let begun = Instant::now();
-        let mut reads = self.reads.subscribe();
-        let mut view = self.view.subscribe();
-        if !self.has_news(known) {
-            let changed = async {
-                tokio::select! {
-                    _ = reads.changed() => {}
-                    _ = view.changed() => {}
-                }
-            };
-            // Over without a read, the answer tells how old the last one is.
-            let _ = tokio::time::timeout(wait, changed).await;
-        }
-        // Taken before the parts, so that these are as new at least.
-        let last = *self.reads.borrow();
-        let has_news = self.has_news(known);
-        let state = self.state.lock();
-        let (newer, marks) = match has_news {
-            true => (state.bulletins_unlike(known.marks), state.marks()),
-            false => (service::Bulletins::default(), state.marks()),
-        };
-        drop(state);
-        service::News {
-            newer,
-            marks,
-            view: self.view.borrow().clone(),
-            held: begun.elapsed(),
-            last: last.map(|last| service::LastRead {
-                by: last.by,
-                as_of: last.as_of,
-                ago: last.at.elapsed(),
-                asked: last
-                    .asked
-                    .map(|asked| clock::since_boot().saturating_sub(asked)),
-            }),
-        }
-    }
-
     /// `asker` stands by. Returns how many that do, and asked lately, come before it by their names.
     fn note_standby(&self, asker: record::ReplicaId) -> usize {
         let now = Instant::now();
@@ -369,14 +237,6 @@
         self.state.lock().bulletins().clone()
     }
 
-    /// Newest revision, and digests, of what entries know from the platform's store.
-    pub fn known(&self) -> service::Known {
-        service::Known {
-            as_of: self.as_of(),
-            marks: self.state.lock().marks(),
-        }
-    }
-
     /// Forgets what has been kept long enough at `now`, and removes the oldest segment of the
     /// journal if nothing else is in it.
     pub async fn expire(&self, now: record::UnixMs) {
--- /dev/null
+++ b/fw-replica/src/server/news.rs
@@ -0,0 +1,201 @@
+//! What entries have read from the platform's store, kept and told to the others.
+
+use std::time::{Duration, Instant};
+
+use fw_base::clock;
+use fw_plan::lapse;
+use parking_lot::Mutex;
+use tokio::sync::watch;
+
+use super::Shared;
+use crate::{record, service};
+
+/// `read`, unless it is what is `known`, or that is newer.
+fn changed(
+    known: Option<&service::Bulletin>,
+    read: Option<service::Bulletin>,
+) -> Option<service::Bulletin> {
+    let read = read?;
+    let changes =
+        |known: &service::Bulletin| known.as_of <= read.as_of && known.bytes != read.bytes;
+    known.is_none_or(changes).then_some(read)
+}
+
+/// The last read of the platform's store that an entry told of.
+#[derive(Clone, Copy, Debug)]
+struct LastRead {
+    /// Who read.
+    by: u32,
+    /// Up to which revision all is known here.
+    as_of: u64,
+    /// When it told.
+    at: Instant,
+    /// All that the store had acknowledged at this time since boot is known here, if that is proven.
+    asked: Option<Duration>,
+}
+
+/// Reads of the platform's store that entries told of.
+#[derive(Debug)]
+pub(super) struct Reads {
+    /// Names this start of the replica.
+    run: u64,
+    /// The last one of which all parts are here.
+    last: watch::Sender<Option<LastRead>>,
+    /// Those that followed each other without a gap, by the time since boot.
+    steady: Mutex<lapse::Reads>,
+    /// Held while bulletins are compared and written, so that the newest is written last.
+    keeping: tokio::sync::Mutex<()>,
+}
+
+impl Reads {
+    /// None is known yet.
+    pub(super) fn new(run: u64, opts: lapse::Options) -> Self {
+        Self {
+            run,
+            last: watch::Sender::default(),
+            steady: Mutex::new(lapse::Reads::new(opts)),
+            keeping: tokio::sync::Mutex::default(),
+        }
+    }
+
+    /// When a read was asked at the earliest, by this replica's clock; `None` if its reader knew no
+    /// moment of this start.
+    fn asked_at(&self, asked: Option<service::Moment>) -> Option<Duration> {
+        let asked = asked.filter(|asked| asked.run == self.run);
+        asked.map(|asked| asked.at)
+    }
+
+    /// How long ago the reads without a gap were asked.
+    fn steady(&self) -> Option<service::SteadyReads> {
+        let span = self.steady.lock().span()?;
+        let now = clock::since_boot();
+        Some(service::SteadyReads {
+            first: now.saturating_sub(span.first),
+            last: now.saturating_sub(span.last),
+        })
+    }
+}
+
+impl Shared {
+    /// Keeps `read` unless newer is known.
+    pub async fn keep(&self, read: service::Bulletins) {
+        let _keeping = self.reads.keeping.lock().await;
+        let known = self.bulletins();
+        // What the disk refuses is missing here, and comes again with the next post.
+        if let Some(config) = changed(known.config.as_ref(), read.config) {
+            self.write(record::Record::Config(config)).await;
+        }
+        if let Some(upstreams) = changed(known.upstreams.as_ref(), read.upstreams) {
+            self.write(record::Record::Upstreams(upstreams)).await;
+        }
+    }
+
+    /// Keeps what an entry has read, unless newer is known.
+    ///
+    /// *Failure:* a post was held up by a cut for seconds, and what it told counted as new when it
+    /// came: a key that had been taken away meanwhile was accepted. So a read counts as asked no later
+    /// than the last moment of this replica that its reader had been told before.
+    ///
+    /// *Failure:* a replica that had missed a changed list took the next post, which said only that
+    /// nothing had changed since, for a proof of the list that it had. So the digests have to agree.
+    pub async fn post(&self, post: service::Post) -> service::Posted {
+        let asked = self.reads.asked_at(post.asked);
+        if let Some(at) = asked {
+            // A post that was held up says nothing of the time since.
+            self.reads.steady.lock().note(lapse::Span::single(at));
+        }
+        let is_older = post.as_of < self.as_of();
+        if !is_older {
+            self.keep(post.changed).await;
+        }
+        let is_whole = is_older || self.state.lock().marks() == post.marks;
+        if is_whole && !is_older {
+            self.reads.last.send_modify(|last| {
+                let (as_of, known) = last.map_or((0, None), |last| (last.as_of, last.asked));
+                *last = Some(LastRead {
+                    by: post.by,
+                    as_of: post.as_of.max(as_of),
+                    at: Instant::now(),
+                    asked: asked.max(known),
+                });
+            });
+        }
+        service::Posted {
+            is_whole,
+            now: self.moment(),
+        }
+    }
+
+    /// Newest revision of the store of which something is known here.
+    fn as_of(&self) -> u64 {
+        let read = self.reads.last.borrow().map_or(0, |last| last.as_of);
+        read.max(self.state.lock().bulletins().as_of())
+    }
+
+    /// Newest revision, and digests, of what entries know from the platform's store.
+    pub fn known(&self) -> service::Known {
+        service::Known {
+            as_of: self.as_of(),
+            marks: self.state.lock().marks(),
+        }
+    }
+
+    /// Whether the owner of `known` lacks a part that is not older than what it knows.
+    fn has_news(&self, known: service::Known) -> bool {
+        let lacks = self.state.lock().marks().unlike(known.marks);
+        !lacks.is_empty() && self.as_of() >= known.as_of
+    }
+
+    /// The present moment, for others to hand back.
+    pub(super) fn moment(&self) -> service::Moment {
+        service::Moment {
+            run: self.reads.run,
+            at: clock::since_boot(),
+        }
+    }
+
+    /// What the owner of `known` lacks; waits up to `wait` until an entry has read the platform's store, or
+    /// the member list has changed.
+    ///
+    /// *Failure:* a member left, and entries that waited here were not told. They went on to ask it for
+    /// votes after it was gone, for as long as it took until one of them had read the list in the store.
+    pub async fn news(&self, known: service::Known, wait: Duration) -> service::News {
+        let begun = Instant::now();
+        let mut reads = self.reads.last.subscribe();
+        let mut view = self.view.subscribe();
+        if !self.has_news(known) {
+            let changed = async {
+                tokio::select! {
+                    _ = reads.changed() => {}
+                    _ = view.changed() => {}
+                }
+            };
+            // Over without a read, the answer tells how old the last one is.
+            let _ = tokio::time::timeout(wait, changed).await;
+        }
+        // Taken before the parts, so that these are as new at least.
+        let last = *self.reads.last.borrow();
+        let has_news = self.has_news(known);
+        let state = self.state.lock();
+        let (newer, marks) = match has_news {
+            true => (state.bulletins_unlike(known.marks), state.marks()),
+            false => (service::Bulletins::default(), state.marks()),
+        };
+        drop(state);
+        service::News {
+            newer,
+            marks,
+            reads: self.reads.steady(),
+            view: self.view.borrow().clone(),
+            held: begun.elapsed(),
+            last: last.map(|last| service::LastRead {
+                by: last.by,
+                as_of: last.as_of,
+                ago: last.at.elapsed(),
+                asked: last
+                    .asked
+                    .map(|asked| clock::since_boot().saturating_sub(asked)),
+            }),
+        }
+    }
+}
--- a/fw-replica/src/service.rs
+++ b/fw-replica/src/service.rs
@@ -195,6 +195,15 @@
     pub asked: Option<Duration>,
 }
 
+/// Reads of the platform's store that followed each other without a gap.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SteadyReads {
+    /// How long ago the first was asked.
+    pub first: Duration,
+    /// How long ago the last was asked.
+    pub last: Duration,
+}
+
 /// What a replica knows of the platform's store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct News {
@@ -204,6 +213,8 @@
     pub marks: Marks,
     /// The newest member list.
     pub view: member::View,
+    /// The reads since the platform's store was away last, as far as the replica was told of them.
+    pub reads: Option<SteadyReads>,
     /// How long the answer was held back.
     pub held: Duration,
     /// The last read of which the replica knows all parts. With `newer` the asker knows them too.
