fw-gate: a read of a configuration that cannot be decoded proves nothing, and is not told

What is told by replicas was guarded already.

a_read_of_an_unreadable_configuration_proves_nothing fails without the guard in post (keys fresh by version 1).

--- a/fw-gate/src/process/gate.rs
+++ b/fw-gate/src/process/gate.rs
@@ -70,6 +70,8 @@
 pub enum Change {
     /// A configuration.
     Config(Box<config::Config>),
+    /// A configuration that cannot be read.
+    UnreadableConfig,
     /// Of the list of upstreams.
     Upstream(fleet::Change),
     /// The replicas.
@@ -151,13 +153,13 @@
                 self.prove();
             }
             fw_follow::Step::Whole { changes, as_of } => {
-                let listed = self.take(changes).into_iter();
+                let listed = self.take(changes, &mut known).into_iter();
                 let list = fleet::List::Whole(listed.filter_map(fleet::Change::listed).collect());
                 self.fleet.apply(Some(fleet::Read::own(as_of)), list);
                 self.post(as_of, &mut known);
             }
             fw_follow::Step::News { changes, as_of } => {
-                let list = fleet::List::Changes(self.take(changes));
+                let list = fleet::List::Changes(self.take(changes, &mut known));
                 self.fleet.apply(Some(fleet::Read::own(as_of)), list);
                 self.post(as_of, &mut known);
             }
@@ -165,12 +167,16 @@
     }
 
     /// Takes all changes but those of the list of upstreams, which are returned.
-    fn take(&self, changes: Vec<Change>) -> Vec<fleet::Change> {
+    fn take(&self, changes: Vec<Change>, known: &mut snapshot::Known) -> Vec<fleet::Change> {
         let mut list = Vec::new();
         for change in changes {
             match change {
                 Change::Upstream(change) => list.push(change),
-                Change::Config(config) => self.configure(*config),
+                Change::Config(config) => {
+                    known.found_config(true);
+                    self.configure(*config);
+                }
+                Change::UnreadableConfig => known.found_config(false),
                 Change::Members(view) => {
                     if self.replicas.learn(view) {
                         self.replicas.tell();
@@ -195,9 +201,11 @@
             .send_modify(|knowledge| knowledge.proven(asked));
     }
 
-    /// Tells the replicas that the store was read, and what has changed.
+    /// Tells the replicas that the store was read, and what has changed. A read of what this entry cannot
+    /// decode proves nothing, and another entry may know how.
     fn post(&self, as_of: fw_follow::Revision, known: &mut snapshot::Known) {
-        let Some(config) = self.config() else { return };
+        let config = self.config().filter(|_| known.knows_config());
+        let Some(config) = config else { return };
         let upstreams = self.fleet.listing();
         let changed = known.read(as_of, &config, &upstreams);
         self.reading.has_read();
--- a/fw-gate/src/process/snapshot.rs
+++ b/fw-gate/src/process/snapshot.rs
@@ -82,6 +82,16 @@
         !self.is_unreadable.config && !self.is_unreadable.upstreams
     }
 
+    /// Whether the newest configuration that was read or told could be decoded.
+    pub fn knows_config(&self) -> bool {
+        !self.is_unreadable.config
+    }
+
+    /// The store was read, and held a configuration that could be decoded, or could not.
+    pub fn found_config(&mut self, readable: bool) {
+        self.is_unreadable.config = !readable;
+    }
+
     /// The store was read, and held this at revision `as_of`. Returns what has changed.
     pub fn read(
         &mut self,
@@ -96,7 +106,6 @@
             && let Some(part) = bulletin(as_of, config)
         {
             self.version = Some(config.version);
-            self.is_unreadable.config = false;
             self.marks.config = part.digest();
             changed.config = Some(part);
         }
--- a/fw-gate/tests/gate/first_moments.rs
+++ b/fw-gate/tests/gate/first_moments.rs
@@ -10,9 +10,9 @@
 
 use crate::call_headers;
 
-/// An entry that knows nothing yet.
-pub(crate) fn gate() -> Arc<Gate> {
-    Gate::new(gate::Options {
+/// What the entry of a test is told at its start.
+pub(crate) fn options() -> gate::Options {
+    gate::Options {
         place: "a".into(),
         faults: 1,
         names: call_headers::names(),
@@ -21,7 +21,12 @@
         keys_stale_after: None,
         quota: quota::Options::default(),
         lapse: lapse::Options::default(),
-    })
+    }
+}
+
+/// An entry that knows nothing yet.
+pub(crate) fn gate() -> Arc<Gate> {
+    Gate::new(options())
 }
 
 // All power is lost and comes back. Callers wait in the queue of the entry's socket. The entry
--- a/fw-gate/tests/gate/store_news.rs
+++ b/fw-gate/tests/gate/store_news.rs
@@ -6,13 +6,14 @@
 use fw_base::clock;
 use fw_follow::Step;
 use fw_gate::process::fleet::{self, Want};
-use fw_gate::process::gate::{Change, Gate};
+use fw_gate::process::gate::{self, Change, Gate};
 use fw_gate::process::snapshot::Known;
 use fw_gate::version::config::Config;
+use fw_plan::staleness;
 use fw_replica::{member, service};
 use googletest::prelude::*;
 
-use crate::first_moments::gate;
+use crate::first_moments::{gate, options};
 use crate::upstream_list::listed;
 
 fn config(version: u64) -> Config {
@@ -224,3 +225,23 @@
     gate.hear(&steady, clock::since_boot());
     expect_false!(is_used(&gate));
 }
+
+// Guards against keys accepted by a configuration when a newer one is there that cannot be decoded.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_read_of_an_unreadable_configuration_proves_nothing() {
+    let gate = Gate::new(gate::Options {
+        keys_stale_after: Some(Duration::from_secs(60)),
+        ..options()
+    });
+    let unproven = staleness::Outcome::Stale { age: None };
+    let keys = async || gate.in_force_soon().await.unwrap().keys;
+    gate.configure(config(1));
+    gate.turn_to_read().await;
+    gate.apply(read(4, vec![Change::UnreadableConfig]));
+    expect_that!(keys().await, eq(unproven));
+    gate.apply(read(5, vec![]));
+    expect_that!(keys().await, eq(unproven));
+    gate.apply(read(6, vec![Change::Config(Box::new(config(3)))]));
+    expect_that!(keys().await, eq(staleness::Outcome::Fresh));
+}
