fw-entry: a connection whose peer has gone is not used for another call

Callers saw: after a keeper was killed, the next turn of its program was refused as keeper_lost (it may have run) when its successor was late, though nothing had been sent.

Cause: the pool handed out the open connection to the killed entry, whose end was known here already. The call over it failed, which counts as one that may have been received; without a successor within the patience that was its answer.

--- a/fw-entry/src/connection/pool.rs
+++ b/fw-entry/src/connection/pool.rs
@@ -12,7 +12,7 @@
 use parking_lot::Mutex;
 use tarpc::client;
 
-/// Counter of connections replaced because a call on them failed or went unanswered.
+/// Counter of connections replaced because they ended, or a call on them failed or went unanswered.
 pub const REPLACED: &str = "fw_entry_connections_replaced_total";
 
 /// A client that can be connected to an address.
@@ -21,14 +21,16 @@
     const LABEL: &'static str;
 
     /// Connects to `addr`.
-    fn connect(addr: SocketAddr, within: Duration)
-    -> impl Future<Output = io::Result<Self>> + Send;
+    fn connect(
+        addr: SocketAddr,
+        within: Duration,
+    ) -> impl Future<Output = io::Result<transport::Connected<Self>>> + Send;
 }
 
 impl Connect for side::SideClient {
     const LABEL: &'static str = "side";
 
-    async fn connect(addr: SocketAddr, within: Duration) -> io::Result<Self> {
+    async fn connect(addr: SocketAddr, within: Duration) -> io::Result<transport::Connected<Self>> {
         transport::connect_side(addr, within).await
     }
 }
@@ -36,7 +38,7 @@
 impl Connect for peer::PeerClient {
     const LABEL: &'static str = "peer";
 
-    async fn connect(addr: SocketAddr, within: Duration) -> io::Result<Self> {
+    async fn connect(addr: SocketAddr, within: Duration) -> io::Result<transport::Connected<Self>> {
         transport::connect_peer(addr, within).await
     }
 }
@@ -44,8 +46,7 @@
 /// One connection, as handed out by a [`Pool`].
 #[derive(Clone, Debug)]
 pub struct Connection<C> {
-    /// The client to call.
-    pub client: C,
+    connected: transport::Connected<C>,
     generation: u64,
 }
 
@@ -99,7 +100,7 @@
         F: Future<Output = Result<T, client::RpcError>>,
     {
         let connection = self.get(addr).await.map_err(|err| unsent(&err))?;
-        let answer = send(connection.client.clone()).await;
+        let answer = send(connection.connected.client.clone()).await;
         if let Ok(answer) = answer {
             return Ok(answer);
         }
@@ -116,15 +117,23 @@
         let slot = self.slot(addr);
         let mut current = slot.current.lock().await;
         if let Some(connection) = &*current {
-            return Ok(connection.clone());
+            if connection.connected.is_open() {
+                return Ok(connection.clone());
+            }
+            // Its peer has closed it. A call over it would count as one that may have been received.
+            metrics::counter!(REPLACED, "to" => C::LABEL).increment(1);
+            *current = None;
         }
-        let client = C::connect(addr, self.connect_timeout).await?;
+        let connected = C::connect(addr, self.connect_timeout).await?;
         let generation = {
             let mut last = slot.generation.lock();
             *last += 1;
             *last
         };
-        let connection = Connection { client, generation };
+        let connection = Connection {
+            connected,
+            generation,
+        };
         *current = Some(connection.clone());
         Ok(connection)
     }
--- a/fw-entry/src/process/keepers.rs
+++ b/fw-entry/src/process/keepers.rs
@@ -86,11 +86,15 @@
                     Ok((_, Tried::NotKeeper)) => lookup::Miss::Stale,
                     Err(pool::Failure::Refused) => lookup::Miss::Refused,
                     Err(pool::Failure::Unsent) => lookup::Miss::Unreachable,
-                    Err(pool::Failure::Broken) if options.idempotent => {
+                    Err(pool::Failure::Broken) => {
+                        let idempotent = options.idempotent;
+                        tracing::warn!(entry = %entry.id, shard, %address, idempotent, "the connection to a keeper broke under a call");
+                        if !idempotent {
+                            return Err(lost());
+                        }
                         received = Some(lost());
                         lookup::Miss::Broken
                     }
-                    Err(pool::Failure::Broken) => return Err(lost()),
                 }
             }
             keeper::Owner::Nobody => lookup::Miss::Nobody,
@@ -99,7 +103,8 @@
         metrics::counter!(REDIRECTS, "reason" => reason).increment(1);
         let (waited, silence) = (started.elapsed(), entry.keeper.silence());
         if !lookup::goes_on(miss, waited, silence, &opts) {
-            tracing::warn!(entry = %entry.id, shard, reason, ?waited, ?silence, "no keeper was found in time");
+            let may_have_run = received.is_some();
+            tracing::warn!(entry = %entry.id, shard, reason, ?waited, ?silence, may_have_run, "no keeper was found in time");
             return Err(entry.keeper.unavailable().after(received));
         }
         entry.keeper.want(shard);
--- a/fw-side/examples/overhead.rs
+++ b/fw-side/examples/overhead.rs
@@ -266,7 +266,7 @@
         ..engine::Options::default()
     })?;
     let process = Process::spawn("llm", engine.addr(), "long").await?;
-    let client = transport::connect_side(process.calls, LONG).await?;
+    let client = transport::connect_side(process.calls, LONG).await?.client;
     let text = "x".repeat(MESSAGE_BYTES);
     let message = |_| chat::Message::text("user", &text);
     let messages: Vec<_> = (0..MESSAGES).map(message).collect();
@@ -382,7 +382,7 @@
         })
         .await?;
         let before = process.cpu()?;
-        let client = transport::connect_side(process.calls, LONG).await?;
+        let client = transport::connect_side(process.calls, LONG).await?.client;
         let from = first_number;
         let through = measure(width, turns, move |number| {
             let client = client.clone();
--- a/fw-side/tests/side/rig.rs
+++ b/fw-side/tests/side/rig.rs
@@ -68,7 +68,10 @@
         let engine = engine::Engine::spawn(engine).unwrap();
         opts.settings.engine.address = engine.addr();
         let side = Side::spawn(opts).await.unwrap();
-        let client = transport::connect_side(side.calls(), LONG).await.unwrap();
+        let client = transport::connect_side(side.calls(), LONG)
+            .await
+            .unwrap()
+            .client;
         Self {
             engine,
             side,
--- a/fw-side/tests/side/stream_path.rs
+++ b/fw-side/tests/side/stream_path.rs
@@ -127,7 +127,7 @@
     rig.start_streaming(&start).await;
     let before = rig.read(1, 0).await.events;
     let again = transport::connect_side(rig.side.calls(), rig::LONG).await;
-    rig.client = again.unwrap();
+    rig.client = again.unwrap().client;
     let mut whole = before.clone();
     loop {
         let reply = rig.read(1, whole.len() as u32).await;
--- a/fw-wire/src/transport.rs
+++ b/fw-wire/src/transport.rs
@@ -9,10 +9,11 @@
 use serde::de::DeserializeOwned;
 use tarpc::ClientMessage;
 use tarpc::Response;
+use tarpc::client::NewClient;
 use tarpc::tokio_serde::formats::Json;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::task::JoinSet;
+use tokio::task::{AbortHandle, JoinSet};
 
 use crate::peer;
 use crate::side;
@@ -21,17 +22,47 @@
 /// may double it.
 pub const MAX_FRAME: usize = 32 << 20;
 
+/// A client, and whether its connection is open.
+#[derive(Clone, Debug)]
+pub struct Connected<C> {
+    /// The client to call.
+    pub client: C,
+    dispatch: AbortHandle,
+}
+
+impl<C> Connected<C> {
+    /// Whether the connection has not ended, as far as is known here. A call over one that has ended
+    /// is not sent.
+    pub fn is_open(&self) -> bool {
+        !self.dispatch.is_finished()
+    }
+
+    fn spawn<D>(new: NewClient<C, D>) -> Self
+    where
+        D: Future + Send + 'static,
+        D::Output: Send,
+    {
+        let NewClient { client, dispatch } = new;
+        let dispatch = tokio::spawn(dispatch).abort_handle();
+        Self { client, dispatch }
+    }
+}
+
 /// Connects to a side.
 ///
 /// # Errors
 ///
 /// When no connection is made within `within`.
-pub async fn connect_side(addr: SocketAddr, within: Duration) -> io::Result<side::SideClient> {
+pub async fn connect_side(
+    addr: SocketAddr,
+    within: Duration,
+) -> io::Result<Connected<side::SideClient>> {
     let mut connect = tarpc::serde_transport::tcp::connect(addr, Json::default);
     connect.config_mut().max_frame_length(MAX_FRAME);
     let transport = tokio::time::timeout(within, connect).await??;
     send_at_once(transport.get_ref());
-    Ok(side::SideClient::new(tarpc::client::Config::default(), transport).spawn())
+    let new = side::SideClient::new(tarpc::client::Config::default(), transport);
+    Ok(Connected::spawn(new))
 }
 
 /// Connects to another entry.
@@ -39,12 +70,16 @@
 /// # Errors
 ///
 /// When no connection is made within `within`.
-pub async fn connect_peer(addr: SocketAddr, within: Duration) -> io::Result<peer::PeerClient> {
+pub async fn connect_peer(
+    addr: SocketAddr,
+    within: Duration,
+) -> io::Result<Connected<peer::PeerClient>> {
     let mut connect = tarpc::serde_transport::tcp::connect(addr, Json::default);
     connect.config_mut().max_frame_length(MAX_FRAME);
     let transport = tokio::time::timeout(within, connect).await??;
     send_at_once(transport.get_ref());
-    Ok(peer::PeerClient::new(tarpc::client::Config::default(), transport).spawn())
+    let new = peer::PeerClient::new(tarpc::client::Config::default(), transport);
+    Ok(Connected::spawn(new))
 }
 
 /// Sends small messages without delay. Otherwise the second of two waits until the peer has
