--- a/fw-replica/src/links.rs
+++ b/fw-replica/src/links.rs
@@ -10,6 +10,7 @@
 use futures_util::stream::FuturesUnordered;
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
 
 use crate::{codec, relay, service};
 
@@ -41,6 +42,8 @@
 #[derive(Debug, Default)]
 struct Link {
     client: Option<service::ReplicaClient>,
+    /// Ends with the connection.
+    dispatch: Option<AbortHandle>,
     /// Grows with each new connection, so that a late failure does not drop a newer one.
     generation: u64,
     /// When the last call failed for want of a connection, while one is tried again beside the
@@ -54,7 +57,9 @@
     /// Calls go over `stream` from now on.
     fn connect(&mut self, stream: TcpStream, way: Way) -> service::ReplicaClient {
         let framed = tarpc::serde_transport::new(codec::framed(stream), codec::Postcard::default());
-        let client = service::ReplicaClient::new(tarpc::client::Config::default(), framed).spawn();
+        let new = service::ReplicaClient::new(tarpc::client::Config::default(), framed);
+        let tarpc::client::NewClient { client, dispatch } = new;
+        self.dispatch = Some(tokio::spawn(dispatch).abort_handle());
         self.wanted = None;
         self.detour = (way == Way::Around).then(Instant::now);
         self.generation += 1;
@@ -63,6 +68,15 @@
     }
 }
 
+impl Link {
+    /// The client, unless its connection has ended as far as is known here.
+    fn open_client(&self) -> Option<service::ReplicaClient> {
+        let has_ended = |dispatch: &AbortHandle| dispatch.is_finished();
+        let is_open = !self.dispatch.as_ref().is_some_and(has_ended);
+        self.client.clone().filter(|_| is_open)
+    }
+}
+
 /// What is known of a replica's speed.
 #[derive(Clone, Copy, Debug, Default)]
 struct Cost {
@@ -209,7 +223,7 @@
         addr: SocketAddr,
     ) -> Option<(service::ReplicaClient, u64)> {
         let mut link = shared.lock().await;
-        if let Some(client) = link.client.clone() {
+        if let Some(client) = link.open_client() {
             if link.detour.is_some_and(|tried| tried.elapsed() > DETOUR) {
                 link.detour = Some(Instant::now());
                 tokio::spawn(straighten(Arc::clone(shared), addr));
--- a/fw-replica/tests/replica/lost_links.rs
+++ b/fw-replica/tests/replica/lost_links.rs
@@ -64,3 +64,27 @@
     let asked = tokio::time::timeout(LONG, relay.accept()).await;
     expect_that!(asked, ok(ok(anything())));
 }
+
+// Guards against the first call after a replica's restart that fails over the connection to its last start.
+#[gtest]
+#[tokio::test]
+async fn are_made_again_before_the_next_call() {
+    let replica = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = replica.local_addr().unwrap();
+    let links = Links::default();
+    let use_link = async || links.call(addr, |_, _| async { Ok(()) }).await;
+    let (used, accepted) = tokio::join!(use_link(), replica.accept());
+    expect_that!(used, some(anything()));
+    drop(accepted);
+    let again = async {
+        loop {
+            use_link().await;
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let accepted = tokio::time::timeout(LONG, replica.accept());
+    tokio::select! {
+        accepted = accepted => expect_that!(accepted, ok(ok(anything()))),
+        () = again => {}
+    }
+}
