--- a/fw-gate/src/process/gate.rs
+++ b/fw-gate/src/process/gate.rs
@@ -131,10 +131,8 @@
         })
     }
 
-    /// Takes what was read from the platform's store.
-    ///
-    /// *Failure:* while a read was under way, another entry's newer one was heard of. Taken all the
-    /// same, the older one made an upstream that was leaving one that takes work. So it is dropped.
+    /// Takes what was read from the platform's store, unless another entry's newer read was heard of
+    /// meanwhile.
     pub fn apply(&self, step: fw_follow::Step<Change>) {
         // Held to the end, so that what others read is taken before or after, not between.
         let mut known = self.known.lock();
--- a/fw-gate/src/process/snapshot.rs
+++ b/fw-gate/src/process/snapshot.rs
@@ -135,14 +135,12 @@
 
     /// Takes what a replica tells; `None` if what is known is newer.
     ///
-    /// *Failure:* a list was taken only from a higher revision than what was known, and the revision of
-    /// the replica's last read counted as known whatever was taken. A reader that had kept a removed
-    /// upstream for a while told its list anew at the same revision: nobody took it. So the revision
-    /// counts once the digests agree, and a list of the same revision is taken.
+    /// A revision does not determine a part, so it counts as known only once the digests agree, and a part of
+    /// the same revision is taken.
     pub fn hear(&mut self, news: &service::News) -> Option<Told> {
         let service::News { newer, last, .. } = news;
         let as_of = last.map_or(newer.as_of(), |last| last.as_of);
-        // What lies on a disk, without a read since, may be of the same revision and another reader.
+        // Without a read since, it is what lies on the replica's disk.
         let is_older = match last {
             Some(_) => as_of < self.newest,
             None => as_of <= self.newest,
--- a/fw-replica/src/server/news.rs
+++ b/fw-replica/src/server/news.rs
@@ -92,12 +92,8 @@
 
     /// Keeps what an entry has read, unless newer is known.
     ///
-    /// *Failure:* a post was held up by a cut for seconds, and what it told counted as new when it
-    /// came: a key that had been taken away meanwhile was accepted. So a read counts as asked no later
-    /// than the last moment of this replica that its reader had been told before.
-    ///
-    /// *Failure:* a replica that had missed a changed list took the next post, which said only that
-    /// nothing had changed since, for a proof of the list that it had. So the digests have to agree.
+    /// A post may have been held up on its way: its read counts as asked no later than the last moment of this
+    /// replica that the reader had been told before. It proves what is kept here only if the digests agree.
     pub async fn post(&self, post: service::Post) -> service::Posted {
         let asked = self.reads.asked_at(post.asked);
         if let Some(at) = asked {
@@ -147,6 +143,17 @@
         !lacks.is_empty() && self.as_of() >= known.as_of
     }
 
+    /// The parts that the owner of `known` lacks, and digests of all.
+    fn parts_for(&self, known: service::Known) -> (service::Bulletins, service::Marks) {
+        let has_news = self.has_news(known);
+        let state = self.state.lock();
+        let newer = match has_news {
+            true => state.bulletins_unlike(known.marks),
+            false => service::Bulletins::default(),
+        };
+        (newer, state.marks())
+    }
+
     /// The present moment, for others to hand back.
     pub(super) fn moment(&self) -> service::Moment {
         service::Moment {
@@ -157,9 +164,6 @@
 
     /// What the owner of `known` lacks; waits up to `wait` until an entry has read the platform's store, or
     /// the member list has changed.
-    ///
-    /// *Failure:* a member left, and entries that waited here were not told. They went on to ask it for
-    /// votes after it was gone, for as long as it took until one of them had read the list in the store.
     pub async fn news(&self, known: service::Known, wait: Duration) -> service::News {
         let begun = Instant::now();
         let mut reads = self.reads.last.subscribe();
@@ -176,13 +180,7 @@
         }
         // Taken before the parts, so that these are as new at least.
         let last = *self.reads.last.borrow();
-        let has_news = self.has_news(known);
-        let state = self.state.lock();
-        let (newer, marks) = match has_news {
-            true => (state.bulletins_unlike(known.marks), state.marks()),
-            false => (service::Bulletins::default(), state.marks()),
-        };
-        drop(state);
+        let (newer, marks) = self.parts_for(known);
         service::News {
             newer,
             marks,
