fw-replica, fw-gate: a link has one state of its connection; a post that is older returns at once

Read once more, no change of behaviour: a link held its client and its dispatch as two options that could disagree; an older post was told apart twice; whether news are whole was asked twice; tests had is_used twice.

--- a/fw-gate/src/process/gate.rs
+++ b/fw-gate/src/process/gate.rs
@@ -297,7 +297,8 @@
         if let Some(reads) = news.reads {
             self.fleet.note_reads(reads.first, reads.last);
         }
-        let read = last.filter(|_| told.is_whole).map(|last| fleet::Read {
+        let whole = last.filter(|_| told.is_whole);
+        let read = whole.map(|last| fleet::Read {
             as_of: last.as_of,
             ago: last.ago,
         });
@@ -310,9 +311,7 @@
             },
         );
         self.fleet.apply(read, list);
-        let Some(last) = last.filter(|_| told.is_whole) else {
-            return false;
-        };
+        let Some(last) = whole else { return false };
         self.reading.heard(last.by, last.ago);
         // The answer was made so long after the question, at least.
         let told_at = asked + news.held;
--- a/fw-gate/tests/gate/store_news.rs
+++ b/fw-gate/tests/gate/store_news.rs
@@ -14,7 +14,7 @@
 use googletest::prelude::*;
 
 use crate::first_moments::{gate, options};
-use crate::upstream_list::listed;
+use crate::upstream_list::{is_used, listed};
 
 fn config(version: u64) -> Config {
     Config {
@@ -103,10 +103,6 @@
     expect_that!(changed.upstreams.unwrap().as_of, eq(8));
 }
 
-fn is_used(gate: &Arc<Gate>) -> bool {
-    gate.fleet.choose(&"s".into(), &Want::default()).is_ok()
-}
-
 // Guards against an upstream that stays in use as its removal is told at a revision known already.
 #[gtest]
 #[tokio::test]
@@ -115,7 +111,7 @@
     let mut reader = Known::default();
     let first = reader.read(5, &config(2), &[listed("x")]);
     expect_true!(gate.hear(&news(first, 5), clock::since_boot()));
-    expect_true!(is_used(&gate));
+    expect_true!(is_used(&gate.fleet));
     let second = service::News {
         marks: {
             reader.read(5, &config(2), &[]);
@@ -124,7 +120,7 @@
         ..news(reader.whole(Arc::new(config(2)))(), 5)
     };
     expect_true!(gate.hear(&second, clock::since_boot()));
-    expect_false!(is_used(&gate));
+    expect_false!(is_used(&gate.fleet));
 }
 
 // Guards against an entry that counts a revision as known and lacks what the store held at it.
@@ -210,7 +206,7 @@
         as_of: 8,
     };
     gate.apply(nothing);
-    expect_true!(is_used(&gate));
+    expect_true!(is_used(&gate.fleet));
     expect_that!(gate.fleet.listing(), is_empty());
     // Others have read the store all the while.
     let known = Known::default();
@@ -223,7 +219,7 @@
         ..news(service::Bulletins::default(), 8)
     };
     gate.hear(&steady, clock::since_boot());
-    expect_false!(is_used(&gate));
+    expect_false!(is_used(&gate.fleet));
 }
 
 // Guards against keys accepted by a configuration when a newer one is there that cannot be decoded.
--- a/fw-gate/tests/gate/upstream_list.rs
+++ b/fw-gate/tests/gate/upstream_list.rs
@@ -31,7 +31,7 @@
     Some(fleet::Read { as_of, ago })
 }
 
-fn is_used(fleet: &Arc<Fleet>) -> bool {
+pub(crate) fn is_used(fleet: &Arc<Fleet>) -> bool {
     fleet.choose(&"s".into(), &Want::default()).is_ok()
 }
 
--- a/fw-replica/src/links.rs
+++ b/fw-replica/src/links.rs
@@ -38,12 +38,17 @@
     Around,
 }
 
+/// A client, and the task that ends with its connection.
+#[derive(Debug)]
+struct Connected {
+    client: service::ReplicaClient,
+    dispatch: AbortHandle,
+}
+
 /// One connection, kept until it fails.
 #[derive(Debug, Default)]
 struct Link {
-    client: Option<service::ReplicaClient>,
-    /// Ends with the connection.
-    dispatch: Option<AbortHandle>,
+    connected: Option<Connected>,
     /// Grows with each new connection, so that a late failure does not drop a newer one.
     generation: u64,
     /// When the last call failed for want of a connection, while one is tried again beside the
@@ -59,21 +64,21 @@
         let framed = tarpc::serde_transport::new(codec::framed(stream), codec::Postcard::default());
         let new = service::ReplicaClient::new(tarpc::client::Config::default(), framed);
         let tarpc::client::NewClient { client, dispatch } = new;
-        self.dispatch = Some(tokio::spawn(dispatch).abort_handle());
+        let dispatch = tokio::spawn(dispatch).abort_handle();
         self.wanted = None;
         self.detour = (way == Way::Around).then(Instant::now);
         self.generation += 1;
-        self.client = Some(client.clone());
+        self.connected = Some(Connected {
+            client: client.clone(),
+            dispatch,
+        });
         client
     }
-}
 
-impl Link {
     /// The client, unless its connection has ended as far as is known here.
     fn open_client(&self) -> Option<service::ReplicaClient> {
-        let has_ended = |dispatch: &AbortHandle| dispatch.is_finished();
-        let is_open = !self.dispatch.as_ref().is_some_and(has_ended);
-        self.client.clone().filter(|_| is_open)
+        let connected = self.connected.as_ref()?;
+        (!connected.dispatch.is_finished()).then(|| connected.client.clone())
     }
 }
 
@@ -210,7 +215,7 @@
                 self.failed(addr, &why);
                 let mut link = link.lock().await;
                 if link.generation == generation {
-                    link.client = None;
+                    link.connected = None;
                 }
                 None
             }
--- a/fw-replica/src/server/news.rs
+++ b/fw-replica/src/server/news.rs
@@ -101,12 +101,13 @@
             let mut steady = self.reads.steady.lock();
             steady.note_read(at, clock::since_boot());
         }
-        let is_older = post.as_of < self.as_of();
-        if !is_older {
-            self.keep(post.changed).await;
+        if post.as_of < self.as_of() {
+            // Nothing of it is missing here.
+            return self.posted(true);
         }
-        let is_whole = is_older || self.state.lock().marks() == post.marks;
-        if is_whole && !is_older {
+        self.keep(post.changed).await;
+        let is_whole = self.state.lock().marks() == post.marks;
+        if is_whole {
             self.reads.last.send_modify(|last| {
                 let (as_of, known) = last.map_or((0, None), |last| (last.as_of, last.asked));
                 *last = Some(LastRead {
@@ -117,6 +118,10 @@
                 });
             });
         }
+        self.posted(is_whole)
+    }
+
+    fn posted(&self, is_whole: bool) -> service::Posted {
         service::Posted {
             is_whole,
             now: self.moment(),
