fw-keep: log when the table's watch breaks and returns, who counts as stuck, and looks at kept shards

Callers saw: after a graceful end of their program's keeper the history was refused for 4 s (`keeper_unavailable`), in `store_outages::programs_go_on_and_are_kept` beside load. Three hypotheses look alike in the logs: the table of entries is old; each takes what the other takes; the kept shards are being looked at. No line told them apart.

Change: one line when the watch of the table breaks and one when it brings news again (failures, age); one when an entry is taken for stuck; one at the begin and end of each look at the kept shards.

--- a/fw-keep/src/keeper/flush.rs
+++ b/fw-keep/src/keeper/flush.rs
@@ -254,8 +254,11 @@
     if *inner.lease.borrow() == 0 {
         return;
     }
+    let shards = kept_shards(inner);
+    let started = Instant::now();
+    tracing::info!(entry = %inner.opts.entry, shards = shards.len(), doubts, "looks at its shards in the store");
     let mut is_whole = true;
-    for shards in kept_shards(inner).chunks(acquire::BATCH) {
+    for shards in shards.chunks(acquire::BATCH) {
         pace.commit_if_due(inner).await;
         let wants = heads(inner, shards);
         let asked = wants.len();
@@ -263,6 +266,7 @@
         refence(inner, &outcome);
         is_whole &= outcome.taken.len() + outcome.lost.len() == asked;
     }
+    tracing::info!(entry = %inner.opts.entry, is_whole, took = ?started.elapsed(), "has looked at its shards");
     if is_whole {
         inner.cleared.store(doubts, Ordering::Release);
     } else {
--- a/fw-keep/src/keeper/member.rs
+++ b/fw-keep/src/keeper/member.rs
@@ -14,6 +14,7 @@
 use crate::keeper::Inner;
 use crate::keeper::acquire;
 use crate::keeper::close;
+use crate::keeper::freshness::Freshness;
 use crate::keeper::lease::Backoff;
 use crate::keeper::load;
 use crate::keeper::table::Table;
@@ -63,18 +64,23 @@
     let mut lease = inner.lease.subscribe();
     let mut sweep = time::interval(inner.opts.sweep);
     let mut act_at = time::Instant::now() + settle(inner);
+    let mut freshness = Freshness::new(&inner.opts.entry);
     loop {
         tokio::select! {
             next = watch.next() => match next {
                 Ok(batch) => {
                     inner.note_contact();
+                    freshness.heard(batch.revision);
                     if apply(inner, batch.events) {
                         act_at = act_at.min(time::Instant::now() + settle(inner));
                     }
                 }
                 Err(fw_store::error::Error::Compacted { .. }) => return,
                 // It opens again by itself, after a pause.
-                Err(_) => time::sleep(settle(inner)).await,
+                Err(err) => {
+                    freshness.failed(&err);
+                    time::sleep(settle(inner)).await;
+                }
             },
             _ = lease.changed() => act_at = act_at.min(time::Instant::now() + settle(inner)),
             () = time::sleep_until(act_at) => {
--- a/fw-keep/src/keeper/mod.rs
+++ b/fw-keep/src/keeper/mod.rs
@@ -7,6 +7,7 @@
 mod acquire;
 mod close;
 mod flush;
+mod freshness;
 mod inner;
 mod lease;
 mod load;
--- a/fw-keep/src/keeper/table.rs
+++ b/fw-keep/src/keeper/table.rs
@@ -1,6 +1,7 @@
 //! The table of live entries and shard keepers, as the store last showed it.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -193,12 +194,16 @@
     pub(super) fn plan(&mut self, me: &id::EntryId, round: Duration) -> balance::Plan {
         let now = Instant::now();
         self.passive.retain(|_, until| *until > now);
-        let stuck: Vec<id::EntryId> = balance::takers(&self.view())
+        let stuck: BTreeSet<id::EntryId> = balance::takers(&self.view())
             .into_iter()
             .filter(|taker| taker.entry != me)
             .filter(|taker| self.free_since[usize::from(taker.shard)] + round < now)
             .map(|taker| taker.entry.into())
             .collect();
+        for entry in &stuck {
+            let free = self.owners.iter().filter(|owner| owner.is_none()).count();
+            tracing::warn!(entry = %me, stuck = %entry, free, "an entry leaves free shards lying; others take them");
+        }
         let until = now + round * PASSIVE_ROUNDS;
         self.passive
             .extend(stuck.into_iter().map(|entry| (entry, until)));
