fw-keep: an entry is stuck when it takes nothing, not when its shards are free for a round

Callers saw: after a start, or after an outage that outlasts the leases, programs had no keeper for up to twice the time that it takes to take all shards; tests did not become ready within 20 s.

Cause: `Table::plan` counted an entry as stuck once a shard that falls to it had been free for a round. Thousands of shards, 60 with each call, take longer than a round, so all entries counted as stuck with each other, and each asked for every shard in the order of their numbers.

Change: `progress`, pure: an entry is stuck if it has taken nothing for a round while a shard was due to it, counted from one round after it was listed (it leaves free shards alone for so long after its lease lapsed). A whole reading of the table no longer forgets since when entries are listed.

Tests: taking_progress plays the load; three of its five fail with the former rule.

--- a/fw-keep/src/keeper/table.rs
+++ b/fw-keep/src/keeper/table.rs
@@ -15,6 +15,7 @@
 use crate::balance;
 use crate::journal::keys;
 use crate::keeper::Owner;
+use crate::progress;
 
 /// Value of a live entry's key.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -61,8 +62,7 @@
     entries: BTreeMap<id::EntryId, EntryValue>,
     owners: Vec<Option<Holder>>,
     free_since: Vec<Instant>,
-    /// Entries that left shards lying, and until when they get no more.
-    passive: BTreeMap<id::EntryId, Instant>,
+    progress: progress::Progress,
     /// Entries whose key is gone, and since when.
     gone: BTreeMap<id::EntryId, (EntryValue, Instant)>,
 }
@@ -71,40 +71,30 @@
 /// holds answers that its callers have and the store lacks; it goes on to offer them itself.
 const GONE_KEPT: Duration = Duration::from_secs(60);
 
-/// Rounds for which an entry that left shards lying gets no more: long enough that shards don't go
-/// to and fro around a stuck one, short enough that one that was merely slow gets its share again.
-const PASSIVE_ROUNDS: u32 = 20;
-
 impl Table {
     pub(super) fn new(shards: usize) -> Self {
         Self {
             entries: BTreeMap::new(),
             owners: vec![None; shards],
             free_since: vec![Instant::now(); shards],
-            passive: BTreeMap::new(),
+            progress: progress::Progress::default(),
             gone: BTreeMap::new(),
         }
     }
 
     /// Takes over a whole reading of the table.
     pub(super) fn reset(&mut self, root: &str, kvs: Vec<kv::Kv>) {
-        let before = std::mem::replace(self, Self::new(self.owners.len()));
+        let listed: BTreeSet<String> = kvs.iter().map(|kv| kv.key.clone()).collect();
+        let entries = self.entries.keys().map(|entry| keys::entry(root, entry));
+        let owners = (0..).zip(&self.owners);
+        let owners = owners.map(|(shard, _)| keys::owner(root, shard));
+        let known: Vec<_> = entries.chain(owners).collect();
+        for key in known.iter().filter(|key| !listed.contains(*key)) {
+            self.delete(root, key);
+        }
         for kv in kvs {
             self.put(root, kv);
         }
-        self.passive = before.passive;
-        self.gone = before.gone;
-        for (entry, value) in before.entries {
-            if !self.entries.contains_key(&entry) {
-                tracing::info!(gone = %entry, address = %value.address, "an entry is listed no more");
-                self.note_gone(entry, value);
-            }
-        }
-        for (shard, since) in before.free_since.into_iter().enumerate() {
-            if before.owners[shard].is_none() {
-                self.free_since[shard] = since;
-            }
-        }
     }
 
     /// Takes over a change; true if it may change anybody's plan.
@@ -181,32 +171,28 @@
     /// Notes the outcome of an own call before the watch shows it.
     pub(super) fn note(&mut self, shard: id::ShardId, holder: Option<Holder>) {
         let place = usize::from(shard);
-        if holder.is_none() && self.owners[place].is_some() {
-            self.free_since[place] = Instant::now();
+        match &holder {
+            Some(holder) if self.owners[place].as_ref() != Some(holder) => {
+                self.progress.took(&holder.value.entry, Instant::now());
+            }
+            None if self.owners[place].is_some() => self.free_since[place] = Instant::now(),
+            _ => (),
         }
         self.owners[place] = holder;
     }
 
     /// The plan of entry `me`, which looks every `round` at least.
-    ///
-    /// A live entry that leaves a shard lying which it should take is stuck; its callers would wait
-    /// for as long as it hangs. After a round it is passive for a while, and others take over.
     pub(super) fn plan(&mut self, me: &id::EntryId, round: Duration) -> balance::Plan {
-        let now = Instant::now();
-        self.passive.retain(|_, until| *until > now);
-        let stuck: BTreeSet<id::EntryId> = balance::takers(&self.view())
-            .into_iter()
-            .filter(|taker| taker.entry != me)
-            .filter(|taker| self.free_since[usize::from(taker.shard)] + round < now)
-            .map(|taker| taker.entry.into())
-            .collect();
-        for entry in &stuck {
-            let free = self.owners.iter().filter(|owner| owner.is_none()).count();
-            tracing::warn!(entry = %me, stuck = %entry, free, "an entry leaves free shards lying; others take them");
+        let takers = balance::takers(&self.view()).into_iter();
+        let others = takers.filter(|taker| taker.entry != me);
+        let due = others.map(|taker| progress::Due {
+            entry: taker.entry.into(),
+            free_since: self.free_since[usize::from(taker.shard)],
+        });
+        let due: Vec<_> = due.collect();
+        for stuck in self.progress.judge(due, round, Instant::now()) {
+            tracing::warn!(entry = %me, %stuck, "an entry takes no free shards; others take its share");
         }
-        let until = now + round * PASSIVE_ROUNDS;
-        self.passive
-            .extend(stuck.into_iter().map(|entry| (entry, until)));
         balance::plan(me, &self.view())
     }
 
@@ -223,7 +209,7 @@
         });
         balance::View {
             entries: self.keepers().map(SmolStr::as_str).collect(),
-            passive: self.passive.keys().map(SmolStr::as_str).collect(),
+            passive: self.progress.passive().map(SmolStr::as_str).collect(),
             owners: owners.collect(),
         }
     }
@@ -235,9 +221,11 @@
                     return false;
                 };
                 let address = value.address.clone();
-                let before = self.entries.insert(entry.into(), value);
+                let entry = id::EntryId::from(entry);
+                self.progress.listed(&entry, Instant::now());
+                let before = self.entries.insert(entry.clone(), value);
                 if before.is_none() {
-                    tracing::info!(listed = entry, %address, revision = kv.mod_revision, "an entry is listed");
+                    tracing::info!(listed = %entry, %address, revision = kv.mod_revision, "an entry is listed");
                 }
                 before.is_none()
             }
@@ -258,6 +246,7 @@
                     return false;
                 };
                 tracing::info!(gone = entry, address = %value.address, "an entry is listed no more");
+                self.progress.unlisted(&entry.into());
                 self.note_gone(entry.into(), value);
                 true
             }
--- a/fw-keep/src/lib.rs
+++ b/fw-keep/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! The core is pure: it knows neither clock, network nor runtime. [`program`] and [`claim`] are the
 //! life cycles of one program and one idempotency key, [`shard`] holds those that hash together,
-//! [`journal`] is their form in the store, [`commit`] writes it and [`balance`] decides who keeps
-//! which shard. [`keeper`] is the thin shell that runs them on tokio against a store.
+//! [`journal`] is their form in the store, [`commit`] writes it, [`balance`] decides who keeps
+//! which shard and [`progress`] who is passed over. [`keeper`] is the thin shell that runs them on tokio against a store.
 //!
 //! ```
 //! use fw_base::chat;
@@ -29,4 +29,5 @@
 pub mod keeper;
 pub mod ledger;
 pub mod program;
+pub mod progress;
 pub mod shard;
--- a/fw-keep/tests/keep/main.rs
+++ b/fw-keep/tests/keep/main.rs
@@ -18,4 +18,5 @@
 mod segment_codec;
 mod shard_balance;
 mod shard_lock;
+mod taking_progress;
 mod whole_model;
