fw-keep: what is known of a shard's keeper is not replaced by older news

Callers saw nothing by itself: an entry that has taken its shards again after an outage, and then hears from its watch that the former keys lapsed, held them for free, and asked the store for all its shards once more.

Cause: the table of entries took whatever came last. An own acquisition is noted at once; the watch shows the end of the former key later, at an older revision. A whole reading that was begun before an acquisition replaced it in the same way.

Evidence: by reading, while the looks at kept shards were traced.

Change: `owners`, pure: each shard has the revision up to which it is known.

Tests: shard_owners; two of four fail without the comparison of revisions.

--- a/fw-keep/src/keeper/acquire.rs
+++ b/fw-keep/src/keeper/acquire.rs
@@ -7,7 +7,6 @@
 use crate::keeper;
 use crate::keeper::Inner;
 use crate::keeper::lease::Backoff;
-use crate::keeper::table::Holder;
 use crate::keeper::table::OwnerValue;
 
 /// Shards in one transaction, which has up to two steps for each; etcd allows 128.
@@ -68,11 +67,7 @@
 
 fn txn(inner: &Inner, wants: &[Want], lease: kv::LeaseId) -> kv::Txn {
     let root = &inner.opts.root;
-    let value = OwnerValue {
-        entry: inner.opts.entry.clone(),
-        nonce: inner.nonce,
-    }
-    .encode();
+    let value = own(inner).encode();
     let mut txn = kv::Txn::default();
     for want in wants {
         let owner = keys::owner(root, want.shard);
@@ -123,12 +118,16 @@
     count("lost", outcome.lost.len());
     let mut table = inner.table.write();
     for (shard, fence) in &outcome.taken {
-        let value = OwnerValue {
-            entry: inner.opts.entry.clone(),
-            nonce: inner.nonce,
-        };
-        let fence = *fence;
-        table.note(*shard, Some(Holder { value, fence }));
+        let own = own(inner).holder(*fence);
+        table.note(*shard, Some(own), *fence);
+    }
+}
+
+/// The value of this process's keys.
+fn own(inner: &Inner) -> OwnerValue {
+    OwnerValue {
+        entry: inner.opts.entry.clone(),
+        nonce: inner.nonce,
     }
 }
 
--- a/fw-keep/src/keeper/close.rs
+++ b/fw-keep/src/keeper/close.rs
@@ -107,8 +107,12 @@
         metrics::counter!(keeper::LOST_TOTAL, "reason" => "handed_over").increment(1);
     }
     // If this fails or its answer is lost, the table says so and the shards are loaded again.
-    if inner.store.txn(&txn).await.is_ok_and(|done| done.succeeded) {
+    let Ok(done) = inner.store.txn(&txn).await else {
+        return;
+    };
+    if done.succeeded {
         let mut table = inner.table.write();
-        shards.iter().for_each(|shard| table.note(*shard, None));
+        let given = shards.iter();
+        given.for_each(|shard| table.note(*shard, None, done.revision));
     }
 }
--- a/fw-keep/src/keeper/member.rs
+++ b/fw-keep/src/keeper/member.rs
@@ -50,7 +50,7 @@
         if let Ok(read) = inner.store.range(&kv::Range::prefix(&prefix)).await {
             inner.note_contact();
             let mut table = inner.table.write();
-            table.reset(&inner.opts.root, read.kvs);
+            table.reset(&inner.opts.root, read.kvs, read.revision);
             give_way(inner, &table);
             drop(table);
             return inner.store.watch(prefix, read.revision + 1);
--- a/fw-keep/src/keeper/table.rs
+++ b/fw-keep/src/keeper/table.rs
@@ -15,6 +15,7 @@
 use crate::balance;
 use crate::journal::keys;
 use crate::keeper::Owner;
+use crate::owners;
 use crate::progress;
 
 /// Value of a live entry's key.
@@ -47,21 +48,22 @@
     pub(super) fn decode(value: &[u8]) -> Option<Self> {
         serde_json::from_slice(value).ok()
     }
-}
 
-/// A shard's keeper.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct Holder {
-    pub(super) value: OwnerValue,
-    pub(super) fence: id::Fence,
+    /// The keeper that this names, under the fencing number of its key.
+    pub(super) fn holder(self, fence: id::Fence) -> owners::Holder {
+        owners::Holder {
+            entry: self.entry,
+            nonce: self.nonce,
+            fence,
+        }
+    }
 }
 
 /// The table.
 #[derive(Debug)]
 pub(super) struct Table {
     entries: BTreeMap<id::EntryId, EntryValue>,
-    owners: Vec<Option<Holder>>,
-    free_since: Vec<Instant>,
+    owners: owners::Owners,
     progress: progress::Progress,
     /// Entries whose key is gone, and since when.
     gone: BTreeMap<id::EntryId, (EntryValue, Instant)>,
@@ -75,22 +77,21 @@
     pub(super) fn new(shards: usize) -> Self {
         Self {
             entries: BTreeMap::new(),
-            owners: vec![None; shards],
-            free_since: vec![Instant::now(); shards],
+            owners: owners::Owners::new(shards, Instant::now()),
             progress: progress::Progress::default(),
             gone: BTreeMap::new(),
         }
     }
 
-    /// Takes over a whole reading of the table.
-    pub(super) fn reset(&mut self, root: &str, kvs: Vec<kv::Kv>) {
+    /// Takes over a whole reading of the table at `revision`.
+    pub(super) fn reset(&mut self, root: &str, kvs: Vec<kv::Kv>, revision: id::Revision) {
         let listed: BTreeSet<String> = kvs.iter().map(|kv| kv.key.clone()).collect();
         let entries = self.entries.keys().map(|entry| keys::entry(root, entry));
-        let owners = (0..).zip(&self.owners);
+        let owners = (0..).zip(self.owners.all());
         let owners = owners.map(|(shard, _)| keys::owner(root, shard));
         let known: Vec<_> = entries.chain(owners).collect();
         for key in known.iter().filter(|key| !listed.contains(*key)) {
-            self.delete(root, key);
+            self.delete(root, key, revision);
         }
         for kv in kvs {
             self.put(root, kv);
@@ -101,7 +102,7 @@
     pub(super) fn apply(&mut self, root: &str, event: watch::Event) -> bool {
         match event.kind {
             watch::EventKind::Put => self.put(root, event.kv),
-            watch::EventKind::Delete => self.delete(root, &event.kv.key),
+            watch::EventKind::Delete => self.delete(root, &event.kv.key, event.kv.mod_revision),
         }
     }
 
@@ -130,16 +131,16 @@
     }
 
     pub(super) fn has_free(&self) -> bool {
-        self.owners.iter().any(Option::is_none)
+        self.owners.has_free()
     }
 
     /// Who keeps `shard`, asked by `me`, which does not serve it.
     pub(super) fn owner(&self, shard: id::ShardId, me: &id::EntryId) -> Owner {
-        let holder = self.owners.get(usize::from(shard)).and_then(Option::as_ref);
-        let Some(holder) = holder.filter(|holder| holder.value.entry != *me) else {
+        let holder = self.owners.holder(shard);
+        let Some(holder) = holder.filter(|holder| holder.entry != *me) else {
             return Owner::Nobody;
         };
-        let entry = holder.value.entry.clone();
+        let entry = holder.entry.clone();
         match self.entries.get(&entry) {
             Some(value) => Owner::Other {
                 entry,
@@ -151,9 +152,8 @@
 
     /// The shards that process `nonce` keeps according to the store.
     pub(super) fn kept_by(&self, nonce: u64) -> Vec<(id::ShardId, id::Fence)> {
-        let numbered = (0..).zip(&self.owners);
-        let held = numbered.filter_map(|(shard, holder)| Some((shard, holder.as_ref()?)));
-        let mine = held.filter(|(_, holder)| holder.value.nonce == nonce);
+        let held = self.owners.kept();
+        let mine = held.filter(|(_, holder)| holder.nonce == nonce);
         mine.map(|(shard, holder)| (shard, holder.fence)).collect()
     }
 
@@ -162,32 +162,35 @@
         &self,
         nonce: u64,
     ) -> impl Iterator<Item = (id::ShardId, id::Fence)> {
-        let numbered = (0..).zip(&self.owners);
-        let held = numbered.filter_map(|(shard, holder)| Some((shard, holder.as_ref()?)));
-        let theirs = held.filter(move |(_, holder)| holder.value.nonce != nonce);
+        let held = self.owners.kept();
+        let theirs = held.filter(move |(_, holder)| holder.nonce != nonce);
         theirs.map(|(shard, holder)| (shard, holder.fence))
     }
 
-    /// Notes the outcome of an own call before the watch shows it.
-    pub(super) fn note(&mut self, shard: id::ShardId, holder: Option<Holder>) {
-        let place = usize::from(shard);
-        match &holder {
-            Some(holder) if self.owners[place].as_ref() != Some(holder) => {
-                self.progress.took(&holder.value.entry, Instant::now());
-            }
-            None if self.owners[place].is_some() => self.free_since[place] = Instant::now(),
-            _ => (),
+    /// Notes who kept a shard at `revision`, as an own call or the watch has told.
+    pub(super) fn note(
+        &mut self,
+        shard: id::ShardId,
+        holder: Option<owners::Holder>,
+        revision: id::Revision,
+    ) {
+        let now = Instant::now();
+        let taker = holder.as_ref().map(|holder| holder.entry.clone());
+        let is_news = self.owners.note(shard, holder, revision, now);
+        if let Some(taker) = taker.filter(|_| is_news) {
+            self.progress.took(&taker, now);
         }
-        self.owners[place] = holder;
     }
 
     /// The plan of entry `me`, which looks every `round` at least.
     pub(super) fn plan(&mut self, me: &id::EntryId, round: Duration) -> balance::Plan {
         let takers = balance::takers(&self.view()).into_iter();
         let others = takers.filter(|taker| taker.entry != me);
-        let due = others.map(|taker| progress::Due {
-            entry: taker.entry.into(),
-            free_since: self.free_since[usize::from(taker.shard)],
+        let due = others.filter_map(|taker| {
+            Some(progress::Due {
+                entry: taker.entry.into(),
+                free_since: self.owners.free_since(taker.shard)?,
+            })
         });
         let due: Vec<_> = due.collect();
         for stuck in self.progress.judge(due, round, Instant::now()) {
@@ -203,10 +206,8 @@
     }
 
     fn view(&self) -> balance::View<'_> {
-        let owners = self.owners.iter().map(|owner| {
-            let holder = owner.as_ref()?;
-            Some(holder.value.entry.as_str())
-        });
+        let owners = self.owners.all();
+        let owners = owners.map(|holder| holder.map(|holder| holder.entry.as_str()));
         balance::View {
             entries: self.keepers().map(SmolStr::as_str).collect(),
             passive: self.progress.passive().map(SmolStr::as_str).collect(),
@@ -229,17 +230,17 @@
                 }
                 before.is_none()
             }
-            Some(keys::Live::Shard(shard)) if usize::from(shard) < self.owners.len() => {
+            Some(keys::Live::Shard(shard)) => {
                 let value = OwnerValue::decode(&kv.value);
-                let fence = kv.create_revision;
-                self.note(shard, value.map(|value| Holder { value, fence }));
+                let holder = value.map(|value| value.holder(kv.create_revision));
+                self.note(shard, holder, kv.mod_revision);
                 false
             }
             _ => false,
         }
     }
 
-    fn delete(&mut self, root: &str, key: &str) -> bool {
+    fn delete(&mut self, root: &str, key: &str, revision: id::Revision) -> bool {
         match keys::parse_live(root, key) {
             Some(keys::Live::Entry(entry)) => {
                 let Some(value) = self.entries.remove(entry) else {
@@ -250,8 +251,8 @@
                 self.note_gone(entry.into(), value);
                 true
             }
-            Some(keys::Live::Shard(shard)) if usize::from(shard) < self.owners.len() => {
-                self.note(shard, None);
+            Some(keys::Live::Shard(shard)) => {
+                self.note(shard, None, revision);
                 true
             }
             _ => false,
--- a/fw-keep/src/lib.rs
+++ b/fw-keep/src/lib.rs
@@ -3,7 +3,7 @@
 //! The core is pure: it knows neither clock, network nor runtime. [`program`] and [`claim`] are the
 //! life cycles of one program and one idempotency key, [`shard`] holds those that hash together,
 //! [`journal`] is their form in the store, [`commit`] writes it, [`balance`] decides who keeps
-//! which shard and [`progress`] who is passed over. [`keeper`] is the thin shell that runs them on tokio against a store.
+//! which shard, [`progress`] who is passed over, and [`owners`] is what is known of the keepers. [`keeper`] is the thin shell that runs them on tokio against a store.
 //!
 //! ```
 //! use fw_base::chat;
@@ -28,6 +28,7 @@
 pub mod journal;
 pub mod keeper;
 pub mod ledger;
+pub mod owners;
 pub mod program;
 pub mod progress;
 pub mod shard;
--- a/fw-keep/tests/keep/main.rs
+++ b/fw-keep/tests/keep/main.rs
@@ -18,5 +18,6 @@
 mod segment_codec;
 mod shard_balance;
 mod shard_lock;
+mod shard_owners;
 mod taking_progress;
 mod whole_model;
