fw-keep, fw-entry: each kept shard has its own doubt, and those that calls wait for are asked for first

Callers saw: after an outage of the store that outlasts the leases, turns and histories were refused with `keeper_unavailable` after 4 s, although their keeper lived and the store answered it.

Cause: a keeper whose lease may have lapsed serves nothing until the store was asked who holds its shards. One mark stood for all of them and was set after the last of 35 calls for some 2,050 shards. The first answer after the lapse is a doubt of its own, which came while the look waited for its turn, so that all calls were made twice; the new lease itself began them a third time. Shards went in the order of their numbers.

Change: the number of doubts up to which the store was asked is noted for each shard, read before the call is made. Only shards in doubt are asked for; those that calls wait for go first; an entry that is asked for a shard in doubt wants it. A shard loaded while others were looked at no longer counts as looked at.

Test: keeper_doubt::a_shard_that_calls_wait_for_is_out_of_doubt_first; it fails if shards go by number.

--- a/fw-entry/src/process/entry.rs
+++ b/fw-entry/src/process/entry.rs
@@ -134,20 +134,24 @@
         if !self.records.is_loaded() {
             return None;
         }
-        if self.keeper.is_in_doubt() || self.is_cut_off(self.settings.keeper.lease_ttl) {
+        if self.keeper.is_in_doubt(shard) {
+            self.keeper.want(shard);
+            return None;
+        }
+        if self.is_cut_off(self.settings.keeper.lease_ttl) {
             return None;
         }
         let fence = self.keeper.fence(shard)?;
         recover::is_complete(self, shard).then_some(fence)
     }
 
-    /// Whether a refusal that rests on what is kept here may be given to a caller.
+    /// Whether a refusal that rests on what is kept here of `shard` may be given to a caller.
     ///
     /// A keeper whose lease may have lapsed, without its having heard so, knows the past of programs
     /// that may have gone on elsewhere. It told callers, for good, that their next turn was out of order
     /// or their program unknown. What the caller may send again does no harm.
-    pub fn may_say(&self, err: &error::Error) -> bool {
-        err.kind.row().retry || self.keeper.is_sure()
+    pub fn may_say(&self, shard: id::ShardId, err: &error::Error) -> bool {
+        err.kind.row().retry || self.keeper.is_sure_of(shard)
     }
 
     /// Whether the keeper of `program`, if this is it, knows that its engine memory may be freed.
--- a/fw-entry/src/turn/program.rs
+++ b/fw-entry/src/turn/program.rs
@@ -74,7 +74,7 @@
 pub fn look(entry: &entry::Entry, req: &peer::Query) -> peer::QueryReply {
     let shard = entry.keeper.shard_of(&req.program);
     // What may be the past of a program that went on elsewhere is no answer.
-    if entry.serving(shard).is_none() || !entry.keeper.is_sure() {
+    if entry.serving(shard).is_none() || !entry.keeper.is_sure_of(shard) {
         return peer::QueryReply::NotKeeper;
     }
     let found = entry.keeper.with_shard(shard, |shard| {
@@ -106,7 +106,7 @@
         return peer::QueryReply::NotKeeper;
     };
     match ended.value {
-        Err(err) if entry.may_say(&err) => return peer::QueryReply::Refused(err),
+        Err(err) if entry.may_say(shard, &err) => return peer::QueryReply::Refused(err),
         Err(_unsure) => return peer::QueryReply::NotKeeper,
         Ok(Some(attempt)) => entry.attempts.stop(attempt),
         Ok(None) => {}
--- a/fw-entry/src/turn/submit.rs
+++ b/fw-entry/src/turn/submit.rs
@@ -135,7 +135,7 @@
     };
     match begin(entry, &req, &plan) {
         None => peer::SubmitReply::NotKeeper,
-        Some(program::Outcome::Refused(err)) if entry.may_say(&err) => {
+        Some(program::Outcome::Refused(err)) if entry.may_say(shard, &err) => {
             peer::SubmitReply::Refused(err)
         }
         Some(program::Outcome::Refused(_unsure)) => peer::SubmitReply::NotKeeper,
--- a/fw-keep/src/keeper/flush.rs
+++ b/fw-keep/src/keeper/flush.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use fw_base::id;
@@ -216,8 +215,9 @@
             shard: job.shard,
             head: Some(job.before.clone()),
         });
+        let doubts = inner.doubts();
         let outcome = acquire::run(inner, wants.collect()).await;
-        let fences = refence(inner, &outcome);
+        let fences = refence(inner, &outcome, doubts);
         undecided.retain(|job| !outcome.lost.contains(&job.shard));
         for job in std::mem::take(&mut undecided) {
             match fences.get(&job.shard) {
@@ -235,18 +235,15 @@
     taken
 }
 
-/// After a lapsed lease, takes all kept shards again, where nobody else has taken them and their
-/// journal is as this keeper left it; drops the others. Safety does not need this, since every
-/// commit compares the fencing number: it lets idle shards go on, too.
+/// Asks the store for the kept shards that are in doubt, as after a lapsed lease: takes them again where
+/// nobody else has taken them and their journal is as this keeper left it, and drops the others. Safety
+/// does not need this, since every commit compares the fencing number: it lets idle shards go on, too.
 ///
-/// *Failure:* thousands of shards take many calls to the store, and no commit was made until the last of
-/// them. A publish request came seconds after the store was back, and was refused as its claim was
-/// not stored in time. So changes are committed between the calls; a commit takes its own shards again.
+/// Thousands of shards take many calls, and nothing may wait for the last of them: changes are committed
+/// between the calls, a shard serves as soon as the store has told of it, and those that calls wait for
+/// go first.
 async fn verify(inner: &Inner, pace: &mut Pace) {
-    // A lease that lapses while the shards are looked at is a doubt of its own.
-    let doubts = inner.doubts.load(Ordering::Acquire);
-    if kept_shards(inner).is_empty() {
-        inner.cleared.store(doubts, Ordering::Release);
+    if inner.in_doubt().is_empty() {
         return;
     }
     // All entries come here together when the store is back.
@@ -254,29 +251,32 @@
     if *inner.lease.borrow() == 0 {
         return;
     }
-    let shards = kept_shards(inner);
     let started = Instant::now();
-    tracing::info!(entry = %inner.opts.entry, shards = shards.len(), doubts, "looks at its shards in the store");
-    let mut is_whole = true;
-    for shards in shards.chunks(acquire::BATCH) {
+    let mut pending = inner.in_doubt();
+    tracing::info!(entry = %inner.opts.entry, shards = pending.len(), doubts = inner.doubts(), "asks the store who keeps its shards");
+    while !pending.is_empty() {
         pace.commit_if_due(inner).await;
-        let wants = heads(inner, shards);
-        let asked = wants.len();
-        let outcome = acquire::run(inner, wants).await;
-        refence(inner, &outcome);
-        is_whole &= outcome.taken.len() + outcome.lost.len() == asked;
+        let part = inner.wanted_first(&mut pending, acquire::BATCH);
+        if !ask_for(inner, &part).await {
+            break;
+        }
     }
-    tracing::info!(entry = %inner.opts.entry, is_whole, took = ?started.elapsed(), "has looked at its shards");
-    if is_whole {
-        inner.cleared.store(doubts, Ordering::Release);
-    } else {
+    let left = inner.in_doubt().len();
+    tracing::info!(entry = %inner.opts.entry, left, took = ?started.elapsed(), "has asked the store who keeps its shards");
+    if left > 0 {
         inner.lapsed.notify_one();
     }
 }
 
-fn kept_shards(inner: &Inner) -> Vec<id::ShardId> {
-    let is_kept = |shard: &id::ShardId| inner.slot(*shard).lock().kept().is_some();
-    (0..inner.opts.shards).filter(is_kept).collect()
+/// Takes `shards` again or drops them; false if the store has not told of all.
+async fn ask_for(inner: &Inner, shards: &[id::ShardId]) -> bool {
+    // A lease that lapses while the store is asked is a doubt of its own.
+    let doubts = inner.doubts();
+    let wants = heads(inner, shards);
+    let asked = wants.len();
+    let outcome = acquire::run(inner, wants).await;
+    refence(inner, &outcome, doubts);
+    outcome.taken.len() + outcome.lost.len() == asked
 }
 
 /// Those of `shards` that are kept, with the heads that their journals must have.
@@ -292,7 +292,12 @@
     kept.collect()
 }
 
-fn refence(inner: &Inner, outcome: &acquire::Outcome) -> BTreeMap<id::ShardId, id::Fence> {
+/// Notes what the store has told of kept shards when it was asked, after so many `doubts`.
+fn refence(
+    inner: &Inner,
+    outcome: &acquire::Outcome,
+    doubts: u64,
+) -> BTreeMap<id::ShardId, id::Fence> {
     for shard in &outcome.lost {
         lose(inner, *shard, "taken_over");
     }
@@ -300,6 +305,7 @@
         if let Some(kept) = inner.slot(*shard).lock().kept() {
             kept.writer.set_fence(*fence);
             kept.is_superseded = false;
+            kept.confirmed = Some(doubts);
         }
     }
     outcome.taken.iter().copied().collect()
--- a/fw-keep/src/keeper/inner.rs
+++ b/fw-keep/src/keeper/inner.rs
@@ -35,12 +35,10 @@
     pub(super) dirtied: Notify,
     /// Shards without a known keeper that calls wait for.
     pub(super) wanted: Mutex<BTreeSet<id::ShardId>>,
-    /// Kept shards were seen without keeper in the store.
+    /// The store is to be asked for kept shards that are in doubt.
     pub(super) lapsed: Notify,
-    /// How often it came to be in doubt whether others have taken the kept shards, and up to which of
-    /// these times all of them were looked at.
-    pub(super) doubts: AtomicU64,
-    pub(super) cleared: AtomicU64,
+    /// How often it came to be in doubt whether others have taken the kept shards.
+    doubts: AtomicU64,
     /// The lease in force; 0 for none.
     pub(super) lease: watch::Sender<kv::LeaseId>,
     /// When the store answered last.
@@ -69,7 +67,6 @@
             wanted: Mutex::default(),
             lapsed: Notify::new(),
             doubts: AtomicU64::new(0),
-            cleared: AtomicU64::new(0),
             lease: watch::Sender::new(0),
             contact: Mutex::new(Instant::now()),
             sure_until: Mutex::new(Instant::now()),
@@ -180,8 +177,54 @@
         self.lapsed.notify_one();
     }
 
-    pub(super) fn is_in_doubt(&self) -> bool {
-        self.doubts.load(Ordering::Acquire) != self.cleared.load(Ordering::Acquire)
+    /// The number of doubts so far.
+    pub(super) fn doubts(&self) -> u64 {
+        self.doubts.load(Ordering::Acquire)
+    }
+
+    /// Whether the store was not asked who keeps `shard` since the last doubt.
+    pub(super) fn is_in_doubt(&self, shard: id::ShardId) -> bool {
+        let Some(slot) = self.slots.get(usize::from(shard)) else {
+            return false;
+        };
+        let mut slot = slot.lock();
+        let doubts = self.doubts();
+        slot.kept().is_some_and(|kept| kept.is_in_doubt(doubts))
+    }
+
+    /// The kept shards that the store is to be asked for.
+    pub(super) fn in_doubt(&self) -> Vec<id::ShardId> {
+        let doubts = self.doubts();
+        let is_in_doubt = |slot: &Mutex<Slot>| {
+            let mut slot = slot.lock();
+            slot.kept().is_some_and(|kept| kept.is_in_doubt(doubts))
+        };
+        let numbered = (0..).zip(&self.slots);
+        let in_doubt = numbered.filter(|(_, slot)| is_in_doubt(slot));
+        in_doubt.map(|(shard, _)| shard).collect()
+    }
+
+    /// Takes up to `most` out of `shards`, those first that calls wait for.
+    pub(super) fn wanted_first(
+        &self,
+        shards: &mut Vec<id::ShardId>,
+        most: usize,
+    ) -> Vec<id::ShardId> {
+        let mut wanted = self.wanted.lock();
+        shards.sort_by_key(|shard| !wanted.contains(shard));
+        let part: Vec<_> = shards.drain(..most.min(shards.len())).collect();
+        wanted.retain(|shard| !part.contains(shard));
+        part
+    }
+
+    /// Notes that kept shards were seen without keeper in the store.
+    pub(super) fn doubt_shards(&self, shards: &[id::ShardId]) {
+        for shard in shards {
+            if let Some(kept) = self.slot(*shard).lock().kept() {
+                kept.confirmed = None;
+            }
+        }
+        self.lapsed.notify_one();
     }
 
     /// Notes until when the lease runs at least.
@@ -190,8 +233,9 @@
         *known = until.max(*known);
     }
 
-    pub(super) fn is_sure(&self) -> bool {
-        !self.is_in_doubt() && Instant::now() < *self.sure_until.lock()
+    /// Whether the lease runs by this process's own clock.
+    pub(super) fn has_lease(&self) -> bool {
+        Instant::now() < *self.sure_until.lock()
     }
 
     pub(super) fn is_closing(&self) -> bool {
--- a/fw-keep/src/keeper/load.rs
+++ b/fw-keep/src/keeper/load.rs
@@ -37,12 +37,14 @@
 /// Loads the shards; those whose journal can't be read now stay absent and are tried again later.
 pub(super) async fn run(inner: &Inner, taken: Vec<(id::ShardId, id::Fence)>) {
     for chunk in taken.chunks(BATCH) {
+        // A lease that lapses while the journals are read is a doubt of its own.
+        let doubts = inner.doubts();
         let Some(fresh) = heads(inner, chunk).await else {
             count("unavailable", chunk.len());
             continue;
         };
         for group in groups(fresh) {
-            load_group(inner, group).await;
+            load_group(inner, group, doubts).await;
         }
     }
 }
@@ -95,7 +97,7 @@
     groups
 }
 
-async fn load_group(inner: &Inner, group: Vec<Fresh>) {
+async fn load_group(inner: &Inner, group: Vec<Fresh>, doubts: u64) {
     let is_large = group.iter().any(|shard| shard.sizes.bytes > MAX_BYTES);
     let values = if is_large {
         read_large(inner, &group[0]).await
@@ -110,7 +112,7 @@
         let prefix = keys::segments(&inner.opts.root, fresh.shard);
         let own = values.iter().filter(|kv| kv.key.starts_with(&prefix));
         let own = own.map(|kv| (kv.key.clone(), kv.value.clone())).collect();
-        install(inner, fresh, own);
+        install(inner, fresh, own, doubts);
     }
 }
 
@@ -146,7 +148,7 @@
     Some(outcome.into_kvs())
 }
 
-fn install(inner: &Inner, fresh: Fresh, values: Vec<(String, Vec<u8>)>) {
+fn install(inner: &Inner, fresh: Fresh, values: Vec<(String, Vec<u8>)>, doubts: u64) {
     let Fresh { shard, fence, .. } = fresh;
     let opts = &inner.opts;
     let replayed = replay::read(&opts.root, shard, fresh.head, values);
@@ -169,7 +171,7 @@
     let mut slot = inner.slot(shard).lock();
     // Another task can't have loaded it meanwhile: only `member` loads.
     if slot.kept().is_none() {
-        let kept = Kept::new(loaded, writer);
+        let kept = Kept::new(loaded, writer, doubts);
         *inner.loaded.lock() = Some(kept.since);
         *slot = Slot::Kept(Box::new(kept));
     }
--- a/fw-keep/src/keeper/member.rs
+++ b/fw-keep/src/keeper/member.rs
@@ -151,15 +151,16 @@
 /// read after each group, and a store that does not answer ends the attempt.
 async fn take(inner: &Inner, free: Vec<id::ShardId>, grace: &Grace) -> Left {
     let is_kept = |shard: &id::ShardId| inner.slot(*shard).lock().kept().is_some();
-    let (kept, absent): (Vec<_>, Vec<_>) = free.into_iter().partition(is_kept);
+    let (kept, mut absent): (Vec<_>, Vec<_>) = free.into_iter().partition(is_kept);
     // These lapsed with our lease. Loading them would drop changes that the store lacks.
     if !kept.is_empty() {
-        inner.lapsed.notify_one();
+        inner.doubt_shards(&kept);
     }
     if absent.is_empty() || !grace.is_over() {
         return Left::Nothing;
     }
-    let part = next_part(inner, absent);
+    // A turn whose shard is among the last of thousands would be given up before it is taken.
+    let part = inner.wanted_first(&mut absent, MOVED);
     let asked = part.len();
     let wants = part
         .into_iter()
@@ -173,18 +174,6 @@
     if goes_on { Left::More } else { Left::Nothing }
 }
 
-/// The shards to take next out of `free`, those first that calls wait for.
-///
-/// *Failure:* a keeper died as the store went away. Its successor took thousands of shards one group
-/// after the other, and a turn whose shard was among the last was given up before.
-fn next_part(inner: &Inner, mut free: Vec<id::ShardId>) -> Vec<id::ShardId> {
-    let mut wanted = inner.wanted.lock();
-    free.sort_by_key(|shard| !wanted.contains(shard));
-    free.truncate(MOVED);
-    wanted.retain(|shard| !free.contains(shard));
-    free
-}
-
 impl Grace {
     /// After an outage of the store every entry finds its own lease lapsed and all shards free.
     /// Those that kept them hold changes that the store lacks, so they go first; others wait.
--- a/fw-keep/src/keeper/mod.rs
+++ b/fw-keep/src/keeper/mod.rs
@@ -264,17 +264,22 @@
         slot.serving().map(|kept| kept.writer.fence())
     }
 
-    /// Whether others may have taken the shards that are kept here: the lease lapsed, or the store
-    /// is back after it may have, and the shards were not looked at yet. In an outage that goes on
-    /// nobody can take them, and there is no doubt.
-    pub fn is_in_doubt(&self) -> bool {
-        self.inner.is_in_doubt()
+    /// Whether others may have taken `shard`, which is kept here: the lease lapsed, or the store is back
+    /// after it may have, and was not asked for the shard yet. In an outage that goes on nobody can take
+    /// it, and there is no doubt.
+    pub fn is_in_doubt(&self, shard: id::ShardId) -> bool {
+        self.inner.is_in_doubt(shard)
     }
 
     /// Whether nobody else can have taken the shards that are kept here: the lease still runs, by this
     /// process's own clock, and no shard is in doubt.
     pub fn is_sure(&self) -> bool {
-        self.inner.is_sure()
+        self.inner.has_lease() && self.inner.in_doubt().is_empty()
+    }
+
+    /// Whether nobody else can have taken `shard`, if it is kept here.
+    pub fn is_sure_of(&self, shard: id::ShardId) -> bool {
+        self.inner.has_lease() && !self.inner.is_in_doubt(shard)
     }
 
     /// Since when `shard` is kept here, if it is.
--- a/fw-keep/src/keeper/slot.rs
+++ b/fw-keep/src/keeper/slot.rs
@@ -31,12 +31,15 @@
     pub(super) is_leaving: bool,
     /// Another entry was seen to have taken it since; the store is to be asked.
     pub(super) is_superseded: bool,
+    /// Number of doubts up to which the store was asked who keeps it; `None` if it is to be asked anyway.
+    pub(super) confirmed: Option<u64>,
     /// Position up to which changes are in the store.
     pub(super) progress: watch::Sender<shard::Position>,
 }
 
 impl Kept {
-    pub(super) fn new(shard: Shard, writer: Writer) -> Self {
+    /// A shard whose keeper the store told after so many doubts.
+    pub(super) fn new(shard: Shard, writer: Writer, confirmed: u64) -> Self {
         Self {
             shard,
             writer,
@@ -44,6 +47,7 @@
             since: Instant::now(),
             is_leaving: false,
             is_superseded: false,
+            confirmed: Some(confirmed),
             progress: watch::Sender::new(0),
         }
     }
@@ -56,6 +60,11 @@
         }
     }
 
+    /// Whether the store is to be asked who keeps it, after so many `doubts`.
+    pub(super) fn is_in_doubt(&self, doubts: u64) -> bool {
+        self.is_superseded || self.confirmed != Some(doubts)
+    }
+
     /// Whether all changes are in the store.
     pub(super) fn is_flushed(&self) -> bool {
         self.shard.durable_position() >= self.shard.last_position()
--- a/fw-keep/tests/keep/keeper_doubt.rs
+++ b/fw-keep/tests/keep/keeper_doubt.rs
@@ -77,3 +77,38 @@
     fleet.store.faults(0, |faults| faults.outage = None);
     fleet::until("a is sure again", || a.is_sure()).await;
 }
+
+/// Shards that take many calls to ask the store for.
+const MANY: u16 = 1_200;
+
+// Guards against programs that wait for the last of thousands of shards after a lapsed lease.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_shard_that_calls_wait_for_is_out_of_doubt_first() {
+    let fleet = Fleet::start(1).await;
+    let opts = keeper::Options {
+        shards: MANY,
+        ..Fleet::options("a")
+    };
+    let a = keeper::Keeper::open(fleet.client(0), opts);
+    fleet::until_kept(&a, usize::from(MANY)).await;
+    let last = a.shards().last().unwrap().shard;
+    let others_in_doubt = || {
+        let kept = a.shards();
+        kept.iter().filter(|kept| a.is_in_doubt(kept.shard)).count()
+    };
+    fleet
+        .store
+        .faults(0, |faults| faults.delay = Duration::from_millis(100));
+    fleet.lapse("a");
+    fleet::until("all is in doubt", || others_in_doubt() == usize::from(MANY)).await;
+    expect_false!(a.is_sure_of(last));
+    fleet::until("the shard is out of doubt", || {
+        a.want(last);
+        !a.is_in_doubt(last)
+    })
+    .await;
+    expect_that!(others_in_doubt(), gt(0));
+    expect_false!(a.is_sure());
+    fleet::until("a is sure again", || a.is_sure()).await;
+}
