fw-keep: an attempt to take shards ends with the lease that it was judged by

Callers of the keeper saw: after an outage in which all leases ended, the next turn of a program was refused as `unknown_program`.

Cause: with a new lease an entry leaves free shards alone for the length of a lease, so that their keepers go first. That is judged before the calls are made, and each of their four tries took the lease then in force.

Change: the lease is an argument of the attempt; a try is made only while it is in force.

Also: keepers' logs are printed in tests of fw-keep if RUST_LOG says so. Not found: a test that brings the moment about each time; one with slow answers and two leases ended stayed green on the former code, since an entry that knows the other one does not ask for its shards.

--- a/fw-keep/src/keeper/acquire.rs
+++ b/fw-keep/src/keeper/acquire.rs
@@ -32,20 +32,24 @@
     pub(super) lost: Vec<id::ShardId>,
 }
 
-pub(super) async fn run(inner: &Inner, wants: Vec<Want>) -> Outcome {
+/// Takes shards under `lease`, for as long as that is the one in force.
+///
+/// With a new lease the caller has to judge anew what it may take: the shards of others, whose leases
+/// have lapsed as well, are left to them for a while.
+pub(super) async fn run(inner: &Inner, lease: kv::LeaseId, wants: Vec<Want>) -> Outcome {
     let mut outcome = Outcome::default();
     for chunk in wants.chunks(BATCH) {
-        batch(inner, chunk.to_vec(), &mut outcome).await;
+        batch(inner, lease, chunk.to_vec(), &mut outcome).await;
     }
     note(inner, &outcome);
     outcome
 }
 
-async fn batch(inner: &Inner, mut wants: Vec<Want>, outcome: &mut Outcome) {
+async fn batch(inner: &Inner, lease: kv::LeaseId, mut wants: Vec<Want>, outcome: &mut Outcome) {
     let mut backoff = Backoff::new();
     for _ in 0..TRIES {
-        let lease = *inner.lease.borrow();
-        if wants.is_empty() || lease == 0 {
+        let is_in_force = lease != 0 && *inner.lease.borrow() == lease;
+        if wants.is_empty() || !is_in_force {
             return;
         }
         match inner.store.txn(&txn(inner, &wants, lease)).await {
--- a/fw-keep/src/keeper/flush.rs
+++ b/fw-keep/src/keeper/flush.rs
@@ -216,7 +216,8 @@
             head: Some(job.before.clone()),
         });
         let doubts = inner.doubts();
-        let outcome = acquire::run(inner, wants.collect()).await;
+        let lease = *inner.lease.borrow();
+        let outcome = acquire::run(inner, lease, wants.collect()).await;
         let fences = refence(inner, &outcome, doubts);
         undecided.retain(|job| !outcome.lost.contains(&job.shard));
         for job in std::mem::take(&mut undecided) {
@@ -274,7 +275,8 @@
     let doubts = inner.doubts();
     let wants = heads(inner, shards);
     let asked = wants.len();
-    let outcome = acquire::run(inner, wants).await;
+    let lease = *inner.lease.borrow();
+    let outcome = acquire::run(inner, lease, wants).await;
     refence(inner, &outcome, doubts);
     outcome.taken.len() + outcome.lost.len() == asked
 }
--- a/fw-keep/src/keeper/member.rs
+++ b/fw-keep/src/keeper/member.rs
@@ -165,7 +165,7 @@
     let wants = part
         .into_iter()
         .map(|shard| acquire::Want { shard, head: None });
-    let outcome = acquire::run(inner, wants.collect()).await;
+    let outcome = acquire::run(inner, grace.lease, wants.collect()).await;
     let (taken, lost) = (outcome.taken.len(), outcome.lost.len());
     load::run(inner, outcome.taken).await;
     tracing::info!(entry = %inner.opts.entry, asked, taken, lost, "shards taken");
--- a/fw-keep/tests/keep/fleet.rs
+++ b/fw-keep/tests/keep/fleet.rs
@@ -31,6 +31,7 @@
 
 impl Fleet {
     pub async fn start(ports: usize) -> Self {
+        log();
         let opts = store::Options {
             ports,
             ..store::Options::default()
@@ -74,6 +75,17 @@
     }
 }
 
+/// Prints what the keepers log if `RUST_LOG` says so. Their tasks run on threads of their own, whose
+/// output the test runner does not hold back: run one test at a time.
+fn log() {
+    let off = tracing_subscriber::filter::LevelFilter::OFF.into();
+    let filter = tracing_subscriber::EnvFilter::builder().with_default_directive(off);
+    let filter = filter.from_env_lossy();
+    let lines = tracing_subscriber::fmt().with_env_filter(filter);
+    // Another test of this process has set it already.
+    let _already_set = lines.try_init();
+}
+
 /// Looks until `is_so`, and fails with `what` if it never is.
 pub async fn until(what: &str, mut is_so: impl FnMut() -> bool) {
     for _ in 0..LOOKS {
