fw-store, fw-keep, fw-record: what a watch follows is read anew when the watch cannot be opened

Callers saw: the keeper of a program ended gracefully, and its history was refused with `keeper_unavailable` for up to 28 s; an operator's change of a record could stay out of force for ever at an entry.

Cause: a watch that breaks is opened again from the last revision seen, with the same limit, for ever; only a compacted revision led to reading anew. The table of entries and shards, or the records, stayed as they were.

Tests that need no load: with a store that does not open watches and serves all else, both new tests were red before (30 s and 20 s without the change). Ruled out: an entry that does not act on news; the table itself is old.

Change: Watch::age tells how old what it follows may be. A table older than a lease and records older than `watch_silence` are read anew. Ways weighed: reading anew after every break (a store back from a short outage would be asked by every entry at once, though nothing has changed hands), or with a limit that grows (the table stays as old as that limit). fw-follow already reads everything after a failed read.

--- a/fw-fake/src/store/faults.rs
+++ b/fw-fake/src/store/faults.rs
@@ -30,6 +30,8 @@
     pub lose_lease_answers: u32,
     /// Chance that the answer to a lease call is lost after it took effect.
     pub lose_lease_probability: f64,
+    /// Whether new watches get no answer while all else is served.
+    pub hang_watches: bool,
     /// Whether progress notifications are left out.
     pub no_progress: bool,
 }
--- a/fw-fake/src/store/watching.rs
+++ b/fw-fake/src/store/watching.rs
@@ -61,6 +61,10 @@
     counters.watches.fetch_add(1, Ordering::Relaxed);
     let waiting = Waiting::new(Arc::clone(&view.core));
     view.admit().await?;
+    let hangs = view.port().lock().faults.hang_watches;
+    if hangs {
+        return std::future::pending().await;
+    }
     let create = &req["create_request"];
     let from = gateway::int(create, "start_revision")?;
     let now = view.core.state.lock().revision();
--- a/fw-keep/src/keeper/freshness.rs
+++ b/fw-keep/src/keeper/freshness.rs
@@ -1,4 +1,4 @@
-//! How old the table of live entries is, and whether its watch brings news.
+//! Logs when the watch of the table of live entries fails, and when it brings news again.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -6,43 +6,41 @@
 use fw_base::id;
 use fw_store::error::Error;
 
-/// Follows the outcomes of one watch.
+/// The outcomes of the watch, over all its openings.
 pub(super) struct Freshness {
     entry: id::EntryId,
-    heard: Instant,
+    /// Failures in a row, and when the first of them was.
     failures: u32,
+    failing_since: Instant,
 }
 
 impl Freshness {
-    /// A table that was read just now.
+    /// Nothing has failed yet.
     pub(super) fn new(entry: &id::EntryId) -> Self {
         Self {
             entry: entry.clone(),
-            heard: Instant::now(),
             failures: 0,
+            failing_since: Instant::now(),
         }
     }
 
-    /// Notes that the table reflects `revision`.
-    pub(super) fn heard(&mut self, revision: id::Revision) {
-        let age = self.age();
-        self.heard = Instant::now();
+    /// Notes that the watch has told of all changes up to `revision`.
+    pub(super) fn told(&mut self, revision: id::Revision) {
         let failures = std::mem::take(&mut self.failures);
         if failures > 0 {
-            tracing::info!(entry = %self.entry, revision, failures, ?age, "the table of entries is followed again");
+            let failing_for = self.failing_since.elapsed();
+            tracing::info!(entry = %self.entry, revision, failures, ?failing_for, "the table of entries is followed again");
         }
     }
 
-    /// Notes that the watch broke or could not be opened.
-    pub(super) fn failed(&mut self, err: &Error) {
-        let age = self.age();
+    /// Notes that the watch broke or could not be opened, with a table of this `age`.
+    pub(super) fn failed(&mut self, err: &Error, age: Duration) {
         self.failures += 1;
         if self.failures == 1 {
+            self.failing_since = Instant::now();
             tracing::warn!(entry = %self.entry, %err, ?age, "the watch of the table of entries broke");
+        } else {
+            tracing::debug!(entry = %self.entry, %err, ?age, "the table of entries cannot be watched");
         }
     }
-
-    fn age(&self) -> Duration {
-        self.heard.elapsed()
-    }
 }
--- a/fw-keep/src/keeper/member.rs
+++ b/fw-keep/src/keeper/member.rs
@@ -37,9 +37,10 @@
         lease: 0,
         until: Instant::now(),
     };
+    let mut freshness = Freshness::new(&inner.opts.entry);
     loop {
         let mut watch = read_table(&inner).await;
-        follow(&inner, &mut watch, &mut grace).await;
+        follow(&inner, &mut watch, &mut grace, &mut freshness).await;
     }
 }
 
@@ -60,25 +61,28 @@
 }
 
 /// Follows the watch until the table has to be read anew.
-async fn follow(inner: &Inner, watch: &mut Watch, grace: &mut Grace) {
+async fn follow(inner: &Inner, watch: &mut Watch, grace: &mut Grace, freshness: &mut Freshness) {
     let mut lease = inner.lease.subscribe();
     let mut sweep = time::interval(inner.opts.sweep);
     let mut act_at = time::Instant::now() + settle(inner);
-    let mut freshness = Freshness::new(&inner.opts.entry);
     loop {
         tokio::select! {
             next = watch.next() => match next {
                 Ok(batch) => {
                     inner.note_contact();
-                    freshness.heard(batch.revision);
+                    freshness.told(batch.revision);
                     if apply(inner, batch.events) {
                         act_at = act_at.min(time::Instant::now() + settle(inner));
                     }
                 }
                 Err(fw_store::error::Error::Compacted { .. }) => return,
-                // It opens again by itself, after a pause.
                 Err(err) => {
-                    freshness.failed(&err);
+                    freshness.failed(&err, watch.age());
+                    // Leases may have lapsed since, and shards changed hands.
+                    if watch.age() > inner.opts.ttl {
+                        return;
+                    }
+                    // It opens again by itself, after a pause.
                     time::sleep(settle(inner)).await;
                 }
             },
--- a/fw-keep/tests/keep/keeper_takeover.rs
+++ b/fw-keep/tests/keep/keeper_takeover.rs
@@ -276,6 +276,21 @@
     fleet::until_kept(&a, 16).await;
 }
 
+// Guards against an entry that goes on with an old table for as long as its watch cannot be opened.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn shards_are_taken_over_without_a_watch() {
+    let fleet = Fleet::start(2).await;
+    let a = fleet.keeper("a", 0);
+    let b = fleet.keeper("b", 1);
+    fleet::until_kept(&a, 8).await;
+    fleet::until_kept(&b, 8).await;
+    fleet.store.faults(1, |faults| faults.hang_watches = true);
+    fleet.store.silence_watches(1);
+    a.close().await;
+    fleet::until_kept(&b, 16).await;
+}
+
 /// An entry is cut off until another has its shards; when it is back its calls work, but its watch
 /// stays silent, so that its table still names it as their keeper. It must not load them again: it
 /// would refuse the program's next turn for a history that has gone on elsewhere.
--- a/fw-record/src/load.rs
+++ b/fw-record/src/load.rs
@@ -74,8 +74,12 @@
         match watch.next().await {
             Ok(batch) => take(holder, &batch),
             Err(err @ Error::Compacted { .. }) => return Err(err),
+            Err(err) if watch.age() > client.options().watch_silence => {
+                tracing::warn!(%err, age = ?watch.age(), "the watch of the records fails; they are read anew");
+                return Err(err);
+            }
             // The watch goes on by itself, once the store answers again.
-            Err(_) => (),
+            Err(err) => tracing::debug!(%err, "the watch of the records broke"),
         }
     }
 }
--- a/fw-record/tests/record/load_follow.rs
+++ b/fw-record/tests/record/load_follow.rs
@@ -64,6 +64,26 @@
     follower.abort();
 }
 
+// Guards against records of any age in force for as long as their watch cannot be opened.
+#[gtest]
+#[tokio::test]
+async fn changes_come_into_force_without_a_watch() {
+    let store = start().await;
+    let client = connect(&store);
+    let holder = holder::Holder::default();
+    let follower = tokio::spawn({
+        let (client, holder) = (client.clone(), holder.clone());
+        async move { load::follow(&client, &holder).await }
+    });
+    let first = store.put(&name().key(), share(1));
+    reach(&holder, first).await;
+    store.faults(0, |faults| faults.hang_watches = true);
+    store.silence_watches(0);
+    let second = store.put(&name().key(), share(2));
+    expect_eq!(reach(&holder, second).await.team("t").unwrap().share, 2.0);
+    follower.abort();
+}
+
 #[gtest]
 #[tokio::test]
 async fn set_has_the_same_revision_whenever_it_is_read() {
--- a/fw-store/src/watch.rs
+++ b/fw-store/src/watch.rs
@@ -58,6 +58,8 @@
     prefix: String,
     /// First revision not yet delivered; 0 until the first answer if it is to start from now.
     next_revision: id::Revision,
+    /// When all changes up to `next_revision` were last known to be delivered.
+    told_at: Instant,
     state: State,
 }
 
@@ -83,6 +85,7 @@
             client,
             prefix,
             next_revision: from,
+            told_at: Instant::now(),
             state: State::Closed { retry_at: None },
         }
     }
@@ -106,6 +109,15 @@
         result
     }
 
+    /// Time since the store last told of changes, or that there were none. What is followed may have
+    /// changed since.
+    ///
+    /// A watch that cannot be opened tries again for ever, with more to be told each time. What it
+    /// follows is to be read anew once this age is too great for its use.
+    pub fn age(&self) -> Duration {
+        self.told_at.elapsed()
+    }
+
     /// The watch as a stream; it ends after [`Error::Compacted`].
     pub fn into_stream(self) -> impl Stream<Item = Result<Batch>> + Send {
         stream::unfold(Some(self), |watch| async {
@@ -182,6 +194,7 @@
         self.next_revision = before.max(revision + 1);
         let is_new = |event: &Event| event.kv.mod_revision >= before;
         let events = events.into_iter().filter(is_new).collect();
+        self.told_at = Instant::now();
         Ok(Some(Batch { revision, events }))
     }
 }
