fw-fake: the store's stand-in sends the head of a watch first, its history in parts, and encodes unlocked

The stand-in's answer to a new watch came with its whole history or not at all: the head and the confirmation were buffered until all changes were encoded, under the lock that all other calls need for reads. The published protocol sends the confirmation when the watch is made, and etcd tells a watch that is behind of up to 1,000 revisions with each message.

Seen: 350 to 460 ms from the call to the first byte with 8,192 changes, in a build without optimization at a load of 20.

Test: watch_events::history_comes_in_parts (red before: 2,500 changes in one batch).

--- a/fw-fake/src/store/gateway.rs
+++ b/fw-fake/src/store/gateway.rs
@@ -144,9 +144,11 @@
     view.core.counters.reads.fetch_add(1, Ordering::Relaxed);
     view.admit().await?;
     let read = parse_read(&req)?;
-    let state = view.core.state.lock();
-    let reply = state.read(&read)?;
-    let mut body = reply_json(&reply, state.revision());
+    let (reply, revision) = {
+        let state = view.core.state.lock();
+        (state.read(&read)?, state.revision())
+    };
+    let mut body = reply_json(&reply, revision);
     Ok(Json(body["response_range"].take()).into_response())
 }
 
--- a/fw-fake/src/store/mvcc.rs
+++ b/fw-fake/src/store/mvcc.rs
@@ -234,12 +234,33 @@
     ///
     /// When some of them are compacted.
     pub fn changes(&self, span: &Span, from: i64) -> Result<Vec<Kv>, Refusal> {
+        self.some_changes(span, from, usize::MAX)
+    }
+
+    /// The first changes within `span` from `from` on, oldest first: those of up to `most` revisions.
+    ///
+    /// # Errors
+    ///
+    /// When some of them are compacted.
+    pub fn some_changes(&self, span: &Span, from: i64, most: usize) -> Result<Vec<Kv>, Refusal> {
         if from <= self.compacted {
             return Err(Refusal::Compacted(self.oldest_watchable()));
         }
         let start = self.log.partition_point(|kv| kv.mod_revision < from);
         let changes = self.log[start..].iter().filter(|kv| span.contains(&kv.key));
-        Ok(changes.cloned().collect())
+        let mut found: Vec<Kv> = Vec::new();
+        let mut revisions = 0;
+        for kv in changes {
+            let is_next = found
+                .last()
+                .is_none_or(|last| last.mod_revision < kv.mod_revision);
+            revisions += usize::from(is_next);
+            if revisions > most {
+                break;
+            }
+            found.push(kv.clone());
+        }
+        Ok(found)
     }
 
     /// Forgets changes at or below `revision`; the live versions stay.
--- a/fw-fake/src/store/watching.rs
+++ b/fw-fake/src/store/watching.rs
@@ -19,6 +19,9 @@
 use super::gateway;
 use super::mvcc;
 
+/// Revisions told of in one message to a watch that is behind, as etcd does it.
+const MESSAGE_REVISIONS: usize = 1_000;
+
 /// One open watch.
 struct Watching {
     view: gateway::View,
@@ -98,7 +101,8 @@
                 self.stage = Stage::Live;
                 return Some(self.message(json!({ "created": true })));
             }
-            Stage::Live => (),
+            // What was told so far is sent before the history is read and encoded.
+            Stage::Live => tokio::task::yield_now().await,
         }
         loop {
             self.meet_faults().await?;
@@ -134,7 +138,9 @@
     }
 
     fn changes(&mut self) -> Option<Value> {
-        let changes = self.view.core.state.lock().changes(&self.span, self.next);
+        let state = self.view.core.state.lock();
+        let changes = state.some_changes(&self.span, self.next, MESSAGE_REVISIONS);
+        drop(state);
         let changes = match changes {
             Ok(changes) => changes,
             Err(mvcc::Refusal::Compacted(oldest)) => {
--- a/fw-store/tests/store/watch_events.rs
+++ b/fw-store/tests/store/watch_events.rs
@@ -130,3 +130,22 @@
     let revision = newest + 1;
     expect_true!(matches!(err, Error::Compacted { revision: r } if r == revision));
 }
+
+// Guards against a stand-in that tells a watch of its whole history at once.
+#[gtest]
+#[tokio::test]
+async fn history_comes_in_parts() {
+    let store = start().await;
+    let keys: Vec<String> = (0..2_500).map(|n| format!("/a/{n:04}")).collect();
+    for key in &keys {
+        store.put(key, "x");
+    }
+    let mut watch = connect(store.endpoints()).watch("/a/", 1);
+    let mut seen = Vec::new();
+    while seen.len() < keys.len() {
+        let batch = next_events(&mut watch).await;
+        expect_that!(batch.events.len(), le(1_000));
+        seen.extend(batch.events.into_iter().map(|event| event.kv.key));
+    }
+    expect_eq!(seen, keys);
+}
