fw-keep: shards that are loaded across a silence of the store are asked for

Nobody was kept yet, so nobody was asked for; the shards were then installed as confirmed before that doubt, and served no call for good.

Change: if a doubt has come since a load began, the keeper's task is told to ask. A later confirmation is not replaced by an earlier one.

--- a/fw-keep/src/keeper/flush.rs
+++ b/fw-keep/src/keeper/flush.rs
@@ -307,7 +307,7 @@
         if let Some(kept) = inner.slot(*shard).lock().kept() {
             kept.writer.set_fence(*fence);
             kept.is_superseded = false;
-            kept.confirmed = Some(doubts);
+            kept.confirmed = kept.confirmed.max(Some(doubts));
         }
     }
     outcome.taken.iter().copied().collect()
--- a/fw-keep/src/keeper/load.rs
+++ b/fw-keep/src/keeper/load.rs
@@ -46,6 +46,10 @@
         for group in groups(fresh) {
             load_group(inner, group, doubts).await;
         }
+        // Nobody was asked for these when the doubt came.
+        if inner.doubts() != doubts {
+            inner.lapsed.notify_one();
+        }
     }
 }
 
--- a/fw-keep/tests/keep/keeper_doubt.rs
+++ b/fw-keep/tests/keep/keeper_doubt.rs
@@ -78,6 +78,39 @@
     fleet::until("a is sure again", || a.is_sure()).await;
 }
 
+/// Opens a keeper and takes the store away for `outage` as soon as its shards are taken.
+async fn interrupted(outage: Duration) -> (Fleet, keeper::Keeper) {
+    let fleet = Fleet::start(1).await;
+    fleet
+        .store
+        .faults(0, |faults| faults.delay = Duration::from_millis(20));
+    let opts = keeper::Options {
+        ttl: Duration::from_millis(1_100),
+        ..Fleet::options("a")
+    };
+    let a = keeper::Keeper::open(fleet.client(0), opts);
+    let owner = keys::owner(fleet::ROOT, 0);
+    fleet::until("the shards are taken", || fleet.store.get(&owner).is_some()).await;
+    fleet.store.set_outage(Some(Outage::Hang));
+    tokio::time::sleep(outage).await;
+    fleet.store.set_outage(None);
+    (fleet, a)
+}
+
+// Guards against shards that stay in doubt for good when the first answer after a silence of the store is
+// that to the reading of their journals.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn shards_loaded_after_a_silence_are_asked_for() {
+    // Longer than the silence after which shards are doubted, shorter than the lease.
+    let outages = (0..20).map(|n| Duration::from_millis(1_200 + 30 * n));
+    for opened in futures_util::future::join_all(outages.map(interrupted)).await {
+        let (_fleet, a) = opened;
+        fleet::until_kept(&a, 16).await;
+        fleet::until("a is sure", || a.is_sure()).await;
+    }
+}
+
 /// Shards that take many calls to ask the store for.
 const MANY: u16 = 1_200;
 
