fw-keep: news of the table are read while shards are taken, and before the next are

Callers saw: the keeper of a program ended gracefully, and its history was refused with `keeper_unavailable` after 4 s by an entry that knew nobody to keep it and took shards all the while.

Cause: the watch was read between two groups of shards, in a choice by lot with the next group, one message at a time. Each group makes a message of its own, so an entry that is behind stays behind until it has taken all that it knows to be free.

Change: `feed` reads the watch on a task of its own; the loop takes what it has told before it acts.

--- a/fw-keep/src/keeper/mod.rs
+++ b/fw-keep/src/keeper/mod.rs
@@ -6,6 +6,7 @@
 
 mod acquire;
 mod close;
+mod feed;
 mod flush;
 mod freshness;
 mod inner;
--- a/fw-keep/tests/keep/keeper_outage.rs
+++ b/fw-keep/tests/keep/keeper_outage.rs
@@ -183,3 +183,39 @@
     fleet::until("the shard has a keeper", || b.fence(last).is_some()).await;
     expect_that!(b.shards().len(), lt(usize::from(MANY)));
 }
+
+/// Shards whose keeper tells of them in many messages when it hands them over.
+const ALL: u16 = 4_000;
+
+/// Groups of shards that may be taken before one that a call waits for, and shards in a group.
+const GROUPS: usize = 4;
+const GROUP: usize = 60;
+
+// Guards against an entry that falls behind with the news while it takes thousands of shards.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn news_are_read_while_shards_are_taken() {
+    let fleet = Fleet::start(2).await;
+    let opts = |name| keeper::Options {
+        shards: ALL,
+        ttl: Duration::from_secs(3),
+        ..Fleet::options(name)
+    };
+    let a = Keeper::open(fleet.client(0), opts("a"));
+    let b = Keeper::open(fleet.client(1), opts("b"));
+    let half = usize::from(ALL / 2);
+    fleet::until_kept(&a, half).await;
+    fleet::until_kept(&b, half).await;
+    let last = a.shards().last().unwrap().shard;
+    fleet
+        .store
+        .faults(1, |faults| faults.delay = Duration::from_millis(60));
+    a.close().await;
+    fleet::until("the shard has a keeper", || {
+        b.want(last);
+        b.fence(last).is_some()
+    })
+    .await;
+    let taken = b.shards().len() - half;
+    expect_that!(taken, le(GROUPS * GROUP));
+}
