--- a/fw-keep/src/keeper/member.rs
+++ b/fw-keep/src/keeper/member.rs
@@ -14,8 +14,6 @@
 use crate::keeper::Inner;
 use crate::keeper::acquire;
 use crate::keeper::close;
-use crate::keeper::feed::Feed;
-use crate::keeper::feed::News;
 use crate::keeper::freshness::Freshness;
 use crate::keeper::lease::Backoff;
 use crate::keeper::load;
@@ -41,10 +39,8 @@
     };
     let mut freshness = Freshness::new(&inner.opts.entry);
     loop {
-        let watch = read_table(&inner).await;
-        // Leases may have lapsed in a table that is older, and shards changed hands.
-        let feed = Feed::new(watch, inner.opts.ttl, settle(&inner));
-        follow(&inner, feed, &mut grace, &mut freshness).await;
+        let mut watch = read_table(&inner).await;
+        follow(&inner, &mut watch, &mut grace, &mut freshness).await;
     }
 }
 
@@ -65,28 +61,30 @@
 }
 
 /// Follows the watch until the table has to be read anew.
-async fn follow(inner: &Inner, mut feed: Feed, grace: &mut Grace, freshness: &mut Freshness) {
+async fn follow(inner: &Inner, watch: &mut Watch, grace: &mut Grace, freshness: &mut Freshness) {
     let mut lease = inner.lease.subscribe();
     let mut sweep = time::interval(inner.opts.sweep);
     let mut act_at = time::Instant::now() + settle(inner);
     loop {
         tokio::select! {
-            // What has been told comes before what is decided by it.
-            biased;
-            next = feed.next() => match next {
-                Some(News::Batch(batch)) => {
+            next = watch.next() => match next {
+                Ok(batch) => {
                     inner.note_contact();
                     freshness.told(batch.revision);
                     if apply(inner, batch.events) {
                         act_at = act_at.min(time::Instant::now() + settle(inner));
                     }
                 }
-                Some(News::Failed { err, age }) => freshness.failed(&err, age),
-                Some(News::Outdated { err, age }) => {
-                    freshness.failed(&err, age);
-                    return;
+                Err(fw_store::error::Error::Compacted { .. }) => return,
+                Err(err) => {
+                    freshness.failed(&err, watch.age());
+                    // Leases may have lapsed since, and shards changed hands.
+                    if watch.age() > inner.opts.ttl {
+                        return;
+                    }
+                    // It opens again by itself, after a pause.
+                    time::sleep(settle(inner)).await;
                 }
-                None => return,
             },
             _ = lease.changed() => act_at = act_at.min(time::Instant::now() + settle(inner)),
             () = time::sleep_until(act_at) => {
--- a/fw-keep/src/keeper/mod.rs
+++ b/fw-keep/src/keeper/mod.rs
@@ -6,7 +6,6 @@
 
 mod acquire;
 mod close;
-mod feed;
 mod flush;
 mod freshness;
 mod inner;
