fw-gate: log how long a call took from its choice to its sending, and by which list attempts failed

A call that reached an upstream too late could not be told apart from one whose list was late: lines named the list's age when the upstream was chosen, not the time until the call left, and attempts that failed named no list. Upstreams that are kept after a gap between reads say when they were listed and since when reads follow each other. fw_gate_list_age_seconds shows the ages at which calls leave.

--- a/fw-gate/src/process/fleet/lease.rs
+++ b/fw-gate/src/process/fleet/lease.rs
@@ -46,6 +46,8 @@
     pub why: assign::Candidate,
     /// By which state of the list it was chosen.
     pub list: State,
+    /// Time from the choice until the call was handed to its connection, for log lines.
+    pub sent_after: Duration,
     begun: Instant,
 }
 
@@ -77,10 +79,19 @@
             addr: upstream.listed.addr,
             why,
             list: fleet.list_state(),
+            sent_after: Duration::ZERO,
             begun: Instant::now(),
         }
     }
 
+    /// The call is handed to its connection now.
+    pub fn note_sent(&mut self) {
+        self.sent_after = self.begun.elapsed();
+        if let Some(age) = self.fleet.list_state().age {
+            metrics::histogram!("fw_gate_list_age_seconds").record(age.as_secs_f64());
+        }
+    }
+
     /// An idle connection to the upstream.
     pub fn idle_link(&self) -> Option<link::Link> {
         let mut service = self.service.lock();
--- a/fw-gate/src/process/fleet/list.rs
+++ b/fw-gate/src/process/fleet/list.rs
@@ -185,9 +185,10 @@
 
     /// An upstream is not on the list any more.
     fn miss(&self, id: &id::UpstreamId) {
-        let (listed, outcome) = {
+        let (listed, span, outcome) = {
             let reads = self.reads.lock();
-            (reads.last, reads.steady.decide(reads.last))
+            let outcome = reads.steady.decide(reads.last);
+            (reads.last, reads.steady.span(), outcome)
         };
         for service in self.all_services() {
             let mut service = service.lock();
@@ -196,7 +197,14 @@
             };
             upstream.missing = Some(Missing { listed });
             if outcome == lapse::Outcome::Kept {
-                tracing::info!(upstream = %id, "upstream missing after an outage of the store; used until lapsed ones are back");
+                let now = clock::since_boot();
+                let ms = |at: Duration| now.saturating_sub(at).as_millis() as u64;
+                tracing::info!(
+                    upstream = %id,
+                    listed_ms_ago = listed.map(ms),
+                    reads_since_ms = span.map(|span| ms(span.first)),
+                    "upstream missing after a gap between reads of the store; used until lapsed ones are back"
+                );
             }
         }
     }
--- a/fw-gate/src/request/attempt.rs
+++ b/fw-gate/src/request/attempt.rs
@@ -7,6 +7,7 @@
 use fw_plan::{hold, retry};
 use tokio::time::Instant;
 
+use super::ingress::ms;
 use super::{call, send};
 use crate::process::{fleet, gate, quotas};
 use crate::version::config;
@@ -77,7 +78,7 @@
                 Ok(lease) => lease,
                 Err(err) => return Err(err.after(tries.earlier.take())),
             };
-            let (upstream, addr) = (lease.id.clone(), lease.addr);
+            let (upstream, addr, list) = (lease.id.clone(), lease.addr, lease.list);
             let finished = match self.send(lease).await {
                 Ok(begun) => finish(begun).await,
                 Err(failed) => Err(failed),
@@ -90,7 +91,7 @@
                 self.suspect(&upstream, addr).await;
             }
             tries.avoid.push(upstream);
-            self.next(&mut tries, failed).await?;
+            self.next(&mut tries, failed, list).await?;
         }
     }
 
@@ -158,12 +159,17 @@
         })
     }
 
-    /// Waits until the next attempt.
+    /// Waits until the next attempt after one that `failed` at an upstream chosen by `list`.
     ///
     /// # Errors
     ///
     /// The error to answer with, when there is to be none.
-    async fn next(&self, tries: &mut Tries, failed: send::Failed) -> Result<(), error::Error> {
+    async fn next(
+        &self,
+        tries: &mut Tries,
+        failed: send::Failed,
+        list: fleet::State,
+    ) -> Result<(), error::Error> {
         let err = failed.err;
         tries.failed += 1;
         if err.ran() != error::Ran::No {
@@ -187,6 +193,9 @@
             request = %self.call.id,
             program = self.call.program.as_deref(),
             route = %self.route.name,
+            upstream = tries.avoid.last().map(|upstream| upstream.as_str()),
+            list_as_of = list.as_of,
+            list_age_ms = ms(list.age),
             %err,
             attempt = tries.failed,
             ?outcome,
--- a/fw-gate/src/request/plain.rs
+++ b/fw-gate/src/request/plain.rs
@@ -33,6 +33,7 @@
     begun: send::Begun,
 ) -> Result<(hyper::http::response::Parts, Bytes), send::Failed> {
     let (upstream, list) = (begun.lease.id.clone(), begun.lease.list);
+    let sent_after = begun.lease.sent_after;
     let begun_at = Instant::now();
     let (head, whole) = collect(begun, job.until).await?;
     tracing::info!(
@@ -43,6 +44,7 @@
         %upstream,
         list_as_of = list.as_of,
         list_age_ms = ms(list.age),
+        sent_after_ms = sent_after.as_millis() as u64,
         ms = begun_at.elapsed().as_millis() as u64,
         "request served"
     );
--- a/fw-gate/src/request/send.rs
+++ b/fw-gate/src/request/send.rs
@@ -88,10 +88,10 @@
 pub async fn once(
     names: &names::Names,
     out: &Outbound,
-    lease: fleet::Lease,
+    mut lease: fleet::Lease,
     until: Instant,
 ) -> Result<Begun, Failed> {
-    let sending = send(names, out, &lease, until);
+    let sending = send(names, out, &mut lease, until);
     let (link, res) = match tokio::time::timeout_at(until, sending).await {
         Ok(sent) => sent?,
         Err(_) => {
@@ -130,10 +130,11 @@
 async fn send(
     names: &names::Names,
     out: &Outbound,
-    lease: &fleet::Lease,
+    lease: &mut fleet::Lease,
     until: Instant,
 ) -> Result<(link::Link, hyper::Response<Incoming>), Failed> {
     if let Some(mut link) = lease.idle_link() {
+        lease.note_sent();
         match link.send(out.request(names, lease, until)).await {
             Ok(res) => return Ok((link, res)),
             Err(failed) if !failed.unsent => return Err(broken(lease, &failed)),
@@ -149,6 +150,7 @@
             broke: false,
         }
     })?;
+    lease.note_sent();
     match link.send(out.request(names, lease, until)).await {
         Ok(res) => Ok((link, res)),
         Err(failed) => Err(broken(lease, &failed)),
--- a/fw-gate/src/request/stream.rs
+++ b/fw-gate/src/request/stream.rs
@@ -192,11 +192,13 @@
         let mut last_upstream = begun.lease.id.clone();
         let mut why;
         let mut list;
+        let mut sent_after;
         let outcome = loop {
             let (upstream, addr) = (begun.lease.id.clone(), begun.lease.addr);
             last_upstream.clone_from(&upstream);
             why = begun.lease.why;
             list = begun.lease.list;
+            sent_after = begun.lease.sent_after;
             if let Some(turn) = &mut self.turn {
                 turn.runs_at(&upstream);
             }
@@ -252,6 +254,7 @@
             slowness = why.slowness,
             list_as_of = list.as_of,
             list_age_ms = ms(list.age),
+            sent_after_ms = sent_after.as_millis() as u64,
             replicas_ms = self.times.replicas.as_millis() as u64,
             head_ms = self.times.head.as_millis() as u64,
             first_ms = ms(self.times.first),
