--- a/fw-gate/tests/gate/main.rs
+++ b/fw-gate/tests/gate/main.rs
@@ -7,6 +7,7 @@
 mod first_moments;
 mod held_turns;
 mod route_choice;
+mod sent_calls;
 mod store_news;
 mod turn_cache;
 mod upstream_list;
--- a/fw-gate/tests/gate/upstream_list.rs
+++ b/fw-gate/tests/gate/upstream_list.rs
@@ -87,6 +87,25 @@
     expect_false!(is_used(&fleet));
 }
 
+// Guards against a late heartbeat that puts an upstream which is leaving back to use.
+#[gtest]
+fn takes_no_work_from_one_that_leaves_until_it_starts_anew() {
+    let fleet = fleet();
+    let leaving = Listed {
+        takes_work: false,
+        ..listed("x")
+    };
+    fleet.put(listed("x"));
+    fleet.put(leaving);
+    fleet.put(listed("x"));
+    expect_false!(is_used(&fleet));
+    fleet.put(Listed {
+        born: 2,
+        ..listed("x")
+    });
+    expect_true!(is_used(&fleet));
+}
+
 #[gtest]
 fn sends_nothing_to_one_that_leaves_or_failed_the_call() {
     let fleet = fleet();
