fw-gate: an upstream that leaves takes no work again before it starts anew

What callers saw: nothing so far; their calls may reach an upstream after it said that it leaves. Cause: each listing replaced the one before, whatever the upstream had said in between. A heartbeat that is written late lists it as ready again until its next one, and as it looks idle, it draws calls first. Why it holds: to leave is the last state of an incarnation; start time and address tell incarnations apart. One that was removed without a word and is listed again by a late heartbeat is still used.

--- a/fw-gate/src/process/fleet/list.rs
+++ b/fw-gate/src/process/fleet/list.rs
@@ -154,7 +154,8 @@
         }
     }
 
-    /// Adds or changes one upstream.
+    /// Adds or changes one upstream. One that leaves takes no work again before it starts anew: a late
+    /// heartbeat may list it as it was.
     pub fn put(&self, listed: Listed) {
         let service = {
             let mut services = self.services.lock();
@@ -171,6 +172,14 @@
             return;
         };
         let restarted = known.listed.born != listed.born || known.listed.addr != listed.addr;
+        let leaves = !known.listed.takes_work && !restarted;
+        if leaves && listed.takes_work {
+            tracing::info!(upstream = %id, "a late heartbeat lists an upstream that leaves as ready; it gets no calls");
+        }
+        let listed = Listed {
+            takes_work: listed.takes_work && !leaves,
+            ..listed
+        };
         if known.listed.takes_work != listed.takes_work || restarted {
             let as_of = self.list_state().as_of;
             tracing::info!(upstream = %id, takes_work = listed.takes_work, restarted, as_of, "upstream changed");
