fw-plan, fw-gate: upstreams that may only have lapsed get calls only while most of their service are missing

What callers saw: their calls reached upstreams that had been removed 4 s and more before. Cause: a gap between reads is taken for an outage of the store, in which entries lapse; what is missing after it is used for 2.2 s. But a gap also comes when the readers themselves were away: all processes were killed, or their calls hung, and the upstream was removed meanwhile by its own wish. Ruled out: telling the two apart by failed reads (an entry that starts knows of none), and by revisions (heartbeats are no part of what is told). Why it holds: an outage that lapses entries takes most of a service with it, leaving takes few. Kept ones are used where they are more than those listed, so a service is not left empty after an outage.

--- a/fw-gate/src/process/fleet/choose.rs
+++ b/fw-gate/src/process/fleet/choose.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use fw_base::{error, id};
-use fw_plan::{assign, hold};
+use fw_plan::{assign, hold, lapse};
 use fw_replica::trail;
 use parking_lot::Mutex;
 use smol_str::SmolStr;
@@ -189,7 +189,12 @@
             let replaced = upstream.replaced_until;
             upstream.listed.takes_work && replaced.is_none_or(|until| Instant::now() >= until)
         };
-        let listed: Vec<_> = (0..service.upstreams.len()).filter(takes_work).collect();
+        let taking = (0..service.upstreams.len()).filter(takes_work);
+        let is_kept = |at: &usize| service.upstreams[*at].missing.is_some();
+        let (kept, mut listed): (Vec<_>, Vec<_>) = taking.partition(is_kept);
+        if lapse::may_use_kept(listed.len(), kept.len()) {
+            listed.extend(kept);
+        }
         let is_new = |at: &usize| !avoid.contains(&service.upstreams[*at].listed.id);
         let is_healthy = |at: &usize| {
             let id = &service.upstreams[*at].listed.id;
--- a/fw-plan/src/lapse.rs
+++ b/fw-plan/src/lapse.rs
@@ -8,7 +8,9 @@
 //!
 //! *Rule:* an outage shows as a gap between reads, whichever entry makes them. An upstream that a read
 //! after the last gap has listed, and that is missing now, has left. One that no such read has listed is
-//! kept until lapsed entries have had time to come back.
+//! kept until lapsed entries have had time to come back. A gap has other causes too: the readers were away
+//! themselves. An outage takes most entries of a service with it, and leaving takes few, so those that are
+//! kept get calls only while they are more than those that are listed.
 
 use std::time::Duration;
 
@@ -82,6 +84,12 @@
     Kept,
 }
 
+/// Whether upstreams that are [`Outcome::Kept`] get calls, where so many of their service are listed and so
+/// many kept.
+pub fn may_use_kept(listed: usize, kept: usize) -> bool {
+    kept > listed
+}
+
 /// The reads of the store that are known, by whichever entry.
 #[derive(Clone, Debug, Default)]
 pub struct Reads {
--- a/fw-plan/tests/plan/lapsed_upstreams.rs
+++ b/fw-plan/tests/plan/lapsed_upstreams.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use fw_plan::lapse::{Options, Outcome, Reads, Span};
+use fw_plan::lapse::{self, Options, Outcome, Reads, Span};
 use googletest::prelude::*;
 
 const fn s(tenths: u64) -> Duration {
@@ -125,3 +125,13 @@
     reads.note_read(s(170), s(171));
     expect_that!(reads.decide(Some(s(100))), eq(Outcome::Kept));
 }
+
+// Guards against upstreams that left while the readers were away, and are taken for lapsed ones.
+#[gtest]
+fn get_calls_only_where_most_are_missing() {
+    expect_false!(lapse::may_use_kept(3, 0));
+    expect_false!(lapse::may_use_kept(30, 1));
+    expect_false!(lapse::may_use_kept(1, 1));
+    expect_true!(lapse::may_use_kept(0, 1));
+    expect_true!(lapse::may_use_kept(3, 28));
+}
