fw-gate: a call is sent only if its upstream takes calls when the first byte leaves

What callers saw: their calls reached an upstream that had left in the meantime. Cause: the list was looked at once, when the upstream was chosen. Such a call has not run, is counted as upstream_leaving, and goes to another upstream.

--- a/fw-gate/src/process/fleet/choose.rs
+++ b/fw-gate/src/process/fleet/choose.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use fw_base::{error, id};
-use fw_plan::{assign, hold, lapse};
+use fw_plan::{assign, hold};
 use fw_replica::trail;
 use parking_lot::Mutex;
 use smol_str::SmolStr;
@@ -184,23 +184,19 @@
     /// Where the upstreams are that may get a call which failed at `avoid`.
     fn usable(&self, service: &Service, avoid: &[id::UpstreamId]) -> Vec<usize> {
         let now = self.now();
-        let takes_work = |at: &usize| {
+        let uses_kept = service.uses_kept();
+        let takes_calls = |at: &usize| {
             let upstream = &service.upstreams[*at];
             let replaced = upstream.replaced_until;
-            upstream.listed.takes_work && replaced.is_none_or(|until| Instant::now() >= until)
+            upstream.takes_calls(uses_kept) && replaced.is_none_or(|until| Instant::now() >= until)
         };
-        let taking = (0..service.upstreams.len()).filter(takes_work);
-        let is_kept = |at: &usize| service.upstreams[*at].missing.is_some();
-        let (kept, mut listed): (Vec<_>, Vec<_>) = taking.partition(is_kept);
-        if lapse::may_use_kept(listed.len(), kept.len()) {
-            listed.extend(kept);
-        }
+        let listed = (0..service.upstreams.len()).filter(takes_calls);
         let is_new = |at: &usize| !avoid.contains(&service.upstreams[*at].listed.id);
         let is_healthy = |at: &usize| {
             let id = &service.upstreams[*at].listed.id;
             service.health.decide(now, id).weight() > 0.0
         };
-        let new: Vec<_> = listed.into_iter().filter(is_new).collect();
+        let new: Vec<_> = listed.filter(is_new).collect();
         let usable: Vec<_> = new.iter().copied().filter(is_healthy).collect();
         if usable.is_empty() {
             // All ejected: using one is better than using none, also for a call that failed elsewhere.
--- a/fw-gate/src/process/fleet/lease.rs
+++ b/fw-gate/src/process/fleet/lease.rs
@@ -84,6 +84,14 @@
         }
     }
 
+    /// Whether the upstream still takes calls. It may have left since it was chosen.
+    pub fn is_valid(&self) -> bool {
+        let mut service = self.service.lock();
+        let upstream = service.find(&self.id);
+        upstream
+            .is_some_and(|upstream| upstream.listed.takes_work && upstream.listed.addr == self.addr)
+    }
+
     /// The call is handed to its connection now.
     pub fn note_sent(&mut self) {
         self.sent_after = self.begun.elapsed();
--- a/fw-gate/src/request/attempt.rs
+++ b/fw-gate/src/request/attempt.rs
@@ -56,7 +56,7 @@
 fn reached_none(kind: error::Kind) -> bool {
     matches!(
         kind,
-        error::Kind::Misdirected | error::Kind::UpstreamUnreachable
+        error::Kind::Misdirected | error::Kind::UpstreamLeaving | error::Kind::UpstreamUnreachable
     )
 }
 
--- a/fw-gate/src/request/send.rs
+++ b/fw-gate/src/request/send.rs
@@ -134,7 +134,7 @@
     until: Instant,
 ) -> Result<(link::Link, hyper::Response<Incoming>), Failed> {
     if let Some(mut link) = lease.idle_link() {
-        lease.note_sent();
+        confirm(lease)?;
         match link.send(out.request(names, lease, until)).await {
             Ok(res) => return Ok((link, res)),
             Err(failed) if !failed.unsent => return Err(broken(lease, &failed)),
@@ -150,13 +150,30 @@
             broke: false,
         }
     })?;
-    lease.note_sent();
+    confirm(lease)?;
     match link.send(out.request(names, lease, until)).await {
         Ok(res) => Ok((link, res)),
         Err(failed) => Err(broken(lease, &failed)),
     }
 }
 
+/// Looks at the list once more before a byte of the call leaves: a connection may have taken a while.
+///
+/// # Errors
+///
+/// `UpstreamLeaving` when the upstream gets no more calls.
+fn confirm(lease: &mut fleet::Lease) -> Result<(), Failed> {
+    if lease.is_valid() {
+        lease.note_sent();
+        return Ok(());
+    }
+    let message = format!("upstream `{}` left before the call was sent", lease.id);
+    Err(Failed {
+        err: error::Error::new(error::Kind::UpstreamLeaving, message),
+        broke: false,
+    })
+}
+
 fn broken(lease: &fleet::Lease, failed: &link::Failed) -> Failed {
     lease.seen(health::Seen::Failed);
     let message = format!(
