fw-plan, fw-follow, fw-gate: calls are sent by a list that is proven to be new, or that nobody can confirm

What callers saw: their calls reached upstreams that had left seconds before. Cause: nothing that sends a call looked at the age of the list. Each hop that brings news has a limit, but delays follow each other, and an entry that stands still, or whose one call to the store hangs, knows of none. Ruled out as the only mend: shorter limits for each hop (an entry that stood still meets none of them). Change: the proof that API keys go by is that of the list and the configuration too. A request, and a call before its first byte leaves, waits for a newer proof if the one known is older than three quarters of the time given, for 300 ms at most; the wait makes the entry read at once, without waiting for a change, and a read that is late is asked again on a fresh connection. If a read fails that was asked then, or the wait is over, calls go on as before until the next proof, so callers of an entry that is cut off are served. Why it holds: what leaves is at most as old as the proof at that moment, by a clock that goes on while the machine is suspended, whatever delayed it on the way.

--- a/fw-follow/src/lib.rs
+++ b/fw-follow/src/lib.rs
@@ -7,7 +7,8 @@
 //!
 //! *Rule:* one watch in each [`Options::pace`] brings all that has changed since the last. A call
 //! that fails or takes too long means doubt: the next one is made on a fresh connection after a
-//! pause that grows, and once one succeeds after doubt everything is read whole.
+//! pause that grows, and once one succeeds after doubt everything is read whole. While somebody waits
+//! for a read ([`Schedule::wanted`]), there is no pause, and one that is late is asked again.
 
 use std::time::Duration;
 
@@ -59,6 +60,43 @@
     ) -> BoxFuture<'_, Result<Read<Self::Change>, Error>>;
 }
 
+/// A read that is due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Due {
+    /// Revision up to which all is known by other ways, so that nothing before it is read.
+    pub known: Revision,
+    /// Whether somebody waits for it, so that it does not wait for a change.
+    pub is_wanted: bool,
+}
+
+/// When the store is read.
+pub trait Schedule: Send + Sync {
+    /// Waits until the next read is due.
+    fn due(&self) -> impl Future<Output = Due> + Send;
+
+    /// Ready while somebody waits for a read.
+    fn wanted(&self) -> impl Future<Output = ()> + Send {
+        std::future::pending()
+    }
+
+    /// A read has failed.
+    fn failed(&self) {}
+}
+
+/// Reads are due when the revision is told up to which all is known by other ways.
+impl<F, T> Schedule for F
+where
+    F: Fn() -> T + Send + Sync,
+    T: Future<Output = Revision> + Send,
+{
+    async fn due(&self) -> Due {
+        Due {
+            known: self().await,
+            is_wanted: false,
+        }
+    }
+}
+
 /// What the follower tells.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step<C> {
@@ -91,6 +129,11 @@
     pub retry: Duration,
     /// Longest pause after a failure.
     pub retry_most: Duration,
+    /// How long a read may take that somebody waits for, before it is asked again; doubled each time.
+    /// Several times what a slow store takes to answer.
+    pub late: Duration,
+    /// Time between two reads while somebody waits for one.
+    pub wanted_pace: Duration,
 }
 
 impl Default for Options {
@@ -101,32 +144,46 @@
             wait: Duration::from_millis(450),
             retry: Duration::from_millis(250),
             retry_most: Duration::from_millis(1_000),
+            late: Duration::from_millis(300),
+            wanted_pace: Duration::from_millis(50),
         }
     }
 }
 
-/// Follows `area` for ever and hands each step to `apply`.
-///
-/// Before each read `turn` is waited for. It tells up to which revision all is known by other ways,
-/// so that nothing before it is read.
-pub async fn follow<A, T>(
+/// Follows `area` for ever by `schedule`, and hands each step to `apply`.
+pub async fn follow<A: Area>(
     area: A,
     opts: Options,
-    turn: impl Fn() -> T,
+    schedule: impl Schedule,
     mut apply: impl FnMut(Step<A::Change>),
-) where
-    A: Area,
-    T: Future<Output = Revision>,
-{
+) {
     let mut follower = Follower::new(opts);
     loop {
-        let known = turn().await;
-        follower.at = follower.at.map(|at| at.max(known));
-        let step = follower.step(&area).await;
+        let due = schedule.due().await;
+        follower.begin(due);
+        let outcome = tokio::select! {
+            read = follower.read(&area, due) => Some(read),
+            () = follower.late(&schedule, due) => None,
+        };
+        let step = match outcome {
+            Some(Ok(read)) => Some(follower.took(read)),
+            Some(Err(Error::HistoryGone { after })) => {
+                follower.history_gone(after);
+                None
+            }
+            Some(Err(err)) => {
+                schedule.failed();
+                follower.failed(&err)
+            }
+            None => {
+                follower.gave_up();
+                None
+            }
+        };
         if let Some(step) = step {
             apply(step);
         }
-        follower.pause().await;
+        follower.pause(&schedule).await;
     }
 }
 
@@ -135,6 +192,8 @@
     /// Revision of the last read; `None` means that everything has to be read.
     at: Option<Revision>,
     failures: u32,
+    /// Reads in a row that were late and asked again.
+    given_up: u32,
     begun: Instant,
 }
 
@@ -144,40 +203,66 @@
             opts,
             at: None,
             failures: 0,
+            given_up: 0,
             begun: Instant::now(),
         }
     }
 
-    async fn step<A: Area>(&mut self, area: &A) -> Option<Step<A::Change>> {
+    fn begin(&mut self, due: Due) {
         self.begun = Instant::now();
-        let (whole, read) = match self.at {
-            None => (true, area.whole().await),
-            Some(after) => (false, area.changes(after, self.opts.wait).await),
-        };
-        match read {
-            Ok(read) => Some(self.took(whole, read)),
-            Err(Error::HistoryGone { after }) => {
-                tracing::info!(after, "the store dropped its history; all is read again");
-                self.at = None;
-                None
-            }
-            Err(err) => self.failed(&err),
+        self.at = self.at.map(|at| at.max(due.known));
+    }
+
+    /// How long a read that is `due` waits for a change.
+    fn wait(&self, due: Due) -> Duration {
+        match due.is_wanted {
+            true => Duration::ZERO,
+            false => self.opts.wait,
         }
     }
 
-    fn took<C>(&mut self, whole: bool, read: Read<C>) -> Step<C> {
+    async fn read<A: Area>(&self, area: &A, due: Due) -> Result<Read<A::Change>, Error> {
+        match self.at {
+            None => area.whole().await,
+            Some(after) => area.changes(after, self.wait(due)).await,
+        }
+    }
+
+    /// Ready when the read is late, and somebody waits for it.
+    async fn late(&self, schedule: &impl Schedule, due: Due) {
+        let limit = self.opts.late * (1 << self.given_up.min(8));
+        tokio::time::sleep(self.wait(due) + limit).await;
+        schedule.wanted().await;
+    }
+
+    /// The read under way is dropped, and its connection with it.
+    fn gave_up(&mut self) {
+        self.given_up += 1;
+        metrics::counter!("fw_follow_late_total").increment(1);
+        let ms = self.begun.elapsed().as_millis() as u64;
+        tracing::info!(
+            ms,
+            "a read of the platform's store is late; it is asked again"
+        );
+    }
+
+    fn took<C>(&mut self, read: Read<C>) -> Step<C> {
         if std::mem::take(&mut self.failures) > 0 {
             tracing::info!(as_of = read.as_of, "the platform's store answers again");
         }
-        self.at = Some(read.as_of);
+        self.given_up = 0;
         let Read { changes, as_of } = read;
-        if whole {
-            Step::Whole { changes, as_of }
-        } else {
-            Step::News { changes, as_of }
+        match self.at.replace(as_of) {
+            None => Step::Whole { changes, as_of },
+            Some(_) => Step::News { changes, as_of },
         }
     }
 
+    fn history_gone(&mut self, after: Revision) {
+        tracing::info!(after, "the store dropped its history; all is read again");
+        self.at = None;
+    }
+
     fn failed<C>(&mut self, err: &Error) -> Option<Step<C>> {
         self.failures += 1;
         // What was written meanwhile may have been dropped from the history.
@@ -190,12 +275,23 @@
         Some(Step::Lost)
     }
 
-    async fn pause(&self) {
-        if self.failures > 0 {
+    /// Waits between two reads; not for long while somebody waits for one.
+    async fn pause(&self, schedule: &impl Schedule) {
+        let usual = if self.failures > 0 {
             let doubled = self.opts.retry * (1 << (self.failures - 1).min(8));
-            tokio::time::sleep(doubled.min(self.opts.retry_most)).await;
+            Instant::now() + doubled.min(self.opts.retry_most)
         } else if self.at.is_some() {
-            tokio::time::sleep_until(self.begun + self.opts.pace).await;
+            self.begun + self.opts.pace
+        } else {
+            return;
+        };
+        let wanted = async {
+            tokio::time::sleep_until(self.begun + self.opts.wanted_pace).await;
+            schedule.wanted().await;
+        };
+        tokio::select! {
+            () = tokio::time::sleep_until(usual) => {}
+            () = wanted => {}
         }
     }
 }
--- a/fw-gate/src/process/fleet/lease.rs
+++ b/fw-gate/src/process/fleet/lease.rs
@@ -84,6 +84,11 @@
         }
     }
 
+    /// Returns once the list is known to be new, or nobody can confirm it.
+    pub async fn confirm_list(&self) {
+        self.fleet.proof.confirm().await;
+    }
+
     /// Whether the upstream still takes calls. It may have left since it was chosen.
     pub fn is_valid(&self) -> bool {
         let mut service = self.service.lock();
--- a/fw-gate/src/process/fleet/mod.rs
+++ b/fw-gate/src/process/fleet/mod.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use fw_base::id;
-use fw_plan::{assign, health, hold, lapse, pace};
+use fw_plan::{assign, confirm, health, hold, lapse, pace};
 use fw_replica::{service, trail};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
@@ -19,10 +19,12 @@
 mod choose;
 mod lease;
 mod list;
+mod proof;
 
 use lease::Waiter;
 pub use lease::{Lease, Load};
 pub use list::{Change, List, Read, State};
+pub use proof::Proof;
 
 /// Calls that wait and look again when news of the others' calls come: some may find the upstream
 /// free that has their prompt.
@@ -183,6 +185,8 @@
     known: AtomicBool,
     /// The reads of the store that the list is from.
     reads: Mutex<list::Reads>,
+    /// How new the list is known to be.
+    pub proof: Proof,
     /// Names this entry to the others.
     entry: u32,
 }
@@ -195,9 +199,9 @@
 }
 
 impl Fleet {
-    /// Knows no upstream yet; `place` is the entry's own data centre, and `lapse` says how outages of
-    /// the store are told.
-    pub fn new(place: id::PlaceId, lapse: lapse::Options) -> Arc<Self> {
+    /// Knows no upstream yet; `place` is the entry's own data centre, `lapse` says how outages of the
+    /// store are told, and `confirm` how old the list may be.
+    pub fn new(place: id::PlaceId, lapse: lapse::Options, confirm: confirm::Options) -> Arc<Self> {
         Arc::new(Self {
             place,
             started: Instant::now(),
@@ -208,6 +212,7 @@
             trail: trail::Trail::default(),
             known: AtomicBool::new(false),
             reads: Mutex::new(list::Reads::new(lapse)),
+            proof: Proof::new(confirm),
             entry: rand::random(),
         })
     }
--- /dev/null
+++ b/fw-gate/src/process/fleet/proof.rs
@@ -0,0 +1,114 @@
+//! How new the list of upstreams is known to be, and the calls that wait for a newer proof.
+
+use std::time::Duration;
+
+use fw_base::clock;
+use fw_plan::confirm;
+use tokio::sync::{Notify, watch};
+
+/// Up to which moment the list is known. Times are since boot.
+#[derive(Debug)]
+pub struct Proof {
+    known: watch::Sender<confirm::Knowledge>,
+    /// Notified when a call begins to wait.
+    waiting: Notify,
+}
+
+impl Proof {
+    /// Nothing is proven yet.
+    pub fn new(opts: confirm::Options) -> Self {
+        Self {
+            known: watch::Sender::new(confirm::Knowledge::new(opts)),
+            waiting: Notify::new(),
+        }
+    }
+
+    /// All changes are known that the store had acknowledged at `asked`.
+    pub fn prove(&self, asked: Duration) {
+        let was_cut_off = self.known.borrow().is_cut_off();
+        let is_new = self.known.send_if_modified(|known| known.prove(asked));
+        if is_new && was_cut_off {
+            tracing::info!("the list of upstreams is confirmed again");
+        }
+    }
+
+    /// A read of the store that was asked at `asked` has failed.
+    pub fn failed(&self, asked: Duration) {
+        self.change(|known| known.failed(asked));
+    }
+
+    /// Returns once a call may be sent by the list.
+    pub async fn confirm(&self) {
+        loop {
+            let begun = clock::since_boot();
+            let (outcome, proven) = {
+                let known = self.known.borrow();
+                (known.decide(begun), known.proven())
+            };
+            let confirm::Outcome::Await(wait) = outcome else {
+                return;
+            };
+            let is_settled = self.settled(wait).await;
+            let waited = clock::since_boot().saturating_sub(begun);
+            metrics::histogram!("fw_gate_confirm_seconds").record(waited.as_secs_f64());
+            // An entry that stood still meanwhile has not waited for an answer.
+            if !is_settled && waited < wait * 2 {
+                self.change(|known| known.waited(proven));
+            }
+        }
+    }
+
+    /// Waits, up to `wait`, until calls need not wait.
+    async fn settled(&self, wait: Duration) -> bool {
+        let mut rx = self.known.subscribe();
+        self.waiting.notify_one();
+        let settled = rx.wait_for(|known| !known.is_wanted(clock::since_boot()));
+        tokio::time::timeout(wait, settled).await.is_ok()
+    }
+
+    fn change(&self, change: impl FnOnce(&mut confirm::Knowledge)) {
+        self.known.send_modify(|known| {
+            let was_cut_off = known.is_cut_off();
+            change(known);
+            if known.is_cut_off() && !was_cut_off {
+                let age = known.age(clock::since_boot());
+                tracing::info!(
+                    ?age,
+                    "nobody confirms the list of upstreams; calls are sent by it as it is"
+                );
+                metrics::counter!("fw_gate_unconfirmed_total").increment(1);
+            }
+        });
+    }
+
+    /// Ready once the list was proven before, and is too old.
+    pub async fn wanted(&self) {
+        let mut rx = self.known.subscribe();
+        loop {
+            let now = clock::since_boot();
+            let (is_wanted, fresh_for) = {
+                let known = rx.borrow_and_update();
+                (known.is_wanted(now), known.fresh_for(now))
+            };
+            let Some(fresh_for) = fresh_for else {
+                // The first read is due anyway.
+                let _ = rx.changed().await;
+                continue;
+            };
+            if is_wanted {
+                return;
+            }
+            let old = async {
+                match fresh_for.is_zero() {
+                    true => std::future::pending().await,
+                    false => tokio::time::sleep(fresh_for).await,
+                }
+            };
+            tokio::select! {
+                _ = rx.changed() => {}
+                () = self.waiting.notified() => {}
+                () = old => {}
+            }
+        }
+    }
+}
--- a/fw-gate/src/process/gate.rs
+++ b/fw-gate/src/process/gate.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use fw_base::{clock, digest, error, id};
-use fw_plan::{lapse, poison, quota, retry, staleness};
+use fw_plan::{confirm, lapse, poison, quota, retry, staleness};
 use fw_replica::{client, member, record, service};
 use parking_lot::Mutex;
 use tokio::sync::watch;
@@ -45,6 +45,8 @@
     pub quota: quota::Options,
     /// How outages of the platform's store are told.
     pub lapse: lapse::Options,
+    /// How old the list of upstreams and the configuration may be by which calls are sent.
+    pub confirm: confirm::Options,
 }
 
 /// What is in force, and whether it is new enough to accept API keys by it.
@@ -111,7 +113,8 @@
 impl Gate {
     /// Knows nothing yet.
     pub fn new(opts: Options) -> Arc<Self> {
-        let fleet = fleet::Fleet::new(opts.place.clone(), opts.lapse.clone());
+        let place = opts.place.clone();
+        let fleet = fleet::Fleet::new(place, opts.lapse.clone(), opts.confirm.clone());
         let knowledge = staleness::Knowledge::new(opts.keys_stale_after);
         Arc::new(Self {
             reading: reading::Reading::new(fleet.entry()),
@@ -195,6 +198,7 @@
 
     /// All changes are known that the store had acknowledged at `asked`, since boot.
     fn proven(&self, asked: Duration) {
+        self.fleet.proof.prove(asked);
         self.knowledge
             .send_modify(|knowledge| knowledge.proven(asked));
     }
@@ -219,15 +223,21 @@
         self.replicas.post(&post, &moments, known.whole(config));
     }
 
-    /// Waits until this entry has to read the store; returns the revision up to which it knows it.
-    pub async fn turn_to_read(&self) -> fw_follow::Revision {
-        self.reading.turn().await;
+    /// Waits until this entry has to read the store.
+    pub async fn turn_to_read(&self) -> fw_follow::Due {
+        let is_wanted = tokio::select! {
+            () = self.reading.turn() => false,
+            () = self.fleet.proof.wanted() => true,
+        };
         self.replicas.ask_moments(MOMENTS).await;
         *self.asked.lock() = Asked {
             at: Some(clock::since_boot()),
             moments: self.replicas.moments(),
         };
-        self.known.lock().as_of()
+        fw_follow::Due {
+            known: self.known.lock().as_of(),
+            is_wanted,
+        }
     }
 
     /// Hears from the replicas what other entries read, for ever.
@@ -360,9 +370,11 @@
         known.ok()?.ok()?.clone()
     }
 
-    /// What is in force, also if it is about to be read, as for [`Self::config_soon`].
+    /// What is in force, also if it is about to be read, as for [`Self::config_soon`], or is known only from
+    /// some time ago.
     pub async fn in_force_soon(&self) -> Option<InForce> {
         self.config_soon().await?;
+        self.fleet.proof.confirm().await;
         let keys = self.keys_soon().await;
         // Read after the proof, and so at least as new.
         let config = self.config()?;
@@ -474,3 +486,23 @@
         with(budget)
     }
 }
+
+/// When an entry reads the platform's store.
+#[derive(Debug)]
+pub struct Schedule(pub Arc<Gate>);
+
+impl fw_follow::Schedule for Schedule {
+    async fn due(&self) -> fw_follow::Due {
+        self.0.turn_to_read().await
+    }
+
+    async fn wanted(&self) {
+        self.0.fleet.proof.wanted().await;
+    }
+
+    fn failed(&self) {
+        if let Some(asked) = self.0.asked.lock().at {
+            self.0.fleet.proof.failed(asked);
+        }
+    }
+}
--- a/fw-gate/src/process/serve.rs
+++ b/fw-gate/src/process/serve.rs
@@ -71,14 +71,13 @@
     let told = Arc::clone(&gate);
     // Dropped with this future, so that an entry which is killed leaves nothing running.
     let mut tasks = JoinSet::new();
-    let reader = Arc::clone(&gate);
-    let turn = move || {
-        let reader = Arc::clone(&reader);
-        async move { reader.turn_to_read().await }
-    };
-    tasks.spawn(fw_follow::follow(area, opts.follow, turn, move |step| {
-        told.apply(step)
-    }));
+    let schedule = gate::Schedule(Arc::clone(&gate));
+    tasks.spawn(fw_follow::follow(
+        area,
+        opts.follow,
+        schedule,
+        move |step| told.apply(step),
+    ));
     tasks.spawn(Arc::clone(&gate).hear_others());
     tasks.spawn(Arc::clone(&gate).tell_quotas());
     tasks.spawn(relay::serve(relayed, Arc::clone(&gate.replicas)));
--- a/fw-gate/src/request/send.rs
+++ b/fw-gate/src/request/send.rs
@@ -134,7 +134,7 @@
     until: Instant,
 ) -> Result<(link::Link, hyper::Response<Incoming>), Failed> {
     if let Some(mut link) = lease.idle_link() {
-        confirm(lease)?;
+        confirm(lease).await?;
         match link.send(out.request(names, lease, until)).await {
             Ok(res) => return Ok((link, res)),
             Err(failed) if !failed.unsent => return Err(broken(lease, &failed)),
@@ -150,19 +150,21 @@
             broke: false,
         }
     })?;
-    confirm(lease)?;
+    confirm(lease).await?;
     match link.send(out.request(names, lease, until)).await {
         Ok(res) => Ok((link, res)),
         Err(failed) => Err(broken(lease, &failed)),
     }
 }
 
-/// Looks at the list once more before a byte of the call leaves: a connection may have taken a while.
+/// Looks at the list once more before a byte of the call leaves: a connection may have taken a while, and
+/// the entry may have stood still.
 ///
 /// # Errors
 ///
 /// `UpstreamLeaving` when the upstream gets no more calls.
-fn confirm(lease: &mut fleet::Lease) -> Result<(), Failed> {
+async fn confirm(lease: &mut fleet::Lease) -> Result<(), Failed> {
+    lease.confirm_list().await;
     if lease.is_valid() {
         lease.note_sent();
         return Ok(());
--- a/fw-gate/tests/gate/first_moments.rs
+++ b/fw-gate/tests/gate/first_moments.rs
@@ -5,7 +5,7 @@
 
 use fw_gate::process::gate::{self, Gate};
 use fw_gate::version::config::Config;
-use fw_plan::{lapse, quota};
+use fw_plan::{confirm, lapse, quota};
 use googletest::prelude::*;
 
 use crate::call_headers;
@@ -21,6 +21,7 @@
         keys_stale_after: None,
         quota: quota::Options::default(),
         lapse: lapse::Options::default(),
+        confirm: confirm::Options::default(),
     }
 }
 
--- a/fw-gate/tests/gate/upstream_list.rs
+++ b/fw-gate/tests/gate/upstream_list.rs
@@ -5,7 +5,7 @@
 
 use fw_gate::process::fleet::{self, Change, Fleet, List, Listed, Load, Want, Warmth};
 use fw_plan::health::Seen;
-use fw_plan::lapse;
+use fw_plan::{confirm, lapse};
 use fw_replica::trail;
 use googletest::prelude::*;
 
@@ -22,7 +22,11 @@
 }
 
 pub(crate) fn fleet() -> Arc<Fleet> {
-    Fleet::new("a".into(), lapse::Options::default())
+    Fleet::new(
+        "a".into(),
+        lapse::Options::default(),
+        confirm::Options::default(),
+    )
 }
 
 /// A read that was made so many milliseconds ago.
--- a/fw-plan/src/lib.rs
+++ b/fw-plan/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod admit;
 pub mod assign;
 pub mod budget;
+pub mod confirm;
 pub mod health;
 pub mod hedge;
 pub mod hold;
--- /dev/null
+++ b/fw-plan/tests/plan/list_confirmed.rs
@@ -0,0 +1,70 @@
+//! Calls that are sent by the list of upstreams.
+
+use std::time::Duration;
+
+use fw_plan::confirm::{Knowledge, Options, Outcome};
+use googletest::prelude::*;
+
+const FRESH: Duration = Duration::from_millis(1_500);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn knowledge() -> Knowledge {
+    Knowledge::new(Options::within(ms(2_000)))
+}
+
+fn is_sent(known: &Knowledge, now: u64) -> bool {
+    known.decide(ms(now)) == Outcome::Send
+}
+
+// Guards against calls that are sent by a list of any age.
+#[gtest]
+fn waits_where_the_list_is_old() {
+    let mut known = knowledge();
+    expect_false!(is_sent(&known, 0));
+    known.prove(ms(1_000));
+    expect_true!(is_sent(&known, 2_500));
+    expect_that!(known.fresh_for(ms(2_000)), some(eq(ms(500))));
+    expect_false!(is_sent(&known, 2_501));
+    // A proof that was held up does not make it newer.
+    expect_false!(known.prove(ms(900)));
+    expect_false!(is_sent(&known, 2_501));
+    expect_true!(known.prove(ms(2_400)));
+    expect_true!(is_sent(&known, 2_501));
+}
+
+// Guards against callers of an entry that is cut off, who would wait with each call.
+#[gtest]
+fn waits_once_where_no_proof_is_to_be_had() {
+    let mut known = knowledge();
+    known.prove(ms(1_000));
+    known.waited(Some(ms(1_000)));
+    expect_true!(is_sent(&known, 9_000));
+    known.prove(ms(9_000));
+    expect_false!(is_sent(&known, 11_000));
+    known.failed(ms(10_900));
+    expect_true!(is_sent(&known, 11_000));
+}
+
+// Guards against a wait that ends as another began before a proof came.
+#[gtest]
+fn goes_on_waiting_for_the_next_proof() {
+    let mut known = knowledge();
+    known.prove(ms(1_000));
+    known.prove(ms(2_000));
+    known.waited(Some(ms(1_000)));
+    expect_false!(is_sent(&known, 9_000));
+}
+
+// Guards against calls sent by an old list after an entry stood still, as its open call has failed.
+#[gtest]
+fn waits_after_a_failure_of_a_read_asked_while_the_list_was_new() {
+    let mut known = knowledge();
+    known.prove(ms(1_000));
+    known.failed(ms(1_000) + FRESH);
+    expect_false!(is_sent(&known, 9_000));
+    known.failed(ms(9_000));
+    expect_true!(is_sent(&known, 9_010));
+}
--- a/fw-plan/tests/plan/main.rs
+++ b/fw-plan/tests/plan/main.rs
@@ -18,6 +18,7 @@
 mod keeper_lookup;
 mod key_staleness;
 mod lapsed_upstreams;
+mod list_confirmed;
 mod long_jobs;
 mod overload;
 mod pace_noise;
