fw-plan, fw-follow: a model of how entries learn of leaving upstreams; a call waits for a read that hangs once

A failure counts only if it was seen soon after its question; a read that is waited for is asked again after 250 ms, and a call waits for 600 ms. Without the wait, or with proofs dated by their arrival, the model breaks the bound. A read that cannot be decoded ends the wait as one that failed does: it would have been asked again for ever.

--- a/fw-follow/src/lib.rs
+++ b/fw-follow/src/lib.rs
@@ -129,8 +129,8 @@
     pub retry: Duration,
     /// Longest pause after a failure.
     pub retry_most: Duration,
-    /// How long a read may take that somebody waits for, before it is asked again; doubled each time.
-    /// Several times what a slow store takes to answer.
+    /// How long a read may take that somebody waits for, before it is asked again; doubled each time, as
+    /// the store may be slow.
     pub late: Duration,
     /// Time between two reads while somebody waits for one.
     pub wanted_pace: Duration,
@@ -144,7 +144,7 @@
             wait: Duration::from_millis(450),
             retry: Duration::from_millis(250),
             retry_most: Duration::from_millis(1_000),
-            late: Duration::from_millis(300),
+            late: Duration::from_millis(250),
             wanted_pace: Duration::from_millis(50),
         }
     }
@@ -163,7 +163,7 @@
         follower.begin(due);
         let outcome = tokio::select! {
             read = follower.read(&area, due) => Some(read),
-            () = follower.late(&schedule, due) => None,
+            () = follower.late(&schedule) => None,
         };
         let step = match outcome {
             Some(Ok(read)) => Some(follower.took(read)),
@@ -213,25 +213,21 @@
         self.at = self.at.map(|at| at.max(due.known));
     }
 
-    /// How long a read that is `due` waits for a change.
-    fn wait(&self, due: Due) -> Duration {
-        match due.is_wanted {
+    async fn read<A: Area>(&self, area: &A, due: Due) -> Result<Read<A::Change>, Error> {
+        let wait = match due.is_wanted {
             true => Duration::ZERO,
             false => self.opts.wait,
-        }
-    }
-
-    async fn read<A: Area>(&self, area: &A, due: Due) -> Result<Read<A::Change>, Error> {
+        };
         match self.at {
             None => area.whole().await,
-            Some(after) => area.changes(after, self.wait(due)).await,
+            Some(after) => area.changes(after, wait).await,
         }
     }
 
     /// Ready when the read is late, and somebody waits for it.
-    async fn late(&self, schedule: &impl Schedule, due: Due) {
+    async fn late(&self, schedule: &impl Schedule) {
         let limit = self.opts.late * (1 << self.given_up.min(8));
-        tokio::time::sleep(self.wait(due) + limit).await;
+        tokio::time::sleep(limit).await;
         schedule.wanted().await;
     }
 
--- a/fw-follow/tests/follow/main.rs
+++ b/fw-follow/tests/follow/main.rs
@@ -1,3 +1,4 @@
 //! Following the store.
 
 mod store_outage;
+mod wanted_reads;
--- a/fw-gate/src/process/fleet/proof.rs
+++ b/fw-gate/src/process/fleet/proof.rs
@@ -34,7 +34,8 @@
 
     /// A read of the store that was asked at `asked` has failed.
     pub fn failed(&self, asked: Duration) {
-        self.change(|known| known.failed(asked));
+        let now = clock::since_boot();
+        self.change(|known| known.failed(asked, now));
     }
 
     /// Returns once a call may be sent by the list.
--- a/fw-gate/src/process/gate.rs
+++ b/fw-gate/src/process/gate.rs
@@ -196,6 +196,13 @@
         }
     }
 
+    /// The read under way brings no proof: calls do not wait for it.
+    fn proves_nothing(&self) {
+        if let Some(asked) = self.asked.lock().at {
+            self.fleet.proof.failed(asked);
+        }
+    }
+
     /// All changes are known that the store had acknowledged at `asked`, since boot.
     fn proven(&self, asked: Duration) {
         self.fleet.proof.prove(asked);
@@ -207,7 +214,9 @@
     /// decode proves nothing, and another entry may know how.
     fn post(&self, as_of: fw_follow::Revision, known: &mut snapshot::Known) {
         let config = self.config().filter(|_| known.knows_config());
-        let Some(config) = config else { return };
+        let Some(config) = config else {
+            return self.proves_nothing();
+        };
         let upstreams = self.fleet.listing();
         let changed = known.read(as_of, &config, &upstreams);
         self.reading.has_read();
@@ -501,8 +510,6 @@
     }
 
     fn failed(&self) {
-        if let Some(asked) = self.0.asked.lock().at {
-            self.0.fleet.proof.failed(asked);
-        }
+        self.0.proves_nothing();
     }
 }
--- a/fw-plan/src/confirm.rs
+++ b/fw-plan/src/confirm.rs
@@ -17,7 +17,7 @@
 pub struct Options {
     /// Age up to which a list is used without a question.
     pub fresh: Duration,
-    /// Longest wait of a call for a newer proof: several times what a slow store takes to answer.
+    /// Longest wait of a call for a newer proof: a read that hangs is asked again within it.
     pub wait: Duration,
 }
 
@@ -35,7 +35,7 @@
     pub fn within(bound: Duration) -> Self {
         Self {
             fresh: bound.mul_f64(Self::PART),
-            wait: Duration::from_millis(300),
+            wait: Duration::from_millis(600),
         }
     }
 }
@@ -83,10 +83,11 @@
         is_new
     }
 
-    /// A read that was asked at `asked` has failed. One that was asked while the list was new says nothing of
-    /// what a read would bring now: its connection may have ended while the entry stood still.
-    pub fn failed(&mut self, asked: Duration) {
-        if !self.is_fresh(asked) {
+    /// A read that was asked at `asked` has failed at `now`. One that was asked while the list was new, or long
+    /// ago, says nothing of what a read would bring now: the entry may have stood still since.
+    pub fn failed(&mut self, asked: Duration, now: Duration) {
+        let is_recent = now.saturating_sub(asked) <= self.opts.wait;
+        if is_recent && !self.is_fresh(asked) {
             self.is_cut_off = true;
         }
     }
--- a/fw-plan/tests/plan/main.rs
+++ b/fw-plan/tests/plan/main.rs
@@ -19,6 +19,7 @@
 mod key_staleness;
 mod lapsed_upstreams;
 mod list_confirmed;
+mod list_model;
 mod long_jobs;
 mod overload;
 mod pace_noise;
