fw-plan, fw-gate: a newer list is asked for before the one that is known is too old

Cause: in an outage every call waited once for up to 600 ms, when the list grew too old, for a proof that the entry could have known not to be had. Change: a newer read is wanted 600 ms before; one that is not answered within 250 ms is asked again, and after two the entry counts as cut off, as after a refusal, so calls wait only where the entry stood still.

--- a/fw-follow/src/lib.rs
+++ b/fw-follow/src/lib.rs
@@ -81,6 +81,9 @@
 
     /// A read has failed.
     fn failed(&self) {}
+
+    /// A read that somebody waits for is not answered in time, and is asked again.
+    fn unanswered(&self) {}
 }
 
 /// Reads are due when the revision is told up to which all is known by other ways.
@@ -129,8 +132,8 @@
     pub retry: Duration,
     /// Longest pause after a failure.
     pub retry_most: Duration,
-    /// How long a read may take that somebody waits for, before it is asked again; doubled each time, as
-    /// the store may be slow.
+    /// How long a read may take that somebody waits for, before it is asked again; doubled from the third
+    /// time on, as the store may be slow.
     pub late: Duration,
     /// Time between two reads while somebody waits for one.
     pub wanted_pace: Duration,
@@ -162,6 +165,8 @@
         let due = schedule.due().await;
         follower.begin(due);
         let outcome = tokio::select! {
+            // After a standstill both may be ready.
+            biased;
             read = follower.read(&area, due) => Some(read),
             () = follower.late(&schedule) => None,
         };
@@ -176,6 +181,7 @@
                 follower.failed(&err)
             }
             None => {
+                schedule.unanswered();
                 follower.gave_up();
                 None
             }
@@ -187,6 +193,9 @@
     }
 }
 
+/// Reads in a row that have the same limit. The first was begun before anybody waited for it.
+const SAME_LIMIT: u32 = 2;
+
 struct Follower {
     opts: Options,
     /// Revision of the last read; `None` means that everything has to be read.
@@ -226,8 +235,8 @@
 
     /// Ready when the read is late, and somebody waits for it.
     async fn late(&self, schedule: &impl Schedule) {
-        let limit = self.opts.late * (1 << self.given_up.min(8));
-        tokio::time::sleep(limit).await;
+        let doubled = self.given_up.saturating_sub(SAME_LIMIT).min(8);
+        tokio::time::sleep(self.opts.late * (1 << doubled)).await;
         schedule.wanted().await;
     }
 
--- a/fw-gate/src/process/fleet/proof.rs
+++ b/fw-gate/src/process/fleet/proof.rs
@@ -38,6 +38,12 @@
         self.change(|known| known.failed(asked, now));
     }
 
+    /// A read of the store that was asked at `asked` is not answered in time.
+    pub fn unanswered(&self, asked: Duration) {
+        let now = clock::since_boot();
+        self.change(|known| known.unanswered(asked, now));
+    }
+
     /// Returns once a call may be sent by the list.
     pub async fn confirm(&self) {
         loop {
@@ -52,9 +58,8 @@
             let is_settled = self.settled(wait).await;
             let waited = clock::since_boot().saturating_sub(begun);
             metrics::histogram!("fw_gate_confirm_seconds").record(waited.as_secs_f64());
-            // An entry that stood still meanwhile has not waited for an answer.
-            if !is_settled && waited < wait * 2 {
-                self.change(|known| known.waited(proven));
+            if !is_settled {
+                self.change(|known| known.waited(proven, waited));
             }
         }
     }
@@ -63,7 +68,10 @@
     async fn settled(&self, wait: Duration) -> bool {
         let mut rx = self.known.subscribe();
         self.waiting.notify_one();
-        let settled = rx.wait_for(|known| !known.is_wanted(clock::since_boot()));
+        let is_settled = |known: &confirm::Knowledge| {
+            known.decide(clock::since_boot()) == confirm::Outcome::Send
+        };
+        let settled = rx.wait_for(is_settled);
         tokio::time::timeout(wait, settled).await.is_ok()
     }
 
@@ -82,33 +90,29 @@
         });
     }
 
-    /// Ready once the list was proven before, and is too old.
+    /// Ready while a newer proof is wanted than the one that is known.
     pub async fn wanted(&self) {
         let mut rx = self.known.subscribe();
         loop {
             let now = clock::since_boot();
-            let (is_wanted, fresh_for) = {
+            let (is_wanted, wanted_in) = {
                 let known = rx.borrow_and_update();
-                (known.is_wanted(now), known.fresh_for(now))
+                (known.is_wanted(now), known.wanted_in(now))
             };
-            let Some(fresh_for) = fresh_for else {
-                // The first read is due anyway.
-                let _ = rx.changed().await;
-                continue;
+            let due = async {
+                match wanted_in.filter(|time| !time.is_zero()) {
+                    Some(time) => tokio::time::sleep(time).await,
+                    // The first read is due anyway.
+                    None => std::future::pending().await,
+                }
             };
-            if is_wanted {
+            if is_wanted && wanted_in.is_some() {
                 return;
             }
-            let old = async {
-                match fresh_for.is_zero() {
-                    true => std::future::pending().await,
-                    false => tokio::time::sleep(fresh_for).await,
-                }
-            };
             tokio::select! {
                 _ = rx.changed() => {}
                 () = self.waiting.notified() => {}
-                () = old => {}
+                () = due => {}
             }
         }
     }
--- a/fw-gate/src/process/gate.rs
+++ b/fw-gate/src/process/gate.rs
@@ -512,4 +512,10 @@
     fn failed(&self) {
         self.0.proves_nothing();
     }
+
+    fn unanswered(&self) {
+        if let Some(asked) = self.0.asked.lock().at {
+            self.0.fleet.proof.unanswered(asked);
+        }
+    }
 }
--- a/fw-plan/src/confirm.rs
+++ b/fw-plan/src/confirm.rs
@@ -6,9 +6,9 @@
 //! *Without it:* a list of any age is used, and calls reach upstreams long after they have left. A bound on
 //! each hop does not help: delays follow each other, and no hop knows of the others.
 //!
-//! *Rule:* a call is sent by a list that is proven to be new. Otherwise it waits for a newer proof, which is asked for
-//! at once. Where none is to be had, as at an entry that is cut off, calls are sent without, and wait again
-//! only once there has been one.
+//! *Rule:* a call is sent by a list that is proven to be new. A newer proof is asked for some time before the list is
+//! too old; if it is too old all the same, as after a standstill, calls wait for it. Where none is to be had, as at an
+//! entry that is cut off, calls are sent without, and wait again only once there has been one.
 
 use std::time::Duration;
 
@@ -17,7 +17,8 @@
 pub struct Options {
     /// Age up to which a list is used without a question.
     pub fresh: Duration,
-    /// Longest wait of a call for a newer proof: a read that hangs is asked again within it.
+    /// Longest wait of a call for a newer proof: a read that hangs is asked again within it. As long before the
+    /// list is too old, a newer proof is asked for.
     pub wait: Duration,
 }
 
@@ -27,6 +28,9 @@
     }
 }
 
+/// Reads in a row that are not answered in time before the entry counts as cut off: one may hang.
+const UNANSWERED: u32 = 2;
+
 impl Options {
     /// Part of the time given that a list may be old; the rest is for the call's way to its upstream.
     const PART: f64 = 0.75;
@@ -55,6 +59,8 @@
 pub struct Knowledge {
     opts: Options,
     proven: Option<Duration>,
+    /// Reads in a row that were not answered in time.
+    unanswered: u32,
     is_cut_off: bool,
 }
 
@@ -64,6 +70,7 @@
         Self {
             opts,
             proven: None,
+            unanswered: 0,
             is_cut_off: false,
         }
     }
@@ -78,23 +85,39 @@
         let is_new = self.proven.is_none_or(|known| known < asked);
         if is_new {
             self.proven = Some(asked);
+            self.unanswered = 0;
             self.is_cut_off = false;
         }
         is_new
     }
 
-    /// A read that was asked at `asked` has failed at `now`. One that was asked while the list was new, or long
-    /// ago, says nothing of what a read would bring now: the entry may have stood still since.
+    /// A read that was asked at `asked` has failed at `now`.
     pub fn failed(&mut self, asked: Duration, now: Duration) {
-        let is_recent = now.saturating_sub(asked) <= self.opts.wait;
-        if is_recent && !self.is_fresh(asked) {
+        if self.tells(asked, now) {
             self.is_cut_off = true;
         }
     }
 
-    /// A call has waited in vain since `proven` was the newest proof.
-    pub fn waited(&mut self, proven: Option<Duration>) {
-        if self.proven == proven {
+    /// A read that was asked at `asked` is not answered at `now`, and is asked again.
+    pub fn unanswered(&mut self, asked: Duration, now: Duration) {
+        if self.tells(asked, now) {
+            self.unanswered += 1;
+            self.is_cut_off |= self.unanswered >= UNANSWERED;
+        }
+    }
+
+    /// Whether the end of a read tells what another would bring now. One that was asked before a proof was
+    /// wanted does not, nor one asked long ago: the entry may have stood still since.
+    fn tells(&self, asked: Duration, now: Duration) -> bool {
+        let is_recent = now.saturating_sub(asked) <= self.opts.wait;
+        is_recent && !self.is_fresh(asked + self.opts.wait)
+    }
+
+    /// A call has waited in vain since `proven` was the newest proof, and for so long. If that is longer than it
+    /// was to wait, the entry stood still and has not waited for an answer.
+    pub fn waited(&mut self, proven: Option<Duration>, waited: Duration) {
+        let stood_still = waited > self.opts.wait + self.opts.wait / 4;
+        if self.proven == proven && !stood_still {
             self.is_cut_off = true;
         }
     }
@@ -109,23 +132,23 @@
         self.proven.map(|proven| now.saturating_sub(proven))
     }
 
-    /// Whether calls wait for a proof at `now`.
+    /// Whether a newer proof is wanted at `now`.
     pub fn is_wanted(&self, now: Duration) -> bool {
-        !self.is_cut_off && !self.is_fresh(now)
+        !self.is_cut_off && !self.is_fresh(now + self.opts.wait)
     }
 
     /// What is to happen with a call at `now`.
     pub fn decide(&self, now: Duration) -> Outcome {
-        match self.is_wanted(now) {
-            true => Outcome::Await(self.opts.wait),
-            false => Outcome::Send,
+        match self.is_cut_off || self.is_fresh(now) {
+            true => Outcome::Send,
+            false => Outcome::Await(self.opts.wait),
         }
     }
 
-    /// Time from `now` on until the list is too old; `None` if nothing is proven.
-    pub fn fresh_for(&self, now: Duration) -> Option<Duration> {
-        let until = self.proven? + self.opts.fresh;
-        Some(until.saturating_sub(now))
+    /// Time from `now` on until a newer proof is wanted; `None` if nothing is proven.
+    pub fn wanted_in(&self, now: Duration) -> Option<Duration> {
+        let from = (self.proven? + self.opts.fresh).saturating_sub(self.opts.wait);
+        Some(from.saturating_sub(now))
     }
 
     fn is_fresh(&self, now: Duration) -> bool {
--- a/fw-plan/tests/plan/list_confirmed.rs
+++ b/fw-plan/tests/plan/list_confirmed.rs
@@ -26,7 +26,10 @@
     expect_false!(is_sent(&known, 0));
     known.prove(ms(1_000));
     expect_true!(is_sent(&known, 2_500));
-    expect_that!(known.fresh_for(ms(2_000)), some(eq(ms(500))));
+    // A newer proof is wanted before.
+    expect_that!(known.wanted_in(ms(1_500)), some(eq(ms(400))));
+    expect_false!(known.is_wanted(ms(1_900)));
+    expect_true!(known.is_wanted(ms(1_901)));
     expect_false!(is_sent(&known, 2_501));
     // A proof that was held up does not make it newer.
     expect_false!(known.prove(ms(900)));
@@ -40,7 +43,9 @@
 fn waits_once_where_no_proof_is_to_be_had() {
     let mut known = knowledge();
     known.prove(ms(1_000));
-    known.waited(Some(ms(1_000)));
+    known.waited(Some(ms(1_000)), ms(900));
+    expect_false!(is_sent(&known, 9_000));
+    known.waited(Some(ms(1_000)), ms(605));
     expect_true!(is_sent(&known, 9_000));
     known.prove(ms(9_000));
     expect_false!(is_sent(&known, 11_000));
@@ -48,13 +53,25 @@
     expect_true!(is_sent(&known, 11_000));
 }
 
+// Guards against calls that wait through each outage, though it is known before the list is old.
+#[gtest]
+fn does_not_wait_where_reads_go_unanswered() {
+    let mut known = knowledge();
+    known.prove(ms(1_000));
+    known.unanswered(ms(1_800), ms(2_050));
+    known.unanswered(ms(2_050), ms(2_300));
+    expect_true!(known.is_wanted(ms(2_301)));
+    known.unanswered(ms(2_300), ms(2_550));
+    expect_true!(is_sent(&known, 2_551));
+}
+
 // Guards against a wait that ends as another began before a proof came.
 #[gtest]
 fn goes_on_waiting_for_the_next_proof() {
     let mut known = knowledge();
     known.prove(ms(1_000));
     known.prove(ms(2_000));
-    known.waited(Some(ms(1_000)));
+    known.waited(Some(ms(1_000)), ms(605));
     expect_false!(is_sent(&known, 9_000));
 }
 
@@ -63,9 +80,10 @@
 fn waits_after_a_failure_of_a_read_asked_before() {
     let mut known = knowledge();
     known.prove(ms(1_000));
+    known.failed(ms(1_400), ms(1_500));
     known.failed(ms(1_000) + FRESH, ms(9_000));
-    expect_false!(is_sent(&known, 9_000));
-    known.failed(ms(6_000), ms(9_000));
+    known.unanswered(ms(6_000), ms(9_000));
+    known.unanswered(ms(6_000), ms(9_000));
     expect_false!(is_sent(&known, 9_000));
     known.failed(ms(9_000), ms(9_005));
     expect_true!(is_sent(&known, 9_010));
--- a/fw-plan/tests/plan/list_model.rs
+++ b/fw-plan/tests/plan/list_model.rs
@@ -244,6 +244,7 @@
             entry.next_read = now + Duration::from_millis(250);
         } else if wanted && now >= call.asked + LATE {
             entry.call = None;
+            entry.known.unanswered(call.asked, now);
         }
     }
 
@@ -277,11 +278,8 @@
         match entry.known.decide(now) {
             confirm::Outcome::Await(wait) if without != Without::Confirm => {
                 let (since, proven) = *entry.waits.get_or_insert((now, entry.known.proven()));
-                if now >= since + wait * 2 {
-                    // It stood still.
-                    entry.waits = None;
-                } else if now >= since + wait {
-                    entry.known.waited(proven);
+                if now >= since + wait {
+                    entry.known.waited(proven, now - since);
                     entry.waits = None;
                 }
             }
