fw-keep: an entry that takes shards asks the store who keeps those that calls wait for

What callers saw: the keeper of a program ended gracefully, and its history was refused as keeper_unavailable after 4 s by an entry that took shards all the while. Cause: what the watch tells between two groups of shards is behind by many messages, as each group makes one, and a shard that a call waits for is taken first only once it is known to be free. A call that did not find the keeper where the table says knows that the table is old; nothing was made of that. Change: before a group is planned, the keepers of the shards that calls wait for and that others keep by the table are read in one transaction and noted. One call of the store a group, only while such calls wait.

--- a/fw-keep/src/keeper/member.rs
+++ b/fw-keep/src/keeper/member.rs
@@ -18,6 +18,7 @@
 use crate::keeper::lease::Backoff;
 use crate::keeper::load;
 use crate::keeper::table::Table;
+use crate::keeper::wanted;
 
 /// Shards taken or handed over at a time. Between two keepers nobody answers for a shard: moved all
 /// together, each of thousands would be without a keeper until the last one has moved.
@@ -141,6 +142,7 @@
     }
     grace.note(lease, inner.opts.ttl);
     adopt(inner).await;
+    wanted::look_up(inner).await;
     let plan = inner.table.write().plan(&inner.opts.entry, inner.opts.ttl);
     let left = take(inner, plan.acquire, grace).await;
     hand_over(inner, plan.release).await;
--- a/fw-keep/src/keeper/mod.rs
+++ b/fw-keep/src/keeper/mod.rs
@@ -14,6 +14,7 @@
 mod member;
 mod slot;
 mod table;
+mod wanted;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/fw-keep/src/keeper/table.rs
+++ b/fw-keep/src/keeper/table.rs
@@ -98,6 +98,24 @@
         }
     }
 
+    /// Takes over who keeps `shards`, as the store told at `revision`.
+    pub(super) fn learn(
+        &mut self,
+        root: &str,
+        shards: &[id::ShardId],
+        found: Vec<kv::Kv>,
+        revision: id::Revision,
+    ) {
+        for shard in shards {
+            let key = keys::owner(root, *shard);
+            let holder = found.iter().find(|kv| kv.key == key).and_then(|kv| {
+                let value = OwnerValue::decode(&kv.value)?;
+                Some(value.holder(kv.create_revision))
+            });
+            self.note(*shard, holder, revision);
+        }
+    }
+
     /// Takes over a change; true if it may change anybody's plan.
     pub(super) fn apply(&mut self, root: &str, event: watch::Event) -> bool {
         match event.kind {
