fw-keep: the test of wanted shards goes by the order in which they were taken

Now all shards are waited for, and none may have been taken before the wanted one, by their fencing numbers: as strict and free of time.

--- a/fw-keep/tests/keep/keeper_outage.rs
+++ b/fw-keep/tests/keep/keeper_outage.rs
@@ -174,14 +174,19 @@
     let half = usize::from(MANY / 2);
     fleet::until_kept(&a, half).await;
     fleet::until_kept(&b, half).await;
-    let last = a.shards().last().unwrap().shard;
+    let theirs = a.shards();
+    let last = theirs.last().unwrap().shard;
     fleet
         .store
         .faults(1, |faults| faults.delay = Duration::from_millis(20));
     a.abort();
     b.want(last);
-    fleet::until("the shard has a keeper", || b.fence(last).is_some()).await;
-    expect_that!(b.shards().len(), lt(usize::from(MANY)));
+    fleet::until_kept(&b, usize::from(MANY)).await;
+    let fence = b.fence(last).unwrap();
+    let before = theirs
+        .iter()
+        .filter(|kept| b.fence(kept.shard).is_some_and(|other| other < fence));
+    expect_that!(before.count(), eq(0));
 }
 
 /// Shards whose keeper tells of them in many messages when it hands them over.
