fw-plan, fw-gate: calls wait once where no proof is to be had, not again for each that is too old

Cause: what replicas tell of one read dates it a little differently each time. Each later date was taken for a newer proof, so a wait in vain did not count, and calls waited again: in a silent outage some until their deadline. Change: only a proof by which the list is new ends the time without one; a wait counts if the list is still too old at its end.

--- a/fw-plan/src/confirm.rs
+++ b/fw-plan/src/confirm.rs
@@ -75,20 +75,18 @@
         }
     }
 
-    /// Up to which moment all changes are known.
-    pub fn proven(&self) -> Option<Duration> {
-        self.proven
-    }
-
-    /// All changes are known that the store had acknowledged at `asked`. Returns whether that is new.
-    pub fn prove(&mut self, asked: Duration) -> bool {
-        let is_new = self.proven.is_none_or(|known| known < asked);
-        if is_new {
-            self.proven = Some(asked);
-            self.unanswered = 0;
-            self.is_cut_off = false;
+    /// All changes are known at `now` that the store had acknowledged at `asked`. Returns whether calls that were
+    /// sent without a proof have one again.
+    ///
+    /// What replicas tell of one read dates it a little differently each time, so only a proof by which the list is
+    /// new ends the time without one.
+    pub fn prove(&mut self, asked: Duration, now: Duration) -> bool {
+        self.proven = self.proven.max(Some(asked));
+        if !self.is_fresh(now) {
+            return false;
         }
-        is_new
+        self.unanswered = 0;
+        std::mem::take(&mut self.is_cut_off)
     }
 
     /// A read that was asked at `asked` has failed at `now`.
@@ -113,11 +111,11 @@
         is_recent && !self.is_fresh(asked + self.opts.wait)
     }
 
-    /// A call has waited in vain since `proven` was the newest proof, and for so long. If that is longer than it
-    /// was to wait, the entry stood still and has not waited for an answer.
-    pub fn waited(&mut self, proven: Option<Duration>, waited: Duration) {
+    /// A call has waited in vain, and for so long, until `now`. If that is longer than it was to wait, the entry
+    /// stood still and has not waited for an answer.
+    pub fn waited(&mut self, waited: Duration, now: Duration) {
         let stood_still = waited > self.opts.wait + self.opts.wait / 4;
-        if self.proven == proven && !stood_still {
+        if !stood_still && !self.is_fresh(now) {
             self.is_cut_off = true;
         }
     }
