fw-plan, fw-gate: whether entries have lapsed is judged once, by how many are missing then

Cause: upstreams that may only have lapsed got calls only while they were more than the listed ones, so that after an outage half of a service carried all calls for the second in which the other half came back, and programs were refused. Change: the share of what was listed decides at the read that finds them missing, and stands until they are back or gone.

--- a/fw-gate/src/process/fleet/choose.rs
+++ b/fw-gate/src/process/fleet/choose.rs
@@ -184,13 +184,12 @@
     /// Where the upstreams are that may get a call which failed at `avoid`.
     fn usable(&self, service: &Service, avoid: &[id::UpstreamId]) -> Vec<usize> {
         let now = self.now();
-        let uses_kept = service.uses_kept();
-        let takes_calls = |at: &usize| {
+        let takes_work = |at: &usize| {
             let upstream = &service.upstreams[*at];
             let replaced = upstream.replaced_until;
-            upstream.takes_calls(uses_kept) && replaced.is_none_or(|until| Instant::now() >= until)
+            upstream.listed.takes_work && replaced.is_none_or(|until| Instant::now() >= until)
         };
-        let listed = (0..service.upstreams.len()).filter(takes_calls);
+        let listed = (0..service.upstreams.len()).filter(takes_work);
         let is_new = |at: &usize| !avoid.contains(&service.upstreams[*at].listed.id);
         let is_healthy = |at: &usize| {
             let id = &service.upstreams[*at].listed.id;
--- a/fw-gate/src/process/fleet/list.rs
+++ b/fw-gate/src/process/fleet/list.rs
@@ -69,6 +69,8 @@
 pub(super) struct Missing {
     /// When a read listed it last, since boot; `None` if none did that this entry knows of.
     listed: Option<Duration>,
+    /// Whether its entry may only have lapsed.
+    may_be_back: bool,
 }
 
 /// The reads of the store that the list is from. Times are since boot.
@@ -125,33 +127,39 @@
             reads.as_of = read.as_of;
             reads.steady.note(lapse::Span::single(at));
         }
-        match list {
+        let before = self.listing().len();
+        let missing = match list {
             List::Whole(list) => self.replace(list),
-            List::Changes(changes) => changes.into_iter().for_each(|change| self.change(change)),
-        }
+            List::Changes(changes) => changes.into_iter().filter_map(|c| self.change(c)).collect(),
+        };
+        self.judge(before, missing);
         let mut reads = self.reads.lock();
         reads.last = reads.last.max(at);
         drop(reads);
         self.drop_gone();
     }
 
-    fn change(&self, change: Change) {
+    /// Takes a change; returns the upstream that is missing now.
+    fn change(&self, change: Change) -> Option<id::UpstreamId> {
         match change {
-            Change::Put(listed) => self.put(listed),
-            Change::Gone(id) => self.miss(&id),
+            Change::Put(listed) => {
+                self.put(listed);
+                None
+            }
+            Change::Gone(id) => self.miss(id),
         }
     }
 
-    fn replace(&self, list: Vec<Listed>) {
+    /// Takes a whole list; returns the upstreams that are missing now.
+    fn replace(&self, list: Vec<Listed>) -> Vec<id::UpstreamId> {
         self.known.store(true, Ordering::Relaxed);
-        let known = self.listing();
-        let missing = known
-            .into_iter()
-            .filter(|known| !list.iter().any(|listed| listed.id == known.id));
-        missing.for_each(|known| self.miss(&known.id));
+        let known = self.listing().into_iter().map(|known| known.id);
+        let gone = known.filter(|known| !list.iter().any(|listed| listed.id == *known));
+        let missing = gone.filter_map(|id| self.miss(id)).collect();
         for listed in list {
             self.put(listed);
         }
+        missing
     }
 
     /// Adds or changes one upstream. One that leaves takes no work again before it starts anew: a late
@@ -192,30 +200,66 @@
         }
     }
 
-    /// An upstream is not on the list any more.
-    fn miss(&self, id: &id::UpstreamId) {
-        let (listed, span, outcome) = {
+    /// An upstream is not on the list any more; returns it if it was before.
+    fn miss(&self, id: id::UpstreamId) -> Option<id::UpstreamId> {
+        let listed = self.reads.lock().last;
+        let is_new = self.with_upstream(&id, |upstream| {
+            let is_new = upstream.missing.is_none();
+            upstream.missing.get_or_insert(Missing {
+                listed,
+                may_be_back: false,
+            });
+            is_new
+        });
+        (is_new == Some(true)).then_some(id)
+    }
+
+    /// Decides which of the upstreams that are `missing` now, where so many were listed `before`, may only have lapsed.
+    fn judge(&self, before: usize, mut missing: Vec<id::UpstreamId>) {
+        let (listed, steady) = {
             let reads = self.reads.lock();
-            let outcome = reads.steady.decide(reads.last);
-            (reads.last, reads.steady.span(), outcome)
+            (reads.last, reads.steady.clone())
         };
+        missing.retain(|id| self.is_missing(id));
+        if steady.decide(listed) == lapse::Outcome::Gone
+            || !lapse::has_lapsed(before, missing.len())
+        {
+            return;
+        }
+        let now = clock::since_boot();
+        let ms = |at: Duration| now.saturating_sub(at).as_millis() as u64;
+        for id in &missing {
+            self.with_upstream(id, |upstream| {
+                upstream
+                    .missing
+                    .iter_mut()
+                    .for_each(|m| m.may_be_back = true);
+            });
+            tracing::info!(
+                upstream = %id,
+                listed_ms_ago = listed.map(ms),
+                reads_since_ms = steady.span().map(|span| ms(span.first)),
+                "upstream missing after a gap between reads of the store; used until lapsed ones are back"
+            );
+        }
+    }
+
+    fn is_missing(&self, id: &id::UpstreamId) -> bool {
+        let missing = self.with_upstream(id, |upstream| upstream.missing.is_some());
+        missing == Some(true)
+    }
+
+    fn with_upstream<T>(
+        &self,
+        id: &id::UpstreamId,
+        f: impl FnOnce(&mut Upstream) -> T,
+    ) -> Option<T> {
         for service in self.all_services() {
-            let mut service = service.lock();
-            let Some(upstream) = service.find(id).filter(|u| u.missing.is_none()) else {
-                continue;
-            };
-            upstream.missing = Some(Missing { listed });
-            if outcome == lapse::Outcome::Kept {
-                let now = clock::since_boot();
-                let ms = |at: Duration| now.saturating_sub(at).as_millis() as u64;
-                tracing::info!(
-                    upstream = %id,
-                    listed_ms_ago = listed.map(ms),
-                    reads_since_ms = span.map(|span| ms(span.first)),
-                    "upstream missing after a gap between reads of the store; used until lapsed ones are back"
-                );
+            if let Some(upstream) = service.lock().find(id) {
+                return Some(f(upstream));
             }
         }
+        None
     }
 
     /// Drops the missing upstreams that have left.
@@ -225,8 +269,10 @@
             (reads.steady.clone(), reads.as_of)
         };
         let is_gone = |upstream: &Upstream| {
-            let listed = upstream.missing.map(|missing| missing.listed);
-            listed.is_some_and(|listed| steady.decide(listed) == lapse::Outcome::Gone)
+            let missing = upstream.missing;
+            missing.is_some_and(|missing| {
+                !missing.may_be_back || steady.decide(missing.listed) == lapse::Outcome::Gone
+            })
         };
         for service in self.all_services() {
             let mut service = service.lock();
--- a/fw-gate/src/process/fleet/mod.rs
+++ b/fw-gate/src/process/fleet/mod.rs
@@ -98,13 +98,6 @@
     failed: Option<Instant>,
 }
 
-impl Upstream {
-    /// Whether it gets calls, where those that are missing from the list do or do not.
-    fn takes_calls(&self, uses_kept: bool) -> bool {
-        self.listed.takes_work && (uses_kept || self.missing.is_none())
-    }
-}
-
 #[derive(Debug)]
 struct Service {
     upstreams: Vec<Upstream>,
@@ -153,13 +146,6 @@
         upstreams.find(|upstream| upstream.listed.id == *id)
     }
 
-    /// Whether upstreams that are missing from the list, and kept, get calls.
-    fn uses_kept(&self) -> bool {
-        let taking = self.upstreams.iter().filter(|u| u.listed.takes_work);
-        let kept = taking.clone().filter(|u| u.missing.is_some()).count();
-        lapse::may_use_kept(taking.count() - kept, kept)
-    }
-
     fn tell_health(&mut self, now: Duration) {
         let lines = self.upstreams.iter().map(|upstream| health::Listed {
             upstream: upstream.listed.id.clone(),
--- a/fw-plan/src/lapse.rs
+++ b/fw-plan/src/lapse.rs
@@ -8,9 +8,8 @@
 //!
 //! *Rule:* an outage shows as a gap between reads, whichever entry makes them. An upstream that a read
 //! after the last gap has listed, and that is missing now, has left. One that no such read has listed is
-//! kept until lapsed entries have had time to come back. A gap has other causes too: the readers were away
-//! themselves. An outage takes most entries of a service with it, and leaving takes few, so those that are
-//! kept get calls only while they are more than those that are listed.
+//! kept until lapsed entries have had time to come back, if most are missing with it. A gap has other causes
+//! too: the readers were away themselves. An outage takes most entries with it, and leaving takes few.
 
 use std::time::Duration;
 
@@ -84,10 +83,10 @@
     Kept,
 }
 
-/// Whether upstreams that are [`Outcome::Kept`] get calls, where so many of their service are listed and so
-/// many kept.
-pub fn may_use_kept(listed: usize, kept: usize) -> bool {
-    kept > listed
+/// Whether entries have lapsed, where so many upstreams were listed, and so many of them are missing that no read
+/// since the last gap has listed.
+pub fn has_lapsed(listed: usize, missing: usize) -> bool {
+    missing * 2 > listed
 }
 
 /// The reads of the store that are known, by whichever entry.
