fw-follow: followers that fail together try again at times of their own

Cause: entries whose list is too old ask for a newer one in the same moment, and so do those that an outage takes from one reader; each then waits for the same time, so that all hang when the store returns. Change: pauses after failures are drawn between a half of their length and the whole; a read that is asked again for the third time is dropped after a time drawn between 0.75 and 1.5 s.

--- a/fw-follow/src/lib.rs
+++ b/fw-follow/src/lib.rs
@@ -10,6 +10,7 @@
 //! pause that grows, and once one succeeds after doubt everything is read whole. While somebody waits
 //! for a read ([`Schedule::wanted`]), there is no pause, and one that is late is asked again.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
@@ -128,13 +129,14 @@
     pub pace: Duration,
     /// How long one read waits for a change. Short, so that a lost answer is noticed soon.
     pub wait: Duration,
-    /// Pause after a failure; doubled up to `retry_most`.
+    /// Longest pause after a failure; doubled up to `retry_most`.
     pub retry: Duration,
     /// Longest pause after a failure.
     pub retry_most: Duration,
-    /// How long a read may take that somebody waits for, before it is asked again; doubled from the third
-    /// time on, as the store may be slow.
+    /// How long a read may take that somebody waits for, before it is asked again.
     pub late: Duration,
+    /// Longest time until the last of them is asked again.
+    pub spread: Duration,
     /// Time between two reads while somebody waits for one.
     pub wanted_pace: Duration,
 }
@@ -148,6 +150,7 @@
             retry: Duration::from_millis(250),
             retry_most: Duration::from_millis(1_000),
             late: Duration::from_millis(250),
+            spread: Duration::from_millis(1_500),
             wanted_pace: Duration::from_millis(50),
         }
     }
@@ -193,8 +196,13 @@
     }
 }
 
-/// Reads in a row that have the same limit. The first was begun before anybody waited for it.
-const SAME_LIMIT: u32 = 2;
+/// Reads in a row that are asked again while somebody waits for them.
+const UNANSWERED: u32 = 3;
+
+/// A time between a half of `most` and `most`.
+fn jitter(most: Duration) -> Duration {
+    most.mul_f64(rand::random_range(0.5..=1.0))
+}
 
 struct Follower {
     opts: Options,
@@ -234,10 +242,18 @@
     }
 
     /// Ready when the read is late, and somebody waits for it.
+    ///
+    /// Whoever waits gives up after a few, at all followers in the same moment. The read that is under way then is
+    /// asked again after a time drawn by each, so that they do not all hang when the store returns.
     async fn late(&self, schedule: &impl Schedule) {
-        let doubled = self.given_up.saturating_sub(SAME_LIMIT).min(8);
-        tokio::time::sleep(self.opts.late * (1 << doubled)).await;
-        schedule.wanted().await;
+        match self.given_up.cmp(&UNANSWERED) {
+            Ordering::Less => {
+                tokio::time::sleep(self.opts.late).await;
+                schedule.wanted().await;
+            }
+            Ordering::Equal => tokio::time::sleep(jitter(self.opts.spread)).await,
+            Ordering::Greater => std::future::pending().await,
+        }
     }
 
     /// The read under way is dropped, and its connection with it.
@@ -284,7 +300,8 @@
     async fn pause(&self, schedule: &impl Schedule) {
         let usual = if self.failures > 0 {
             let doubled = self.opts.retry * (1 << (self.failures - 1).min(8));
-            Instant::now() + doubled.min(self.opts.retry_most)
+            // Followers that fail together would all pause when the store returns.
+            Instant::now() + jitter(doubled.min(self.opts.retry_most))
         } else if self.at.is_some() {
             self.begun + self.opts.pace
         } else {
