--- a/fw-gate/src/process/fleet/list.rs
+++ b/fw-gate/src/process/fleet/list.rs
@@ -127,7 +127,7 @@
             reads.as_of = read.as_of;
             reads.steady.note(lapse::Span::single(at));
         }
-        let before = self.listing().len();
+        let before = self.count_listed();
         let missing = match list {
             List::Whole(list) => self.replace(list),
             List::Changes(changes) => changes.into_iter().filter_map(|c| self.change(c)).collect(),
@@ -230,10 +230,11 @@
         let ms = |at: Duration| now.saturating_sub(at).as_millis() as u64;
         for id in &missing {
             self.with_upstream(id, |upstream| {
-                upstream
-                    .missing
-                    .iter_mut()
-                    .for_each(|m| m.may_be_back = true);
+                let missing = Missing {
+                    listed,
+                    may_be_back: true,
+                };
+                upstream.missing = Some(missing);
             });
             tracing::info!(
                 upstream = %id,
@@ -290,6 +291,18 @@
         }
     }
 
+    fn count_listed(&self) -> usize {
+        let count = |service: &Arc<Mutex<Service>>| {
+            let service = service.lock();
+            service
+                .upstreams
+                .iter()
+                .filter(|u| u.missing.is_none())
+                .count()
+        };
+        self.all_services().iter().map(count).sum()
+    }
+
     /// All upstreams on the list, by id.
     pub fn listing(&self) -> Vec<Listed> {
         let mut listing = Vec::new();
