--- a/fw-local/tests/history/fixed_seeds.rs
+++ b/fw-local/tests/history/fixed_seeds.rs
@@ -71,4 +71,5 @@
     seed_38_holds: 38;
     seed_66_holds: 66;
     seed_183_holds: 183;
+    seed_20261324_holds: 20261324;
 }
