--- a/fw-gate/src/process/gate.rs
+++ b/fw-gate/src/process/gate.rs
@@ -445,33 +445,54 @@
         self.started.elapsed()
     }
 
-    /// Refuses a request if requests with the same fingerprint have crashed upstreams.
+    /// Refuses request `id` if requests with the same fingerprint have crashed upstreams.
     ///
     /// # Errors
     ///
     /// `UpstreamCrashed` when it must not be sent to another upstream.
-    pub fn check_poison(&self, fingerprint: &digest::Digest) -> Result<(), error::Error> {
+    pub fn check_poison(&self, id: &str, fingerprint: &digest::Digest) -> Result<(), error::Error> {
         let now = self.now();
-        match self.poison.lock().decide(now, fingerprint) {
-            poison::Outcome::Refused(_) => Err(error::Error::new(
-                error::Kind::UpstreamCrashed,
-                "identical requests crashed the upstreams that ran them",
-            )),
-            poison::Outcome::Normal | poison::Outcome::Alone { .. } => Ok(()),
-        }
+        let outcome = self.poison.lock().decide(now, fingerprint);
+        let poison::Outcome::Refused(refusal) = outcome else {
+            return Ok(());
+        };
+        metrics::counter!("fw_gate_quarantine_total", "event" => "refused").increment(1);
+        tracing::info!(
+            request = id,
+            %fingerprint,
+            left_ms = refusal.retry_after.as_millis() as u64,
+            "request refused by quarantine"
+        );
+        Err(error::Error::new(
+            error::Kind::UpstreamCrashed,
+            "identical requests crashed the upstreams that ran them",
+        ))
     }
 
-    /// Records that `upstream` crashed while it ran a request with this fingerprint.
-    pub fn record_crash(&self, upstream: &id::UpstreamId, fingerprint: digest::Digest) {
+    /// Records that `upstream` crashed while it ran request `id` with this fingerprint.
+    pub fn record_crash(&self, id: &str, upstream: &id::UpstreamId, fingerprint: digest::Digest) {
         let now = self.now();
-        self.poison
+        let recorded = self
+            .poison
             .lock()
             .record_crash(now, upstream, fingerprint, false);
+        metrics::counter!("fw_gate_quarantine_total", "event" => "crash").increment(1);
+        tracing::warn!(
+            request = id,
+            %upstream,
+            %fingerprint,
+            crashes = recorded.crashes,
+            quarantined = recorded.quarantined,
+            "upstream crashed while it ran the request"
+        );
     }
 
-    /// Records that a request with this fingerprint was completed.
-    pub fn record_success(&self, fingerprint: &digest::Digest) {
-        self.poison.lock().record_success(fingerprint);
+    /// Records that request `id` with this fingerprint was completed.
+    pub fn record_success(&self, id: &str, fingerprint: &digest::Digest) {
+        if self.poison.lock().record_success(fingerprint) {
+            metrics::counter!("fw_gate_quarantine_total", "event" => "lifted").increment(1);
+            tracing::info!(request = id, %fingerprint, "suspicion lifted: the request completed");
+        }
     }
 
     /// Adds to the retry budget of `service` for the first attempt of a call.
--- a/fw-gate/src/request/attempt.rs
+++ b/fw-gate/src/request/attempt.rs
@@ -130,7 +130,7 @@
     ///
     /// `NoUpstream` when there is none.
     pub async fn choose(&self, attempts: &Attempts) -> Result<fleet::Lease, error::Error> {
-        self.gate.check_poison(&self.fingerprint)?;
+        self.gate.check_poison(&self.call.id, &self.fingerprint)?;
         let is_stream = self.route.kind == config::Kind::Stream;
         let lineage = self.call.lineage();
         let begins = self.begins_program();
@@ -228,8 +228,16 @@
     /// Checks whether `upstream` crashed while it ran the call, and if so records the call's fingerprint.
     pub async fn check_crash(&self, upstream: &id::UpstreamId, addr: std::net::SocketAddr) {
         if send::has_crashed(addr).await {
-            tracing::warn!(request = %self.call.id, %upstream, "upstream crashed while it ran the call");
-            self.gate.record_crash(upstream, self.fingerprint);
+            self.gate
+                .record_crash(&self.call.id, upstream, self.fingerprint);
+        } else {
+            metrics::counter!("fw_gate_quarantine_total", "event" => "broken").increment(1);
+            tracing::info!(
+                request = %self.call.id,
+                %upstream,
+                fingerprint = %self.fingerprint,
+                "connection broke, but the upstream accepts another; no crash counted"
+            );
         }
     }
 }
--- a/fw-gate/src/request/plain.rs
+++ b/fw-gate/src/request/plain.rs
@@ -23,7 +23,7 @@
 /// The error for the caller when no upstream answered.
 pub async fn run(job: &attempt::Job<'_>) -> Result<Response<body::Outgoing>, error::Error> {
     let (head, whole) = job.run(|response| collect_and_log(job, response)).await?;
-    job.gate.record_success(&job.fingerprint);
+    job.gate.record_success(&job.call.id, &job.fingerprint);
     Ok(forwarded(head, body::Outgoing::from(whole)))
 }
 
--- a/fw-gate/src/request/stream.rs
+++ b/fw-gate/src/request/stream.rs
@@ -397,7 +397,7 @@
     /// must not continue a turn that may be lost.
     async fn complete(&mut self) -> &'static str {
         let job = &self.job;
-        job.gate.record_success(&job.fingerprint);
+        job.gate.record_success(&job.call.id, &job.fingerprint);
         let record = job.route.keep_turns.map(|keep| record::Turn {
             id: job.call.turn.clone(),
             parent: job.call.previous.clone(),
