--- a/fw-base/src/error.rs
+++ b/fw-base/src/error.rs
@@ -145,6 +145,8 @@
     StaleFence => 503, No, true, "stale_fence";
     /// Requests like this one have crashed upstreams.
     Quarantined => 422, No, false, "quarantined";
+    /// Requests like this one have crashed upstreams; one is tried again later.
+    CrashQuarantine => 503, No, true, "crash_quarantine";
     /// A segment of the journal is torn, missing or foreign.
     JournalCorrupt => 500, No, false, "journal_corrupt";
     /// The upstream crashed or closed the connection during the call.
--- a/fw-gate/src/process/gate.rs
+++ b/fw-gate/src/process/gate.rs
@@ -6,13 +6,13 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use fw_base::{clock, digest, error, id};
-use fw_plan::{confirm, lapse, poison, quota, retry, staleness};
+use fw_base::{clock, id};
+use fw_plan::{confirm, lapse, quota, retry, staleness};
 use fw_replica::{client, member, record, service};
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
-use super::{fleet, quotas, read_schedule, snapshot, turn_cache};
+use super::{fleet, quarantine, quotas, read_schedule, snapshot, turn_cache};
 use crate::names;
 use crate::version::config;
 
@@ -94,7 +94,8 @@
     /// Recently used turns.
     pub turns: turn_cache::TurnCache,
     config: watch::Sender<Option<Arc<config::Config>>>,
-    poison: Mutex<poison::Tracker>,
+    /// Requests that have crashed upstreams.
+    pub quarantine: Arc<quarantine::Quarantine>,
     retries: Mutex<HashMap<id::ServiceId, retry::Budget>>,
     started: Instant,
     stopping: AtomicBool,
@@ -116,13 +117,14 @@
         let place = opts.place.clone();
         let fleet = fleet::Fleet::new(place, opts.lapse.clone(), opts.confirm.clone());
         let key_freshness = staleness::KeyFreshness::new(opts.keys_stale_after);
+        let replicas = client::Client::new(opts.faults, opts.seeds.clone());
         Arc::new(Self {
             read_schedule: read_schedule::ReadSchedule::new(fleet.entry()),
             fleet,
-            replicas: client::Client::new(opts.faults, opts.seeds.clone()),
+            quarantine: quarantine::Quarantine::new(Arc::clone(&replicas), opts.faults),
+            replicas,
             turns: turn_cache::TurnCache::default(),
             config: watch::Sender::default(),
-            poison: Mutex::new(poison::Tracker::new(poison::Options::default())),
             retries: Mutex::default(),
             started: Instant::now(),
             stopping: AtomicBool::new(false),
@@ -445,56 +447,6 @@
         self.started.elapsed()
     }
 
-    /// Refuses request `id` if requests with the same fingerprint have crashed upstreams.
-    ///
-    /// # Errors
-    ///
-    /// `UpstreamCrashed` when it must not be sent to another upstream.
-    pub fn check_poison(&self, id: &str, fingerprint: &digest::Digest) -> Result<(), error::Error> {
-        let now = self.now();
-        let outcome = self.poison.lock().decide(now, fingerprint);
-        let poison::Outcome::Refused(refusal) = outcome else {
-            return Ok(());
-        };
-        metrics::counter!("fw_gate_quarantine_total", "event" => "refused").increment(1);
-        tracing::info!(
-            request = id,
-            %fingerprint,
-            left_ms = refusal.retry_after.as_millis() as u64,
-            "request refused by quarantine"
-        );
-        Err(error::Error::new(
-            error::Kind::UpstreamCrashed,
-            "identical requests crashed the upstreams that ran them",
-        ))
-    }
-
-    /// Records that `upstream` crashed while it ran request `id` with this fingerprint.
-    pub fn record_crash(&self, id: &str, upstream: &id::UpstreamId, fingerprint: digest::Digest) {
-        let now = self.now();
-        let recorded = self
-            .poison
-            .lock()
-            .record_crash(now, upstream, fingerprint, false);
-        metrics::counter!("fw_gate_quarantine_total", "event" => "crash").increment(1);
-        tracing::warn!(
-            request = id,
-            %upstream,
-            %fingerprint,
-            crashes = recorded.crashes,
-            quarantined = recorded.quarantined,
-            "upstream crashed while it ran the request"
-        );
-    }
-
-    /// Records that request `id` with this fingerprint was completed.
-    pub fn record_success(&self, id: &str, fingerprint: &digest::Digest) {
-        if self.poison.lock().record_success(fingerprint) {
-            metrics::counter!("fw_gate_quarantine_total", "event" => "lifted").increment(1);
-            tracing::info!(request = id, %fingerprint, "suspicion lifted: the request completed");
-        }
-    }
-
     /// Adds to the retry budget of `service` for the first attempt of a call.
     pub fn earn_retry(&self, service: &id::ServiceId) {
         self.with_retries(service, retry::Budget::deposit);
--- a/fw-gate/src/process/mod.rs
+++ b/fw-gate/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod fleet;
 pub mod gate;
+pub mod quarantine;
 pub mod quotas;
 pub mod read_schedule;
 pub mod serve;
--- /dev/null
+++ b/fw-gate/src/process/quarantine.rs
@@ -0,0 +1,373 @@
+//! Requests that have crashed upstreams, as known to this entry, and permits for their attempts.
+//!
+//! Crashes are reported to the replicas, whose records all entries follow. An entry that no replica
+//! answers goes by its own record.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use fw_base::{error, id};
+use fw_plan::quarantine;
+use fw_replica::{client, member, service};
+use parking_lot::Mutex;
+use rand::RngExt;
+use smol_str::SmolStr;
+use tokio::sync::watch;
+use tokio::time;
+
+/// How long a replica holds a poll without a change.
+const POLL_WAIT: Duration = Duration::from_secs(2);
+/// Pause after a failed poll.
+const POLL_RETRY: Duration = Duration::from_millis(100);
+/// Interval at which the member list is checked for members that are not polled yet.
+const MEMBER_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// How long a request waits on an entry that has just started until the record of crashes is known.
+const STARTUP_WAIT: Duration = Duration::from_millis(600);
+/// Longest wait for the attempt of another copy of the request to end. Most plain requests end sooner.
+const BUSY_WAIT: Duration = Duration::from_millis(400);
+/// Shortest pause before the attempt is claimed again, and the span over which pauses are spread.
+const BUSY_PAUSE: Duration = Duration::from_millis(20);
+/// When a caller should retry whose request another copy kept waiting for too long.
+const BUSY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// A request, as far as quarantine depends on it.
+#[derive(Clone, Debug)]
+pub struct Subject {
+    /// Id of the caller's attempt, for log lines.
+    pub request: SmolStr,
+    /// Digest that is the same for repetitions of the request.
+    pub fingerprint: quarantine::Fingerprint,
+    /// The team that its record is charged to.
+    pub owner: quarantine::OwnerId,
+}
+
+/// This entry's record of crashes.
+#[derive(Debug)]
+pub struct Quarantine {
+    replicas: Arc<client::Client>,
+    faults: usize,
+    started: Instant,
+    options: quarantine::Options,
+    table: Mutex<quarantine::Table>,
+    /// Claims among the requests of this entry.
+    claims: Mutex<quarantine::Claims>,
+    /// Whether a majority of the replicas has sent its record.
+    synced: watch::Sender<bool>,
+}
+
+/// Why an attempt is not permitted.
+enum Denial {
+    /// Another copy of the request is being tried.
+    Busy,
+    /// The request is refused.
+    Refused(error::Error),
+}
+
+impl Quarantine {
+    /// Creates an empty record that follows those of `replicas`, of which `faults` may lose their disks
+    /// together.
+    pub fn new(replicas: Arc<client::Client>, faults: usize) -> Arc<Self> {
+        let options = quarantine::Options::default();
+        Arc::new(Self {
+            replicas,
+            faults,
+            started: Instant::now(),
+            table: Mutex::new(quarantine::Table::new(options.clone())),
+            options,
+            claims: Mutex::default(),
+            synced: watch::Sender::new(false),
+        })
+    }
+
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Permits one attempt. A request that has crashed upstreams waits until no other copy of it is being
+    /// tried.
+    ///
+    /// # Errors
+    ///
+    /// `CrashQuarantine` when it is refused, or another copy is tried for too long.
+    pub async fn permit(self: &Arc<Self>, subject: &Subject) -> Result<Permit, error::Error> {
+        self.await_synced().await;
+        let started = time::Instant::now();
+        loop {
+            match self.try_permit(subject).await {
+                Ok(permit) => return Ok(permit),
+                Err(Denial::Refused(err)) => return Err(err),
+                Err(Denial::Busy) if started.elapsed() >= BUSY_WAIT => {
+                    return Err(self.refuse(subject, "busy", BUSY_RETRY_AFTER));
+                }
+                Err(Denial::Busy) => {}
+            }
+            let spread = BUSY_PAUSE.mul_f64(rand::rng().random());
+            time::sleep(BUSY_PAUSE + spread).await;
+        }
+    }
+
+    async fn try_permit(self: &Arc<Self>, subject: &Subject) -> Result<Permit, Denial> {
+        let fingerprint = subject.fingerprint;
+        let round = match self.decide(subject)? {
+            quarantine::Outcome::Exclusive { round } => round,
+            _ => return Ok(self.new_permit(subject, 1, None)),
+        };
+        let holder = rand::random();
+        let ttl = self.options.claim_ttl;
+        let now = self.now();
+        if !self.claims.lock().claim(now, fingerprint, holder, ttl) {
+            return Err(Denial::Busy);
+        }
+        // From here on, dropping the permit releases the claim.
+        let mut permit = self.new_permit(subject, round, Some(holder));
+        let Some(suspect) = self.table.lock().get(now, &fingerprint) else {
+            return Ok(permit);
+        };
+        let claim = service::ClaimAttempt { holder, suspect };
+        let outcome = self.replicas.claim_attempt(claim).await;
+        outcome.known.iter().for_each(|known| self.merge(known));
+        if let quarantine::Outcome::Exclusive { round } = self.decide(subject)? {
+            permit.round = round;
+        }
+        tracing::info!(
+            request = %subject.request,
+            %fingerprint,
+            round = permit.round,
+            decision = ?outcome.decision,
+            "attempt of a request that has crashed upstreams"
+        );
+        match outcome.decision {
+            client::Decision::Denied => Err(Denial::Busy),
+            client::Decision::Granted => Ok(permit),
+            client::Decision::Unavailable => {
+                count("alone");
+                Ok(permit)
+            }
+        }
+    }
+
+    /// How the request may run by this entry's record.
+    fn decide(&self, subject: &Subject) -> Result<quarantine::Outcome, Denial> {
+        let now = self.now();
+        let outcome = self.table.lock().decide(now, &subject.fingerprint);
+        if let quarantine::Outcome::Refused { retry_after } = outcome {
+            return Err(Denial::Refused(self.refuse(
+                subject,
+                "refused",
+                retry_after,
+            )));
+        }
+        Ok(outcome)
+    }
+
+    fn refuse(&self, subject: &Subject, event: &'static str, after: Duration) -> error::Error {
+        count(event);
+        tracing::info!(
+            request = %subject.request,
+            fingerprint = %subject.fingerprint,
+            event,
+            left_ms = after.as_millis() as u64,
+            "request refused by quarantine"
+        );
+        let message = "identical requests crashed the upstreams that ran them";
+        error::Error::new(error::Kind::CrashQuarantine, message).with_retry_after(after)
+    }
+
+    fn new_permit(
+        self: &Arc<Self>,
+        subject: &Subject,
+        round: quarantine::Round,
+        claim: Option<quarantine::HolderId>,
+    ) -> Permit {
+        Permit {
+            quarantine: Arc::clone(self),
+            subject: subject.clone(),
+            round,
+            claim,
+        }
+    }
+
+    /// Adds what a replica knows.
+    fn merge(&self, suspect: &quarantine::Suspect) {
+        let now = self.now();
+        let mut table = self.table.lock();
+        if !table.merge(now, suspect) {
+            return;
+        }
+        let outcome = table.decide(now, &suspect.fingerprint);
+        drop(table);
+        tracing::info!(
+            fingerprint = %suspect.fingerprint,
+            crashes = suspect.evidence.crashes(),
+            age_ms = suspect.age.as_millis() as u64,
+            ?outcome,
+            "crash evidence received from a replica"
+        );
+    }
+
+    /// Waits until the record of crashes is known, on an entry that has just started.
+    async fn await_synced(&self) {
+        let left = STARTUP_WAIT.saturating_sub(self.now());
+        if *self.synced.borrow() || left.is_zero() {
+            return;
+        }
+        let mut synced = self.synced.subscribe();
+        // After a timeout the entry goes by what it knows.
+        let _ = time::timeout(left, synced.wait_for(|synced| *synced)).await;
+    }
+
+    /// Follows the records of all replicas; never returns. All are polled, as a crash may have been
+    /// reported to a majority that lacks the nearest.
+    pub async fn follow(self: Arc<Self>) {
+        let mut positions: HashMap<SocketAddr, service::Position> = HashMap::new();
+        let mut polled: HashSet<SocketAddr> = HashSet::new();
+        let mut polls = FuturesUnordered::new();
+        loop {
+            let members = self.replicas.member_addrs();
+            positions.retain(|addr, _| members.contains(addr));
+            for addr in &members {
+                if polled.insert(*addr) {
+                    polls.push(self.poll(*addr, positions.get(addr).copied()));
+                }
+            }
+            if !*self.synced.borrow() {
+                let majority = member::Quorum::of(members.len(), self.faults).vote;
+                let is_synced = !members.is_empty() && positions.len() >= majority;
+                self.synced.send_replace(is_synced);
+            }
+            if polls.is_empty() {
+                time::sleep(BUSY_PAUSE).await;
+                continue;
+            }
+            let next = time::timeout(MEMBER_CHECK_INTERVAL, polls.next()).await;
+            let Ok(Some((addr, page))) = next else {
+                continue;
+            };
+            polled.remove(&addr);
+            if let Some(page) = page {
+                positions.insert(addr, page.next);
+                page.suspects.iter().for_each(|known| self.merge(known));
+            }
+        }
+    }
+
+    /// Polls one replica; the first poll returns at once.
+    async fn poll(
+        &self,
+        addr: SocketAddr,
+        after: Option<service::Position>,
+    ) -> (SocketAddr, Option<service::SuspectPage>) {
+        let wait = after.map_or(Duration::ZERO, |_| POLL_WAIT);
+        let after = after.unwrap_or_default();
+        let page = self.replicas.poll_suspects(addr, after, wait).await;
+        if page.is_none() {
+            time::sleep(POLL_RETRY).await;
+        }
+        (addr, page)
+    }
+}
+
+/// Permission for one attempt. Its claim, if it has one, ends when this is dropped.
+#[derive(Debug)]
+pub struct Permit {
+    quarantine: Arc<Quarantine>,
+    subject: Subject,
+    round: quarantine::Round,
+    claim: Option<quarantine::HolderId>,
+}
+
+impl Permit {
+    /// Records that `upstream` crashed under the attempt. Returns once a majority of the replicas knows, or
+    /// does not answer in time: whoever sends the request again then meets the record.
+    pub async fn record_crash(mut self, upstream: &id::UpstreamId) {
+        count("crash");
+        let now = self.quarantine.now();
+        let suspect = self.quarantine.table.lock().record_crash(
+            now,
+            self.subject.fingerprint,
+            self.subject.owner,
+            quarantine::incarnation(upstream),
+            self.round,
+        );
+        tracing::warn!(
+            request = %self.subject.request,
+            %upstream,
+            fingerprint = %self.subject.fingerprint,
+            round = self.round,
+            crashes = suspect.evidence.crashes(),
+            "upstream crashed while it ran the request"
+        );
+        let report = service::ReportAttempt {
+            suspect,
+            release: self.release_locally(),
+        };
+        self.quarantine.replicas.report_attempt(&report).await;
+    }
+
+    /// Records that `upstream` broke the connection but accepts another, so that no crash is counted.
+    pub fn record_broken(&self, upstream: &id::UpstreamId) {
+        count("broken");
+        tracing::info!(
+            request = %self.subject.request,
+            %upstream,
+            fingerprint = %self.subject.fingerprint,
+            "connection broke, but the upstream accepts another; no crash counted"
+        );
+    }
+
+    /// Records that the request completed.
+    pub fn record_success(mut self) {
+        let now = self.quarantine.now();
+        let fingerprint = &self.subject.fingerprint;
+        let disproved = self
+            .quarantine
+            .table
+            .lock()
+            .record_success(now, fingerprint);
+        let Some(suspect) = disproved else {
+            return;
+        };
+        count("lifted");
+        tracing::info!(request = %self.subject.request, %fingerprint, "suspicion lifted: the request completed");
+        let report = service::ReportAttempt {
+            suspect,
+            release: self.release_locally(),
+        };
+        self.quarantine.replicas.spawn_reports(&report);
+    }
+
+    /// Ends the claim at this entry; returns its holder, to be released at the replicas.
+    fn release_locally(&mut self) -> Option<quarantine::HolderId> {
+        let holder = self.claim.take()?;
+        let mut claims = self.quarantine.claims.lock();
+        claims.release(&self.subject.fingerprint, holder);
+        Some(holder)
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let Some(holder) = self.release_locally() else {
+            return;
+        };
+        let now = self.quarantine.now();
+        let suspect = self
+            .quarantine
+            .table
+            .lock()
+            .get(now, &self.subject.fingerprint);
+        if let Some(suspect) = suspect {
+            let release = Some(holder);
+            let report = service::ReportAttempt { suspect, release };
+            self.quarantine.replicas.spawn_reports(&report);
+        }
+    }
+}
+
+fn count(event: &'static str) {
+    metrics::counter!("fw_gate_quarantine_total", "event" => event).increment(1);
+}
--- a/fw-gate/src/process/serve.rs
+++ b/fw-gate/src/process/serve.rs
@@ -80,6 +80,7 @@
     ));
     tasks.spawn(Arc::clone(&gate).poll_replicas());
     tasks.spawn(Arc::clone(&gate).report_quotas());
+    tasks.spawn(Arc::clone(&gate.quarantine).follow());
     tasks.spawn(relay::serve(relayed, Arc::clone(&gate.replicas)));
     let ready_gate = Arc::clone(&gate);
     let path = opts.ready_path;
--- a/fw-gate/src/request/attempt.rs
+++ b/fw-gate/src/request/attempt.rs
@@ -9,7 +9,7 @@
 
 use super::ingress::log_ms;
 use super::{call, send};
-use crate::process::{fleet, gate, quotas};
+use crate::process::{fleet, gate, quarantine, quotas};
 use crate::version::config;
 
 /// A request, with everything that each of its attempts needs.
@@ -62,7 +62,7 @@
 
 impl Job<'_> {
     /// Sends the request to upstreams until one begins an answer that `finish` accepts, and returns the result
-    /// of `finish`.
+    /// of `finish` with the permit of that attempt.
     ///
     /// # Errors
     ///
@@ -70,15 +70,15 @@
     pub async fn run<T, F>(
         &self,
         finish: impl Fn(send::OpenResponse) -> F,
-    ) -> Result<T, error::Error>
+    ) -> Result<(T, quarantine::Permit), error::Error>
     where
         F: Future<Output = Result<T, send::Failure>>,
     {
         self.gate.earn_retry(self.service);
         let mut attempts = Attempts::default();
         loop {
-            let lease = match self.choose(&attempts).await {
-                Ok(lease) => lease,
+            let (permit, lease) = match self.prepare(&attempts).await {
+                Ok(prepared) => prepared,
                 Err(err) => return Err(err.merge_earlier(attempts.earlier.take())),
             };
             let (upstream, addr, list_state) = (lease.id.clone(), lease.addr, lease.list_state);
@@ -87,11 +87,11 @@
                 Err(failed) => Err(failed),
             };
             let failed = match finished {
-                Ok(done) => return Ok(done),
+                Ok(done) => return Ok((done, permit)),
                 Err(failed) => failed,
             };
             if failed.connection_broke {
-                self.check_crash(&upstream, addr).await;
+                check_crash(permit, &upstream, addr).await;
             }
             attempts.avoid.push(upstream);
             self.prepare_retry(&mut attempts, failed, list_state)
@@ -99,6 +99,34 @@
         }
     }
 
+    /// Obtains the permit for the next attempt, and chooses its upstream.
+    ///
+    /// # Errors
+    ///
+    /// When the request is refused because it crashed upstreams, or no upstream can be chosen.
+    async fn prepare(
+        &self,
+        attempts: &Attempts,
+    ) -> Result<(quarantine::Permit, fleet::Lease), error::Error> {
+        let permit = self.permit().await?;
+        let lease = self.choose(attempts).await?;
+        Ok((permit, lease))
+    }
+
+    /// Obtains the permit for an attempt.
+    ///
+    /// # Errors
+    ///
+    /// `CrashQuarantine` when the request is refused because it crashed upstreams.
+    pub async fn permit(&self) -> Result<quarantine::Permit, error::Error> {
+        let subject = quarantine::Subject {
+            request: self.call.id.clone(),
+            fingerprint: self.fingerprint,
+            owner: fw_plan::quarantine::owner(self.call.team.as_ref()),
+        };
+        self.gate.quarantine.permit(&subject).await
+    }
+
     /// Whether the request is the first turn of a program.
     pub fn begins_program(&self) -> bool {
         let is_first = self.route.kind == config::Kind::Stream && self.call.previous.is_none();
@@ -130,7 +158,6 @@
     ///
     /// `NoUpstream` when there is none.
     pub async fn choose(&self, attempts: &Attempts) -> Result<fleet::Lease, error::Error> {
-        self.gate.check_poison(&self.call.id, &self.fingerprint)?;
         let is_stream = self.route.kind == config::Kind::Stream;
         let lineage = self.call.lineage();
         let begins = self.begins_program();
@@ -224,20 +251,17 @@
             }
         }
     }
+}
 
-    /// Checks whether `upstream` crashed while it ran the call, and if so records the call's fingerprint.
-    pub async fn check_crash(&self, upstream: &id::UpstreamId, addr: std::net::SocketAddr) {
-        if send::has_crashed(addr).await {
-            self.gate
-                .record_crash(&self.call.id, upstream, self.fingerprint);
-        } else {
-            metrics::counter!("fw_gate_quarantine_total", "event" => "broken").increment(1);
-            tracing::info!(
-                request = %self.call.id,
-                %upstream,
-                fingerprint = %self.fingerprint,
-                "connection broke, but the upstream accepts another; no crash counted"
-            );
-        }
+/// Checks whether `upstream` crashed under the attempt of `permit`, and if so records it.
+pub async fn check_crash(
+    permit: quarantine::Permit,
+    upstream: &id::UpstreamId,
+    addr: std::net::SocketAddr,
+) {
+    if send::has_crashed(addr).await {
+        permit.record_crash(upstream).await;
+    } else {
+        permit.record_broken(upstream);
     }
 }
--- a/fw-gate/src/request/ingress.rs
+++ b/fw-gate/src/request/ingress.rs
@@ -4,14 +4,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use fw_base::{digest, error, id};
+use fw_base::{digest, error};
 use fw_plan::{quota, staleness};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
 use hyper::{HeaderMap, Request, Response, Uri};
 use rand::RngExt;
-use smol_str::SmolStr;
 use tokio::time::Instant;
 
 use super::{answer, attempt, auth, body, call, plain, send, stream};
@@ -101,7 +100,7 @@
         .service(rand::rng().random())
         .ok_or_else(|| error::Error::new(error::Kind::NoUpstream, "the route has no service"))?;
     let out = outbound(gate, &head, &call, config.teams.is_some(), input.clone())?;
-    let fingerprint = fingerprint(call.team.as_ref(), &head.uri, &input);
+    let fingerprint = fingerprint(&call, host, &head, &input);
     let priority = team.and_then(|team| team.priority);
     let priority = priority.unwrap_or(route.priority);
     if route.kind == config::Kind::Stream {
@@ -233,13 +232,28 @@
 }
 
 /// The fingerprint of a request, which is the same when it is sent again.
-fn fingerprint(team: Option<&id::TeamId>, uri: &Uri, body: &Bytes) -> digest::Digest {
-    let team = team.map_or("", SmolStr::as_str);
-    let mut bytes = Vec::with_capacity(team.len() + 1 + uri.path().len() + 1 + body.len());
-    bytes.extend_from_slice(team.as_bytes());
-    bytes.push(0);
-    bytes.extend_from_slice(uri.path().as_bytes());
-    bytes.push(0);
+///
+/// A turn with other turns before it has another prompt, so the turn that it continues is part of it. The
+/// query is not: repetitions are known to share team, path and body only.
+pub fn fingerprint(
+    call: &call::Call,
+    host: &str,
+    head: &hyper::http::request::Parts,
+    body: &Bytes,
+) -> digest::Digest {
+    let parts = [
+        call.team.as_deref().unwrap_or_default().as_bytes(),
+        head.method.as_str().as_bytes(),
+        host.as_bytes(),
+        head.uri.path().as_bytes(),
+        call.previous.as_deref().unwrap_or_default().as_bytes(),
+    ];
+    let mut bytes = Vec::with_capacity(256 + body.len());
+    for part in parts {
+        bytes.extend_from_slice(part);
+        // No part contains this byte.
+        bytes.push(0);
+    }
     bytes.extend_from_slice(body);
     digest::Digest::of_bytes(&bytes)
 }
--- a/fw-gate/src/request/plain.rs
+++ b/fw-gate/src/request/plain.rs
@@ -22,8 +22,8 @@
 ///
 /// The error for the caller when no upstream answered.
 pub async fn run(job: &attempt::Job<'_>) -> Result<Response<body::Outgoing>, error::Error> {
-    let (head, whole) = job.run(|response| collect_and_log(job, response)).await?;
-    job.gate.record_success(&job.call.id, &job.fingerprint);
+    let ((head, whole), permit) = job.run(|response| collect_and_log(job, response)).await?;
+    permit.record_success();
     Ok(forwarded(head, body::Outgoing::from(whole)))
 }
 
--- a/fw-gate/src/request/stream.rs
+++ b/fw-gate/src/request/stream.rs
@@ -16,7 +16,7 @@
 
 use super::ingress::log_ms;
 use super::{attempt, body, call, events, plain, send, turn};
-use crate::process::{gate, quotas};
+use crate::process::{gate, quarantine, quotas};
 use crate::version::config;
 
 /// Maximum number of times that a broken stream is resumed.
@@ -98,7 +98,7 @@
     job.admit()?;
     job.out.body = ready.body;
     times.prepared = times.started_at.elapsed();
-    let response = job
+    let (response, permit) = job
         .attempt()
         .run(|response| std::future::ready(Ok(response)))
         .await
@@ -111,6 +111,7 @@
     if !response.head.status.is_success() {
         let whole = plain::collect(response, job.until).await;
         let (head, whole) = whole.map_err(|failed| failed.err)?;
+        permit.record_success();
         return Ok(plain::forwarded(head, body::Outgoing::from(whole)));
     }
     let (tx, rx) = mpsc::channel(body::MAX_BUFFERED_CHUNKS);
@@ -122,6 +123,7 @@
         last_event_id: job.call.resume_after.clone(),
         events: 0,
         turn: Some(ready.turn),
+        permit: Some(permit),
         times,
         job,
         tx,
@@ -181,6 +183,8 @@
     events: u32,
     /// `None` once it is being stored.
     turn: Option<turn::Turn>,
+    /// Permit of the attempt that is being forwarded.
+    permit: Option<quarantine::Permit>,
     times: Times,
     tx: mpsc::Sender<Result<Bytes, body::Interrupted>>,
 }
@@ -221,7 +225,9 @@
                 Ended::Broken => {
                     response.lease.record_health(health::Observation::Failed);
                     drop(response);
-                    self.job.attempt().check_crash(&upstream, addr).await;
+                    if let Some(permit) = self.permit.take() {
+                        attempt::check_crash(permit, &upstream, addr).await;
+                    }
                     let next = self.resume(&upstream, &mut resumes).await;
                     let Some(next) = next else {
                         if let Some(turn) = &mut self.turn {
@@ -367,6 +373,7 @@
         while *resumes < MAX_RESUMES && !self.tx.is_closed() {
             *resumes += 1;
             tokio::time::sleep(RESUME_PAUSE).await;
+            let permit = self.job.attempt().permit().await.ok()?;
             let again = self.job.gate.fleet.lease_again(&self.job.service, upstream);
             let lease = match again.filter(|lease| !avoid.contains(&lease.id)) {
                 Some(lease) => lease,
@@ -378,13 +385,19 @@
                     self.job.attempt().choose(&attempts).await.ok()?
                 }
             };
-            let id = lease.id.clone();
+            let (id, addr) = (lease.id.clone(), lease.addr);
             tracing::info!(request = %self.job.call.id, upstream = %id, after = ?self.last_event_id, "resuming the stream");
             let attempt = self.job.attempt();
             match attempt.send(lease).await {
-                Ok(response) if response.head.status.is_success() => return Some(response),
+                Ok(response) if response.head.status.is_success() => {
+                    self.permit = Some(permit);
+                    return Some(response);
+                }
                 Ok(_) => avoid.push(id),
                 Err(failed) => {
+                    if failed.connection_broke {
+                        attempt::check_crash(permit, &id, addr).await;
+                    }
                     tracing::info!(request = %self.job.call.id, err = %failed.err, "the stream cannot be resumed at this upstream");
                     avoid.push(id);
                 }
@@ -397,7 +410,9 @@
     /// must not continue a turn that may be lost.
     async fn complete(&mut self) -> &'static str {
         let job = &self.job;
-        job.gate.record_success(&job.call.id, &job.fingerprint);
+        if let Some(permit) = self.permit.take() {
+            permit.record_success();
+        }
         let record = job.route.keep_turns.map(|keep| record::Turn {
             id: job.call.turn.clone(),
             parent: job.call.previous.clone(),
--- a/fw-plan/src/lib.rs
+++ b/fw-plan/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod pace;
 pub mod place;
 pub mod poison;
+pub mod quarantine;
 pub mod queue;
 pub mod quota;
 pub mod reader;
--- /dev/null
+++ b/fw-plan/tests/plan/quarantine_model.rs
@@ -0,0 +1,678 @@
+//! Message-level model of how entries learn of a request that crashes upstreams.
+//!
+//! Entries run requests, claim the attempts of suspects at replicas and report crashes to them by
+//! the rules of [`quarantine`]. Replicas pass on what is reported. Messages are late, entries and
+//! replicas restart, and once in a while all of them lose power together. A replica keeps only
+//! requests in quarantine over a restart, an entry nothing.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use fw_base::digest;
+use fw_plan::quarantine::{self, Outcome};
+use googletest::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+const ENTRIES: usize = 4;
+const REPLICAS: usize = 3;
+const MAJORITY: usize = 2;
+const DURATION: Duration = Duration::from_secs(100);
+/// Time within which a process in touch has to know of an event.
+const CONTACT: Duration = Duration::from_secs(3);
+/// Attempts that may be made once three upstreams have crashed and [`CONTACT`] has passed.
+const MAX_LATE_ATTEMPTS: usize = 3;
+/// Longest wait for a majority.
+const MAJORITY_TIMEOUT: Duration = Duration::from_millis(150);
+/// Longest wait of a request until its entry has read the replicas.
+const STARTUP_WAIT: Duration = Duration::from_millis(600);
+const BUSY_PAUSE: Duration = Duration::from_millis(30);
+const BUSY_WAIT: Duration = Duration::from_millis(400);
+const CLAIM_TTL: Duration = Duration::from_secs(2);
+
+/// Part of the rule that is disabled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ablation {
+    None,
+    /// Crashes are not reported.
+    Reports,
+    /// Replicas keep nothing over a restart.
+    Durability,
+    /// Copies in flight together are as many rounds.
+    Rounds,
+}
+
+/// A request that is sent again and again.
+#[derive(Clone, Copy, Debug)]
+struct Scenario {
+    /// Whether it crashes each upstream that runs it.
+    is_poison: bool,
+    /// Mean time between two copies.
+    interval: Duration,
+    /// Mean time between two losses of three upstreams, each with the copies that it runs.
+    rack_loss: Option<Duration>,
+    ablation: Ablation,
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Arrive,
+    Try {
+        at: Process,
+        since: Duration,
+    },
+    ClaimArrives {
+        replica: usize,
+        claim: Claim,
+    },
+    ClaimAnswered {
+        claim: Claim,
+        granted: bool,
+        known: quarantine::Suspect,
+    },
+    ClaimTimedOut {
+        claim: Claim,
+    },
+    RunEnds {
+        at: Process,
+        run: u64,
+    },
+    ReportArrives {
+        replica: usize,
+        suspect: quarantine::Suspect,
+        release: Option<u64>,
+    },
+    PushArrives {
+        at: Process,
+        from: Option<usize>,
+        known: Vec<quarantine::Suspect>,
+    },
+    RestartEntry,
+    RestartReplica,
+    PowerLoss,
+    RackLoss,
+}
+
+/// An entry, and the number of its start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Process {
+    entry: usize,
+    start: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Claim {
+    at: Process,
+    holder: u64,
+    since: Duration,
+    suspect: quarantine::Suspect,
+}
+
+#[derive(Debug)]
+struct Run {
+    incarnation: u64,
+    round: u32,
+    holder: Option<u64>,
+    is_lost: bool,
+}
+
+struct Entry {
+    start: u32,
+    started_at: Duration,
+    table: quarantine::Table,
+    claims: quarantine::Claims,
+    /// Replicas whose record was read since the start.
+    read: Vec<usize>,
+    runs: HashMap<u64, Run>,
+    /// Answers to each pending claim: granted and denied.
+    pending: HashMap<u64, (usize, usize)>,
+}
+
+impl Entry {
+    fn new(start: u32, started_at: Duration) -> Self {
+        Self {
+            start,
+            started_at,
+            table: quarantine::Table::new(quarantine::Options::default()),
+            claims: quarantine::Claims::default(),
+            read: Vec::new(),
+            runs: HashMap::new(),
+            pending: HashMap::new(),
+        }
+    }
+}
+
+#[derive(Default)]
+struct Counts {
+    crashes: usize,
+    third_crash: Option<Duration>,
+    late_attempts: usize,
+    refused: usize,
+    served: usize,
+}
+
+struct Model {
+    rng: Pcg64,
+    now: Duration,
+    scenario: Scenario,
+    events: BTreeMap<Reverse<(Duration, u64)>, Event>,
+    next_id: u64,
+    entries: Vec<Entry>,
+    replicas: Vec<(quarantine::Table, quarantine::Claims)>,
+    counts: Counts,
+}
+
+fn fingerprint() -> quarantine::Fingerprint {
+    digest::Digest::of_bytes(b"request")
+}
+
+fn new_replica() -> (quarantine::Table, quarantine::Claims) {
+    let table = quarantine::Table::new(quarantine::Options::default());
+    (table, quarantine::Claims::default())
+}
+
+impl Model {
+    fn new(seed: u64, scenario: Scenario) -> Self {
+        let mut model = Self {
+            rng: Pcg64::seed_from_u64(seed),
+            now: Duration::ZERO,
+            scenario,
+            events: BTreeMap::new(),
+            next_id: 0,
+            entries: (0..ENTRIES)
+                .map(|_| Entry::new(0, Duration::ZERO))
+                .collect(),
+            replicas: (0..REPLICAS).map(|_| new_replica()).collect(),
+            counts: Counts::default(),
+        };
+        for entry in 0..ENTRIES {
+            model.read_replicas(entry);
+        }
+        model.schedule(Duration::from_secs(1), Event::Arrive);
+        model.schedule_restarts();
+        if let Some(mean) = scenario.rack_loss {
+            model.schedule_around(mean, Event::RackLoss);
+        }
+        model.schedule_around(DURATION / 2, Event::PowerLoss);
+        model
+    }
+
+    fn run(mut self) -> Counts {
+        while let Some((Reverse((at, _)), event)) = self.events.pop_last() {
+            if at > DURATION {
+                break;
+            }
+            self.now = at;
+            self.handle(event);
+        }
+        self.counts
+    }
+
+    fn id(&mut self) -> u64 {
+        self.next_id += 1;
+        self.next_id
+    }
+
+    fn schedule(&mut self, after: Duration, event: Event) {
+        let id = self.id();
+        self.events.insert(Reverse((self.now + after, id)), event);
+    }
+
+    /// Schedules `event` after a time drawn around `mean`.
+    fn schedule_around(&mut self, mean: Duration, event: Event) {
+        let after = mean.mul_f64(0.2 + 1.6 * self.rng.random::<f64>());
+        self.schedule(after, event);
+    }
+
+    fn schedule_restarts(&mut self) {
+        self.schedule_around(Duration::from_secs(8), Event::RestartEntry);
+        self.schedule_around(Duration::from_secs(8), Event::RestartReplica);
+    }
+
+    /// A message's time on its way.
+    fn delay(&mut self) -> Duration {
+        let ms = match self.rng.random_range(0..100) {
+            0..3 => self.rng.random_range(20..700),
+            _ => self.rng.random_range(1..6),
+        };
+        Duration::from_millis(ms)
+    }
+
+    fn process(&self, entry: usize) -> Process {
+        let start = self.entries[entry].start;
+        Process { entry, start }
+    }
+
+    /// The entry, unless it has restarted.
+    fn entry(&mut self, at: Process) -> Option<&mut Entry> {
+        let entry = &mut self.entries[at.entry];
+        (entry.start == at.start).then_some(entry)
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive => self.arrive(),
+            Event::Try { at, since } => self.attempt(at, since),
+            Event::ClaimArrives { replica, claim } => self.claim_arrives(replica, claim),
+            Event::ClaimAnswered {
+                claim,
+                granted,
+                known,
+            } => {
+                self.claim_answered(claim, granted, &known);
+            }
+            Event::ClaimTimedOut { claim } => self.claim_timed_out(claim),
+            Event::RunEnds { at, run } => self.run_ends(at, run),
+            Event::ReportArrives {
+                replica,
+                suspect,
+                release,
+            } => {
+                self.report_arrives(replica, &suspect, release);
+            }
+            Event::PushArrives { at, from, known } => self.push_arrives(at, from, &known),
+            Event::RestartEntry => {
+                let entry = self.rng.random_range(0..ENTRIES);
+                self.restart_entry(entry);
+                self.schedule_around(Duration::from_secs(8), Event::RestartEntry);
+            }
+            Event::RestartReplica => {
+                let replica = self.rng.random_range(0..REPLICAS);
+                self.restart_replica(replica);
+                self.schedule_around(Duration::from_secs(8), Event::RestartReplica);
+            }
+            Event::PowerLoss => {
+                (0..REPLICAS).for_each(|replica| self.restart_replica(replica));
+                (0..ENTRIES).for_each(|entry| self.restart_entry(entry));
+            }
+            Event::RackLoss => self.lose_rack(),
+        }
+    }
+
+    fn arrive(&mut self) {
+        let entry = self.rng.random_range(0..ENTRIES);
+        self.schedule(
+            Duration::ZERO,
+            Event::Try {
+                at: self.process(entry),
+                since: self.now,
+            },
+        );
+        self.schedule_around(self.scenario.interval, Event::Arrive);
+    }
+
+    fn attempt(&mut self, at: Process, since: Duration) {
+        let now = self.now;
+        let Some(entry) = self.entry(at) else { return };
+        let is_starting = now < entry.started_at + STARTUP_WAIT;
+        if entry.read.len() < MAJORITY && is_starting {
+            return self.schedule(Duration::from_millis(5), Event::Try { at, since });
+        }
+        match entry.table.decide(now, &fingerprint()) {
+            Outcome::Normal => self.start_run(at, 1, None),
+            Outcome::Refused { .. } => self.counts.refused += 1,
+            Outcome::Exclusive { .. } => self.claim(at, since),
+        }
+    }
+
+    fn claim(&mut self, at: Process, since: Duration) {
+        let now = self.now;
+        let holder = self.id();
+        let Some(entry) = self.entry(at) else { return };
+        if !entry.claims.claim(now, fingerprint(), holder, CLAIM_TTL) {
+            return self.wait_busy(at, since);
+        }
+        let Some(suspect) = entry.table.get(now, &fingerprint()) else {
+            return;
+        };
+        entry.pending.insert(holder, (0, 0));
+        let claim = Claim {
+            at,
+            holder,
+            since,
+            suspect,
+        };
+        for replica in 0..REPLICAS {
+            let delay = self.delay();
+            let claim = claim.clone();
+            self.schedule(delay, Event::ClaimArrives { replica, claim });
+        }
+        self.schedule(MAJORITY_TIMEOUT, Event::ClaimTimedOut { claim });
+    }
+
+    fn wait_busy(&mut self, at: Process, since: Duration) {
+        if self.now - since >= BUSY_WAIT {
+            self.counts.refused += 1;
+            return;
+        }
+        self.schedule(BUSY_PAUSE, Event::Try { at, since });
+    }
+
+    fn claim_arrives(&mut self, replica: usize, claim: Claim) {
+        let now = self.now;
+        let (table, claims) = &mut self.replicas[replica];
+        table.merge(now, &claim.suspect);
+        let is_refused = matches!(table.decide(now, &fingerprint()), Outcome::Refused { .. });
+        let granted = !is_refused && claims.claim(now, fingerprint(), claim.holder, CLAIM_TTL);
+        let known = table.get(now, &fingerprint()).unwrap();
+        let delay = self.delay();
+        self.schedule(
+            delay,
+            Event::ClaimAnswered {
+                claim,
+                granted,
+                known,
+            },
+        );
+    }
+
+    fn claim_answered(&mut self, claim: Claim, granted: bool, known: &quarantine::Suspect) {
+        let now = self.now;
+        let Some(entry) = self.entry(claim.at) else {
+            return;
+        };
+        entry.table.merge(now, known);
+        let Some(answers) = entry.pending.get_mut(&claim.holder) else {
+            return;
+        };
+        match granted {
+            true => answers.0 += 1,
+            false => answers.1 += 1,
+        }
+        let answers = *answers;
+        if answers.0 >= MAJORITY {
+            self.claim_decided(&claim, true);
+        } else if answers.1 + MAJORITY > REPLICAS {
+            self.claim_decided(&claim, false);
+        }
+    }
+
+    /// Without a majority the entry decides alone.
+    fn claim_timed_out(&mut self, claim: Claim) {
+        let Some(entry) = self.entry(claim.at) else {
+            return;
+        };
+        let Some((granted, denied)) = entry.pending.get(&claim.holder).copied() else {
+            return;
+        };
+        self.claim_decided(&claim, granted + denied < MAJORITY);
+    }
+
+    fn claim_decided(&mut self, claim: &Claim, permitted: bool) {
+        let now = self.now;
+        let Some(entry) = self.entry(claim.at) else {
+            return;
+        };
+        entry.pending.remove(&claim.holder);
+        let outcome = entry.table.decide(now, &fingerprint());
+        let round = match outcome {
+            Outcome::Exclusive { round } => round,
+            Outcome::Normal | Outcome::Refused { .. } => 1,
+        };
+        if permitted && !matches!(outcome, Outcome::Refused { .. }) {
+            return self.start_run(claim.at, round, Some(claim.holder));
+        }
+        self.release(claim.at, claim.holder);
+        match outcome {
+            Outcome::Refused { .. } => self.counts.refused += 1,
+            _ => self.wait_busy(claim.at, claim.since),
+        }
+    }
+
+    fn start_run(&mut self, at: Process, round: u32, holder: Option<u64>) {
+        let now = self.now;
+        let started_at = self.entries[at.entry].started_at;
+        let is_in_touch = started_at.is_zero() || now > started_at + CONTACT;
+        let is_late = self
+            .counts
+            .third_crash
+            .is_some_and(|third| now > third + CONTACT);
+        if self.scenario.is_poison && is_late && is_in_touch {
+            self.counts.late_attempts += 1;
+        }
+        let run = self.id();
+        let incarnation = match self.scenario.is_poison {
+            true => run,
+            false => self.rng.random_range(0..9),
+        };
+        let state = Run {
+            incarnation,
+            round,
+            holder,
+            is_lost: false,
+        };
+        let Some(entry) = self.entry(at) else { return };
+        entry.runs.insert(run, state);
+        let duration = Duration::from_millis(self.rng.random_range(20..100));
+        self.schedule(duration, Event::RunEnds { at, run });
+    }
+
+    fn run_ends(&mut self, at: Process, run: u64) {
+        let now = self.now;
+        let is_poison = self.scenario.is_poison;
+        let counts_each = self.scenario.ablation == Ablation::Rounds;
+        if is_poison {
+            // The upstream crashes even if the entry that sent the request has restarted.
+            self.counts.crashes += 1;
+            if self.counts.crashes == 3 {
+                self.counts.third_crash = Some(now);
+            }
+        }
+        let Some(entry) = self.entry(at) else { return };
+        let Some(run) = entry.runs.remove(&run) else {
+            return;
+        };
+        let crashed = is_poison || run.is_lost;
+        let known = entry.table.get(now, &fingerprint());
+        let suspect = if crashed {
+            let before = known.map_or(0, |known| known.evidence.crashes() as u32);
+            let round = if counts_each { before + 1 } else { run.round };
+            let table = &mut entry.table;
+            Some(table.record_crash(now, fingerprint(), 0, run.incarnation, round))
+        } else {
+            self.counts.served += 1;
+            self.entries[at.entry]
+                .table
+                .record_success(now, &fingerprint())
+        };
+        if let Some(suspect) = suspect {
+            self.report(&suspect, run.holder);
+        }
+        if let Some(holder) = run.holder {
+            self.release(at, holder);
+        }
+    }
+
+    fn report(&mut self, suspect: &quarantine::Suspect, release: Option<u64>) {
+        if self.scenario.ablation == Ablation::Reports {
+            return;
+        }
+        for replica in 0..REPLICAS {
+            let delay = self.delay();
+            let suspect = suspect.clone();
+            self.schedule(
+                delay,
+                Event::ReportArrives {
+                    replica,
+                    suspect,
+                    release,
+                },
+            );
+        }
+    }
+
+    fn release(&mut self, at: Process, holder: u64) {
+        let now = self.now;
+        let Some(entry) = self.entry(at) else { return };
+        entry.claims.release(&fingerprint(), holder);
+        let known = entry.table.get(now, &fingerprint());
+        for replica in 0..REPLICAS {
+            let Some(suspect) = known.clone() else { return };
+            let delay = self.delay();
+            let release = Some(holder);
+            self.schedule(
+                delay,
+                Event::ReportArrives {
+                    replica,
+                    suspect,
+                    release,
+                },
+            );
+        }
+    }
+
+    fn report_arrives(
+        &mut self,
+        replica: usize,
+        suspect: &quarantine::Suspect,
+        release: Option<u64>,
+    ) {
+        let now = self.now;
+        let is_shared = self.scenario.ablation != Ablation::Reports;
+        let (table, claims) = &mut self.replicas[replica];
+        if let Some(holder) = release {
+            claims.release(&fingerprint(), holder);
+        }
+        if !is_shared || !table.merge(now, suspect) {
+            return;
+        }
+        let known = table.changed_since(now, 0);
+        for entry in 0..ENTRIES {
+            // One poll in a hundred has to be made again on a new connection.
+            let is_silent = self.rng.random_range(0..100) == 0;
+            let reconnect = Duration::from_millis(if is_silent { 2_700 } else { 0 });
+            let delay = self.delay() + reconnect;
+            let at = self.process(entry);
+            let known = known.clone();
+            self.schedule(
+                delay,
+                Event::PushArrives {
+                    at,
+                    from: None,
+                    known,
+                },
+            );
+        }
+    }
+
+    fn push_arrives(&mut self, at: Process, from: Option<usize>, known: &[quarantine::Suspect]) {
+        let now = self.now;
+        let Some(entry) = self.entry(at) else { return };
+        for suspect in known {
+            entry.table.merge(now, suspect);
+        }
+        entry.read.extend(from);
+    }
+
+    fn restart_entry(&mut self, entry: usize) {
+        let start = self.entries[entry].start + 1;
+        self.entries[entry] = Entry::new(start, self.now);
+        self.read_replicas(entry);
+    }
+
+    fn read_replicas(&mut self, entry: usize) {
+        for replica in 0..REPLICAS {
+            let known = self.replicas[replica].0.changed_since(self.now, 0);
+            let is_shared = self.scenario.ablation != Ablation::Reports;
+            let known = if is_shared { known } else { Vec::new() };
+            let delay = self.delay() + self.delay();
+            let at = self.process(entry);
+            let from = Some(replica);
+            self.schedule(delay, Event::PushArrives { at, from, known });
+        }
+    }
+
+    fn restart_replica(&mut self, replica: usize) {
+        let kept = match self.scenario.ablation {
+            Ablation::Durability => Vec::new(),
+            _ => self.replicas[replica].0.quarantined(self.now),
+        };
+        self.replicas[replica] = new_replica();
+        for suspect in kept {
+            self.replicas[replica].0.merge(self.now, &suspect);
+        }
+    }
+
+    fn lose_rack(&mut self) {
+        let first = self.rng.random_range(0..3) * 3;
+        let rack = first..first + 3;
+        for entry in 0..ENTRIES {
+            let at = self.process(entry);
+            let mut lost = Vec::new();
+            for (id, run) in &mut self.entries[entry].runs {
+                if rack.contains(&run.incarnation) {
+                    run.is_lost = true;
+                    lost.push(*id);
+                }
+            }
+            for run in lost {
+                self.schedule(Duration::ZERO, Event::RunEnds { at, run });
+            }
+        }
+        if let Some(mean) = self.scenario.rack_loss {
+            self.schedule_around(mean, Event::RackLoss);
+        }
+    }
+}
+
+const POISON: Scenario = Scenario {
+    is_poison: true,
+    interval: Duration::from_millis(700),
+    rack_loss: None,
+    ablation: Ablation::None,
+};
+
+const POPULAR: Scenario = Scenario {
+    is_poison: false,
+    interval: Duration::from_millis(5),
+    rack_loss: Some(Duration::from_secs(5)),
+    ablation: Ablation::None,
+};
+
+/// The counts of each seed.
+fn play(scenario: Scenario) -> impl Iterator<Item = (u64, Counts)> {
+    (0..60).map(move |seed| (seed, Model::new(seed, scenario).run()))
+}
+
+// Guards against entries that go on crashing upstreams with a request that has crashed three.
+#[gtest]
+fn late_attempts_are_bounded() {
+    for (seed, counts) in play(POISON) {
+        expect_that!(counts.third_crash, some(anything()), "seed {seed}");
+        expect_that!(counts.late_attempts, le(MAX_LATE_ATTEMPTS), "seed {seed}");
+    }
+}
+
+#[gtest]
+fn late_attempts_exceed_the_bound_without_reports() {
+    let ablation = Ablation::Reports;
+    let mut seeds = play(Scenario { ablation, ..POISON });
+    expect_true!(seeds.any(|(_, counts)| counts.late_attempts > MAX_LATE_ATTEMPTS));
+}
+
+#[gtest]
+fn late_attempts_exceed_the_bound_without_durability() {
+    let ablation = Ablation::Durability;
+    let mut seeds = play(Scenario { ablation, ..POISON });
+    expect_true!(seeds.any(|(_, counts)| counts.late_attempts > MAX_LATE_ATTEMPTS));
+}
+
+// Guards against the refusal of an innocent request whose copies ran on upstreams that were lost.
+#[gtest]
+fn a_popular_request_is_not_refused_for_lost_racks() {
+    for (seed, counts) in play(POPULAR) {
+        expect_that!(counts.served, ge(10_000), "seed {seed}");
+        expect_that!(counts.refused, eq(0), "seed {seed}");
+    }
+}
+
+#[gtest]
+fn a_popular_request_is_refused_without_rounds() {
+    let ablation = Ablation::Rounds;
+    let mut seeds = play(Scenario {
+        ablation,
+        ..POPULAR
+    });
+    expect_true!(seeds.any(|(_, counts)| counts.refused > 0));
+}
--- a/fw-replica/src/client/mod.rs
+++ b/fw-replica/src/client/mod.rs
@@ -16,9 +16,11 @@
 
 mod calls;
 mod chain;
+mod quarantine;
 mod store;
 mod vote;
 
+pub use quarantine::{ClaimOutcome, Decision};
 pub use vote::{CHAIN_TIMEOUT, Wait, wait};
 
 /// Pauses before the retries of a call that a replica did not acknowledge.
--- a/fw-replica/src/journal/mod.rs
+++ b/fw-replica/src/journal/mod.rs
@@ -77,6 +77,7 @@
     members: Option<record::Record>,
     config: Option<record::Record>,
     upstreams: Option<record::Record>,
+    quarantine: Option<record::Record>,
 }
 
 impl Standing {
@@ -86,13 +87,20 @@
             record::Record::Members(_) => &mut self.members,
             record::Record::Config(_) => &mut self.config,
             record::Record::Upstreams(_) => &mut self.upstreams,
+            record::Record::Quarantine(_) => &mut self.quarantine,
             record::Record::Turn(_) | record::Record::Charge(_) => return,
         };
         *slot = Some(record.clone());
     }
 
     fn records(&self) -> impl Iterator<Item = &record::Record> {
-        let all = [&self.synced, &self.members, &self.config, &self.upstreams];
+        let all = [
+            &self.synced,
+            &self.members,
+            &self.config,
+            &self.upstreams,
+            &self.quarantine,
+        ];
         all.into_iter().flatten()
     }
 }
--- a/fw-replica/src/links.rs
+++ b/fw-replica/src/links.rs
@@ -22,7 +22,7 @@
 /// How long a relayed connection is used before a direct one is attempted in the background.
 const DIRECT_RETRY_INTERVAL: Duration = Duration::from_secs(2);
 /// Longest wait for a reply: several times a slow disk's sync with a queue before it.
-const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+pub const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 /// How long a replica is tried last after a failed call.
 const FAILURE_PENALTY: Duration = Duration::from_secs(1);
 
@@ -195,6 +195,19 @@
         addr: SocketAddr,
         send: impl FnOnce(service::ReplicaClient, tarpc::context::Context) -> F,
     ) -> Option<T>
+    where
+        F: Future<Output = Result<T, tarpc::client::RpcError>>,
+    {
+        self.long_poll_within(addr, CALL_TIMEOUT, send).await
+    }
+
+    /// Like [`Self::long_poll`], with `limit` in place of the usual longest wait for a reply.
+    pub async fn long_poll_within<T, F>(
+        &self,
+        addr: SocketAddr,
+        limit: Duration,
+        send: impl FnOnce(service::ReplicaClient, tarpc::context::Context) -> F,
+    ) -> Option<T>
     where
         F: Future<Output = Result<T, tarpc::client::RpcError>>,
     {
@@ -205,13 +218,13 @@
             return None;
         };
         let mut cx = tarpc::context::current();
-        cx.deadline = Instant::now() + CALL_TIMEOUT;
-        match tokio::time::timeout(CALL_TIMEOUT, send(client, cx)).await {
+        cx.deadline = Instant::now() + limit;
+        match tokio::time::timeout(limit, send(client, cx)).await {
             Ok(Ok(answer)) => Some(answer),
             failed => {
                 let why = match failed {
                     Ok(Err(err)) => err.to_string(),
-                    _ => format!("no answer within {CALL_TIMEOUT:?}"),
+                    _ => format!("no answer within {limit:?}"),
                 };
                 self.record_failure(addr, &why);
                 let mut link = link.lock().await;
--- a/fw-replica/src/record.rs
+++ b/fw-replica/src/record.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use fw_plan::quarantine;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -71,6 +72,15 @@
     }
 }
 
+/// All requests in quarantine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Quarantine {
+    /// The requests, with their ages at the time of writing.
+    pub suspects: Vec<quarantine::Suspect>,
+    /// When it was written.
+    pub written: UnixMs,
+}
+
 /// One record of the journal.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Record {
@@ -87,6 +97,8 @@
     Config(service::SnapshotPart),
     /// The upstreams in the platform's store, as published by entries.
     Upstreams(service::SnapshotPart),
+    /// The requests in quarantine.
+    Quarantine(Quarantine),
 }
 
 impl Record {
@@ -96,7 +108,11 @@
         match self {
             Self::Turn(turn) => turn.retain_until(),
             Self::Charge(charge) => charge.retain_until(),
-            Self::Synced(_) | Self::Members(_) | Self::Config(_) | Self::Upstreams(_) => 0,
+            Self::Synced(_)
+            | Self::Members(_)
+            | Self::Config(_)
+            | Self::Upstreams(_)
+            | Self::Quarantine(_) => 0,
         }
     }
 }
--- a/fw-replica/src/server/mod.rs
+++ b/fw-replica/src/server/mod.rs
@@ -10,6 +10,7 @@
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
+mod quarantine;
 mod snapshot;
 
 use crate::{
@@ -59,6 +60,8 @@
     team_usage: team_usage::Counters,
     /// Reads of the platform's store published by entries.
     store_reads: snapshot::StoreReads,
+    /// Requests that have crashed upstreams, as reported by entries.
+    quarantine: quarantine::Quarantine,
     /// Standby replicas, and the time of their last pings.
     standbys: Mutex<BTreeMap<record::ReplicaId, Instant>>,
     /// Number of records that each other replica has copied from this one.
@@ -75,8 +78,12 @@
         let begun = Instant::now();
         let mut records = 0_u64;
         let mut state = state::State::new(opts.run);
+        let quarantine = quarantine::Quarantine::new(opts.run);
         let apply = |record: record::Record, place| {
             records += 1;
+            if let record::Record::Quarantine(stored) = &record {
+                quarantine.restore(stored, unix_ms());
+            }
             state.apply(&record, place);
         };
         let journal = journal::Journal::open(dir, opts.journal, apply)?;
@@ -105,6 +112,7 @@
             affinity: affinity::Table::default(),
             team_usage: team_usage::Counters::default(),
             store_reads: snapshot::StoreReads::new(opts.run, opts.lapse),
+            quarantine,
             standbys: Mutex::default(),
             readers: Mutex::default(),
         }))
@@ -194,7 +202,8 @@
             record::Record::Synced(_)
             | record::Record::Members(_)
             | record::Record::Config(_)
-            | record::Record::Upstreams(_) => false,
+            | record::Record::Upstreams(_)
+            | record::Record::Quarantine(_) => false,
         };
         if is_stored {
             return true;
@@ -541,4 +550,25 @@
     ) -> Vec<record::Turn> {
         ids.iter().filter_map(|id| self.0.read(id)).collect()
     }
+
+    async fn claim_attempt(
+        self,
+        _: tarpc::context::Context,
+        req: service::ClaimAttempt,
+    ) -> service::ClaimReply {
+        self.0.quarantine.claim(&req)
+    }
+
+    async fn report_attempt(self, _: tarpc::context::Context, req: service::ReportAttempt) {
+        self.0.report_attempt(&req).await;
+    }
+
+    async fn poll_suspects(
+        self,
+        _: tarpc::context::Context,
+        after: service::Position,
+        wait: Duration,
+    ) -> service::SuspectPage {
+        self.0.quarantine.poll(after, wait).await
+    }
 }
--- a/fw-replica/src/service.rs
+++ b/fw-replica/src/service.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use fw_base::id;
-use fw_plan::quota;
+use fw_plan::{quarantine, quota};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
@@ -356,7 +356,43 @@
     pub standbys_ahead: usize,
 }
 
-/// The service of a replica.
+/// Requests the single attempt of a request that has crashed upstreams.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimAttempt {
+    /// The attempt.
+    pub holder: quarantine::HolderId,
+    /// What the sender knows of the request.
+    pub suspect: quarantine::Suspect,
+}
+
+/// Answer to [`ClaimAttempt`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimReply {
+    /// Whether the attempt is granted by this replica.
+    pub granted: bool,
+    /// What the replica knows of the request; `None` if its record has just been dropped.
+    pub suspect: Option<quarantine::Suspect>,
+}
+
+/// Reports the outcome of an attempt.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportAttempt {
+    /// What the sender knows of the request.
+    pub suspect: quarantine::Suspect,
+    /// The attempt whose claim ends.
+    pub release: Option<quarantine::HolderId>,
+}
+
+/// Changes of a replica's record of crashes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectPage {
+    /// Position after these changes.
+    pub next: Position,
+    /// The requests that have changed.
+    pub suspects: Vec<quarantine::Suspect>,
+}
+
+/// The service of a replica. New methods are added at the end, as the codec numbers them by their order.
 #[tarpc::service]
 pub trait Replica {
     /// Reserves tokens and reads a chain.
@@ -386,4 +422,11 @@
     async fn ping(standby: Option<record::ReplicaId>) -> PingReply;
     /// Reads turns by their ids; those not stored here are left out.
     async fn fetch(ids: Vec<record::TurnId>) -> Vec<record::Turn>;
+    /// Claims the single attempt of a request that has crashed upstreams.
+    async fn claim_attempt(req: ClaimAttempt) -> ClaimReply;
+    /// Records the outcome of an attempt.
+    async fn report_attempt(req: ReportAttempt);
+    /// Long poll for what has changed after a position in the record of crashes: waits up to `wait`
+    /// for a change.
+    async fn poll_suspects(after: Position, wait: Duration) -> SuspectPage;
 }
--- a/fw-replica/src/state.rs
+++ b/fw-replica/src/state.rs
@@ -79,6 +79,8 @@
                 self.digests.upstreams = list.digest();
                 self.snapshot.upstreams = Some(list.clone());
             }
+            // Kept by `server::quarantine`.
+            record::Record::Quarantine(_) => {}
         }
     }
 
