fw-gate: a request runs on no more upstreams than its route allows

What callers saw: nothing; the operator's limit did not hold. A route with max_attempts 1 that may be repeated (a safe one, a resumable stream before its first event) had its requests run on two upstreams, so that the record's request took down two in one attempt of its caller. Cause: the comparison took the limit as two at least, for a platform that names none. The platform names one on every route (trial with the decoded value logged: 1 on one safe route, 2 on the others, 1 on both streams). Ruled out: that lost answers then fail calls which the second attempt saved. The test failed before: 2 runs for 1 on both routes.

--- a/fw-gate/src/request/attempt.rs
+++ b/fw-gate/src/request/attempt.rs
@@ -211,7 +211,7 @@
             kind: err.kind,
             attempt: attempts.failed,
             repeatable: self.route.is_repeatable()
-                && attempts.may_have_run < self.route.attempts.max(2),
+                && attempts.may_have_run < self.route.attempts,
             time_left: send::time_left(self.until),
             retry_after: None,
         };
