fw-plan, fw-gate: broken connections count against a request, half as much as a crash

Cause: a crash is only seen if a new connection fails after the one that broke. Ruled out: counting it as a crash. An upstream that loses one answer in twenty breaks connections too, and three in succession under one request are then no rarity; six are (0.05 to the sixth). Change: evidence has a weight, 2 for a crash, 1 for a broken connection at an upstream that accepts another, added to the weight known when the attempt was sent. A request is refused from 6 on (three crashes), and runs one attempt at a time from 2 on. Rounds became weights; the limits for crashes are as before, and so are their tests.

--- a/fw-gate/src/process/quarantine.rs
+++ b/fw-gate/src/process/quarantine.rs
@@ -112,10 +112,9 @@
 
     async fn try_permit(self: &Arc<Self>, subject: &Subject) -> Result<Permit, Denial> {
         let fingerprint = subject.fingerprint;
-        let round = match self.decide(subject)? {
-            quarantine::Outcome::Exclusive { round } => round,
-            _ => return Ok(self.new_permit(subject, 1, None)),
-        };
+        if self.decide(subject)? != quarantine::Outcome::Exclusive {
+            return Ok(self.new_permit(subject, None));
+        }
         let holder = rand::random();
         let ttl = self.options.claim_ttl;
         let now = self.now();
@@ -123,20 +122,19 @@
             return Err(Denial::Busy);
         }
         // From here on, dropping the permit releases the claim.
-        let mut permit = self.new_permit(subject, round, Some(holder));
+        let mut permit = self.new_permit(subject, Some(holder));
         let Some(suspect) = self.table.lock().get(now, &fingerprint) else {
             return Ok(permit);
         };
         let claim = service::ClaimAttempt { holder, suspect };
         let outcome = self.replicas.claim_attempt(claim).await;
         outcome.known.iter().for_each(|known| self.merge(known));
-        if let quarantine::Outcome::Exclusive { round } = self.decide(subject)? {
-            permit.round = round;
-        }
+        self.decide(subject)?;
+        permit.known = self.table.lock().weight(now, &fingerprint);
         tracing::info!(
             request = %subject.request,
             %fingerprint,
-            round = permit.round,
+            weight = permit.known,
             decision = ?outcome.decision,
             "attempt of a request that has crashed upstreams"
         );
@@ -180,13 +178,13 @@
     fn new_permit(
         self: &Arc<Self>,
         subject: &Subject,
-        round: quarantine::Round,
         claim: Option<quarantine::HolderId>,
     ) -> Permit {
+        let now = self.now();
         Permit {
+            known: self.table.lock().weight(now, &subject.fingerprint),
             quarantine: Arc::clone(self),
             subject: subject.clone(),
-            round,
             claim,
         }
     }
@@ -202,7 +200,8 @@
         drop(table);
         tracing::info!(
             fingerprint = %suspect.fingerprint,
-            crashes = suspect.evidence.crashes(),
+            weight = suspect.evidence.weight(),
+            failures = suspect.evidence.failures(),
             age_ms = suspect.age.as_millis() as u64,
             ?outcome,
             "crash evidence received from a replica"
@@ -276,7 +275,8 @@
 pub struct Permit {
     quarantine: Arc<Quarantine>,
     subject: Subject,
-    round: quarantine::Round,
+    /// Weight of the evidence known when the attempt was permitted.
+    known: quarantine::Weight,
     claim: Option<quarantine::HolderId>,
 }
 
@@ -285,38 +285,48 @@
     /// does not answer in time: whoever sends the request again then meets the record.
     pub async fn record_crash(mut self, upstream: &id::UpstreamId) {
         count("crash");
-        let now = self.quarantine.now();
-        let suspect = self.quarantine.table.lock().record_crash(
-            now,
-            self.subject.fingerprint,
-            self.subject.owner,
-            quarantine::incarnation(upstream),
-            self.round,
-        );
+        let id = quarantine::crash_id(upstream);
+        let suspect = self.record_failure(id, quarantine::Failure::crash(self.known));
         tracing::warn!(
             request = %self.subject.request,
             %upstream,
             fingerprint = %self.subject.fingerprint,
-            round = self.round,
-            crashes = suspect.evidence.crashes(),
+            weight = suspect.evidence.weight(),
+            failures = suspect.evidence.failures(),
             "upstream crashed while it ran the request"
         );
-        let report = service::ReportAttempt {
-            suspect,
-            release: self.release_locally(),
-        };
+        let release = self.release_locally();
+        let report = service::ReportAttempt { suspect, release };
         self.quarantine.replicas.report_attempt(&report).await;
     }
 
-    /// Records that `upstream` broke the connection but accepts another, so that no crash is counted.
-    pub fn record_broken(&self, upstream: &id::UpstreamId) {
+    /// Records that `upstream` broke the connection but accepts another.
+    pub fn record_broken(mut self, upstream: &id::UpstreamId) {
         count("broken");
+        let failure = quarantine::Failure::broken_connection(self.known);
+        let suspect = self.record_failure(rand::random(), failure);
         tracing::info!(
             request = %self.subject.request,
             %upstream,
             fingerprint = %self.subject.fingerprint,
-            "connection broke, but the upstream accepts another; no crash counted"
+            weight = suspect.evidence.weight(),
+            failures = suspect.evidence.failures(),
+            "connection broke, but the upstream accepts another"
         );
+        let release = self.release_locally();
+        let report = service::ReportAttempt { suspect, release };
+        self.quarantine.replicas.spawn_reports(&report);
+    }
+
+    fn record_failure(
+        &self,
+        id: quarantine::FailureId,
+        failure: quarantine::Failure,
+    ) -> quarantine::Suspect {
+        let now = self.quarantine.now();
+        let mut table = self.quarantine.table.lock();
+        let subject = &self.subject;
+        table.record_failure(now, subject.fingerprint, subject.owner, id, failure)
     }
 
     /// Records that the request completed.
--- a/fw-gate/src/request/attempt.rs
+++ b/fw-gate/src/request/attempt.rs
@@ -210,8 +210,7 @@
         let failure = retry::Failure {
             kind: err.kind,
             attempt: attempts.failed,
-            repeatable: self.route.is_repeatable()
-                && attempts.may_have_run < self.route.attempts,
+            repeatable: self.route.is_repeatable() && attempts.may_have_run < self.route.attempts,
             time_left: send::time_left(self.until),
             retry_after: None,
         };
--- a/fw-plan/src/quarantine.rs
+++ b/fw-plan/src/quarantine.rs
@@ -7,17 +7,18 @@
 //! kept by each entry alone lets every entry crash as many upstreams as the limit says, and again
 //! after each restart.
 //!
-//! *Rule:* a crash is recorded by the incarnation of the upstream, with its round: one more than the
-//! rounds known when the attempt was sent. Copies in flight together are one round, however many
-//! upstreams fail under them. A request with a recorded round is a suspect and runs one attempt at a
-//! time, under a [claim](Claims). A completed run disproves all crashes recorded by then. From
-//! [`Options::round_limit`] rounds on it is refused, but for one attempt after a delay that grows
-//! with each further round.
+//! *Rule:* each failure of an attempt is recorded with its weight, and with the weight known when the
+//! attempt was sent. Copies in flight together add up to one failure, however many upstreams fail
+//! under them. After a crash the request is a suspect and runs one attempt at a time, under a
+//! [claim](Claims). A completed run disproves all failures recorded by then. From
+//! [`Options::weight_limit`] on it is refused, but for one attempt after a delay that grows with each
+//! further crash.
 //!
-//! *Grounds:* a request that is not the cause survives a round unless another fault meets it by
-//! chance, as often as there are rounds; the loss of a rack under three copies of a popular request is
-//! one round. Evidence only grows and merges in any order, so that processes need no common clock
-//! and no common order.
+//! *Grounds:* a request that is not the cause completes soon, unless other faults meet it by chance
+//! several times in succession; the loss of a rack under three copies of a popular request is one
+//! failure. A broken connection alone weighs less: the upstream may have crashed and restarted
+//! before it was looked at, or have lost one answer. Evidence only grows and merges in any order, so
+//! that processes need no common clock and no common order.
 //!
 //! Memory is bounded by [`Options::capacity`]; the owner with the most records loses one first.
 
@@ -30,10 +31,10 @@
 
 /// Digest that all repetitions of a request share.
 pub type Fingerprint = digest::Digest;
-/// Identifies one incarnation of an upstream.
-pub type IncarnationId = u64;
-/// Number of successive crashes, each in knowledge of those before.
-pub type Round = u32;
+/// Identifies a failure, however many processes report it.
+pub type FailureId = u64;
+/// Weight of evidence: the sum over successive failures, each in knowledge of those before.
+pub type Weight = u32;
 /// Identifies the team that a record is charged to; 0 without teams.
 pub type OwnerId = u64;
 /// Identifies the attempt that holds a claim.
@@ -41,23 +42,29 @@
 /// Number of a change of a [`Table`].
 pub type Version = u64;
 
-/// Most incarnations kept of one request, crashed or disproved.
-const MAX_INCARNATIONS: usize = 16;
+/// Most failures kept of one request, disproved or not.
+const MAX_FAILURES: usize = 16;
+/// Weight of a crash.
+const CRASH_WEIGHT: Weight = 2;
+/// Weight of a connection that broke at an upstream that accepts another.
+const BREAK_WEIGHT: Weight = 1;
 
 /// Limits and durations of suspicion and quarantine.
 #[derive(Clone, Debug)]
 pub struct Options {
-    /// Rounds from which a request is refused.
-    pub round_limit: Round,
-    /// Delay from the last crash until a refused request gets one more attempt.
+    /// Weight from which a request is refused: that of three crashes.
+    pub weight_limit: Weight,
+    /// Weight from which a request runs one attempt at a time: that of a crash.
+    pub exclusive_from: Weight,
+    /// Delay from the last failure until a refused request gets one more attempt.
     pub first_probation: Duration,
-    /// Factor by which each further round extends that delay.
+    /// Factor by which each further crash extends that delay.
     pub probation_growth: u32,
     /// Longest such delay.
     pub max_probation: Duration,
-    /// How long a suspicion is kept after the last crash.
+    /// How long a suspicion is kept after the last failure.
     pub suspect_for: Duration,
-    /// How long a quarantine is kept after the last crash: longer than the longest delay.
+    /// How long a quarantine is kept after the last failure: longer than the longest delay.
     pub quarantine_for: Duration,
     /// How long a claim lasts unless it is released.
     pub claim_ttl: Duration,
@@ -68,7 +75,8 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            round_limit: 3,
+            weight_limit: 3 * CRASH_WEIGHT,
+            exclusive_from: CRASH_WEIGHT,
             first_probation: Duration::from_secs(60),
             probation_growth: 4,
             max_probation: Duration::from_secs(3_600),
@@ -81,54 +89,79 @@
     }
 }
 
-/// The incarnation of the upstream `id`, whose id changes at each start.
-pub fn incarnation(id: &id::UpstreamId) -> IncarnationId {
-    xxh3::xxh3_64(id.as_bytes())
-}
-
 /// The owner of the records of `team`.
 pub fn owner(team: Option<&id::TeamId>) -> OwnerId {
     team.map_or(0, |team| xxh3::xxh3_64(team.as_bytes()))
 }
 
-/// Crashes under one request. Merging is commutative, associative and idempotent.
+/// One failure of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Failure {
+    /// Weight of all evidence up to this failure.
+    total: Weight,
+    /// Its own weight.
+    weight: Weight,
+}
+
+impl Failure {
+    /// A crash under an attempt that was sent when evidence of weight `known` was known.
+    pub const fn crash(known: Weight) -> Self {
+        Self {
+            total: known + CRASH_WEIGHT,
+            weight: CRASH_WEIGHT,
+        }
+    }
+
+    /// A broken connection under an attempt that was sent when evidence of weight `known` was known.
+    pub const fn broken_connection(known: Weight) -> Self {
+        Self {
+            total: known + BREAK_WEIGHT,
+            weight: BREAK_WEIGHT,
+        }
+    }
+}
+
+/// Id of the crash of the upstream `id`, whose id changes at each start.
+pub fn crash_id(id: &id::UpstreamId) -> FailureId {
+    xxh3::xxh3_64(id.as_bytes())
+}
+
+/// Failures under one request. Merging is commutative, associative and idempotent.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Evidence {
-    /// Incarnations that crashed, with the round of each.
-    crashes: BTreeMap<IncarnationId, Round>,
-    /// Incarnations whose crash a later completed run has disproved as evidence.
-    disproved: BTreeSet<IncarnationId>,
+    failures: BTreeMap<FailureId, Failure>,
+    /// Failures that a later completed run has disproved as evidence.
+    disproved: BTreeSet<FailureId>,
 }
 
 impl Evidence {
-    /// Rounds shown by the crashes that are not disproved.
-    pub fn rounds(&self) -> Round {
-        let highest = self.crashes.values().max().copied().unwrap_or(0);
-        highest.min(self.crashes.len() as Round)
+    /// Weight of the failures that are not disproved.
+    pub fn weight(&self) -> Weight {
+        let highest = self.failures.values().map(|failure| failure.total).max();
+        let sum = self.failures.values().map(|failure| failure.weight).sum();
+        highest.unwrap_or(0).min(sum)
     }
 
-    /// Number of crashes that are not disproved.
-    pub fn crashes(&self) -> usize {
-        self.crashes.len()
+    /// Number of failures that are not disproved.
+    pub fn failures(&self) -> usize {
+        self.failures.len()
     }
 
-    /// Records the crash of `incarnation` under an attempt of `round`; returns whether that is new.
-    pub fn record_crash(&mut self, incarnation: IncarnationId, round: Round) -> bool {
-        if self.disproved.contains(&incarnation) {
-            return false;
+    /// Records a failure.
+    pub fn record(&mut self, id: FailureId, failure: Failure) {
+        if self.disproved.contains(&id) {
+            return;
         }
-        let known = self.crashes.entry(incarnation).or_insert(0);
-        let is_new = round > *known;
-        *known = round.max(*known);
+        let known = self.failures.entry(id).or_insert(failure);
+        *known = failure.max(*known);
         self.shrink();
-        is_new
     }
 
-    /// Records that a run completed, which disproves all crashes; returns whether there were any.
+    /// Records that a run completed, which disproves all failures; returns whether there were any.
     pub fn disprove(&mut self) -> bool {
-        let had_any = !self.crashes.is_empty();
-        let crashed = std::mem::take(&mut self.crashes);
-        self.disproved.extend(crashed.into_keys());
+        let had_any = !self.failures.is_empty();
+        let failed = std::mem::take(&mut self.failures);
+        self.disproved.extend(failed.into_keys());
         self.shrink();
         had_any
     }
@@ -137,25 +170,25 @@
     pub fn merge(&mut self, other: &Self) -> bool {
         let before = self.clone();
         self.disproved.extend(&other.disproved);
-        for (incarnation, round) in &other.crashes {
-            self.record_crash(*incarnation, *round);
+        for (id, failure) in &other.failures {
+            self.record(*id, *failure);
         }
         let disproved = &self.disproved;
-        self.crashes.retain(|crash, _| !disproved.contains(crash));
+        self.failures.retain(|id, _| !disproved.contains(id));
         self.shrink();
         *self != before
     }
 
-    /// Drops crashes of the lowest rounds, and any of the disproved ones, beyond the bound.
+    /// Drops the failures of the lowest totals, and any of the disproved ones, beyond the bound.
     fn shrink(&mut self) {
-        while self.crashes.len() > MAX_INCARNATIONS {
-            let lowest = self.crashes.iter().min_by_key(|(_, round)| **round);
-            let Some(lowest) = lowest.map(|(incarnation, _)| *incarnation) else {
+        while self.failures.len() > MAX_FAILURES {
+            let lowest = self.failures.iter().min_by_key(|(_, failure)| **failure);
+            let Some(lowest) = lowest.map(|(id, _)| *id) else {
                 return;
             };
-            self.crashes.remove(&lowest);
+            self.failures.remove(&lowest);
         }
-        while self.disproved.len() > MAX_INCARNATIONS {
+        while self.disproved.len() > MAX_FAILURES {
             self.disproved.pop_first();
         }
     }
@@ -168,9 +201,9 @@
     pub fingerprint: Fingerprint,
     /// The team that the record is charged to.
     pub owner: OwnerId,
-    /// Its crashes.
+    /// Its failures.
     pub evidence: Evidence,
-    /// Time since the last crash.
+    /// Time since the last failure.
     pub age: Duration,
 }
 
@@ -180,10 +213,7 @@
     /// Without restriction.
     Normal,
     /// One attempt at a time in the whole system.
-    Exclusive {
-        /// Round of a crash under this attempt.
-        round: Round,
-    },
+    Exclusive,
     /// Not at all.
     Refused {
         /// Time until one attempt may be made.
@@ -195,12 +225,12 @@
 struct Entry {
     owner: OwnerId,
     evidence: Evidence,
-    /// Time of the last crash, on the scale of [`Table::at`].
-    last_crash: Duration,
+    /// Time of the last failure, on the scale of [`Table::at`].
+    last_failure: Duration,
     version: Version,
 }
 
-/// Requests with recorded crashes.
+/// Requests with recorded failures.
 #[derive(Debug)]
 pub struct Table {
     options: Options,
@@ -224,31 +254,37 @@
         let Some(entry) = entry.filter(|entry| self.is_live(now, entry)) else {
             return Outcome::Normal;
         };
-        let rounds = entry.evidence.rounds();
-        if rounds == 0 {
+        let weight = entry.evidence.weight();
+        if weight < self.options.exclusive_from {
             return Outcome::Normal;
         }
-        let since = self.at(now).saturating_sub(entry.last_crash);
-        match self.probation_delay(rounds) {
+        let since = self.at(now).saturating_sub(entry.last_failure);
+        match self.probation_delay(weight) {
             Some(delay) if since < delay => Outcome::Refused {
                 retry_after: delay - since,
             },
-            _ => Outcome::Exclusive { round: rounds + 1 },
+            _ => Outcome::Exclusive,
         }
     }
 
-    /// Records that `incarnation` crashed under an attempt of `round`, and returns what is known of the
-    /// request.
-    pub fn record_crash(
+    /// Weight of the evidence against the request.
+    pub fn weight(&self, now: Duration, fingerprint: &Fingerprint) -> Weight {
+        let entry = self.entries.get(fingerprint);
+        let entry = entry.filter(|entry| self.is_live(now, entry));
+        entry.map_or(0, |entry| entry.evidence.weight())
+    }
+
+    /// Records a failure under an attempt, and returns what is known of the request.
+    pub fn record_failure(
         &mut self,
         now: Duration,
         fingerprint: Fingerprint,
         owner: OwnerId,
-        incarnation: IncarnationId,
-        round: Round,
+        id: FailureId,
+        failure: Failure,
     ) -> Suspect {
         let mut evidence = Evidence::default();
-        evidence.record_crash(incarnation, round);
+        evidence.record(id, failure);
         let suspect = Suspect {
             fingerprint,
             owner,
@@ -260,7 +296,7 @@
     }
 
     /// Records that a run of the request completed. Returns what is known of it if that disproves a
-    /// crash.
+    /// failure.
     pub fn record_success(&mut self, now: Duration, fingerprint: &Fingerprint) -> Option<Suspect> {
         let entry = self.entries.get_mut(fingerprint)?;
         if !entry.evidence.disprove() {
@@ -274,15 +310,15 @@
     /// Adds what another process knows; returns whether any of it is new.
     pub fn merge(&mut self, now: Duration, suspect: &Suspect) -> bool {
         self.make_room(now, &suspect.fingerprint);
-        let last_crash = self.at(now).saturating_sub(suspect.age);
+        let last_failure = self.at(now).saturating_sub(suspect.age);
         let entry = self.entries.entry(suspect.fingerprint);
         let entry = entry.or_insert_with(|| Entry {
             owner: suspect.owner,
             evidence: Evidence::default(),
-            last_crash,
+            last_failure,
             version: 0,
         });
-        entry.last_crash = entry.last_crash.max(last_crash);
+        entry.last_failure = entry.last_failure.max(last_failure);
         let is_new = entry.evidence.merge(&suspect.evidence);
         if is_new {
             self.version += 1;
@@ -337,17 +373,17 @@
         self.entries.is_empty()
     }
 
-    /// Delay from the last crash until a request with `rounds` gets one more attempt; `None` below the
-    /// limit.
-    fn probation_delay(&self, rounds: Round) -> Option<Duration> {
-        let further = rounds.checked_sub(self.options.round_limit)?;
+    /// Delay from the last failure until a request with evidence of `weight` gets one more attempt; `None`
+    /// below the limit.
+    fn probation_delay(&self, weight: Weight) -> Option<Duration> {
+        let further = weight.checked_sub(self.options.weight_limit)? / CRASH_WEIGHT;
         let growth = self.options.probation_growth.saturating_pow(further);
         let delay = self.options.first_probation.saturating_mul(growth);
         Some(delay.min(self.options.max_probation))
     }
 
     fn reaches_limit(&self, evidence: &Evidence) -> bool {
-        evidence.rounds() >= self.options.round_limit
+        evidence.weight() >= self.options.weight_limit
     }
 
     fn is_live(&self, now: Duration, entry: &Entry) -> bool {
@@ -355,11 +391,11 @@
             true => self.options.quarantine_for,
             false => self.options.suspect_for,
         };
-        self.at(now) < entry.last_crash + ttl
+        self.at(now) < entry.last_failure + ttl
     }
 
-    /// `now` on the time scale of `Entry::last_crash`, whose zero lies before the start of the process, so
-    /// that a crash before that start has a time.
+    /// `now` on the time scale of `Entry::last_failure`, whose zero lies before the start of the process, so
+    /// that a failure before that start has a time.
     fn at(&self, now: Duration) -> Duration {
         self.options.quarantine_for + now
     }
@@ -369,12 +405,12 @@
             fingerprint: *fingerprint,
             owner: entry.owner,
             evidence: entry.evidence.clone(),
-            age: self.at(now).saturating_sub(entry.last_crash),
+            age: self.at(now).saturating_sub(entry.last_failure),
         }
     }
 
-    /// Makes room for a new request. Of the owner with the most records, the one with the fewest
-    /// rounds goes first, of these the oldest: no owner can push out those of another.
+    /// Makes room for a new request. Of the owner with the most records, the one with the least evidence
+    /// goes first, of these the oldest: no owner can push out those of another.
     fn make_room(&mut self, now: Duration, fingerprint: &Fingerprint) {
         if self.entries.contains_key(fingerprint) || self.entries.len() < self.options.capacity {
             return;
@@ -393,7 +429,8 @@
         let of_largest = self.entries.iter();
         let of_largest =
             of_largest.filter(|(_, entry)| Some(entry.owner) == largest.map(|(owner, _)| owner));
-        let least = of_largest.min_by_key(|(_, entry)| (entry.evidence.rounds(), entry.last_crash));
+        let least =
+            of_largest.min_by_key(|(_, entry)| (entry.evidence.weight(), entry.last_failure));
         if let Some(least) = least.map(|(fingerprint, _)| *fingerprint) {
             self.entries.remove(&least);
         }
--- a/fw-plan/tests/plan/crash_evidence.rs
+++ b/fw-plan/tests/plan/crash_evidence.rs
@@ -17,27 +17,31 @@
     quarantine::Table::new(quarantine::Options::default())
 }
 
-/// Records the crash of `incarnation` under an attempt that is sent at `now`, in knowledge of all
-/// crashes before.
+/// Records the crash `id` under an attempt that is sent at `now`, in knowledge of all failures before.
 fn crash_at(
     table: &mut quarantine::Table,
     now: Duration,
-    incarnation: quarantine::IncarnationId,
+    id: quarantine::FailureId,
 ) -> quarantine::Suspect {
-    let round = match table.decide(now, &request("bad")) {
-        Outcome::Normal => 1,
-        Outcome::Exclusive { round } => round,
-        Outcome::Refused { .. } => panic!("the request is refused"),
-    };
-    table.record_crash(now, request("bad"), 0, incarnation, round)
+    let outcome = table.decide(now, &request("bad"));
+    assert_that!(outcome, not(matches_pattern!(Outcome::Refused { .. })));
+    let failure = quarantine::Failure::crash(table.weight(now, &request("bad")));
+    table.record_failure(now, request("bad"), 0, id, failure)
+}
+
+/// Records a broken connection `id`, in knowledge of all failures before.
+fn break_connection(table: &mut quarantine::Table, id: quarantine::FailureId) {
+    let known = table.weight(NOW, &request("bad"));
+    let failure = quarantine::Failure::broken_connection(known);
+    table.record_failure(NOW, request("bad"), 0, id, failure);
 }
 
 // Guards against a request that goes on after three upstreams have crashed under it, one by one.
 #[gtest]
-fn three_rounds_lead_to_refusal() {
+fn three_successive_crashes_lead_to_refusal() {
     let mut table = table();
-    for incarnation in 1..=3 {
-        crash_at(&mut table, NOW, incarnation);
+    for id in 1..=3 {
+        crash_at(&mut table, NOW, id);
     }
     let refused = Outcome::Refused {
         retry_after: Duration::from_secs(60),
@@ -48,13 +52,14 @@
 
 // Guards against the refusal of a popular request under whose copies a rack of upstreams was lost.
 #[gtest]
-fn copies_in_flight_are_one_round() {
+fn copies_in_flight_are_one_failure() {
     let mut table = table();
-    for incarnation in 1..=5 {
-        table.record_crash(NOW, request("popular"), 0, incarnation, 1);
+    for id in 1..=5 {
+        let failure = quarantine::Failure::crash(0);
+        table.record_failure(NOW, request("popular"), 0, id, failure);
     }
     let outcome = table.decide(NOW, &request("popular"));
-    expect_that!(outcome, eq(Outcome::Exclusive { round: 2 }));
+    expect_that!(outcome, eq(Outcome::Exclusive));
     expect_that!(
         table.record_success(NOW, &request("popular")),
         some(anything())
@@ -62,15 +67,30 @@
     expect_that!(table.decide(NOW, &request("popular")), eq(Outcome::Normal));
 }
 
+// Guards against a request without end under which upstreams crash and are back before it is noticed.
+#[gtest]
+fn broken_connections_add_up() {
+    let mut table = table();
+    break_connection(&mut table, 1);
+    expect_that!(table.decide(NOW, &request("bad")), eq(Outcome::Normal));
+    for id in 2..=5 {
+        break_connection(&mut table, id);
+        expect_that!(table.decide(NOW, &request("bad")), eq(Outcome::Exclusive));
+    }
+    break_connection(&mut table, 6);
+    let outcome = table.decide(NOW, &request("bad"));
+    expect_that!(outcome, matches_pattern!(Outcome::Refused { .. }));
+}
+
 // Guards against one crash that counts as often as it is reported.
 #[gtest]
-fn an_incarnation_counts_once() {
+fn a_crash_counts_once() {
     let mut table = table();
     for _ in 0..5 {
         crash_at(&mut table, NOW, 1);
     }
     let outcome = table.decide(NOW, &request("bad"));
-    expect_that!(outcome, eq(Outcome::Exclusive { round: 2 }));
+    expect_that!(outcome, eq(Outcome::Exclusive));
 }
 
 // Guards against a late report of a crash that brings back a suspicion which was lifted.
@@ -85,20 +105,20 @@
 
 // Guards against a refusal for good, and against one that ends all at once.
 #[gtest]
-fn probation_is_rarer_with_each_round() {
+fn probation_is_rarer_with_each_crash() {
     let mut table = table();
-    for incarnation in 1..=3 {
-        crash_at(&mut table, NOW, incarnation);
+    for id in 1..=3 {
+        crash_at(&mut table, NOW, id);
     }
     let mut now = NOW;
-    for (round, seconds) in [(4, 60), (5, 240), (6, 960), (7, 3_600)] {
+    for (id, seconds) in [(4, 60), (5, 240), (6, 960), (7, 3_600)] {
         now += Duration::from_secs(seconds);
         let just_before = now - Duration::from_millis(1);
         let refused = table.decide(just_before, &request("bad"));
         expect_that!(refused, matches_pattern!(Outcome::Refused { .. }));
         let permitted = table.decide(now, &request("bad"));
-        expect_that!(permitted, eq(Outcome::Exclusive { round }));
-        crash_at(&mut table, now, u64::from(round));
+        expect_that!(permitted, eq(Outcome::Exclusive));
+        crash_at(&mut table, now, id);
     }
 }
 
@@ -106,8 +126,8 @@
 #[gtest]
 fn ages_travel_between_clocks() {
     let mut first = table();
-    for incarnation in 1..=3 {
-        crash_at(&mut first, NOW, incarnation);
+    for id in 1..=3 {
+        crash_at(&mut first, NOW, id);
     }
     let later = NOW + Duration::from_secs(50);
     let mut second = table();
@@ -128,13 +148,15 @@
         capacity: 100,
         ..quarantine::Options::default()
     });
-    for incarnation in 1..=3 {
-        crash_at(&mut table, NOW, incarnation);
+    for id in 1..=3 {
+        crash_at(&mut table, NOW, id);
     }
     for index in 0..1_000 {
         let flooding = request(&format!("other-{index}"));
-        for round in 1..=4 {
-            table.record_crash(NOW, flooding, 7, index * 10 + u64::from(round), round);
+        for known in 0..8 {
+            let failure = quarantine::Failure::crash(known);
+            let id = index * 10 + u64::from(known);
+            table.record_failure(NOW, flooding, 7, id, failure);
         }
     }
     expect_that!(table.len(), eq(100));
@@ -158,10 +180,10 @@
     expect_true!(claims.claim(NOW + ttl, request("bad"), 3, ttl));
 }
 
-/// One change of evidence: a crash of an incarnation in a round, or a completed run.
+/// One change of evidence: a crash with the weight known before, or a completed run.
 fn change() -> impl Strategy<Value = Option<(u64, u32)>> {
     prop_oneof![
-        4 => (0_u64..6, 1_u32..5).prop_map(Some),
+        4 => (0_u64..6, 0_u32..8).prop_map(Some),
         1 => Just(None),
     ]
 }
@@ -170,9 +192,7 @@
     let mut evidence = quarantine::Evidence::default();
     for change in changes {
         match change {
-            Some((incarnation, round)) => {
-                evidence.record_crash(*incarnation, *round);
-            }
+            Some((id, known)) => evidence.record(*id, quarantine::Failure::crash(*known)),
             None => {
                 evidence.disprove();
             }
--- a/fw-plan/tests/plan/quarantine_model.rs
+++ b/fw-plan/tests/plan/quarantine_model.rs
@@ -39,8 +39,8 @@
     Reports,
     /// Replicas keep nothing over a restart.
     Durability,
-    /// Copies in flight together are as many rounds.
-    Rounds,
+    /// Copies in flight together are as many failures.
+    KnownWeight,
 }
 
 /// A request that is sent again and again.
@@ -111,8 +111,8 @@
 
 #[derive(Debug)]
 struct Run {
-    incarnation: u64,
-    round: u32,
+    upstream: u64,
+    known: u32,
     holder: Option<u64>,
     is_lost: bool,
 }
@@ -310,9 +310,9 @@
             return self.schedule(Duration::from_millis(5), Event::Try { at, since });
         }
         match entry.table.decide(now, &fingerprint()) {
-            Outcome::Normal => self.start_run(at, 1, None),
+            Outcome::Normal => self.start_run(at, None),
             Outcome::Refused { .. } => self.counts.refused += 1,
-            Outcome::Exclusive { .. } => self.claim(at, since),
+            Outcome::Exclusive => self.claim(at, since),
         }
     }
 
@@ -406,12 +406,8 @@
         };
         entry.pending.remove(&claim.holder);
         let outcome = entry.table.decide(now, &fingerprint());
-        let round = match outcome {
-            Outcome::Exclusive { round } => round,
-            Outcome::Normal | Outcome::Refused { .. } => 1,
-        };
         if permitted && !matches!(outcome, Outcome::Refused { .. }) {
-            return self.start_run(claim.at, round, Some(claim.holder));
+            return self.start_run(claim.at, Some(claim.holder));
         }
         self.release(claim.at, claim.holder);
         match outcome {
@@ -420,7 +416,7 @@
         }
     }
 
-    fn start_run(&mut self, at: Process, round: u32, holder: Option<u64>) {
+    fn start_run(&mut self, at: Process, holder: Option<u64>) {
         let now = self.now;
         let started_at = self.entries[at.entry].started_at;
         let is_in_touch = started_at.is_zero() || now > started_at + CONTACT;
@@ -432,13 +428,13 @@
             self.counts.late_attempts += 1;
         }
         let run = self.id();
-        let incarnation = match self.scenario.is_poison {
+        let upstream = match self.scenario.is_poison {
             true => run,
             false => self.rng.random_range(0..9),
         };
         let state = Run {
-            incarnation,
-            round,
+            upstream,
+            known: self.entries[at.entry].table.weight(now, &fingerprint()),
             holder,
             is_lost: false,
         };
@@ -451,7 +447,7 @@
     fn run_ends(&mut self, at: Process, run: u64) {
         let now = self.now;
         let is_poison = self.scenario.is_poison;
-        let counts_each = self.scenario.ablation == Ablation::Rounds;
+        let counts_each = self.scenario.ablation == Ablation::KnownWeight;
         if is_poison {
             // The upstream crashes even if the entry that sent the request has restarted.
             self.counts.crashes += 1;
@@ -464,12 +460,14 @@
             return;
         };
         let crashed = is_poison || run.is_lost;
-        let known = entry.table.get(now, &fingerprint());
         let suspect = if crashed {
-            let before = known.map_or(0, |known| known.evidence.crashes() as u32);
-            let round = if counts_each { before + 1 } else { run.round };
+            let known = match counts_each {
+                true => entry.table.weight(now, &fingerprint()),
+                false => run.known,
+            };
+            let failure = quarantine::Failure::crash(known);
             let table = &mut entry.table;
-            Some(table.record_crash(now, fingerprint(), 0, run.incarnation, round))
+            Some(table.record_failure(now, fingerprint(), 0, run.upstream, failure))
         } else {
             self.counts.served += 1;
             self.entries[at.entry]
@@ -601,7 +599,7 @@
             let at = self.process(entry);
             let mut lost = Vec::new();
             for (id, run) in &mut self.entries[entry].runs {
-                if rack.contains(&run.incarnation) {
+                if rack.contains(&run.upstream) {
                     run.is_lost = true;
                     lost.push(*id);
                 }
@@ -668,8 +666,8 @@
 }
 
 #[gtest]
-fn a_popular_request_is_refused_without_rounds() {
-    let ablation = Ablation::Rounds;
+fn a_popular_request_is_refused_without_known_weights() {
+    let ablation = Ablation::KnownWeight;
     let mut seeds = play(Scenario {
         ablation,
         ..POPULAR
--- a/fw-replica/src/server/quarantine.rs
+++ b/fw-replica/src/server/quarantine.rs
@@ -141,8 +141,8 @@
         let suspect = &req.suspect;
         tracing::info!(
             fingerprint = %suspect.fingerprint,
-            rounds = suspect.evidence.rounds(),
-            crashes = suspect.evidence.crashes(),
+            weight = suspect.evidence.weight(),
+            failures = suspect.evidence.failures(),
             quarantined = change.is_quarantined,
             "crash evidence of a request has changed"
         );
