--- a/fw-gate/src/process/quarantine.rs
+++ b/fw-gate/src/process/quarantine.rs
@@ -305,8 +305,7 @@
     /// does not answer in time: whoever sends the request again then meets the record.
     pub async fn record_crash(mut self, upstream: &id::UpstreamId) {
         count("crash");
-        let id = quarantine::crash_id(upstream);
-        let suspect = self.record_failure(id, quarantine::Failure::crash(self.known));
+        let suspect = self.record_failure(upstream, quarantine::Failure::crash(self.known));
         tracing::warn!(
             request = %self.subject.request,
             %upstream,
@@ -324,7 +323,7 @@
     pub fn record_broken(mut self, upstream: &id::UpstreamId) {
         count("broken");
         let failure = quarantine::Failure::broken_connection(self.known);
-        let suspect = self.record_failure(rand::random(), failure);
+        let suspect = self.record_failure(upstream, failure);
         tracing::info!(
             request = %self.subject.request,
             %upstream,
@@ -340,9 +339,10 @@
 
     fn record_failure(
         &self,
-        id: quarantine::FailureId,
+        upstream: &id::UpstreamId,
         failure: quarantine::Failure,
     ) -> quarantine::Suspect {
+        let id = quarantine::failure_at(upstream);
         let now = self.quarantine.now();
         let mut table = self.quarantine.table.lock();
         let subject = &self.subject;
--- a/fw-plan/src/quarantine.rs
+++ b/fw-plan/src/quarantine.rs
@@ -121,8 +121,9 @@
     }
 }
 
-/// Id of the crash of the upstream `id`, whose id changes at each start.
-pub fn crash_id(id: &id::UpstreamId) -> FailureId {
+/// Id of failures at the upstream `id`, whose id changes at each start. All of them are one failure: more of
+/// them speak against the upstream.
+pub fn failure_at(id: &id::UpstreamId) -> FailureId {
     xxh3::xxh3_64(id.as_bytes())
 }
 
