--- a/fw-local/tests/local/crashed_parts.rs
+++ b/fw-local/tests/local/crashed_parts.rs
@@ -151,3 +151,25 @@
     let good = rig::chat(system.callers(0), &rig::request("good")).await;
     expect_that!(good.kind, none());
 }
+
+// Guards against a quarantine that holds only for programs of one keeper.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_quarantine_holds_for_all_keepers() {
+    let system = rig::system().await;
+    for worker in &system.engines {
+        worker.upstream.poison(Some("poison"));
+    }
+    let mut is_quarantined = false;
+    for index in 0..16 {
+        let poison = caller::Chat {
+            headers: vec![("x-program", format!("bad-{index}"))],
+            ..rig::request("poison")
+        };
+        let kind = rig::chat(system.callers(index % 2), &poison).await.kind;
+        let is_sent_on = is_quarantined && kind == Some(error::Kind::UpstreamCrashed);
+        expect_false!(is_sent_on, "program {index}");
+        is_quarantined |= kind == Some(error::Kind::Quarantined);
+    }
+    expect_true!(is_quarantined);
+}
