fw-replica: a lifted quarantine stays lifted over a restart of the replica

Once a completed run had cleared a request, a replica that restarted brought the quarantine back to all entries until the next attempt on probation. Change: the newest record counts, as for the member list.

--- a/fw-replica/src/server/mod.rs
+++ b/fw-replica/src/server/mod.rs
@@ -78,16 +78,21 @@
         let begun = Instant::now();
         let mut records = 0_u64;
         let mut state = state::State::new(opts.run);
-        let quarantine = quarantine::Quarantine::new(opts.run);
+        let mut stored_quarantine = None;
         let apply = |record: record::Record, place| {
             records += 1;
             if let record::Record::Quarantine(stored) = &record {
-                quarantine.restore(stored, unix_ms());
+                // Only the newest counts: a request that it lacks has been cleared.
+                stored_quarantine = Some(stored.clone());
             }
             state.apply(&record, place);
         };
         let journal = journal::Journal::open(dir, opts.journal, apply)?;
         state.expire(unix_ms());
+        let quarantine = quarantine::Quarantine::new(opts.run);
+        if let Some(stored) = &stored_quarantine {
+            quarantine.restore(stored, unix_ms());
+        }
         tracing::info!(
             records,
             segments = journal.files().count(),
