fw-gate: waiting for another copy ends with the request's deadline; a permit's report made in one place

A suspect waited 400 ms for another copy of it to be tried, also when its caller left sooner: it is refused then. The entry's start-up wait is one constant again, poison::Tracker is as it was before the shared quarantine, which does not use it.

--- a/fw-gate/src/process/gate.rs
+++ b/fw-gate/src/process/gate.rs
@@ -18,7 +18,7 @@
 
 /// How long a request waits for the configuration on an entry that has just started: when the whole
 /// system starts, the replicas are back within half a second.
-const STARTUP_WAIT: Duration = Duration::from_millis(600);
+pub(super) const STARTUP_WAIT: Duration = Duration::from_millis(600);
 
 /// Interval at which teams are checked for quota usage that is due to be reported.
 const QUOTA_REPORT_INTERVAL: Duration = Duration::from_millis(50);
--- a/fw-gate/src/process/quarantine.rs
+++ b/fw-gate/src/process/quarantine.rs
@@ -19,14 +19,15 @@
 use tokio::sync::watch;
 use tokio::time;
 
+use super::gate;
+use crate::request::call;
+
 /// How long a replica holds a poll without a change.
 const POLL_WAIT: Duration = Duration::from_secs(2);
 /// Pause after a failed poll.
 const POLL_RETRY: Duration = Duration::from_millis(100);
 /// Interval at which the member list is checked for members that are not polled yet.
 const MEMBER_CHECK_INTERVAL: Duration = Duration::from_millis(200);
-/// How long a request waits on an entry that has just started until the record of crashes is known.
-const STARTUP_WAIT: Duration = Duration::from_millis(600);
 /// Longest wait for the attempt of another copy of the request to end. Most plain requests end sooner.
 const BUSY_WAIT: Duration = Duration::from_millis(400);
 /// Shortest pause before the attempt is claimed again, and the span over which pauses are spread.
@@ -38,11 +39,22 @@
 #[derive(Clone, Debug)]
 pub struct Subject {
     /// Id of the caller's attempt, for log lines.
-    pub request: SmolStr,
+    request: SmolStr,
     /// Digest that is the same for repetitions of the request.
-    pub fingerprint: quarantine::Fingerprint,
+    fingerprint: quarantine::Fingerprint,
     /// The team that its record is charged to.
-    pub owner: quarantine::OwnerId,
+    owner: quarantine::OwnerId,
+}
+
+impl Subject {
+    /// The request of `call`.
+    pub fn new(call: &call::Call, fingerprint: quarantine::Fingerprint) -> Self {
+        Self {
+            request: call.id.clone(),
+            fingerprint,
+            owner: quarantine::owner(call.team.as_ref()),
+        }
+    }
 }
 
 /// This entry's record of crashes.
@@ -88,19 +100,23 @@
     }
 
     /// Permits one attempt. A request that has crashed upstreams waits until no other copy of it is being
-    /// tried.
+    /// tried, and not beyond its deadline `until`.
     ///
     /// # Errors
     ///
     /// `CrashQuarantine` when it is refused, or another copy is tried for too long.
-    pub async fn permit(self: &Arc<Self>, subject: &Subject) -> Result<Permit, error::Error> {
+    pub async fn permit(
+        self: &Arc<Self>,
+        subject: &Subject,
+        until: time::Instant,
+    ) -> Result<Permit, error::Error> {
         self.await_synced().await;
-        let started = time::Instant::now();
+        let wait_until = until.min(time::Instant::now() + BUSY_WAIT);
         loop {
             match self.try_permit(subject).await {
                 Ok(permit) => return Ok(permit),
                 Err(Denial::Refused(err)) => return Err(err),
-                Err(Denial::Busy) if started.elapsed() >= BUSY_WAIT => {
+                Err(Denial::Busy) if time::Instant::now() >= wait_until => {
                     return Err(self.refuse(subject, "busy", BUSY_RETRY_AFTER));
                 }
                 Err(Denial::Busy) => {}
@@ -210,7 +226,7 @@
 
     /// Waits until the record of crashes is known, on an entry that has just started.
     async fn await_synced(&self) {
-        let left = STARTUP_WAIT.saturating_sub(self.now());
+        let left = gate::STARTUP_WAIT.saturating_sub(self.now());
         if *self.synced.borrow() || left.is_zero() {
             return;
         }
@@ -305,17 +321,15 @@
     /// does not answer in time: whoever sends the request again then meets the record.
     pub async fn record_crash(mut self, upstream: &id::UpstreamId) {
         count("crash");
-        let suspect = self.record_failure(upstream, quarantine::Failure::crash(self.known));
+        let report = self.record_failure(upstream, quarantine::Failure::crash(self.known));
         tracing::warn!(
             request = %self.subject.request,
             %upstream,
             fingerprint = %self.subject.fingerprint,
-            weight = suspect.evidence.weight(),
-            failures = suspect.evidence.failures(),
+            weight = report.suspect.evidence.weight(),
+            failures = report.suspect.evidence.failures(),
             "upstream crashed while it ran the request"
         );
-        let release = self.release_locally();
-        let report = service::ReportAttempt { suspect, release };
         self.quarantine.replicas.report_attempt(&report).await;
     }
 
@@ -323,30 +337,32 @@
     pub fn record_broken(mut self, upstream: &id::UpstreamId) {
         count("broken");
         let failure = quarantine::Failure::broken_connection(self.known);
-        let suspect = self.record_failure(upstream, failure);
+        let report = self.record_failure(upstream, failure);
         tracing::info!(
             request = %self.subject.request,
             %upstream,
             fingerprint = %self.subject.fingerprint,
-            weight = suspect.evidence.weight(),
-            failures = suspect.evidence.failures(),
+            weight = report.suspect.evidence.weight(),
+            failures = report.suspect.evidence.failures(),
             "connection broke, but the upstream accepts another"
         );
-        let release = self.release_locally();
-        let report = service::ReportAttempt { suspect, release };
         self.quarantine.replicas.spawn_reports(&report);
     }
 
+    /// Records a failure at this entry, and ends the claim; returns the report for the replicas.
     fn record_failure(
-        &self,
+        &mut self,
         upstream: &id::UpstreamId,
         failure: quarantine::Failure,
-    ) -> quarantine::Suspect {
+    ) -> service::ReportAttempt {
         let id = quarantine::failure_at(upstream);
         let now = self.quarantine.now();
         let mut table = self.quarantine.table.lock();
         let subject = &self.subject;
-        table.record_failure(now, subject.fingerprint, subject.owner, id, failure)
+        let suspect = table.record_failure(now, subject.fingerprint, subject.owner, id, failure);
+        drop(table);
+        let release = self.release_locally();
+        service::ReportAttempt { suspect, release }
     }
 
     /// Records that the request completed.
--- a/fw-gate/src/request/attempt.rs
+++ b/fw-gate/src/request/attempt.rs
@@ -119,12 +119,8 @@
     ///
     /// `CrashQuarantine` when the request is refused because it crashed upstreams.
     pub async fn permit(&self) -> Result<quarantine::Permit, error::Error> {
-        let subject = quarantine::Subject {
-            request: self.call.id.clone(),
-            fingerprint: self.fingerprint,
-            owner: fw_plan::quarantine::owner(self.call.team.as_ref()),
-        };
-        self.gate.quarantine.permit(&subject).await
+        let subject = quarantine::Subject::new(self.call, self.fingerprint);
+        self.gate.quarantine.permit(&subject, self.until).await
     }
 
     /// Whether the request is the first turn of a program.
--- a/fw-plan/src/poison.rs
+++ b/fw-plan/src/poison.rs
@@ -74,15 +74,6 @@
     until: Duration,
 }
 
-/// State of a fingerprint after a crash.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Recorded {
-    /// Number of crashes counted, including this one.
-    pub crashes: u32,
-    /// Whether it is quarantined.
-    pub quarantined: bool,
-}
-
 /// Fingerprints under suspicion or quarantine.
 #[derive(Debug)]
 pub struct Tracker {
@@ -127,7 +118,7 @@
         upstream: &id::UpstreamId,
         fingerprint: digest::Digest,
         alone: bool,
-    ) -> Recorded {
+    ) {
         self.make_room(now, &fingerprint);
         let crashes = self.crashes_before(now, &fingerprint) + 1;
         // A request that ran alone is the only possible cause, but a first crash may be the
@@ -147,22 +138,15 @@
         if self.suspects.insert(fingerprint, suspect).is_none() {
             self.by_age.push_back(fingerprint);
         }
-        Recorded {
-            crashes,
-            quarantined,
-        }
     }
 
-    /// Records that a request with `fingerprint` completed, which lifts a suspicion. Returns whether
-    /// there was one.
-    pub fn record_success(&mut self, fingerprint: &digest::Digest) -> bool {
+    /// Records that a request with `fingerprint` completed, which lifts a suspicion.
+    pub fn record_success(&mut self, fingerprint: &digest::Digest) {
         let is_suspect = |suspect: &Suspect| !suspect.quarantined;
-        let was_suspect = self.suspects.get(fingerprint).is_some_and(is_suspect);
-        if was_suspect {
+        if self.suspects.get(fingerprint).is_some_and(is_suspect) {
             self.suspects.remove(fingerprint);
             self.by_age.retain(|other| other != fingerprint);
         }
-        was_suspect
     }
 
     /// Number of fingerprints that are remembered.
