fw-replica: changes of crash evidence are announced in their order

What callers saw: nothing; found by reading. Two reports at once could announce the older version last, so that entries' held calls heard of the newer change only when the call ended, up to 2 s later. Cause: the version was announced after the table's lock was released. It is announced under the lock now. No test: the window is some nanoseconds wide, and the order holds by the lock.

--- a/fw-replica/src/server/quarantine.rs
+++ b/fw-replica/src/server/quarantine.rs
@@ -67,9 +67,8 @@
             return None;
         }
         let is_quarantined = table.is_quarantined(&suspect.fingerprint);
-        let version = table.version();
-        drop(table);
-        self.version.send_replace(version);
+        // Before the lock is released, so that versions are announced in their order.
+        self.version.send_replace(table.version());
         Some(Change {
             was_quarantined,
             is_quarantined,
