fw-gate: a single broken connection is not reported to the replicas

Ruled out: holding changes back to send several at once. A caller's repetition reaches another entry some 10 ms after the answer, so the news has to be sooner. Change: evidence that restricts no attempt stays at its entry. A request whose upstreams crash unnoticed may so break one connection more for each entry.

--- a/fw-gate/src/process/quarantine.rs
+++ b/fw-gate/src/process/quarantine.rs
@@ -276,7 +276,8 @@
     /// Sends a replica that has started, and holds `stored`, what it lacks: it may have lost its disk, and
     /// keeps no mere suspicion over a restart.
     fn resend(&self, addr: SocketAddr, stored: &[quarantine::Suspect]) {
-        let known = self.table.lock().changed_since(self.now(), 0);
+        let mut known = self.table.lock().changed_since(self.now(), 0);
+        known.retain(|suspect| self.is_shared(suspect.evidence.weight()));
         let is_stored = |suspect: &quarantine::Suspect| {
             let mut stored = stored.iter();
             stored.any(|stored| {
@@ -290,6 +291,10 @@
         }
     }
 
+    fn is_shared(&self, weight: quarantine::Weight) -> bool {
+        self.table.lock().is_shared(weight)
+    }
+
     /// Polls one replica; the first poll returns at once.
     async fn poll(
         &self,
@@ -346,7 +351,7 @@
             failures = report.suspect.evidence.failures(),
             "connection broke, but the upstream accepts another"
         );
-        self.quarantine.replicas.spawn_reports(&report);
+        self.spawn_reports(report.suspect.evidence.weight(), &report);
     }
 
     /// Records a failure at this entry, and ends the claim; returns the report for the replicas.
@@ -369,21 +374,25 @@
     pub fn record_success(mut self) {
         let now = self.quarantine.now();
         let fingerprint = &self.subject.fingerprint;
-        let disproved = self
-            .quarantine
-            .table
-            .lock()
-            .record_success(now, fingerprint);
+        let mut table = self.quarantine.table.lock();
+        let weight = table.weight(now, fingerprint);
+        let disproved = table.record_success(now, fingerprint);
+        drop(table);
         let Some(suspect) = disproved else {
             return;
         };
         count("lifted");
         tracing::info!(request = %self.subject.request, %fingerprint, "suspicion lifted: the request completed");
-        let report = service::ReportAttempt {
-            suspect,
-            release: self.release_locally(),
-        };
-        self.quarantine.replicas.spawn_reports(&report);
+        let release = self.release_locally();
+        let report = service::ReportAttempt { suspect, release };
+        self.spawn_reports(weight, &report);
+    }
+
+    /// Reports to the replicas in the background what others have to know of evidence of `weight`.
+    fn spawn_reports(&self, weight: quarantine::Weight, report: &service::ReportAttempt) {
+        if self.quarantine.is_shared(weight) || report.release.is_some() {
+            self.quarantine.replicas.spawn_reports(report);
+        }
     }
 
     /// Ends the claim at this entry; returns its holder, to be released at the replicas.
--- a/fw-plan/src/quarantine.rs
+++ b/fw-plan/src/quarantine.rs
@@ -249,6 +249,12 @@
         }
     }
 
+    /// Whether other processes have to know evidence of `weight`: below, it restricts no attempt. Broken
+    /// connections are frequent, and most of them are followed by a completed run.
+    pub fn is_shared(&self, weight: Weight) -> bool {
+        weight >= self.options.exclusive_from
+    }
+
     /// How the request may run.
     pub fn decide(&self, now: Duration, fingerprint: &Fingerprint) -> Outcome {
         let entry = self.entries.get(fingerprint);
--- a/fw-plan/tests/plan/crash_evidence.rs
+++ b/fw-plan/tests/plan/crash_evidence.rs
@@ -82,6 +82,17 @@
     expect_that!(outcome, matches_pattern!(Outcome::Refused { .. }));
 }
 
+// Guards against messages to all entries for each connection that breaks.
+#[gtest]
+fn a_broken_connection_is_not_shared() {
+    let mut table = table();
+    break_connection(&mut table, 1);
+    let weight = table.weight(NOW, &request("bad"));
+    expect_false!(table.is_shared(weight));
+    let weight = crash_at(&mut table, NOW, 2).evidence.weight();
+    expect_true!(table.is_shared(weight));
+}
+
 // Guards against one crash that counts as often as it is reported.
 #[gtest]
 fn a_crash_counts_once() {
