fw-gate, fw-replica: each attempt at a turn is charged for itself

What callers saw: a turn that is sent again under the id of an earlier attempt runs without being charged, as often as it is sent; a budget of 70 tokens let four turns of 20 with at most 30 each pass, and would let any number pass. The users' callers give each attempt its own id.

Cause: the charge bore the turn's id. An attempt that was refused is settled with 0 tokens, a finished one with what it used, and a settlement is final; a reservation whose charge is known adds nothing. So the next attempt under the id was granted for nothing, and its settlement was ignored.

Evidence: `disk_loss::a_replica_replaced_at_another_address_votes_on_no_stale_copy`, 24 at once with data on the disk: 13 answered 200 where 402 is due, each after a 503 for the same id; the tests' `turn` sends under one id until it is not refused.

Change: the entry draws a charge's id for each attempt. What the entry itself repeats (too few votes, a newer member list) keeps its id.

Ruled out: to refuse a settled id in the replicas, as a caller whose attempt was refused with 503 may well return under its id and is owed its turn.

--- a/fw-gate/src/request/turn.rs
+++ b/fw-gate/src/request/turn.rs
@@ -119,7 +119,7 @@
     let reserve = reserve(call);
     let charge = reserve.as_ref().map(|reserve| record::Charge {
         program: reserve.program.clone(),
-        turn: reserve.turn.clone(),
+        id: reserve.charge.clone(),
         tokens: 0,
         settled: true,
         made: 0,
@@ -198,7 +198,7 @@
 fn reserve(call: &call::Call) -> Option<service::Reserve> {
     Some(service::Reserve {
         program: call.program.clone()?,
-        turn: call.turn.clone(),
+        charge: smol_str::format_smolstr!("{:016x}", rand::random::<u64>()),
         tokens: call.max_tokens,
         budget: call.budget?,
         known: Vec::new(),
--- a/fw-replica/src/ledger.rs
+++ b/fw-replica/src/ledger.rs
@@ -4,7 +4,7 @@
 //! loops endlessly starts more until it is stopped.
 //!
 //! *Rule:* a replica accepts a reservation if it and all charges of the program on that replica stay
-//! within the budget. Charges merge in any order: a settlement replaces the reservation of its turn,
+//! within the budget. Charges merge in any order: a settlement replaces its reservation,
 //! and nothing replaces a settlement. A reservation made before a failure thus counts in full until it
 //! is settled.
 //!
@@ -18,11 +18,11 @@
 
 use crate::record;
 
-/// One turn's charge.
+/// One charge.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Line {
-    /// The charged turn.
-    pub turn: record::TurnId,
+    /// Its id.
+    pub charge: record::ChargeId,
     /// Tokens reserved, or used if settled.
     pub tokens: record::Tokens,
     /// Whether the turn has ended.
@@ -32,7 +32,7 @@
 impl From<&record::Charge> for Line {
     fn from(charge: &record::Charge) -> Self {
         Self {
-            turn: charge.turn.clone(),
+            charge: charge.id.clone(),
             tokens: charge.tokens,
             settled: charge.settled,
         }
@@ -42,23 +42,23 @@
 /// All charges of one program.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Ledger {
-    lines: HashMap<record::TurnId, (record::Tokens, bool)>,
+    lines: HashMap<record::ChargeId, (record::Tokens, bool)>,
     total: record::Tokens,
     last_charged: record::UnixMs,
 }
 
 impl Ledger {
-    /// Whether `line` is new: it is unless it repeats a reservation or the turn is settled already.
+    /// Whether `line` is new: it is unless it repeats a reservation or the charge is settled already.
     pub fn is_new(&self, line: &Line) -> bool {
-        match self.lines.get(&line.turn) {
+        match self.lines.get(&line.charge) {
             None => true,
             Some((_, settled)) => line.settled && !settled,
         }
     }
 
-    /// Whether `line` is the current charge of its turn.
+    /// Whether `line` is the current state of its charge.
     pub fn holds(&self, line: &Line) -> bool {
-        self.lines.get(&line.turn) == Some(&(line.tokens, line.settled))
+        self.lines.get(&line.charge) == Some(&(line.tokens, line.settled))
     }
 
     /// Merges `line`; returns whether the ledger changed.
@@ -67,26 +67,26 @@
         if !self.is_new(line) {
             return false;
         }
-        let old = self.lines.get(&line.turn).map_or(0, |known| known.0);
+        let old = self.lines.get(&line.charge).map_or(0, |known| known.0);
         self.lines
-            .insert(line.turn.clone(), (line.tokens, line.settled));
+            .insert(line.charge.clone(), (line.tokens, line.settled));
         self.total = self.total.saturating_sub(old).saturating_add(line.tokens);
         true
     }
 
-    /// Whether `tokens` for `turn` and all other charges stay within `budget`. A turn that is in
-    /// the ledger already adds nothing, but is judged again.
+    /// Whether `tokens` for `charge` and all other charges stay within `budget`. A charge that is
+    /// in the ledger already adds nothing, but is judged again.
     ///
     /// *Failure:* too few replicas answered, and an entry retried its turn. Meanwhile replicas had
     /// copied its reservation from each other, treated the turn as granted, and accepted it beside
     /// another turn granted in between: both ran where the budget held one.
     pub fn allows(
         &self,
-        turn: &record::TurnId,
+        charge: &record::ChargeId,
         tokens: record::Tokens,
         budget: record::Tokens,
     ) -> bool {
-        let additional = if self.lines.contains_key(turn) {
+        let additional = if self.lines.contains_key(charge) {
             0
         } else {
             tokens
@@ -103,12 +103,12 @@
         union
     }
 
-    /// Digest of all charges except that of `turn`, independent of their order.
-    pub fn digest(&self, turn: &record::TurnId) -> u64 {
-        let others = self.lines.iter().filter(|(known, _)| *known != turn);
-        others.fold(0, |all, (turn, (tokens, settled))| {
+    /// Digest of all charges except `charge`, independent of their order.
+    pub fn digest(&self, charge: &record::ChargeId) -> u64 {
+        let others = self.lines.iter().filter(|(known, _)| *known != charge);
+        others.fold(0, |all, (charge, (tokens, settled))| {
             let seed = tokens * 2 + u64::from(*settled);
-            all ^ xxh3::xxh3_64_with_seed(turn.as_bytes(), seed)
+            all ^ xxh3::xxh3_64_with_seed(charge.as_bytes(), seed)
         })
     }
 
@@ -124,11 +124,12 @@
 
     /// All charges, in arbitrary order.
     pub fn lines(&self) -> Vec<Line> {
-        let line = |(turn, &(tokens, settled)): (&record::TurnId, &(record::Tokens, bool))| Line {
-            turn: turn.clone(),
-            tokens,
-            settled,
-        };
+        let line =
+            |(charge, &(tokens, settled)): (&record::ChargeId, &(record::Tokens, bool))| Line {
+                charge: charge.clone(),
+                tokens,
+                settled,
+            };
         self.lines.iter().map(line).collect()
     }
 }
--- a/fw-replica/src/record.rs
+++ b/fw-replica/src/record.rs
@@ -11,6 +11,9 @@
 
 /// Id of a turn: the request id of the attempt that ran it.
 pub type TurnId = SmolStr;
+/// Id of a charge, unique for each attempt at a turn. A caller may send a turn again under the id of
+/// an earlier attempt, whose charge is settled and final.
+pub type ChargeId = SmolStr;
 /// Id of a program.
 pub type ProgramId = SmolStr;
 /// Name of a replica, stable over restarts.
@@ -55,8 +58,8 @@
 pub struct Charge {
     /// The program charged.
     pub program: ProgramId,
-    /// The turn that it is charged for.
-    pub turn: TurnId,
+    /// Its id.
+    pub id: ChargeId,
     /// Tokens reserved, or used if settled.
     pub tokens: Tokens,
     /// Whether `tokens` is final.
--- a/fw-replica/src/service.rs
+++ b/fw-replica/src/service.rs
@@ -231,8 +231,8 @@
 pub struct Reserve {
     /// The program.
     pub program: record::ProgramId,
-    /// The turn that is to run.
-    pub turn: record::TurnId,
+    /// The charge that is made.
+    pub charge: record::ChargeId,
     /// Most tokens that the turn generates.
     pub tokens: record::Tokens,
     /// Token budget of the whole program.
--- a/fw-replica/src/state.rs
+++ b/fw-replica/src/state.rs
@@ -18,7 +18,7 @@
 pub struct Granted {
     /// Charges that must be on disk before the replica may accept.
     pub charges: Vec<record::Charge>,
-    /// Digest of the charges at the time of the vote, without that of the turn itself.
+    /// Digest of the charges at the time of the vote, without the new one.
     pub digest: u64,
 }
 
@@ -37,9 +37,8 @@
     snapshot: service::Snapshot,
     /// Digests of the snapshot's parts.
     digests: service::PartDigests,
-    /// Turns whose charge is in the ledger but not on disk, as the disk refused it, and their
-    /// programs.
-    unstored: HashMap<record::TurnId, record::ProgramId>,
+    /// Charges that are in the ledger but not on disk, as the disk refused them, and their programs.
+    unstored: HashMap<record::ChargeId, record::ProgramId>,
 }
 
 impl State {
@@ -65,7 +64,7 @@
             record::Record::Turn(turn) => self.apply_turn(turn, place),
             record::Record::Charge(charge) => {
                 self.charge(charge);
-                self.unstored.remove(&charge.turn);
+                self.unstored.remove(&charge.id);
                 let listed = service::ListedRecord::Charge(charge.clone());
                 self.order.push_back((charge.retain_until(), listed));
             }
@@ -115,18 +114,18 @@
         let mut ledger = known.cloned().unwrap_or_default();
         let charge = |line: &ledger::Line| record::Charge {
             program: reserve.program.clone(),
-            turn: line.turn.clone(),
+            id: line.charge.clone(),
             tokens: line.tokens,
             settled: line.settled,
             made: now,
         };
         let added = reserve.known.iter().filter(|line| ledger.merge(line, now));
         let mut charges: Vec<_> = added.map(charge).collect();
-        if !ledger.allows(&reserve.turn, reserve.tokens, reserve.budget) {
+        if !ledger.allows(&reserve.charge, reserve.tokens, reserve.budget) {
             return Err(ledger.lines());
         }
         let line = ledger::Line {
-            turn: reserve.turn.clone(),
+            charge: reserve.charge.clone(),
             tokens: reserve.tokens,
             settled: false,
         };
@@ -157,13 +156,13 @@
     /// Marks `charge`, which is in the ledger, as refused by the disk, so that it still has to be
     /// stored.
     pub fn mark_unstored(&mut self, charge: record::Charge) {
-        self.unstored.insert(charge.turn, charge.program);
+        self.unstored.insert(charge.id, charge.program);
     }
 
-    /// Digest of the program's charges, without that of the turn of `reserve`.
+    /// Digest of the program's charges, without that of `reserve`.
     fn digest(&self, reserve: &service::Reserve) -> u64 {
         let ledger = self.ledgers.get(&reserve.program);
-        ledger.map_or(0, |ledger| ledger.digest(&reserve.turn))
+        ledger.map_or(0, |ledger| ledger.digest(&reserve.charge))
     }
 
     /// All charges of `program`.
@@ -179,7 +178,7 @@
 
     /// Whether `charge` changes its program's ledger or still has to be stored.
     pub fn is_new(&self, charge: &record::Charge) -> bool {
-        if self.unstored.contains_key(&charge.turn) {
+        if self.unstored.contains_key(&charge.id) {
             return true;
         }
         let ledger = self.ledgers.get(&charge.program);
@@ -246,7 +245,7 @@
         self.dropped + self.order.len() as u64
     }
 
-    /// Whether `charge` is the current charge of its turn.
+    /// Whether `charge` is the current state of the charge with its id.
     pub fn is_live(&self, charge: &record::Charge) -> bool {
         let ledger = self.ledgers.get(&charge.program);
         ledger.is_some_and(|ledger| ledger.holds(&ledger::Line::from(charge)))
--- a/fw-replica/src/tally.rs
+++ b/fw-replica/src/tally.rs
@@ -75,11 +75,11 @@
             return None;
         }
         let union = ledger::Ledger::union(&self.known);
-        if !union.allows(&reserve.turn, reserve.tokens, reserve.budget) {
+        if !union.allows(&reserve.charge, reserve.tokens, reserve.budget) {
             return None;
         }
         let mut charges = union.lines();
-        charges.retain(|line| line.turn != reserve.turn);
+        charges.retain(|line| line.charge != reserve.charge);
         Some(charges)
     }
 
--- a/fw-replica/tests/replica/budget_ledger.rs
+++ b/fw-replica/tests/replica/budget_ledger.rs
@@ -7,7 +7,7 @@
 
 fn line(turn: &str, tokens: u64, settled: bool) -> Line {
     Line {
-        turn: turn.into(),
+        charge: turn.into(),
         tokens,
         settled,
     }
@@ -45,7 +45,7 @@
 fn reserve(turn: &str, known: Vec<Line>) -> service::Reserve {
     service::Reserve {
         program: "p".into(),
-        turn: turn.into(),
+        charge: turn.into(),
         tokens: 50,
         budget: 100,
         known,
@@ -65,7 +65,7 @@
     for turn in ["t1", "t2"] {
         let charge = record::Charge {
             program: "p".into(),
-            turn: turn.into(),
+            id: turn.into(),
             tokens: 50,
             settled: true,
             made: 1,
@@ -102,7 +102,7 @@
     expect_that!(state.vote(&small, 1), ok(anything()));
     let granted = record::Charge {
         program: "p".into(),
-        turn: "granted".into(),
+        id: "granted".into(),
         tokens: 50,
         settled: false,
         made: 1,
@@ -118,7 +118,7 @@
 fn a_vote_tells_what_was_known_when_it_was_judged() {
     let charge = |turn: &str| record::Charge {
         program: "p".into(),
-        turn: turn.into(),
+        id: turn.into(),
         tokens: 50,
         settled: false,
         made: 1,
--- a/fw-replica/tests/replica/budget_model.rs
+++ b/fw-replica/tests/replica/budget_model.rs
@@ -13,7 +13,7 @@
 fn reserve(turn: u64) -> service::Reserve {
     service::Reserve {
         program: "p".into(),
-        turn: turn.to_string().into(),
+        charge: turn.to_string().into(),
         tokens: MOST,
         budget: BUDGET,
         known: Vec::new(),
@@ -82,7 +82,7 @@
         handed += used;
         let charge = record::Charge {
             program: "p".into(),
-            turn: turn.to_string().into(),
+            id: turn.to_string().into(),
             tokens: used,
             settled: true,
             made: turn,
--- a/fw-replica/tests/replica/budget_power.rs
+++ b/fw-replica/tests/replica/budget_power.rs
@@ -125,7 +125,7 @@
     fn request(&mut self, turn: u64, known: &[ledger::Line]) -> Round {
         let reserve = service::Reserve {
             program: "p".into(),
-            turn: turn.to_string().into(),
+            charge: turn.to_string().into(),
             tokens: MOST,
             budget: BUDGET,
             known: known.to_vec(),
@@ -153,7 +153,7 @@
         if !round.refused.is_empty() {
             // The entry retries with the union of the charges of those that refused.
             let mut known = ledger::Ledger::union(&round.refused).lines();
-            known.retain(|line| line.turn.as_str() != turn.to_string());
+            known.retain(|line| line.charge.as_str() != turn.to_string());
             round = self.request(turn, &known);
         }
         let accepted = round.accepted.iter();
@@ -169,7 +169,7 @@
         };
         let charge = record::Charge {
             program: "p".into(),
-            turn: turn.to_string().into(),
+            id: turn.to_string().into(),
             tokens: used,
             settled: true,
             made: turn,
--- a/fw-replica/tests/replica/budget_races.rs
+++ b/fw-replica/tests/replica/budget_races.rs
@@ -248,7 +248,7 @@
     fn reserve(&self, turn: TurnIndex, known: Vec<ledger::Line>) -> service::Reserve {
         service::Reserve {
             program: "p".into(),
-            turn: turn.to_string().into(),
+            charge: turn.to_string().into(),
             tokens: MOST,
             budget: BUDGET,
             known,
@@ -380,7 +380,7 @@
         self.turns[turn].over = true;
         let charge = record::Charge {
             program: "p".into(),
-            turn: turn.to_string().into(),
+            id: turn.to_string().into(),
             tokens: used,
             settled: true,
             made: 1,
--- a/fw-replica/tests/replica/journal_machine.rs
+++ b/fw-replica/tests/replica/journal_machine.rs
@@ -176,7 +176,7 @@
             Step::Charge { program, settled } => {
                 let charge = record::Record::Charge(record::Charge {
                     program: program.to_string().into(),
-                    turn: model.steps.to_string().into(),
+                    id: model.steps.to_string().into(),
                     tokens: 1,
                     settled,
                     made: now,
@@ -225,7 +225,7 @@
             let ledger = shared.ledger(&program.to_string().into());
             let known: BTreeSet<u64> = ledger
                 .iter()
-                .map(|line| line.turn.parse().unwrap())
+                .map(|line| line.charge.parse().unwrap())
                 .collect();
             assert!(known.is_superset(turns), "{known:?} of {turns:?}");
         }
--- a/fw-replica/tests/replica/journal_segments.rs
+++ b/fw-replica/tests/replica/journal_segments.rs
@@ -40,7 +40,7 @@
 fn charge(turn: &str, made: record::UnixMs) -> record::Record {
     record::Record::Charge(record::Charge {
         program: "p".into(),
-        turn: turn.into(),
+        id: turn.into(),
         tokens: 10,
         settled: true,
         made,
@@ -140,11 +140,11 @@
     let replica = open(dir.path());
     let known = replica.ledger(&"p".into());
     expect_that!(
-        known.iter().filter(|line| line.turn == "first").count(),
+        known.iter().filter(|line| line.charge == "first").count(),
         eq(1)
     );
     expect_that!(
-        known.iter().filter(|line| line.turn == "later").count(),
+        known.iter().filter(|line| line.charge == "later").count(),
         eq(1)
     );
 }
--- a/fw-replica/tests/replica/state_pages.rs
+++ b/fw-replica/tests/replica/state_pages.rs
@@ -62,7 +62,7 @@
     let charge = |turn: &str, made| {
         record::Record::Charge(record::Charge {
             program: "p".into(),
-            turn: turn.into(),
+            id: turn.into(),
             tokens: 10,
             settled: true,
             made,
--- a/fw-replica/tests/replica/torn_journal.rs
+++ b/fw-replica/tests/replica/torn_journal.rs
@@ -7,7 +7,7 @@
 fn charge(turn: usize) -> record::Record {
     record::Record::Charge(record::Charge {
         program: "p".into(),
-        turn: turn.to_string().into(),
+        id: turn.to_string().into(),
         tokens: turn as u64,
         settled: false,
         made: 0,
