fw-entry: evidence of crashes is shared by all entries

What callers saw, on the project's own surface: a request that one keeper refused because it crashes engines crashed further ones as another program's turn, or after its entry was replaced.

Cause: `fw_plan::poison` stood in each entry, counted only the crashes of turns that this entry kept, and was lost with it.

Change: entries keep the evidence of `fw_plan::quarantine`, as the platform's do. A crash is reported to all other entries before the turn goes on, 150 ms at most; entries exchange their records with their statuses when the digests differ; an entry that has started does so before its first turn, 600 ms at most. Builds without these calls are not sent any. The module `poison` is gone, its tests check the same of the shared rule, with the limit of two crashes that a suspect alone in its engine allows.

Two things differ: after a minute, then four, one attempt is let through alone, where a quarantine held for an hour and then ended; and copies under way at once are one failure, where three crashes beside other requests quarantined one.

Ruled out: claims at a majority, as this surface has no replicas; the keeper of a shard as owner of each fingerprint, as every turn of a suspect would wait for it.

--- a/fw-entry/src/process/entry.rs
+++ b/fw-entry/src/process/entry.rs
@@ -10,11 +10,10 @@
 use fw_conf::entry as conf;
 use fw_keep::keeper;
 use fw_keep::program;
-use fw_plan::poison;
+use fw_plan::quarantine;
 use fw_wire::peer;
 use fw_wire::side;
 use fw_wire::transport;
-use parking_lot::Mutex;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -23,6 +22,7 @@
 use super::explain;
 use super::held;
 use super::peers;
+use super::suspects;
 use crate::connection::pool;
 use crate::connection::recover;
 use crate::connection::recover_entries;
@@ -51,8 +51,8 @@
     pub attempts: attempts::Table,
     /// Admission of turns and plain requests.
     pub admission: admission::Admission,
-    /// Detection of requests that crash upstreams.
-    pub poison: Mutex<poison::Tracker>,
+    /// Requests that have crashed upstreams.
+    pub suspects: suspects::Suspects,
     /// Sides and the state of their upstreams.
     pub sides: sides::Sides,
     /// Statuses received from other entries.
@@ -206,6 +206,7 @@
             programs: u32::try_from(self.attempts.running_count()).unwrap_or(u32::MAX),
             store_silent: self.keeper.time_since_contact(),
             leaving: self.stopping.is_cancelled(),
+            suspects: Some(self.suspects.digest(self.now())),
         }
     }
 }
@@ -268,6 +269,22 @@
         self.0.status()
     }
 
+    async fn report_suspect(self, _cx: tarpc::context::Context, suspect: quarantine::Suspect) {
+        self.0.suspects.merge(self.0.now(), &suspect);
+    }
+
+    async fn exchange_suspects(
+        self,
+        _cx: tarpc::context::Context,
+        known: Vec<quarantine::Suspect>,
+    ) -> Vec<quarantine::Suspect> {
+        let now = self.0.now();
+        for suspect in &known {
+            self.0.suspects.merge(now, suspect);
+        }
+        self.0.suspects.all(now)
+    }
+
     async fn records(
         self,
         _cx: tarpc::context::Context,
--- a/fw-entry/src/process/mod.rs
+++ b/fw-entry/src/process/mod.rs
@@ -9,3 +9,4 @@
 pub mod members;
 pub mod peers;
 pub mod serve;
+pub mod suspects;
--- a/fw-entry/src/process/peers.rs
+++ b/fw-entry/src/process/peers.rs
@@ -18,10 +18,14 @@
 use rand::seq::IteratorRandom;
 
 use super::entry;
+use super::suspects;
 
 /// Interval between two rounds.
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Interval at which an entry that has started looks for others, until it has reached one.
+const FIRST_EXCHANGE_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Age up to which a status counts as current.
 const STATUS_MAX_AGE: Duration = Duration::from_secs(3);
 
@@ -61,6 +65,13 @@
         statuses.insert(received.status.entry.clone(), received);
     }
 
+    /// Whether the entry `id` takes crash evidence, as those of builds without it do not.
+    pub fn shares_suspects(&self, id: &id::EntryId) -> bool {
+        let statuses = self.statuses.lock();
+        let status = statuses.get(id).map(|received| &received.status);
+        status.is_some_and(|status| status.suspects.is_some())
+    }
+
     /// The last statuses of the live entries.
     pub fn statuses(&self) -> Vec<peer::PeerStatus> {
         let statuses = self.statuses.lock();
@@ -105,16 +116,25 @@
 
 /// Exchanges statuses until the future is dropped.
 pub async fn run(entry: Arc<entry::Entry>) {
-    let mut ticks = tokio::time::interval(EXCHANGE_INTERVAL);
-    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
-        ticks.tick().await;
         let alive = other_entries(&entry);
         entry.peer_list.retain(&alive);
         let sampled = alive.into_iter().sample(&mut rand::rng(), FANOUT);
         for (_, addr) in sampled {
-            exchange_status(&entry, addr).await;
+            let status = exchange_status(&entry, addr).await;
+            let theirs = status.and_then(|status| status.suspects);
+            let Some(theirs) = theirs else { continue };
+            if theirs == entry.suspects.digest(entry.now()) {
+                entry.suspects.mark_synced();
+            } else {
+                suspects::exchange(&entry, addr).await;
+            }
         }
+        let pause = match entry.suspects.is_synced() {
+            true => EXCHANGE_INTERVAL,
+            false => FIRST_EXCHANGE_INTERVAL,
+        };
+        tokio::time::sleep(pause).await;
     }
 }
 
--- a/fw-entry/src/process/serve.rs
+++ b/fw-entry/src/process/serve.rs
@@ -15,11 +15,9 @@
 use fw_plan::admit;
 use fw_plan::health;
 use fw_plan::hedge;
-use fw_plan::poison;
 use fw_plan::retry;
 use fw_wire::transport;
 use metrics_exporter_prometheus::PrometheusHandle;
-use parking_lot::Mutex;
 use rand::RngExt;
 use snafu::ResultExt;
 use snafu::Snafu;
@@ -39,6 +37,7 @@
 use super::held;
 use super::members;
 use super::peers;
+use super::suspects;
 use crate::connection::listen;
 use crate::connection::pool;
 use crate::connection::recover_entries;
@@ -255,7 +254,7 @@
         predecessors: recover_entries::Predecessors::default(),
         attempts: attempts::Table::new(),
         admission: admission::Admission::new(admit_options(&settings.plan)),
-        poison: Mutex::new(poison::Tracker::new(poison::Options::default())),
+        suspects: suspects::Suspects::default(),
         sides: sides::Sides::new(sides::Options {
             connect_timeout: settings.upstream.connect_timeout,
             health: health::Options {
--- a/fw-entry/src/turn/run.rs
+++ b/fw-entry/src/turn/run.rs
@@ -8,7 +8,7 @@
 use fw_keep::keeper;
 use fw_keep::program;
 use fw_plan::place;
-use fw_plan::poison;
+use fw_plan::quarantine;
 use fw_plan::retry;
 use fw_wire::attempt;
 use fw_wire::buffer;
@@ -22,6 +22,7 @@
 use crate::connection::sides;
 use crate::process::admission;
 use crate::process::entry;
+use crate::process::suspects;
 
 /// Counter of placements, by reason.
 pub const PLACED: &str = "fw_entry_placed_total";
@@ -64,6 +65,8 @@
     pub(super) side: Arc<sides::Side>,
     pub(super) attempt: id::AttemptId,
     alone: bool,
+    /// Weight of the crash evidence that was known when the turn was placed.
+    known: quarantine::Weight,
 }
 
 impl Task {
@@ -224,6 +227,7 @@
         &mut self,
         buf: &Arc<buffer::Buffer>,
     ) -> Result<attempt::Finish, error::Error> {
+        self.entry.suspects.await_synced().await;
         let current = self.place()?;
         self.current = Some(current.clone());
         let start = self.start_message(&current)?;
@@ -236,6 +240,7 @@
         };
         let outcome = attempt.run().await;
         self.record_outcome(&current, &outcome);
+        self.record_evidence(&current, &outcome).await;
         if let Err(err) = &outcome {
             self.current = None;
             self.avoid(&current, err);
@@ -253,17 +258,13 @@
 
     fn place(&self) -> Result<Current, error::Error> {
         let now = self.entry.now();
-        let suspicion = self.entry.poison.lock().decide(now, &self.run.digest);
-        let mut avoid = self.failed_at.clone();
-        let alone = match suspicion {
-            poison::Outcome::Normal => false,
-            poison::Outcome::Alone { avoid: suspect } => {
-                avoid.push(suspect);
-                true
-            }
-            poison::Outcome::Refused(refused) => return Err(quarantined(refused.retry_after)),
+        let known = self.entry.suspects.weight(now, &self.run.digest);
+        let alone = match self.entry.suspects.decide(now, &self.run.digest) {
+            quarantine::Outcome::Normal => false,
+            quarantine::Outcome::Exclusive => true,
+            quarantine::Outcome::Refused { retry_after } => return Err(quarantined(retry_after)),
         };
-        let outcome = self.choose(now, &avoid)?;
+        let outcome = self.choose(now, &self.failed_at)?;
         let side = self.entry.sides.side(&outcome.upstream);
         let side = side.ok_or_else(|| self.no_upstream())?;
         side.update(|state| state.shards.insert(self.plan.shard));
@@ -271,6 +272,7 @@
             side,
             attempt: rand::rng().random(),
             alone,
+            known,
         })
     }
 
@@ -374,26 +376,61 @@
                 let held = finish.usage.prompt + finish.usage.completion;
                 metrics::counter!(WASTED).increment(self.wasted(finish));
                 service.view.set_cached(&self.req.program, upstream, held);
-                self.entry.poison.lock().record_success(&self.run.digest);
                 self.permit.record_queue_delay(finish.queued);
                 metrics::histogram!(QUEUE_SECONDS).record(finish.queued.as_secs_f64());
             }
             Err(err) => {
                 service.view.record_finished(upstream, None);
-                self.record_failure(&mut service, current, err);
+                self.record_failure(&mut service, upstream, err);
             }
         }
     }
 
-    fn record_failure(&self, service: &mut sides::Service, current: &Current, err: &error::Error) {
+    /// Records what the outcome says of whether the request crashes upstreams, at all entries.
+    async fn record_evidence(
+        &self,
+        current: &Current,
+        outcome: &Result<attempt::Finish, error::Error>,
+    ) {
         let now = self.entry.now();
-        let upstream = &current.side.instance.id;
-        let observation = match err.kind {
-            error::Kind::UpstreamCrashed => {
-                let mut poison = self.entry.poison.lock();
-                poison.record_crash(now, upstream, self.run.digest, current.alone);
-                Some(fw_plan::health::Observation::Down)
+        let fingerprint = self.run.digest;
+        match outcome {
+            Ok(_) => {
+                if let Some(lifted) = self.entry.suspects.record_success(now, &fingerprint) {
+                    suspects::spawn_reports(&self.entry, &lifted);
+                }
             }
+            Err(err) if err.kind == error::Kind::UpstreamCrashed => {
+                let attempt = suspects::Attempt {
+                    id: current.attempt,
+                    known: current.known,
+                };
+                let team = &self.req.team;
+                let suspects = &self.entry.suspects;
+                let suspect = suspects.record_crash(now, fingerprint, team, attempt);
+                warn!(
+                    program = %self.req.program,
+                    upstream = %current.side.instance.id,
+                    %fingerprint,
+                    weight = suspect.evidence.weight(),
+                    failures = suspect.evidence.failures(),
+                    "upstream crashed while it ran the request"
+                );
+                suspects::report(&self.entry, suspect).await;
+            }
+            Err(_) => {}
+        }
+    }
+
+    fn record_failure(
+        &self,
+        service: &mut sides::Service,
+        upstream: &id::UpstreamId,
+        err: &error::Error,
+    ) {
+        let now = self.entry.now();
+        let observation = match err.kind {
+            error::Kind::UpstreamCrashed => Some(fw_plan::health::Observation::Down),
             error::Kind::UpstreamLeaving => Some(fw_plan::health::Observation::Leaving),
             error::Kind::NoUpstream | error::Kind::UpstreamTimeout => {
                 Some(fw_plan::health::Observation::Failed)
@@ -479,7 +516,8 @@
     error::Error::new(error::Kind::KeeperLost, message)
 }
 
-fn quarantined(after: Duration) -> error::Error {
+/// The refusal of a request that has crashed upstreams.
+pub(super) fn quarantined(after: Duration) -> error::Error {
     let message = "requests like this one crashed upstreams before; change it";
     error::Error::new(error::Kind::Quarantined, message).with_retry_after(after)
 }
--- a/fw-entry/src/turn/submit.rs
+++ b/fw-entry/src/turn/submit.rs
@@ -9,7 +9,7 @@
 use fw_keep::keeper;
 use fw_keep::program;
 use fw_plan::admit;
-use fw_plan::poison;
+use fw_plan::quarantine;
 use fw_wire::attempt;
 use fw_wire::peer;
 use fw_wire::transport;
@@ -231,10 +231,9 @@
     run: &program::Run,
 ) -> Result<admission::Permit, error::Error> {
     let now = entry.now();
-    if let poison::Outcome::Refused(refused) = entry.poison.lock().decide(now, &run.digest) {
-        let message = "requests like this one crashed upstreams before; change it";
-        let err = error::Error::new(refused.kind, message);
-        return Err(err.with_retry_after(refused.retry_after));
+    let outcome = entry.suspects.decide(now, &run.digest);
+    if let quarantine::Outcome::Refused { retry_after } = outcome {
+        return Err(run::quarantined(retry_after));
     }
     let lane = match run.turn {
         1 => admit::Lane::NewProgram,
--- a/fw-local/examples/capacity/wire.rs
+++ b/fw-local/examples/capacity/wire.rs
@@ -103,6 +103,7 @@
 
 fn status_bytes() -> usize {
     let status = peer::PeerStatus {
+        suspects: Some(0),
         entry: "entry-0123456789abcdef".into(),
         place: "surat-hall-a".into(),
         revision: 1_234_567,
--- a/fw-local/tests/local/crashed_parts.rs
+++ b/fw-local/tests/local/crashed_parts.rs
@@ -173,3 +173,39 @@
     }
     expect_true!(is_quarantined);
 }
+
+// Guards against an entry that starts later and lets a request in quarantine crash further engines.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_quarantine_reaches_an_entry_that_starts_later() {
+    let mut system = rig::system().await;
+    for worker in &system.engines {
+        worker.upstream.poison(Some("poison"));
+    }
+    let send = async |addr, program: String| {
+        let poison = caller::Chat {
+            headers: vec![("x-program", program)],
+            ..rig::request("poison")
+        };
+        rig::chat(addr, &poison).await.kind
+    };
+    let mut kind = None;
+    for index in 0..4 {
+        kind = send(system.callers(0), format!("before-{index}")).await;
+    }
+    expect_that!(kind, some(eq(error::Kind::Quarantined)));
+    let joined = system.add_entry("surat-hall-a").await.unwrap();
+    let keeper = &system.entries[joined].as_ref().unwrap().entry().keeper;
+    let keeps = |name: &String| keeper.fence(keeper.shard_of(name)).is_some();
+    let kept = async {
+        loop {
+            if let Some(name) = (0..10_000).map(|index| format!("p-{index}")).find(keeps) {
+                return name;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let kept = tokio::time::timeout(Duration::from_secs(20), kept).await;
+    let kind = send(system.callers(joined), kept.unwrap()).await;
+    expect_that!(kind, some(eq(error::Kind::Quarantined)));
+}
--- a/fw-plan/examples/memory.rs
+++ b/fw-plan/examples/memory.rs
@@ -14,7 +14,7 @@
 use fw_plan::admit;
 use fw_plan::health;
 use fw_plan::place;
-use fw_plan::poison;
+use fw_plan::quarantine;
 use fw_plan::queue;
 
 /// Page size of the machines that this runs on, in bytes.
@@ -149,15 +149,16 @@
 }
 
 fn suspects(count: usize) -> Box<dyn Any> {
-    let mut poison = poison::Tracker::new(poison::Options {
+    let mut table = quarantine::Table::new(quarantine::Options {
         capacity: usize::MAX,
-        ..poison::Options::default()
+        ..quarantine::Options::default()
     });
     for index in 0..count {
         let print = digest::Digest::of_bytes(&index.to_le_bytes());
-        poison.record_crash(Duration::ZERO, &name(index), print, false);
+        let failure = quarantine::Failure::crash(0);
+        table.record_failure(Duration::ZERO, print, 0, index as u64, failure);
     }
-    Box::new(poison)
+    Box::new(table)
 }
 
 fn ledgers(count: usize) -> Box<dyn Any> {
--- a/fw-plan/src/lib.rs
+++ b/fw-plan/src/lib.rs
@@ -36,7 +36,6 @@
 pub mod lookup;
 pub mod pace;
 pub mod place;
-pub mod poison;
 pub mod quarantine;
 pub mod queue;
 pub mod quota;
--- a/fw-plan/src/quarantine.rs
+++ b/fw-plan/src/quarantine.rs
@@ -23,6 +23,7 @@
 //! Memory is bounded by [`Options::capacity`]; the owner with the most records loses one first.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::hash::{Hash, Hasher};
 use std::time::Duration;
 
 use fw_base::{digest, id};
@@ -45,7 +46,7 @@
 /// Most failures kept of one request, disproved or not.
 const MAX_FAILURES: usize = 16;
 /// Weight of a crash.
-const CRASH_WEIGHT: Weight = 2;
+pub const CRASH_WEIGHT: Weight = 2;
 /// Weight of a connection that broke at an upstream that accepts another.
 const BREAK_WEIGHT: Weight = 1;
 
@@ -95,7 +96,7 @@
 }
 
 /// One failure of an attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Failure {
     /// Weight of all evidence up to this failure.
     total: Weight,
@@ -128,7 +129,7 @@
 }
 
 /// Failures under one request. Merging is commutative, associative and idempotent.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Evidence {
     failures: BTreeMap<FailureId, Failure>,
     /// Failures that a later completed run has disproved as evidence.
@@ -354,16 +355,33 @@
             .collect()
     }
 
+    /// All requests on record whose retention is not over.
+    pub fn live(&self, now: Duration) -> Vec<Suspect> {
+        let live = self.live_entries(now);
+        live.map(|(fingerprint, entry)| self.suspect(now, fingerprint, entry))
+            .collect()
+    }
+
     /// All requests that are refused, now or but for their next attempt on probation.
     pub fn quarantined(&self, now: Duration) -> Vec<Suspect> {
-        let live = self.entries.iter();
-        let live = live.filter(|(_, entry)| self.is_live(now, entry));
+        let live = self.live_entries(now);
         let refused = live.filter(|(_, entry)| self.reaches_limit(&entry.evidence));
         refused
             .map(|(fingerprint, entry)| self.suspect(now, fingerprint, entry))
             .collect()
     }
 
+    /// Digest of the evidence on record, equal at processes that know the same; 0 without any.
+    pub fn digest(&self, now: Duration) -> u64 {
+        let digests = self.live_entries(now).map(|(fingerprint, entry)| {
+            let mut hasher = xxh3::Xxh3Default::new();
+            fingerprint.hash(&mut hasher);
+            entry.evidence.hash(&mut hasher);
+            hasher.finish()
+        });
+        digests.fold(0, |all, digest| all ^ digest)
+    }
+
     /// Whether the request is refused, now or but for its next attempt on probation.
     pub fn is_quarantined(&self, fingerprint: &Fingerprint) -> bool {
         let entry = self.entries.get(fingerprint);
@@ -389,6 +407,11 @@
         Some(delay.min(self.options.max_probation))
     }
 
+    fn live_entries(&self, now: Duration) -> impl Iterator<Item = (&Fingerprint, &Entry)> {
+        let entries = self.entries.iter();
+        entries.filter(move |(_, entry)| self.is_live(now, entry))
+    }
+
     fn reaches_limit(&self, evidence: &Evidence) -> bool {
         evidence.weight() >= self.options.weight_limit
     }
--- a/fw-wire/src/peer.rs
+++ b/fw-wire/src/peer.rs
@@ -7,6 +7,7 @@
 use fw_base::digest;
 use fw_base::error;
 use fw_base::id;
+use fw_plan::quarantine;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -37,6 +38,10 @@
     async fn held(req: HeldQuery) -> side::HeldReply;
     /// Exchanges the status of both entries.
     async fn status(from: PeerStatus) -> PeerStatus;
+    /// Reports what the sender knows of a request that has crashed upstreams.
+    async fn report_suspect(suspect: quarantine::Suspect);
+    /// Exchanges all that both entries know of requests that have crashed upstreams.
+    async fn exchange_suspects(known: Vec<quarantine::Suspect>) -> Vec<quarantine::Suspect>;
     /// The set of records in force, if newer than `than`.
     async fn records(than: id::Revision) -> Option<side::Records>;
 }
@@ -218,6 +223,10 @@
     pub store_silent: Duration,
     /// Whether it is shutting down.
     pub leaving: bool,
+    /// Digest of its record of requests that crash upstreams; `None` from a build without the calls for
+    /// these.
+    #[serde(default)]
+    pub suspects: Option<u64>,
 }
 
 /// Requests the turns that an entry holds of shards acquired by the sender.
