fw-entry: a suspect runs again elsewhere than where its last crash was

What callers would see: a request that meets one faulty engine twice, in two turns, is refused for a minute though it is not the cause. Cause: evidence has no upstream's name. The entry remembers the last one that crashed under each suspect itself.

--- a/fw-entry/src/process/suspects.rs
+++ b/fw-entry/src/process/suspects.rs
@@ -5,6 +5,7 @@
 //! so a report that arrives late or twice does no harm. An entry that has started compares its record
 //! before it runs the first turn. The record is lost only if all entries are restarted at once.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -37,9 +38,11 @@
 
 /// An attempt at a turn, as far as quarantine depends on it.
 #[derive(Clone, Copy, Debug)]
-pub struct Attempt {
+pub struct Attempt<'a> {
     /// Its id, which identifies a crash under it.
     pub id: id::AttemptId,
+    /// The upstream that ran it.
+    pub upstream: &'a id::UpstreamId,
     /// Weight of the evidence that was known when it was placed.
     pub known: quarantine::Weight,
 }
@@ -48,6 +51,8 @@
 #[derive(Debug)]
 pub struct Suspects {
     table: Mutex<quarantine::Table>,
+    /// The upstream that crashed last under each suspect, of the crashes that this entry saw.
+    last_crashed: Mutex<HashMap<quarantine::Fingerprint, id::UpstreamId>>,
     /// Whether the record was compared with that of another entry, or waiting for that was given up.
     synced: watch::Sender<bool>,
 }
@@ -60,6 +65,7 @@
         };
         Self {
             table: Mutex::new(quarantine::Table::new(options)),
+            last_crashed: Mutex::default(),
             synced: watch::Sender::new(false),
         }
     }
@@ -118,13 +124,29 @@
         now: Duration,
         fingerprint: quarantine::Fingerprint,
         team: &id::TeamId,
-        attempt: Attempt,
+        attempt: Attempt<'_>,
     ) -> quarantine::Suspect {
         count("crash");
         let owner = quarantine::owner(Some(team));
         let failure = quarantine::Failure::crash(attempt.known);
         let mut table = self.table.lock();
-        table.record_failure(now, fingerprint, owner, attempt.id, failure)
+        let suspect = table.record_failure(now, fingerprint, owner, attempt.id, failure);
+        let mut last_crashed = self.last_crashed.lock();
+        last_crashed.retain(|fingerprint, _| table.weight(now, fingerprint) > 0);
+        last_crashed.insert(fingerprint, attempt.upstream.clone());
+        suspect
+    }
+
+    /// The upstream that a suspect should not run on again, so that its next crash speaks against the
+    /// request and not against that upstream.
+    pub fn upstream_to_avoid(
+        &self,
+        now: Duration,
+        fingerprint: &quarantine::Fingerprint,
+    ) -> Option<id::UpstreamId> {
+        let is_suspect = self.weight(now, fingerprint) > 0;
+        let upstream = self.last_crashed.lock().get(fingerprint).cloned();
+        upstream.filter(|_| is_suspect)
     }
 
     /// Records that the request with `fingerprint` completed. Returns what is known of it, if that lifts a
--- a/fw-entry/src/turn/run.rs
+++ b/fw-entry/src/turn/run.rs
@@ -264,7 +264,9 @@
             quarantine::Outcome::Exclusive => true,
             quarantine::Outcome::Refused { retry_after } => return Err(quarantined(retry_after)),
         };
-        let outcome = self.choose(now, &self.failed_at)?;
+        let mut avoid = self.failed_at.clone();
+        avoid.extend(self.entry.suspects.upstream_to_avoid(now, &self.run.digest));
+        let outcome = self.choose(now, &avoid)?;
         let side = self.entry.sides.side(&outcome.upstream);
         let side = side.ok_or_else(|| self.no_upstream())?;
         side.update(|state| state.shards.insert(self.plan.shard));
@@ -403,6 +405,7 @@
             Err(err) if err.kind == error::Kind::UpstreamCrashed => {
                 let attempt = suspects::Attempt {
                     id: current.attempt,
+                    upstream: &current.side.instance.id,
                     known: current.known,
                 };
                 let team = &self.req.team;
