--- a/fw-plan/src/quarantine.rs
+++ b/fw-plan/src/quarantine.rs
@@ -53,7 +53,7 @@
 /// Limits and durations of suspicion and quarantine.
 #[derive(Clone, Debug)]
 pub struct Options {
-    /// Weight from which a request is refused: that of three crashes.
+    /// Weight from which a request is refused; by default that of three crashes.
     pub weight_limit: Weight,
     /// Weight from which a request runs one attempt at a time: that of a crash.
     pub exclusive_from: Weight,
