fw-entry: crashes under one team's turns speak against no other team's

What callers saw, on the project's own surface: a team that crashes engines, by parameters of its own or before an engine is repaired, has identical prompts of all other teams refused.

Cause: the fingerprint was the digest of the prompt alone. It is of team, model, parameters and prompt now, as the one on the users' platform has the team. Records are bounded by team already, so that no team pushes out another's.

--- a/fw-entry/src/turn/run.rs
+++ b/fw-entry/src/turn/run.rs
@@ -18,6 +18,7 @@
 use tracing::warn;
 
 use super::plan;
+use super::submit;
 use super::upstream;
 use crate::connection::sides;
 use crate::process::admission;
@@ -54,6 +55,8 @@
     reading: id::AttemptId,
     /// The side that currently runs the turn.
     pub(super) current: Option<Current>,
+    /// Fingerprint that is the same for repetitions of the turn.
+    fingerprint: quarantine::Fingerprint,
     /// Upstreams at which this turn failed, avoided by further tries: without this, two of three tries
     /// went to the same crashed upstream although another was idle.
     failed_at: Vec<id::UpstreamId>,
@@ -81,6 +84,7 @@
     ) -> Self {
         Self {
             entry,
+            fingerprint: submit::fingerprint(&req, &run.digest),
             req,
             plan,
             reading: run.attempt,
@@ -258,14 +262,18 @@
 
     fn place(&self) -> Result<Current, error::Error> {
         let now = self.entry.now();
-        let known = self.entry.suspects.weight(now, &self.run.digest);
-        let alone = match self.entry.suspects.decide(now, &self.run.digest) {
+        let known = self.entry.suspects.weight(now, &self.fingerprint);
+        let alone = match self.entry.suspects.decide(now, &self.fingerprint) {
             quarantine::Outcome::Normal => false,
             quarantine::Outcome::Exclusive => true,
             quarantine::Outcome::Refused { retry_after } => return Err(quarantined(retry_after)),
         };
         let mut avoid = self.failed_at.clone();
-        avoid.extend(self.entry.suspects.upstream_to_avoid(now, &self.run.digest));
+        avoid.extend(
+            self.entry
+                .suspects
+                .upstream_to_avoid(now, &self.fingerprint),
+        );
         let outcome = self.choose(now, &avoid)?;
         let side = self.entry.sides.side(&outcome.upstream);
         let side = side.ok_or_else(|| self.no_upstream())?;
@@ -395,7 +403,7 @@
         outcome: &Result<attempt::Finish, error::Error>,
     ) {
         let now = self.entry.now();
-        let fingerprint = self.run.digest;
+        let fingerprint = self.fingerprint;
         match outcome {
             Ok(_) => {
                 if let Some(lifted) = self.entry.suspects.record_success(now, &fingerprint) {
--- a/fw-entry/src/turn/submit.rs
+++ b/fw-entry/src/turn/submit.rs
@@ -183,6 +183,14 @@
     begun.ok().map(|changed| changed.value)
 }
 
+/// Fingerprint of a turn with this complete `prompt`, the same when its team sends it again. Crashes under
+/// another team's turns, or under other parameters, say nothing of it.
+pub fn fingerprint(req: &peer::Submit, prompt: &digest::Digest) -> quarantine::Fingerprint {
+    let params = params_digest(&req.model, &req.params);
+    let parts = [params.as_bytes(), prompt.as_bytes(), req.team.as_bytes()];
+    digest::Digest::of_bytes(&parts.concat())
+}
+
 /// Digest of the model and the caller's other fields, which identify a turn together with its messages.
 pub fn params_digest(model: &id::ModelId, params: &str) -> digest::Digest {
     digest::Digest::of_bytes(format!("{model}\n{params}").as_bytes())
@@ -231,7 +239,7 @@
     run: &program::Run,
 ) -> Result<admission::Permit, error::Error> {
     let now = entry.now();
-    let outcome = entry.suspects.decide(now, &run.digest);
+    let outcome = entry.suspects.decide(now, &fingerprint(req, &run.digest));
     if let quarantine::Outcome::Refused { retry_after } = outcome {
         return Err(run::quarantined(retry_after));
     }
--- a/fw-local/tests/local/crashed_parts.rs
+++ b/fw-local/tests/local/crashed_parts.rs
@@ -2,12 +2,14 @@
 
 use std::time::Duration;
 
+use fw_base::digest;
 use fw_base::error;
 use fw_fake::engine;
 use fw_local::agent;
 use fw_local::caller;
 use fw_local::system;
 use googletest::prelude::*;
+use serde_json::json;
 
 use super::rig;
 
@@ -209,3 +211,44 @@
     let kind = send(system.callers(joined), kept.unwrap()).await;
     expect_that!(kind, some(eq(error::Kind::Quarantined)));
 }
+
+// Guards against a team that has the requests of another team refused.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_quarantine_holds_for_one_team_only() {
+    let system = rig::system().await;
+    let mut revision = 0;
+    for team in ["traders", "officers"] {
+        let hash = String::from(digest::Digest::of_bytes(team.as_bytes()));
+        let record = json!({ "schema": 2, "key_hashes": [hash] });
+        let put = system.put_record("team", team, 0, &record).await;
+        revision = put.body["revision"].as_i64().unwrap();
+    }
+    let in_force = async {
+        while system.revision_in_force() < revision {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(20), in_force)
+        .await
+        .unwrap();
+    let send = async |key: &str| {
+        let poison = caller::Chat {
+            headers: vec![("authorization", format!("Bearer {key}"))],
+            ..rig::request("poison")
+        };
+        rig::chat(system.callers(0), &poison).await.kind
+    };
+    for worker in &system.engines {
+        worker.upstream.poison(Some("poison"));
+    }
+    let mut kind = None;
+    for _ in 0..4 {
+        kind = send("traders").await;
+    }
+    expect_that!(kind, some(eq(error::Kind::Quarantined)));
+    for worker in &system.engines {
+        worker.upstream.poison(None);
+    }
+    expect_that!(send("officers").await, none());
+}
