fw-gate: log lines of a crash name path, body and the turn that is continued

Which parts of a request its repetitions share, and which they do not, could not be told from the fingerprint. Lines 'upstream crashed while it ran the request' and 'request refused by quarantine' have 'path', 'body' (digest of the caller's own body) and 'previous' now. No decision changes.

--- a/fw-gate/src/process/quarantine.rs
+++ b/fw-gate/src/process/quarantine.rs
@@ -10,7 +10,7 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use fw_base::{error, id};
+use fw_base::{digest, error, id};
 use fw_plan::quarantine;
 use fw_replica::{client, member, service};
 use parking_lot::Mutex;
@@ -44,15 +44,29 @@
     fingerprint: quarantine::Fingerprint,
     /// The team that its record is charged to.
     owner: quarantine::OwnerId,
+    /// Path, for log lines.
+    path: SmolStr,
+    /// Digest of the caller's own body, for log lines.
+    body: digest::Digest,
+    /// The turn that it continues, for log lines.
+    previous: Option<SmolStr>,
 }
 
 impl Subject {
-    /// The request of `call`.
-    pub fn new(call: &call::Call, fingerprint: quarantine::Fingerprint) -> Self {
+    /// The request of `call` to `path`, whose body has the digest `body`.
+    pub fn new(
+        call: &call::Call,
+        fingerprint: quarantine::Fingerprint,
+        path: &str,
+        body: digest::Digest,
+    ) -> Self {
         Self {
             request: call.id.clone(),
             fingerprint,
             owner: quarantine::owner(call.team.as_ref()),
+            path: path.into(),
+            body,
+            previous: call.previous.clone(),
         }
     }
 }
@@ -183,6 +197,9 @@
         tracing::info!(
             request = %subject.request,
             fingerprint = %subject.fingerprint,
+            path = %subject.path,
+            body = %subject.body,
+            previous = subject.previous.as_deref(),
             event,
             left_ms = after.as_millis() as u64,
             "request refused by quarantine"
@@ -331,6 +348,9 @@
             request = %self.subject.request,
             %upstream,
             fingerprint = %self.subject.fingerprint,
+            path = %self.subject.path,
+            body = %self.subject.body,
+            previous = self.subject.previous.as_deref(),
             weight = report.suspect.evidence.weight(),
             failures = report.suspect.evidence.failures(),
             "upstream crashed while it ran the request"
--- a/fw-gate/src/request/attempt.rs
+++ b/fw-gate/src/request/attempt.rs
@@ -27,6 +27,8 @@
     pub out: &'a send::Outbound,
     /// Fingerprint that is the same for repetitions of the request.
     pub fingerprint: digest::Digest,
+    /// Digest of the caller's own body.
+    pub body: digest::Digest,
     /// When the caller's deadline or the route's timeout is over.
     pub until: Instant,
     /// Its priority; 0 is the highest.
@@ -119,7 +121,8 @@
     ///
     /// `CrashQuarantine` when the request is refused because it crashed upstreams.
     pub async fn permit(&self) -> Result<quarantine::Permit, error::Error> {
-        let subject = quarantine::Subject::new(self.call, self.fingerprint);
+        let path = self.out.uri.path();
+        let subject = quarantine::Subject::new(self.call, self.fingerprint, path, self.body);
         self.gate.quarantine.permit(&subject, self.until).await
     }
 
--- a/fw-gate/src/request/ingress.rs
+++ b/fw-gate/src/request/ingress.rs
@@ -101,6 +101,7 @@
         .ok_or_else(|| error::Error::new(error::Kind::NoUpstream, "the route has no service"))?;
     let out = outbound(gate, &head, &call, config.teams.is_some(), input.clone())?;
     let fingerprint = fingerprint(&call, host, &head, &input);
+    let body = digest::Digest::of_bytes(&input);
     let priority = team.and_then(|team| team.priority);
     let priority = priority.unwrap_or(route.priority);
     if route.kind == config::Kind::Stream {
@@ -113,6 +114,7 @@
             out,
             input,
             fingerprint,
+            body,
             until,
             priority,
             limit,
@@ -128,6 +130,7 @@
         call: &call,
         out: &out,
         fingerprint,
+        body,
         until,
         priority,
         permit: permit.as_ref(),
--- a/fw-gate/src/request/stream.rs
+++ b/fw-gate/src/request/stream.rs
@@ -43,6 +43,8 @@
     pub input: Bytes,
     /// Fingerprint that is the same for repetitions of the request.
     pub fingerprint: digest::Digest,
+    /// Digest of the caller's own body.
+    pub body: digest::Digest,
     /// When the caller's deadline or the route's timeout is over.
     pub until: Instant,
     /// Its priority; 0 is the highest.
@@ -78,6 +80,7 @@
             call: &self.call,
             out: &self.out,
             fingerprint: self.fingerprint,
+            body: self.body,
             until: self.until,
             priority: self.priority,
             permit: self.permit.as_deref(),
