fw-plan, fw-gate: crashes count against a request's path, its body and all of it

What callers saw: a turn that crashes engines went on for as long as its caller sent it.

Cause: one guess of what "the same request" is, made once and exact. Ruled out by the same logs: a suspicion lifted between two crashes of one fingerprint (none), crashes not recorded (each 'srv_crash (by a request)' has its line), failures at one upstream under one id (ids are new at each start).

Change: a failure is recorded at three levels: path, path and body, all of the request. The record of a group (path, body) restricts it only if no single variant accounts for all failures, which takes two upstreams and two variants; a completed run disproves the failures at its three levels. Claims of the records that permit one attempt at a time are taken together or not at all. Failures at one upstream count once in any record.

--- a/fw-gate/src/process/quarantine.rs
+++ b/fw-gate/src/process/quarantine.rs
@@ -9,8 +9,9 @@
 use std::time::{Duration, Instant};
 
 use futures_util::StreamExt;
+use futures_util::future;
 use futures_util::stream::FuturesUnordered;
-use fw_base::{digest, error, id};
+use fw_base::{error, id};
 use fw_plan::quarantine;
 use fw_replica::{client, member, service};
 use parking_lot::Mutex;
@@ -40,32 +41,24 @@
 pub struct Subject {
     /// Id of the caller's attempt, for log lines.
     request: SmolStr,
-    /// Digest that is the same for repetitions of the request.
-    fingerprint: quarantine::Fingerprint,
-    /// The team that its record is charged to.
+    /// Its fingerprints, from the path to the whole request.
+    identity: quarantine::Identity,
+    /// The team that its records are charged to.
     owner: quarantine::OwnerId,
     /// Path, for log lines.
     path: SmolStr,
-    /// Digest of the caller's own body, for log lines.
-    body: digest::Digest,
     /// The turn that it continues, for log lines.
     previous: Option<SmolStr>,
 }
 
 impl Subject {
-    /// The request of `call` to `path`, whose body has the digest `body`.
-    pub fn new(
-        call: &call::Call,
-        fingerprint: quarantine::Fingerprint,
-        path: &str,
-        body: digest::Digest,
-    ) -> Self {
+    /// The request of `call` to `path`.
+    pub fn new(call: &call::Call, identity: quarantine::Identity, path: &str) -> Self {
         Self {
             request: call.id.clone(),
-            fingerprint,
+            identity,
             owner: quarantine::owner(call.team.as_ref()),
             path: path.into(),
-            body,
             previous: call.previous.clone(),
         }
     }
@@ -131,7 +124,7 @@
                 Ok(permit) => return Ok(permit),
                 Err(Denial::Refused(err)) => return Err(err),
                 Err(Denial::Busy) if time::Instant::now() >= wait_until => {
-                    return Err(self.refuse(subject, "busy", BUSY_RETRY_AFTER));
+                    return Err(self.refuse(subject, "busy", None, BUSY_RETRY_AFTER));
                 }
                 Err(Denial::Busy) => {}
             }
@@ -141,34 +134,36 @@
     }
 
     async fn try_permit(self: &Arc<Self>, subject: &Subject) -> Result<Permit, Denial> {
-        let fingerprint = subject.fingerprint;
-        if self.decide(subject)? != quarantine::Outcome::Exclusive {
-            return Ok(self.new_permit(subject, None));
+        let exclusive = self.decide(subject)?;
+        let mut permit = self.new_permit(subject);
+        if exclusive.is_empty() {
+            return Ok(permit);
         }
-        let holder = rand::random();
-        let ttl = self.options.claim_ttl;
-        let now = self.now();
-        if !self.claims.lock().claim(now, fingerprint, holder, ttl) {
+        // From here on, dropping the permit releases its claims.
+        let claims = self.claim_locally(&mut permit, &exclusive)?;
+        let claims = claims
+            .into_iter()
+            .map(|claim| self.replicas.claim_attempt(claim));
+        let outcomes = future::join_all(claims).await;
+        let known = outcomes.iter().flat_map(|outcome| &outcome.known);
+        known.for_each(|known| self.merge(known));
+        let exclusive = self.decide(subject)?;
+        if exclusive
+            .iter()
+            .any(|needed| !permit.claimed.contains(needed))
+        {
             return Err(Denial::Busy);
         }
-        // From here on, dropping the permit releases the claim.
-        let mut permit = self.new_permit(subject, Some(holder));
-        let Some(suspect) = self.table.lock().get(now, &fingerprint) else {
-            return Ok(permit);
-        };
-        let claim = service::ClaimAttempt { holder, suspect };
-        let outcome = self.replicas.claim_attempt(claim).await;
-        outcome.known.iter().for_each(|known| self.merge(known));
-        self.decide(subject)?;
-        permit.known = self.table.lock().weight(now, &fingerprint);
+        permit.known = self.weights(subject);
+        let decision = client::Decision::all(outcomes.iter().map(|outcome| outcome.decision));
         tracing::info!(
             request = %subject.request,
-            %fingerprint,
-            weight = permit.known,
-            decision = ?outcome.decision,
+            fingerprint = %subject.identity.request,
+            weights = ?permit.known,
+            ?decision,
             "attempt of a request that has crashed upstreams"
         );
-        match outcome.decision {
+        match decision {
             client::Decision::Denied => Err(Denial::Busy),
             client::Decision::Granted => Ok(permit),
             client::Decision::Unavailable => {
@@ -178,50 +173,80 @@
         }
     }
 
-    /// How the request may run by this entry's record.
-    fn decide(&self, subject: &Subject) -> Result<quarantine::Outcome, Denial> {
+    /// Claims the single attempt of each of the records `exclusive` among the requests of this entry, and
+    /// returns the claims to be made at the replicas.
+    fn claim_locally(
+        &self,
+        permit: &mut Permit,
+        exclusive: &[quarantine::Fingerprint],
+    ) -> Result<Vec<service::ClaimAttempt>, Denial> {
         let now = self.now();
-        let outcome = self.table.lock().decide(now, &subject.fingerprint);
-        if let quarantine::Outcome::Refused { retry_after } = outcome {
-            return Err(Denial::Refused(self.refuse(
-                subject,
-                "refused",
-                retry_after,
-            )));
+        let (holder, ttl) = (permit.holder, self.options.claim_ttl);
+        if !self.claims.lock().claim_all(now, exclusive, holder, ttl) {
+            return Err(Denial::Busy);
         }
-        Ok(outcome)
+        permit.claimed = exclusive.to_vec();
+        let table = self.table.lock();
+        let suspects = exclusive.iter();
+        let suspects = suspects.filter_map(|fingerprint| table.get(now, fingerprint));
+        Ok(suspects
+            .map(|suspect| service::ClaimAttempt { holder, suspect })
+            .collect())
     }
 
-    fn refuse(&self, subject: &Subject, event: &'static str, after: Duration) -> error::Error {
+    /// Decides by this entry's record whether the request may run; returns the records that permit one attempt
+    /// at a time.
+    fn decide(&self, subject: &Subject) -> Result<Vec<quarantine::Fingerprint>, Denial> {
+        let now = self.now();
+        let permission = self.table.lock().permission(now, &subject.identity);
+        match permission {
+            quarantine::Permission::Attempt { exclusive } => Ok(exclusive),
+            quarantine::Permission::Refused { level, retry_after } => {
+                let err = self.refuse(subject, "refused", Some(level), retry_after);
+                Err(Denial::Refused(err))
+            }
+        }
+    }
+
+    fn refuse(
+        &self,
+        subject: &Subject,
+        event: &'static str,
+        level: Option<quarantine::Level>,
+        after: Duration,
+    ) -> error::Error {
         count(event);
         tracing::info!(
             request = %subject.request,
-            fingerprint = %subject.fingerprint,
+            fingerprint = %subject.identity.request,
+            body_fingerprint = %subject.identity.body,
+            path_fingerprint = %subject.identity.path,
             path = %subject.path,
-            body = %subject.body,
             previous = subject.previous.as_deref(),
             event,
+            ?level,
             left_ms = after.as_millis() as u64,
             "request refused by quarantine"
         );
-        let message = "identical requests crashed the upstreams that ran them";
+        let message = "requests like this one crashed the upstreams that ran them";
         error::Error::new(error::Kind::CrashQuarantine, message).with_retry_after(after)
     }
 
-    fn new_permit(
-        self: &Arc<Self>,
-        subject: &Subject,
-        claim: Option<quarantine::HolderId>,
-    ) -> Permit {
-        let now = self.now();
+    fn new_permit(self: &Arc<Self>, subject: &Subject) -> Permit {
         Permit {
-            known: self.table.lock().weight(now, &subject.fingerprint),
+            known: self.weights(subject),
             quarantine: Arc::clone(self),
             subject: subject.clone(),
-            claim,
+            holder: rand::random(),
+            claimed: Vec::new(),
         }
     }
 
+    fn weights(&self, subject: &Subject) -> quarantine::Weights {
+        let now = self.now();
+        self.table.lock().weights(now, &subject.identity)
+    }
+
     /// Adds what a replica knows.
     fn merge(&self, suspect: &quarantine::Suspect) {
         let now = self.now();
@@ -328,14 +353,16 @@
     }
 }
 
-/// Permission for one attempt. Its claim, if it has one, ends when this is dropped.
+/// Permission for one attempt. Its claims, if it has any, end when this is dropped.
 #[derive(Debug)]
 pub struct Permit {
     quarantine: Arc<Quarantine>,
     subject: Subject,
-    /// Weight of the evidence known when the attempt was permitted.
-    known: quarantine::Weight,
-    claim: Option<quarantine::HolderId>,
+    /// Weights of the evidence known when the attempt was permitted.
+    known: quarantine::Weights,
+    holder: quarantine::HolderId,
+    /// Records whose single attempt this is.
+    claimed: Vec<quarantine::Fingerprint>,
 }
 
 impl Permit {
@@ -343,69 +370,83 @@
     /// does not answer in time: whoever sends the request again then meets the record.
     pub async fn record_crash(mut self, upstream: &id::UpstreamId) {
         count("crash");
-        let report = self.record_failure(upstream, quarantine::Failure::crash(self.known));
+        let reports = self.record_failure(upstream, quarantine::Failure::crash);
         tracing::warn!(
             request = %self.subject.request,
             %upstream,
-            fingerprint = %self.subject.fingerprint,
+            fingerprint = %self.subject.identity.request,
+            body_fingerprint = %self.subject.identity.body,
+            path_fingerprint = %self.subject.identity.path,
             path = %self.subject.path,
-            body = %self.subject.body,
             previous = self.subject.previous.as_deref(),
-            weight = report.suspect.evidence.weight(),
-            failures = report.suspect.evidence.failures(),
+            weights = ?weights(&reports),
             "upstream crashed while it ran the request"
         );
-        self.quarantine.replicas.report_attempt(&report).await;
+        let replicas = &self.quarantine.replicas;
+        let reports = reports.iter().map(|report| replicas.report_attempt(report));
+        future::join_all(reports).await;
     }
 
     /// Records that `upstream` broke the connection but accepts another.
     pub fn record_broken(mut self, upstream: &id::UpstreamId) {
         count("broken");
-        let failure = quarantine::Failure::broken_connection(self.known);
-        let report = self.record_failure(upstream, failure);
+        let reports = self.record_failure(upstream, quarantine::Failure::broken_connection);
         tracing::info!(
             request = %self.subject.request,
             %upstream,
-            fingerprint = %self.subject.fingerprint,
-            weight = report.suspect.evidence.weight(),
-            failures = report.suspect.evidence.failures(),
+            fingerprint = %self.subject.identity.request,
+            weights = ?weights(&reports),
             "connection broke, but the upstream accepts another"
         );
-        self.spawn_reports(report.suspect.evidence.weight(), &report);
+        for report in &reports {
+            self.spawn_reports(report.suspect.evidence.weight(), report);
+        }
     }
 
-    /// Records a failure at this entry, and ends the claim; returns the report for the replicas.
+    /// Records a failure at this entry, and ends the claims; returns the reports for the replicas, from the
+    /// coarsest to the finest level.
     fn record_failure(
         &mut self,
         upstream: &id::UpstreamId,
-        failure: quarantine::Failure,
-    ) -> service::ReportAttempt {
-        let id = quarantine::failure_at(upstream);
+        failure: impl Fn(quarantine::Weight) -> quarantine::Failure,
+    ) -> [service::ReportAttempt; quarantine::LEVELS] {
         let now = self.quarantine.now();
-        let mut table = self.quarantine.table.lock();
         let subject = &self.subject;
-        let suspect = table.record_failure(now, subject.fingerprint, subject.owner, id, failure);
-        drop(table);
-        let release = self.release_locally();
-        service::ReportAttempt { suspect, release }
+        let suspects = self.quarantine.table.lock().record_failure_at(
+            now,
+            &subject.identity,
+            subject.owner,
+            upstream,
+            self.known.map(failure),
+        );
+        suspects.map(|suspect| {
+            let release = self.release_locally(&suspect.fingerprint);
+            service::ReportAttempt { suspect, release }
+        })
     }
 
     /// Records that the request completed.
     pub fn record_success(mut self) {
         let now = self.quarantine.now();
-        let fingerprint = &self.subject.fingerprint;
+        let identity = self.subject.identity;
         let mut table = self.quarantine.table.lock();
-        let weight = table.weight(now, fingerprint);
-        let disproved = table.record_success(now, fingerprint);
+        let lifted = table.record_success_at(now, &identity);
         drop(table);
-        let Some(suspect) = disproved else {
+        if lifted.is_empty() {
             return;
-        };
+        }
         count("lifted");
-        tracing::info!(request = %self.subject.request, %fingerprint, "suspicion lifted: the request completed");
-        let release = self.release_locally();
-        let report = service::ReportAttempt { suspect, release };
-        self.spawn_reports(weight, &report);
+        let weights: Vec<_> = lifted.iter().map(|lifted| lifted.weight).collect();
+        tracing::info!(
+            request = %self.subject.request,
+            fingerprint = %identity.request,
+            ?weights,
+            "suspicion lifted: the request completed"
+        );
+        for quarantine::Lifted { weight, suspect } in lifted {
+            let release = self.release_locally(&suspect.fingerprint);
+            self.spawn_reports(weight, &service::ReportAttempt { suspect, release });
+        }
     }
 
     /// Reports to the replicas in the background what others have to know of evidence of `weight`.
@@ -415,30 +456,40 @@
         }
     }
 
-    /// Ends the claim at this entry; returns its holder, to be released at the replicas.
-    fn release_locally(&mut self) -> Option<quarantine::HolderId> {
-        let holder = self.claim.take()?;
+    /// Ends the claim on a record at this entry; returns its holder, to be released at the replicas.
+    fn release_locally(
+        &mut self,
+        fingerprint: &quarantine::Fingerprint,
+    ) -> Option<quarantine::HolderId> {
+        let index = self
+            .claimed
+            .iter()
+            .position(|claimed| claimed == fingerprint)?;
+        self.claimed.swap_remove(index);
         let mut claims = self.quarantine.claims.lock();
-        claims.release(&self.subject.fingerprint, holder);
-        Some(holder)
+        claims.release(fingerprint, self.holder);
+        Some(self.holder)
     }
 }
 
+/// Weights of the evidence that is reported.
+fn weights(reports: &[service::ReportAttempt]) -> Vec<quarantine::Weight> {
+    let reports = reports.iter();
+    reports
+        .map(|report| report.suspect.evidence.weight())
+        .collect()
+}
+
 impl Drop for Permit {
     fn drop(&mut self) {
-        let Some(holder) = self.release_locally() else {
-            return;
-        };
         let now = self.quarantine.now();
-        let suspect = self
-            .quarantine
-            .table
-            .lock()
-            .get(now, &self.subject.fingerprint);
-        if let Some(suspect) = suspect {
-            let release = Some(holder);
-            let report = service::ReportAttempt { suspect, release };
-            self.quarantine.replicas.spawn_reports(&report);
+        while let Some(fingerprint) = self.claimed.last().copied() {
+            let release = self.release_locally(&fingerprint);
+            let suspect = self.quarantine.table.lock().get(now, &fingerprint);
+            if let Some(suspect) = suspect {
+                let report = service::ReportAttempt { suspect, release };
+                self.quarantine.replicas.spawn_reports(&report);
+            }
         }
     }
 }
--- a/fw-gate/src/request/attempt.rs
+++ b/fw-gate/src/request/attempt.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use fw_base::{digest, error, id};
+use fw_base::{error, id};
 use fw_plan::{retry, wait_queue};
 use tokio::time::Instant;
 
@@ -25,10 +25,8 @@
     pub call: &'a call::Call,
     /// The request as sent to upstreams.
     pub out: &'a send::Outbound,
-    /// Fingerprint that is the same for repetitions of the request.
-    pub fingerprint: digest::Digest,
-    /// Digest of the caller's own body.
-    pub body: digest::Digest,
+    /// Fingerprints by which its repetitions and variants are recognised.
+    pub identity: fw_plan::quarantine::Identity,
     /// When the caller's deadline or the route's timeout is over.
     pub until: Instant,
     /// Its priority; 0 is the highest.
@@ -122,7 +120,7 @@
     /// `CrashQuarantine` when the request is refused because it crashed upstreams.
     pub async fn permit(&self) -> Result<quarantine::Permit, error::Error> {
         let path = self.out.uri.path();
-        let subject = quarantine::Subject::new(self.call, self.fingerprint, path, self.body);
+        let subject = quarantine::Subject::new(self.call, self.identity, path);
         self.gate.quarantine.permit(&subject, self.until).await
     }
 
--- a/fw-gate/src/request/ingress.rs
+++ b/fw-gate/src/request/ingress.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use fw_base::{digest, error};
-use fw_plan::{quota, staleness};
+use fw_plan::{quarantine, quota, staleness};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
@@ -100,8 +100,7 @@
         .service(rand::rng().random())
         .ok_or_else(|| error::Error::new(error::Kind::NoUpstream, "the route has no service"))?;
     let out = outbound(gate, &head, &call, config.teams.is_some(), input.clone())?;
-    let fingerprint = fingerprint(&call, host, &head, &input);
-    let body = digest::Digest::of_bytes(&input);
+    let identity = identity(&call, host, &head, &input);
     let priority = team.and_then(|team| team.priority);
     let priority = priority.unwrap_or(route.priority);
     if route.kind == config::Kind::Stream {
@@ -113,8 +112,7 @@
             call,
             out,
             input,
-            fingerprint,
-            body,
+            identity,
             until,
             priority,
             limit,
@@ -129,8 +127,7 @@
         service,
         call: &call,
         out: &out,
-        fingerprint,
-        body,
+        identity,
         until,
         priority,
         permit: permit.as_ref(),
@@ -234,26 +231,33 @@
     })
 }
 
-/// The fingerprint of a request, which is the same when it is sent again.
+/// Fingerprints by which repetitions and variants of a request are recognised.
 ///
-/// A turn with other turns before it has another prompt, so the turn that it continues is part of it. The
-/// query is not: repetitions are known to share team, path and body only.
-pub fn fingerprint(
+/// On a route that keeps turns, the body is the new input alone: the prompt also depends on the turn that is
+/// continued. Repetitions are known to share team, path and body.
+pub fn identity(
     call: &call::Call,
     host: &str,
     head: &hyper::http::request::Parts,
     body: &Bytes,
-) -> digest::Digest {
-    let parts = [
-        call.team.as_deref().unwrap_or_default().as_bytes(),
-        head.method.as_str().as_bytes(),
-        host.as_bytes(),
-        head.uri.path().as_bytes(),
-        call.previous.as_deref().unwrap_or_default().as_bytes(),
-    ];
+) -> quarantine::Identity {
+    let team = call.team.as_deref().unwrap_or_default();
+    let method = head.method.as_str();
+    let path = head.uri.path();
+    let path_and_query = head.uri.path_and_query();
+    let path_and_query = path_and_query.map_or(path, |both| both.as_str());
+    let previous = call.previous.as_deref().unwrap_or_default();
+    quarantine::Identity {
+        path: fingerprint(&["path", team, method, host, path], &[]),
+        body: fingerprint(&["body", team, method, host, path], body),
+        request: fingerprint(&[team, method, host, path_and_query, previous], body),
+    }
+}
+
+fn fingerprint(parts: &[&str], body: &[u8]) -> quarantine::Fingerprint {
     let mut bytes = Vec::with_capacity(256 + body.len());
     for part in parts {
-        bytes.extend_from_slice(part);
+        bytes.extend_from_slice(part.as_bytes());
         // No part contains this byte.
         bytes.push(0);
     }
--- a/fw-gate/src/request/stream.rs
+++ b/fw-gate/src/request/stream.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::{BufMut, Bytes, BytesMut};
-use fw_base::{digest, error, id};
+use fw_base::{error, id};
 use fw_plan::{health, quota};
 use fw_replica::{record, server};
 use http_body_util::BodyExt;
@@ -41,10 +41,8 @@
     pub out: send::Outbound,
     /// The caller's input, without the chain of turns before it.
     pub input: Bytes,
-    /// Fingerprint that is the same for repetitions of the request.
-    pub fingerprint: digest::Digest,
-    /// Digest of the caller's own body.
-    pub body: digest::Digest,
+    /// Fingerprints by which its repetitions and variants are recognised.
+    pub identity: fw_plan::quarantine::Identity,
     /// When the caller's deadline or the route's timeout is over.
     pub until: Instant,
     /// Its priority; 0 is the highest.
@@ -79,8 +77,7 @@
             service: &self.service,
             call: &self.call,
             out: &self.out,
-            fingerprint: self.fingerprint,
-            body: self.body,
+            identity: self.identity,
             until: self.until,
             priority: self.priority,
             permit: self.permit.as_deref(),
--- a/fw-plan/src/quarantine.rs
+++ b/fw-plan/src/quarantine.rs
@@ -30,9 +30,14 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
+pub use identity::{Identity, LEVELS, Level, Lifted, Permission, Weights};
+
+mod identity;
+
 /// Digest that all repetitions of a request share.
 pub type Fingerprint = digest::Digest;
-/// Identifies a failure, however many processes report it.
+/// Identifies a failure, however many processes report it. The lower half names the upstream; in the record
+/// of a group, the upper half names the variant of the request.
 pub type FailureId = u64;
 /// Weight of evidence: the sum over successive failures, each in knowledge of those before.
 pub type Weight = u32;
@@ -69,7 +74,7 @@
     pub quarantine_for: Duration,
     /// How long a claim lasts unless it is released.
     pub claim_ttl: Duration,
-    /// Greatest number of requests on record.
+    /// Greatest number of records.
     pub capacity: usize,
 }
 
@@ -85,7 +90,8 @@
             quarantine_for: Duration::from_secs(7_200),
             // Most runs end sooner; a crash under a longer one still counts.
             claim_ttl: Duration::from_secs(2),
-            capacity: 1_024,
+            // A request has a record at each level.
+            capacity: 1_024 * LEVELS,
         }
     }
 }
@@ -137,11 +143,15 @@
 }
 
 impl Evidence {
-    /// Weight of the failures that are not disproved.
+    /// Weight of the failures that are not disproved. Those at one upstream count once.
     pub fn weight(&self) -> Weight {
         let highest = self.failures.values().map(|failure| failure.total).max();
-        let sum = self.failures.values().map(|failure| failure.weight).sum();
-        highest.unwrap_or(0).min(sum)
+        let mut at_upstreams: BTreeMap<u32, Weight> = BTreeMap::new();
+        for (id, failure) in &self.failures {
+            let weight = at_upstreams.entry(identity::upstream_of(*id)).or_default();
+            *weight = failure.weight.max(*weight);
+        }
+        highest.unwrap_or(0).min(at_upstreams.into_values().sum())
     }
 
     /// Number of failures that are not disproved.
@@ -494,6 +504,30 @@
         claim.or_insert(Claim { holder, until }).holder == holder
     }
 
+    /// Grants the attempts of all of `fingerprints` to `holder` for `ttl`, or none of them.
+    pub fn claim_all(
+        &mut self,
+        now: Duration,
+        fingerprints: &[Fingerprint],
+        holder: HolderId,
+        ttl: Duration,
+    ) -> bool {
+        let mut granted = 0;
+        for fingerprint in fingerprints {
+            if !self.claim(now, *fingerprint, holder, ttl) {
+                break;
+            }
+            granted += 1;
+        }
+        if granted == fingerprints.len() {
+            return true;
+        }
+        for fingerprint in &fingerprints[..granted] {
+            self.release(fingerprint, holder);
+        }
+        false
+    }
+
     /// Ends the claim of `holder`.
     pub fn release(&mut self, fingerprint: &Fingerprint, holder: HolderId) {
         let held = self.claims.get(fingerprint);
--- a/fw-plan/tests/plan/main.rs
+++ b/fw-plan/tests/plan/main.rs
@@ -29,6 +29,7 @@
 mod quarantine_model;
 mod queue_order;
 mod recovery;
+mod request_levels;
 mod retry_budget;
 #[path = "../../examples/policy/sim/mod.rs"]
 #[expect(dead_code, reason = "the example uses the rest")]
--- a/fw-replica/src/client/quarantine.rs
+++ b/fw-replica/src/client/quarantine.rs
@@ -25,6 +25,21 @@
     Unavailable,
 }
 
+impl Decision {
+    /// The decision about an attempt that needs all of several claims.
+    pub fn all(decisions: impl IntoIterator<Item = Self>) -> Self {
+        let mut all = Self::Granted;
+        for decision in decisions {
+            match decision {
+                Self::Denied => return Self::Denied,
+                Self::Unavailable => all = Self::Unavailable,
+                Self::Granted => {}
+            }
+        }
+        all
+    }
+}
+
 /// Outcome of a claim.
 #[derive(Clone, Debug)]
 pub struct ClaimOutcome {
