fw-gate: a run that its deadline ended lifts no quarantine

What callers saw: a request that crashes upstreams goes on after two or three crashes, since a copy of it that waited long in an upstream's queue was ended by its deadline with 504 before it crashed.

Cause: any complete answer disproved the evidence, 504 too. An upstream's 504 says that the run was cut short, and not that it would have ended well.

--- a/fw-gate/src/process/quarantine.rs
+++ b/fw-gate/src/process/quarantine.rs
@@ -14,6 +14,7 @@
 use fw_base::{error, id};
 use fw_plan::quarantine;
 use fw_replica::{client, member, service};
+use hyper::StatusCode;
 use parking_lot::Mutex;
 use rand::RngExt;
 use smol_str::SmolStr;
@@ -425,8 +426,12 @@
         })
     }
 
-    /// Records that the request completed.
-    pub fn record_success(mut self) {
+    /// Records that the upstream answered the request completely with `status`.
+    pub fn record_answer(mut self, status: StatusCode) {
+        // A run that its deadline ended may not have come to the point at which it crashes.
+        if status == StatusCode::GATEWAY_TIMEOUT {
+            return;
+        }
         let now = self.quarantine.now();
         let identity = self.subject.identity;
         let mut table = self.quarantine.table.lock();
--- a/fw-gate/src/request/plain.rs
+++ b/fw-gate/src/request/plain.rs
@@ -23,7 +23,7 @@
 /// The error for the caller when no upstream answered.
 pub async fn run(job: &attempt::Job<'_>) -> Result<Response<body::Outgoing>, error::Error> {
     let ((head, whole), permit) = job.run(|response| collect_and_log(job, response)).await?;
-    permit.record_success();
+    permit.record_answer(head.status);
     Ok(forwarded(head, body::Outgoing::from(whole)))
 }
 
--- a/fw-gate/src/request/stream.rs
+++ b/fw-gate/src/request/stream.rs
@@ -8,8 +8,8 @@
 use fw_plan::{health, quota};
 use fw_replica::{record, server};
 use http_body_util::BodyExt;
-use hyper::Response;
 use hyper::header::HeaderValue;
+use hyper::{Response, StatusCode};
 use smol_str::SmolStr;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -111,7 +111,7 @@
     if !response.head.status.is_success() {
         let whole = plain::collect(response, job.until).await;
         let (head, whole) = whole.map_err(|failed| failed.err)?;
-        permit.record_success();
+        permit.record_answer(head.status);
         return Ok(plain::forwarded(head, body::Outgoing::from(whole)));
     }
     let (tx, rx) = mpsc::channel(body::MAX_BUFFERED_CHUNKS);
@@ -411,7 +411,7 @@
     async fn complete(&mut self) -> &'static str {
         let job = &self.job;
         if let Some(permit) = self.permit.take() {
-            permit.record_success();
+            permit.record_answer(StatusCode::OK);
         }
         let record = job.route.keep_turns.map(|keep| record::Turn {
             id: job.call.turn.clone(),
