platform, fw-gate: an upstream's software version and the stream that a caller takes up are decoded and logged

Workers of several software versions may serve side by side now, and a stream may go on only at the version that began it. Neither the version in a worker's entry nor the caller's header 'Resumes' was decoded, so no log line could tell a stream that went on at another version. 'upstream listed', 'resuming the stream' and 'stream ended' name the version, 'stream ended' also the stream that was taken up and after which event. No decision changes.

--- a/fw-gate/src/names.rs
+++ b/fw-gate/src/names.rs
@@ -37,6 +37,8 @@
     pub team: HeaderName,
     /// Id of the last event that the caller received.
     pub resume_after: HeaderName,
+    /// Id of the caller's attempt that brought the first event of the stream that it takes up.
+    pub resumed_stream: HeaderName,
     /// Headers that only the entry may set on a request to an upstream; a caller's are removed.
     pub reserved: Vec<HeaderName>,
 }
--- a/fw-gate/src/process/fleet/lease.rs
+++ b/fw-gate/src/process/fleet/lease.rs
@@ -10,7 +10,7 @@
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
-use super::{Fleet, ListState, Service, Upstream};
+use super::{Fleet, ListState, Service, SoftwareVersion, Upstream};
 use crate::connection::link;
 
 /// Maximum number of idle connections kept to one upstream. More concurrent calls from one entry to one
@@ -43,6 +43,8 @@
     pub id: id::UpstreamId,
     /// The upstream's address.
     pub addr: SocketAddr,
+    /// The version of the upstream's software, if it is known.
+    pub version: Option<SoftwareVersion>,
     /// State of the upstream when it was chosen, for log lines.
     pub candidate: assign::Candidate,
     /// State of the list when it was chosen, for log lines.
@@ -78,6 +80,7 @@
             service: Arc::clone(service),
             id: upstream.listed.id.clone(),
             addr: upstream.listed.addr,
+            version: upstream.listed.version.clone(),
             candidate,
             list_state: fleet.list_state(),
             sent_after: Duration::ZERO,
--- a/fw-gate/src/process/fleet/list.rs
+++ b/fw-gate/src/process/fleet/list.rs
@@ -179,7 +179,7 @@
         let now = self.now();
         let id = listed.id.clone();
         let Some(upstream) = service.find(&id) else {
-            tracing::info!(upstream = %id, service = %listed.service, addr = %listed.addr, takes_work = listed.takes_work, "upstream listed");
+            tracing::info!(upstream = %id, service = %listed.service, addr = %listed.addr, version = listed.version.as_deref(), takes_work = listed.takes_work, "upstream listed");
             service.upstreams.push(Upstream::new(listed));
             service.update_health(now);
             return;
--- a/fw-gate/src/process/fleet/mod.rs
+++ b/fw-gate/src/process/fleet/mod.rs
@@ -33,6 +33,9 @@
 /// Start time of an upstream, in milliseconds since the Unix epoch.
 pub type StartTime = u64;
 
+/// Version of an upstream's software, in no order.
+pub type SoftwareVersion = SmolStr;
+
 /// One upstream, as the platform's store lists it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListedUpstream {
@@ -44,6 +47,8 @@
     pub addr: SocketAddr,
     /// Its data centre.
     pub place: id::PlaceId,
+    /// Version of its software; `None` if the list does not state it.
+    pub version: Option<SoftwareVersion>,
     /// Number of requests that it runs concurrently.
     pub slots: u32,
     /// Whether it takes new work.
--- a/fw-gate/src/request/call.rs
+++ b/fw-gate/src/request/call.rs
@@ -23,6 +23,9 @@
     header::EXPECT,
 ];
 
+/// Id of a stream: that of the caller's attempt that brought its first event.
+pub type StreamId = SmolStr;
+
 /// A call, as its headers describe it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Call {
@@ -52,6 +55,8 @@
     pub previous: Option<record::TurnId>,
     /// Id of the last event that the caller received.
     pub resume_after: Option<SmolStr>,
+    /// Id of the caller's attempt that brought the first event of the stream that is resumed.
+    pub resumed_stream: Option<StreamId>,
 }
 
 impl Call {
@@ -74,6 +79,7 @@
             program: self.program.map(scoped),
             session: self.session.map(scoped),
             previous: self.previous.map(scoped),
+            resumed_stream: self.resumed_stream.map(scoped),
             ..self
         }
     }
@@ -104,6 +110,7 @@
             budget: number(headers, &names.budget)?,
             previous: text(headers, &names.previous)?,
             resume_after: text(headers, &names.resume_after)?,
+            resumed_stream: text(headers, &names.resumed_stream)?,
         })
     }
 }
--- a/fw-gate/src/request/stream.rs
+++ b/fw-gate/src/request/stream.rs
@@ -194,12 +194,14 @@
         let mut response = response;
         let mut resumes = 0;
         let mut last_upstream = response.lease.id.clone();
+        let mut version;
         let mut candidate;
         let mut list_state;
         let mut sent_after;
         let outcome = loop {
             let (upstream, addr) = (response.lease.id.clone(), response.lease.addr);
             last_upstream.clone_from(&upstream);
+            version = response.lease.version.clone();
             candidate = response.lease.candidate;
             list_state = response.lease.list_state;
             sent_after = response.lease.sent_after;
@@ -255,6 +257,9 @@
             team = self.job.call.team.as_deref(),
             priority = self.job.priority,
             upstream = %last_upstream,
+            version = version.as_deref(),
+            resume_after = self.job.call.resume_after.as_deref(),
+            resumed_stream = self.job.call.resumed_stream.as_deref(),
             own = candidate.own_calls,
             others = candidate.reported_calls,
             others_age_ms = candidate.report_age.as_millis() as u64,
@@ -386,7 +391,8 @@
                 }
             };
             let (id, addr) = (lease.id.clone(), lease.addr);
-            tracing::info!(request = %self.job.call.id, upstream = %id, after = ?self.last_event_id, "resuming the stream");
+            let version = lease.version.as_deref();
+            tracing::info!(request = %self.job.call.id, upstream = %id, version, after = ?self.last_event_id, "resuming the stream");
             let attempt = self.job.attempt();
             match attempt.send(lease).await {
                 Ok(response) if response.head.status.is_success() => {
--- a/fw-gate/tests/gate/call_headers.rs
+++ b/fw-gate/tests/gate/call_headers.rs
@@ -24,6 +24,7 @@
         previous: header("previous"),
         team: header("team"),
         resume_after: header("resume-after"),
+        resumed_stream: header("resumed-stream"),
         reserved: Vec::new(),
     }
 }
--- a/fw-gate/tests/gate/upstream_list.rs
+++ b/fw-gate/tests/gate/upstream_list.rs
@@ -17,6 +17,7 @@
         service: "s".into(),
         addr: ([127, 0, 0, 1], 1).into(),
         place: "a".into(),
+        version: None,
         slots: 2,
         takes_work: true,
         started_at: 1,
