fw-gate, fw-replica: a stream goes on only at the software version that began it

What callers saw: a stream that they took up after a break went on at another software version, and held events that do not fit together.

Cause: nothing knew of versions. The entry of an upstream was decoded without its version, 'Resumes' was no header of ours, and an upstream for the rest of a stream was chosen among all. The class: pieces of two sources are joined without a check that they fit.

Change: a stream is bound to the version of the first event that was forwarded. Within one answer the entry knows it; it reports it to all replicas when it forwards that event, and an entry that gets the call of a caller who takes the stream up asks all of them. Unknown is refused at once as not run, and so is a version that no upstream has. A bound call does not hold up the queue, and is no begin of a program. An upstream that is listed with another version has restarted.

Replicas before entries in an upgrade: entries call two new methods. Entries of the two builds cannot decode each other's list of upstreams and read the store themselves meanwhile.

--- a/fw-base/src/error.rs
+++ b/fw-base/src/error.rs
@@ -165,6 +165,10 @@
     BadRecord => 400, No, false, "bad_record";
     /// A fault in the system itself.
     Internal => 500, Maybe, true, "internal";
+    /// It is not known at which software version the stream began that the caller takes up.
+    UnknownStream => 503, No, true, "unknown_stream";
+    /// No upstream has the software version at which the stream began that the caller takes up.
+    VersionGone => 503, No, true, "version_gone";
 }
 
 /// An error as sent to other processes and, as JSON, to callers.
--- a/fw-gate/src/process/fleet/choose.rs
+++ b/fw-gate/src/process/fleet/choose.rs
@@ -5,7 +5,7 @@
 
 use fw_base::{error, id};
 use fw_plan::{assign, wait_queue};
-use fw_replica::affinity;
+use fw_replica::{affinity, streams};
 use parking_lot::Mutex;
 use smol_str::SmolStr;
 use xxhash_rust::xxh3;
@@ -41,7 +41,7 @@
     ) -> Result<Lease, error::Error> {
         let service = self.find_service(service_id)?;
         let picked = self.pick(service_id, &service, criteria, |_| true)?;
-        picked.ok_or_else(|| no_upstream(service_id))
+        picked.ok_or_else(|| no_upstream(service_id, criteria))
     }
 
     /// Chooses an upstream of `service` that has room; waits for a limited time until there is one and the
@@ -61,13 +61,19 @@
             Affinity::Prompt { lineage, .. } => self.affinity.last_upstreams(lineage).preferred(),
             Affinity::Object(_) | Affinity::None => None,
         };
-        let ticket = Ticket::enqueue(&service, preferred, |number| {
-            self.wait_queue
-                .rank(&criteria.queue_call, self.now(), number)
+        // A call that is bound to a version would hold up those behind it while other versions have room.
+        let is_queued = criteria.version.is_none();
+        let ticket = is_queued.then(|| {
+            Ticket::enqueue(&service, preferred, |number| {
+                self.wait_queue
+                    .rank(&criteria.queue_call, self.now(), number)
+            })
         });
         let started_at = tokio::time::Instant::now();
         while started_at.elapsed() < self.wait_queue.max_wait {
-            let eligibility = ticket.eligibility(&self.wait_queue);
+            let eligibility = ticket.as_ref().map_or(Eligibility::All, |ticket| {
+                ticket.eligibility(&self.wait_queue)
+            });
             let fits = |capacity: &Capacity| {
                 let is_preferred = Some(capacity.hash) == preferred;
                 let waited = started_at.elapsed();
@@ -85,9 +91,14 @@
                 return Ok(lease);
             }
             // Tried again also without a wake-up: the weight of reported load decreases with its age.
-            let _ =
-                tokio::time::timeout(self.wait_queue.recheck_interval, ticket.wakeup.notified())
-                    .await;
+            let recheck = tokio::time::sleep(self.wait_queue.recheck_interval);
+            match &ticket {
+                Some(ticket) => tokio::select! {
+                    () = ticket.wakeup.notified() => {}
+                    () = recheck => {}
+                },
+                None => recheck.await,
+            }
         }
         drop(ticket);
         metrics::counter!("fw_gate_held_too_long_total").increment(1);
@@ -131,7 +142,7 @@
 
     /// The slots of all usable upstreams of a service, and the calls that are in flight there or wait here.
     fn occupancy(&self, service: &Service) -> (f64, f64) {
-        let usable = self.usable(service, &[]);
+        let usable = self.usable(service, &[], None);
         let options = self.cost_options(service);
         let candidates = self.candidates(service, &usable, &Affinity::None);
         let at = candidates.map(|(_, c)| (f64::from(c.slots), c.load(&options)));
@@ -147,7 +158,8 @@
     ///
     /// `NoUpstream` when no upstream of it has ever been listed.
     fn find_service(&self, id: &id::ServiceId) -> Result<Arc<Mutex<Service>>, error::Error> {
-        self.service(id).ok_or_else(|| no_upstream(id))
+        self.service(id)
+            .ok_or_else(|| no_upstream(id, &Criteria::default()))
     }
 
     /// Leases the best upstream that `fits`, if any does.
@@ -163,9 +175,9 @@
         fits: impl Fn(&Capacity) -> bool,
     ) -> Result<Option<Lease>, error::Error> {
         let mut locked = service.lock();
-        let usable = self.usable(&locked, criteria.avoid);
+        let usable = self.usable(&locked, criteria.avoid, criteria.version);
         if usable.is_empty() {
-            return Err(no_upstream(service_id));
+            return Err(no_upstream(service_id, criteria));
         }
         let options = self.cost_options(&locked);
         let (indices, candidates): (Vec<_>, Vec<_>) = self
@@ -193,15 +205,25 @@
         Ok(Some(lease))
     }
 
-    /// Indices of the upstreams that may get a call which has failed at those in `avoid`.
-    fn usable(&self, service: &Service, avoid: &[id::UpstreamId]) -> Vec<usize> {
+    /// Indices of the upstreams that may get a call which has failed at those in `avoid`, and may run only at
+    /// `version`.
+    fn usable(
+        &self,
+        service: &Service,
+        avoid: &[id::UpstreamId],
+        version: Option<&streams::Version>,
+    ) -> Vec<usize> {
         let now = self.now();
         let takes_work = |at: &usize| {
             let upstream = &service.upstreams[*at];
             let replaced_until = upstream.replaced_until;
             upstream.listed.takes_work && replaced_until.is_none_or(|until| Instant::now() >= until)
         };
+        let has_version = |at: &usize| {
+            version.is_none_or(|version| service.upstreams[*at].listed.version == *version)
+        };
         let listed = (0..service.upstreams.len()).filter(takes_work);
+        let listed = listed.filter(has_version);
         let is_untried = |at: &usize| !avoid.contains(&service.upstreams[*at].listed.id);
         let is_healthy = |at: &usize| {
             let id = &service.upstreams[*at].listed.id;
@@ -309,7 +331,13 @@
     }
 }
 
-fn no_upstream(service: &id::ServiceId) -> error::Error {
-    let message = format!("no upstream of `{service}` takes work");
-    error::Error::new(error::Kind::NoUpstream, message)
+fn no_upstream(service: &id::ServiceId, criteria: &Criteria<'_>) -> error::Error {
+    let Some(version) = criteria.version else {
+        let message = format!("no upstream of `{service}` takes work");
+        return error::Error::new(error::Kind::NoUpstream, message);
+    };
+    let message = format!(
+        "the stream began at version `{version}`, of which no upstream of `{service}` takes work"
+    );
+    error::Error::new(error::Kind::VersionGone, message)
 }
--- a/fw-gate/src/process/fleet/lease.rs
+++ b/fw-gate/src/process/fleet/lease.rs
@@ -6,11 +6,11 @@
 
 use fw_base::id;
 use fw_plan::{assign, health, wait_queue};
-use fw_replica::affinity;
+use fw_replica::{affinity, streams};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
-use super::{Fleet, ListState, Service, SoftwareVersion, Upstream};
+use super::{Fleet, ListState, Service, Upstream};
 use crate::connection::link;
 
 /// Maximum number of idle connections kept to one upstream. More concurrent calls from one entry to one
@@ -43,8 +43,8 @@
     pub id: id::UpstreamId,
     /// The upstream's address.
     pub addr: SocketAddr,
-    /// The version of the upstream's software, if it is known.
-    pub version: Option<SoftwareVersion>,
+    /// The version of the upstream's software.
+    pub version: streams::Version,
     /// State of the upstream when it was chosen, for log lines.
     pub candidate: assign::Candidate,
     /// State of the list when it was chosen, for log lines.
@@ -97,8 +97,11 @@
     pub fn is_valid(&self) -> bool {
         let mut service = self.service.lock();
         let upstream = service.find(&self.id);
-        upstream
-            .is_some_and(|upstream| upstream.listed.takes_work && upstream.listed.addr == self.addr)
+        upstream.is_some_and(|upstream| {
+            upstream.listed.takes_work
+                && upstream.listed.addr == self.addr
+                && upstream.listed.version == self.version
+        })
     }
 
     /// Records that the call is passed to its connection now.
--- a/fw-gate/src/process/fleet/list.rs
+++ b/fw-gate/src/process/fleet/list.rs
@@ -179,13 +179,14 @@
         let now = self.now();
         let id = listed.id.clone();
         let Some(upstream) = service.find(&id) else {
-            tracing::info!(upstream = %id, service = %listed.service, addr = %listed.addr, version = listed.version.as_deref(), takes_work = listed.takes_work, "upstream listed");
+            tracing::info!(upstream = %id, service = %listed.service, addr = %listed.addr, version = %listed.version, takes_work = listed.takes_work, "upstream listed");
             service.upstreams.push(Upstream::new(listed));
             service.update_health(now);
             return;
         };
-        let restarted =
-            upstream.listed.started_at != listed.started_at || upstream.listed.addr != listed.addr;
+        let restarted = upstream.listed.started_at != listed.started_at
+            || upstream.listed.addr != listed.addr
+            || upstream.listed.version != listed.version;
         let is_leaving = !upstream.listed.takes_work && !restarted;
         if is_leaving && listed.takes_work {
             tracing::info!(upstream = %id, "a late heartbeat lists a leaving upstream as ready; it gets no calls");
--- a/fw-gate/src/process/fleet/mod.rs
+++ b/fw-gate/src/process/fleet/mod.rs
@@ -8,7 +8,7 @@
 
 use fw_base::id;
 use fw_plan::{assign, confirm, health, lapse, pace, wait_queue};
-use fw_replica::{affinity, service};
+use fw_replica::{affinity, service, streams};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -33,9 +33,6 @@
 /// Start time of an upstream, in milliseconds since the Unix epoch.
 pub type StartTime = u64;
 
-/// Version of an upstream's software, in no order.
-pub type SoftwareVersion = SmolStr;
-
 /// One upstream, as the platform's store lists it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListedUpstream {
@@ -47,8 +44,8 @@
     pub addr: SocketAddr,
     /// Its data centre.
     pub place: id::PlaceId,
-    /// Version of its software; `None` if the list does not state it.
-    pub version: Option<SoftwareVersion>,
+    /// Version of its software; empty if the list does not state it.
+    pub version: streams::Version,
     /// Number of requests that it runs concurrently.
     pub slots: u32,
     /// Whether it takes new work.
@@ -81,6 +78,8 @@
     pub affinity: Affinity<'a>,
     /// Upstreams that failed this call.
     pub avoid: &'a [id::UpstreamId],
+    /// The only software version at which the call may run; `None` if it may run at any.
+    pub version: Option<&'a streams::Version>,
     /// What ranks the call among those that wait for an upstream.
     pub queue_call: wait_queue::Call,
 }
@@ -228,22 +227,36 @@
         self.services.lock().get(id).cloned()
     }
 
-    /// Leases an upstream that was chosen before for a further call, if it still takes work.
+    /// Leases an upstream that was chosen before for a further call, if it still takes work and has not
+    /// restarted with another software version than `version`.
     pub fn lease_again(
         self: &Arc<Self>,
         service_id: &id::ServiceId,
         id: &id::UpstreamId,
+        version: Option<&streams::Version>,
     ) -> Option<Lease> {
         let service = self.service(service_id)?;
         let mut locked = service.lock();
         let upstream = locked.find(id)?;
-        if !upstream.listed.takes_work {
+        let is_other_version = version.is_some_and(|version| upstream.listed.version != *version);
+        if !upstream.listed.takes_work || is_other_version {
             return None;
         }
         let candidate = assign::Candidate::default();
         Some(Lease::take(self, &service, upstream, candidate))
     }
 
+    /// Whether upstreams of several software versions are listed for a service.
+    pub fn has_several_versions(&self, service_id: &id::ServiceId) -> bool {
+        let Some(service) = self.service(service_id) else {
+            return false;
+        };
+        let service = service.lock();
+        let mut versions = service.upstreams.iter().map(|u| &u.listed.version);
+        let first = versions.next();
+        versions.any(|version| Some(version) != first)
+    }
+
     /// This entry's calls in flight.
     pub fn load(&self) -> service::Load {
         let mut calls = Vec::new();
--- a/fw-gate/src/request/attempt.rs
+++ b/fw-gate/src/request/attempt.rs
@@ -5,6 +5,7 @@
 
 use fw_base::{error, id};
 use fw_plan::{retry, wait_queue};
+use fw_replica::streams;
 use tokio::time::Instant;
 
 use super::ingress::log_ms;
@@ -29,6 +30,8 @@
     pub identity: fw_plan::quarantine::Identity,
     /// When the caller's deadline or the route's timeout is over.
     pub until: Instant,
+    /// The only software version at which it may run, if it resumes a stream.
+    pub version: Option<&'a streams::Version>,
     /// Its priority; 0 is the highest.
     pub priority: u32,
     /// Its charge to its team's quota, if the team has one.
@@ -126,7 +129,9 @@
 
     /// Whether the request is the first turn of a program.
     pub fn begins_program(&self) -> bool {
-        let is_first = self.route.kind == config::Kind::Stream && self.call.previous.is_none();
+        let is_first = self.route.kind == config::Kind::Stream
+            && self.call.previous.is_none()
+            && self.call.resume_after.is_none();
         is_first && self.gate.fleet.is_new_program(&self.call.lineage())
     }
 
@@ -170,6 +175,7 @@
         let criteria = fleet::Criteria {
             affinity,
             avoid: &attempts.avoid,
+            version: self.version,
             queue_call: wait_queue::Call {
                 priority: self.priority,
                 time_left: self.call.program_deadline,
--- a/fw-gate/src/request/call.rs
+++ b/fw-gate/src/request/call.rs
@@ -4,7 +4,7 @@
 
 use fw_base::error;
 use fw_base::id;
-use fw_replica::{affinity, record};
+use fw_replica::{affinity, record, streams};
 use hyper::HeaderMap;
 use hyper::header::{self, HeaderName, HeaderValue};
 use smol_str::SmolStr;
@@ -23,9 +23,6 @@
     header::EXPECT,
 ];
 
-/// Id of a stream: that of the caller's attempt that brought its first event.
-pub type StreamId = SmolStr;
-
 /// A call, as its headers describe it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Call {
@@ -56,7 +53,7 @@
     /// Id of the last event that the caller received.
     pub resume_after: Option<SmolStr>,
     /// Id of the caller's attempt that brought the first event of the stream that is resumed.
-    pub resumed_stream: Option<StreamId>,
+    pub resumed_stream: Option<streams::StreamId>,
 }
 
 impl Call {
--- a/fw-gate/src/request/ingress.rs
+++ b/fw-gate/src/request/ingress.rs
@@ -114,6 +114,7 @@
             input,
             identity,
             until,
+            version: None,
             priority,
             limit,
             permit: None,
@@ -129,6 +130,7 @@
         out: &out,
         identity,
         until,
+        version: None,
         priority,
         permit: permit.as_ref(),
     };
--- a/fw-gate/src/request/mod.rs
+++ b/fw-gate/src/request/mod.rs
@@ -8,6 +8,7 @@
 pub mod events;
 pub mod ingress;
 pub mod plain;
+pub mod resume;
 pub mod send;
 pub mod stream;
 pub mod turn;
--- a/fw-gate/src/request/stream.rs
+++ b/fw-gate/src/request/stream.rs
@@ -6,7 +6,7 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use fw_base::{error, id};
 use fw_plan::{health, quota};
-use fw_replica::{record, server};
+use fw_replica::{record, server, service, streams};
 use http_body_util::BodyExt;
 use hyper::header::HeaderValue;
 use hyper::{Response, StatusCode};
@@ -15,8 +15,8 @@
 use tokio::time::Instant;
 
 use super::ingress::log_ms;
-use super::{attempt, body, call, events, plain, send, turn};
-use crate::process::{gate, quarantine, quotas};
+use super::{attempt, body, call, events, plain, resume, send, turn};
+use crate::process::{fleet, gate, quarantine, quotas};
 use crate::version::config;
 
 /// Maximum number of times that a broken stream is resumed.
@@ -45,6 +45,8 @@
     pub identity: fw_plan::quarantine::Identity,
     /// When the caller's deadline or the route's timeout is over.
     pub until: Instant,
+    /// The only software version at which it may run: that at which the stream began, if it has.
+    pub version: Option<streams::Version>,
     /// Its priority; 0 is the highest.
     pub priority: u32,
     /// Its team's limit, if the team has one.
@@ -70,6 +72,12 @@
         }
     }
 
+    /// Leases `upstream`, at which the stream broke, once more, if the stream may go on there.
+    fn lease_again(&self, upstream: &id::UpstreamId) -> Option<fleet::Lease> {
+        let fleet = &self.gate.fleet;
+        fleet.lease_again(&self.service, upstream, self.version.as_ref())
+    }
+
     fn attempt(&self) -> attempt::Job<'_> {
         attempt::Job {
             gate: &self.gate,
@@ -79,6 +87,7 @@
             out: &self.out,
             identity: self.identity,
             until: self.until,
+            version: self.version.as_ref(),
             priority: self.priority,
             permit: self.permit.as_deref(),
         }
@@ -93,6 +102,7 @@
 pub async fn run(mut job: Job) -> Result<Response<body::Outgoing>, error::Error> {
     let kept = job.route.keep_turns.is_some();
     let mut times = Times::start();
+    job.version = resume::bound_version(&job.gate, &job.service, &job.call).await?;
     let mut ready = turn::begin(&job.gate, &job.call, &job.input, kept, job.until).await?;
     // The replicas' reply has shown whether the program has had a turn through another entry.
     job.admit()?;
@@ -257,7 +267,7 @@
             team = self.job.call.team.as_deref(),
             priority = self.job.priority,
             upstream = %last_upstream,
-            version = version.as_deref(),
+            %version,
             resume_after = self.job.call.resume_after.as_deref(),
             resumed_stream = self.job.call.resumed_stream.as_deref(),
             own = candidate.own_calls,
@@ -307,7 +317,7 @@
                     if self.splitter.is_too_long() {
                         return Ended::Broken;
                     }
-                    if !self.forward_events().await {
+                    if !self.forward_events(&response.lease.version).await {
                         return Ended::CallerGone;
                     }
                 }
@@ -317,8 +327,8 @@
         }
     }
 
-    /// Forwards complete events; `false` if the caller has disconnected.
-    async fn forward_events(&mut self) -> bool {
+    /// Forwards complete events from an upstream of `version`; `false` if the caller has disconnected.
+    async fn forward_events(&mut self, version: &streams::Version) -> bool {
         let mut chunk = BytesMut::new();
         while let Some(event) = self.splitter.next_event() {
             if self.is_duplicate(event.id.as_ref()) {
@@ -339,10 +349,24 @@
         }
         if !chunk.is_empty() && self.times.first_event.is_none() {
             self.times.first_event = Some(self.times.started_at.elapsed());
+            self.bind(version);
         }
         chunk.is_empty() || self.tx.send(Ok(chunk.freeze())).await.is_ok()
     }
 
+    /// Binds the stream to the software version of its first event, which other entries have to know when its
+    /// caller takes it up.
+    fn bind(&mut self, version: &streams::Version) {
+        let job = &mut self.job;
+        job.version.get_or_insert_with(|| version.clone());
+        if job.route.resumable {
+            job.gate.replicas.record_stream(&service::StreamBegun {
+                stream: job.call.turn.clone(),
+                version: version.clone(),
+            });
+        }
+    }
+
     /// Whether an event was forwarded before. A stream that is resumed at another upstream may begin with
     /// events that the caller already has.
     fn is_duplicate(&self, id: Option<&SmolStr>) -> bool {
@@ -379,7 +403,7 @@
             *resumes += 1;
             tokio::time::sleep(RESUME_PAUSE).await;
             let permit = self.job.attempt().permit().await.ok()?;
-            let again = self.job.gate.fleet.lease_again(&self.job.service, upstream);
+            let again = self.job.lease_again(upstream);
             let lease = match again.filter(|lease| !avoid.contains(&lease.id)) {
                 Some(lease) => lease,
                 None => {
@@ -391,8 +415,8 @@
                 }
             };
             let (id, addr) = (lease.id.clone(), lease.addr);
-            let version = lease.version.as_deref();
-            tracing::info!(request = %self.job.call.id, upstream = %id, version, after = ?self.last_event_id, "resuming the stream");
+            let version = lease.version.clone();
+            tracing::info!(request = %self.job.call.id, upstream = %id, %version, after = ?self.last_event_id, "resuming the stream");
             let attempt = self.job.attempt();
             match attempt.send(lease).await {
                 Ok(response) if response.head.status.is_success() => {
--- a/fw-gate/tests/gate/main.rs
+++ b/fw-gate/tests/gate/main.rs
@@ -11,4 +11,5 @@
 mod store_updates;
 mod turn_cache;
 mod upstream_list;
+mod version_choice;
 mod waiting_turns;
--- a/fw-gate/tests/gate/upstream_list.rs
+++ b/fw-gate/tests/gate/upstream_list.rs
@@ -17,7 +17,7 @@
         service: "s".into(),
         addr: ([127, 0, 0, 1], 1).into(),
         place: "a".into(),
-        version: None,
+        version: "v1".into(),
         slots: 2,
         takes_work: true,
         started_at: 1,
@@ -147,7 +147,7 @@
         fleet.put(listed(id));
     }
     for id in ["y", "z"] {
-        let lease = fleet.lease_again(&"s".into(), &id.into()).unwrap();
+        let lease = fleet.lease_again(&"s".into(), &id.into(), None).unwrap();
         lease.record_health(Observation::Down);
     }
     let lease = fleet.choose(&"s".into(), &Criteria::default()).unwrap();
@@ -168,7 +168,7 @@
     let fleet = fleet();
     fleet.put(listed("x"));
     fleet.put(listed("y"));
-    let lease = fleet.lease_again(&"s".into(), &"x".into()).unwrap();
+    let lease = fleet.lease_again(&"s".into(), &"x".into(), None).unwrap();
     lease.record_load(Load {
         running: 2,
         waiting: 30,
@@ -218,7 +218,7 @@
         fleet.put(listed("y"));
     }
     let busy: Vec<_> = (0..4)
-        .map(|_| one.lease_again(&"s".into(), &"x".into()).unwrap())
+        .map(|_| one.lease_again(&"s".into(), &"x".into(), None).unwrap())
         .collect();
     two.set_other_calls(&one.load().calls);
     for _ in 0..3 {
--- a/fw-gate/tests/gate/waiting_turns.rs
+++ b/fw-gate/tests/gate/waiting_turns.rs
@@ -45,7 +45,7 @@
 
 fn busy(fleet: &Arc<Fleet>, id: &str, calls: usize) -> Vec<Lease> {
     (0..calls)
-        .map(|_| fleet.lease_again(&"s".into(), &id.into()).unwrap())
+        .map(|_| fleet.lease_again(&"s".into(), &id.into(), None).unwrap())
         .collect()
 }
 
--- a/fw-replica/src/client/mod.rs
+++ b/fw-replica/src/client/mod.rs
@@ -18,6 +18,7 @@
 mod chain;
 mod quarantine;
 mod store;
+mod streams;
 mod vote;
 
 pub use quarantine::{ClaimOutcome, Decision};
--- a/fw-replica/src/server/mod.rs
+++ b/fw-replica/src/server/mod.rs
@@ -14,7 +14,8 @@
 mod snapshot;
 
 use crate::{
-    affinity, entry_load, journal, ledger, member, record, service, state, team_usage, writer,
+    affinity, entry_load, journal, ledger, member, record, service, state, streams, team_usage,
+    writer,
 };
 
 /// Most turns of a chain in one reply. Longer chains take several requests.
@@ -57,6 +58,8 @@
     retire_requests: watch::Sender<Vec<record::ReplicaId>>,
     entry_loads: entry_load::Table,
     affinity: affinity::Table,
+    /// Software versions at which streams began.
+    streams: streams::Table,
     team_usage: team_usage::Counters,
     /// Reads of the platform's store published by entries.
     store_reads: snapshot::StoreReads,
@@ -115,6 +118,7 @@
             retire_requests: watch::Sender::default(),
             entry_loads: entry_load::Table::default(),
             affinity: affinity::Table::default(),
+            streams: streams::Table::default(),
             team_usage: team_usage::Counters::default(),
             store_reads: snapshot::StoreReads::new(opts.run, opts.lapse),
             quarantine,
@@ -576,4 +580,16 @@
     ) -> service::SuspectPage {
         self.0.quarantine.poll(after, wait).await
     }
+
+    async fn record_stream(self, _: tarpc::context::Context, req: service::StreamBegun) {
+        self.0.streams.record(req.stream, req.version);
+    }
+
+    async fn find_stream(
+        self,
+        _: tarpc::context::Context,
+        stream: streams::StreamId,
+    ) -> Option<streams::Version> {
+        self.0.streams.find(&stream)
+    }
 }
--- a/fw-replica/src/service.rs
+++ b/fw-replica/src/service.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
-use crate::{affinity, ledger, member, record};
+use crate::{affinity, ledger, member, record, streams};
 
 /// Requests a reservation of tokens for a turn, and the chain that the turn continues.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -392,6 +392,15 @@
     pub suspects: Vec<quarantine::Suspect>,
 }
 
+/// Reports that the first event of a stream was forwarded.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamBegun {
+    /// The stream.
+    pub stream: streams::StreamId,
+    /// Version of the upstream that the event came from.
+    pub version: streams::Version,
+}
+
 /// The service of a replica. New methods are added at the end, as the codec numbers them by their order.
 #[tarpc::service]
 pub trait Replica {
@@ -429,4 +438,8 @@
     /// Long poll for what has changed after a position in the record of crashes: waits up to `wait`
     /// for a change.
     async fn poll_suspects(after: Position, wait: Duration) -> SuspectPage;
+    /// Records the software version at which a stream began.
+    async fn record_stream(req: StreamBegun);
+    /// The software version at which a stream began, if it is on record.
+    async fn find_stream(stream: streams::StreamId) -> Option<streams::Version>;
 }
--- a/fw-replica/tests/replica/main.rs
+++ b/fw-replica/tests/replica/main.rs
@@ -2,6 +2,7 @@
 #![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 mod absent_turns;
+mod begun_streams;
 mod budget_ledger;
 mod budget_model;
 mod budget_power;
