--- a/fw-gate/src/request/resume.rs
+++ b/fw-gate/src/request/resume.rs
@@ -37,6 +37,7 @@
         if gate.fleet.has_several_versions(service) {
             return Err(unknown_stream(call));
         }
+        count("unnamed");
         return Ok(None);
     };
     for attempt in 0..FIND_ATTEMPTS {
@@ -44,6 +45,7 @@
             time::sleep(FIND_PAUSE).await;
         }
         if let Some(version) = gate.replicas.find_stream(stream).await {
+            count("known");
             tracing::info!(request = %call.id, %stream, %version, "stream taken up");
             return Ok(Some(version));
         }
@@ -52,7 +54,12 @@
 }
 
 fn unknown_stream(call: &call::Call) -> error::Error {
+    count("unknown");
     let stream = call.resumed_stream.as_deref().unwrap_or("without id");
     let message = format!("the software version at which stream `{stream}` began is not known");
     error::Error::new(error::Kind::UnknownStream, message).with_retry_after(UNKNOWN_RETRY_AFTER)
 }
+
+fn count(outcome: &'static str) {
+    metrics::counter!("fw_gate_resumed_streams_total", "outcome" => outcome).increment(1);
+}
