fw-gate, fw-replica: a stream that is taken up goes on at the service that began it

What callers saw: on a route that is split among services, a stream that was taken up went on at another service where its versions had the same name.

Cause: the version alone was reported and compared, and the service is drawn anew for each call.

Test: stream_versions::are_kept_at_their_service, 8 of 12 streams at the other service before. The report holds the service too: 33 bytes, 17,047,552 bytes for 131,072 streams at a replica (scratch example). Found by reading for the same cause elsewhere.

--- a/fw-gate/src/request/stream.rs
+++ b/fw-gate/src/request/stream.rs
@@ -102,7 +102,10 @@
 pub async fn run(mut job: Job) -> Result<Response<body::Outgoing>, error::Error> {
     let kept = job.route.keep_turns.is_some();
     let mut times = Times::start();
-    job.version = resume::bound_version(&job.gate, &job.service, &job.call).await?;
+    if let Some(origin) = resume::origin(&job.gate, &job.route, &job.call).await? {
+        job.service = origin.service;
+        job.version = Some(origin.version);
+    }
     let mut ready = turn::begin(&job.gate, &job.call, &job.input, kept, job.until).await?;
     // The replicas' reply has shown whether the program has had a turn through another entry.
     job.admit()?;
@@ -362,7 +365,10 @@
         if job.route.resumable {
             job.gate.replicas.record_stream(&service::StreamBegun {
                 stream: job.call.turn.clone(),
-                version: version.clone(),
+                origin: streams::Origin {
+                    service: job.service.clone(),
+                    version: version.clone(),
+                },
             });
         }
     }
--- a/fw-replica/src/client/streams.rs
+++ b/fw-replica/src/client/streams.rs
@@ -1,4 +1,4 @@
-//! Software versions at which streams began.
+//! Origins of streams.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,7 +13,7 @@
 const FIND_TIMEOUT: Duration = Duration::from_millis(150);
 
 impl Client {
-    /// Reports the version at which a stream began to all members in the background. Whoever looks for a
+    /// Reports the origin of a stream to all members in the background. Whoever looks for a
     /// stream asks all of them, and one that has it is enough.
     pub fn record_stream(self: &Arc<Self>, begun: &service::StreamBegun) {
         let (_, members) = self.members();
@@ -30,8 +30,8 @@
         }
     }
 
-    /// The version at which `stream` began; `None` if no member that answers in time has it on record.
-    pub async fn find_stream(&self, stream: &streams::StreamId) -> Option<streams::Version> {
+    /// The origin of `stream`; `None` if no member that answers in time has it on record.
+    pub async fn find_stream(&self, stream: &streams::StreamId) -> Option<streams::Origin> {
         let (_, members) = self.members();
         let calls = members.into_iter().map(|addr| {
             let stream = stream.clone();
@@ -42,8 +42,8 @@
         let mut calls: FuturesUnordered<_> = calls.collect();
         let found = async {
             while let Some(answer) = calls.next().await {
-                if let Some(Some(version)) = answer {
-                    return Some(version);
+                if let Some(Some(origin)) = answer {
+                    return Some(origin);
                 }
             }
             None
--- a/fw-replica/src/server/mod.rs
+++ b/fw-replica/src/server/mod.rs
@@ -58,7 +58,7 @@
     retire_requests: watch::Sender<Vec<record::ReplicaId>>,
     entry_loads: entry_load::Table,
     affinity: affinity::Table,
-    /// Software versions at which streams began.
+    /// Origins of streams.
     streams: streams::Table,
     team_usage: team_usage::Counters,
     /// Reads of the platform's store published by entries.
@@ -582,14 +582,14 @@
     }
 
     async fn record_stream(self, _: tarpc::context::Context, req: service::StreamBegun) {
-        self.0.streams.record(req.stream, req.version);
+        self.0.streams.record(req.stream, req.origin);
     }
 
     async fn find_stream(
         self,
         _: tarpc::context::Context,
         stream: streams::StreamId,
-    ) -> Option<streams::Version> {
+    ) -> Option<streams::Origin> {
         self.0.streams.find(&stream)
     }
 }
--- a/fw-replica/src/service.rs
+++ b/fw-replica/src/service.rs
@@ -397,8 +397,8 @@
 pub struct StreamBegun {
     /// The stream.
     pub stream: streams::StreamId,
-    /// Version of the upstream that the event came from.
-    pub version: streams::Version,
+    /// Where the event came from.
+    pub origin: streams::Origin,
 }
 
 /// The service of a replica. New methods are added at the end, as the codec numbers them by their order.
@@ -438,8 +438,8 @@
     /// Long poll for what has changed after a position in the record of crashes: waits up to `wait`
     /// for a change.
     async fn poll_suspects(after: Position, wait: Duration) -> SuspectPage;
-    /// Records the software version at which a stream began.
+    /// Records the origin of a stream.
     async fn record_stream(req: StreamBegun);
-    /// The software version at which a stream began, if it is on record.
-    async fn find_stream(stream: streams::StreamId) -> Option<streams::Version>;
+    /// The origin of a stream, if it is on record.
+    async fn find_stream(stream: streams::StreamId) -> Option<streams::Origin>;
 }
--- a/fw-replica/src/streams.rs
+++ b/fw-replica/src/streams.rs
@@ -1,4 +1,4 @@
-//! Software versions of the upstreams at which streams began.
+//! Origins of streams: the service, and the software version of the upstream, at which each began.
 //!
 //! *Load pattern:* upstreams of several software versions serve side by side. Callers take up streams that
 //! broke, through any entry, also when the one that began the stream has gone.
@@ -10,8 +10,10 @@
 
 use std::num::NonZeroUsize;
 
+use fw_base::id;
 use lru::LruCache;
 use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 /// Id of a stream: that of the caller's attempt that brought its first event.
@@ -19,34 +21,43 @@
 /// Version of an upstream's software.
 pub type Version = SmolStr;
 
-/// Most streams on record, in about 15 MB: those of eight seconds at 16,000 a second. The oldest goes first.
+/// Where a stream began, and may go on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Origin {
+    /// The service. Versions of two services may have the same names.
+    pub service: id::ServiceId,
+    /// The software version of the upstream.
+    pub version: Version,
+}
+
+/// Most streams on record, in about 17 MB: those of eight seconds at 16,000 a second. The oldest goes first.
 const CAPACITY: NonZeroUsize = NonZeroUsize::new(131_072).expect("not zero");
 
-/// Streams and the versions at which they began.
+/// Streams and their origins.
 #[derive(Debug)]
 pub struct Table {
-    versions: Mutex<LruCache<StreamId, Version>>,
+    origins: Mutex<LruCache<StreamId, Origin>>,
 }
 
 impl Default for Table {
     fn default() -> Self {
         // Memory is taken as records come.
-        let mut versions = LruCache::unbounded();
-        versions.resize(CAPACITY);
+        let mut origins = LruCache::unbounded();
+        origins.resize(CAPACITY);
         Self {
-            versions: Mutex::new(versions),
+            origins: Mutex::new(origins),
         }
     }
 }
 
 impl Table {
-    /// Records that the first event of `stream` came from an upstream of `version`.
-    pub fn record(&self, stream: StreamId, version: Version) {
-        self.versions.lock().put(stream, version);
+    /// Records that the first event of `stream` came from `origin`.
+    pub fn record(&self, stream: StreamId, origin: Origin) {
+        self.origins.lock().put(stream, origin);
     }
 
-    /// The version at which `stream` began, if it is on record.
-    pub fn find(&self, stream: &StreamId) -> Option<Version> {
-        self.versions.lock().peek(stream).cloned()
+    /// The origin of `stream`, if it is on record.
+    pub fn find(&self, stream: &StreamId) -> Option<Origin> {
+        self.origins.lock().peek(stream).cloned()
     }
 }
