--- a/fw-plan/src/quarantine.rs
+++ b/fw-plan/src/quarantine.rs
@@ -7,7 +7,7 @@
 //! kept by each entry alone lets every entry crash as many upstreams as the limit says, and again
 //! after each restart.
 //!
-//! *Rule:* each failure of an attempt is recorded with its weight, and with the weight known when the
+//! *Rule:* each failure of an attempt is recorded at several [levels](Level) with its weight, and with the weight known when the
 //! attempt was sent. Copies in flight together add up to one failure, however many upstreams fail
 //! under them. After a crash the request is a suspect and runs one attempt at a time, under a
 //! [claim](Claims). A completed run disproves all failures recorded by then. From
@@ -34,7 +34,7 @@
 
 mod identity;
 
-/// Digest that all repetitions of a request share.
+/// Digest that all repetitions of a request share, or all requests of a group.
 pub type Fingerprint = digest::Digest;
 /// Identifies a failure, however many processes report it. The lower half names the upstream; in the record
 /// of a group, the upper half names the variant of the request.
