fw-gate: only a call that takes up a known stream is exempt from admission control

What a caller could do: with a header Last-Event-Id, of any value, its first turns passed admission control under overload, at the expense of programs in progress.

Cause: whether a turn begins a program was decided by that header. Now by the version to which the call is bound, which a replica must have on record.

--- a/fw-gate/src/request/attempt.rs
+++ b/fw-gate/src/request/attempt.rs
@@ -131,7 +131,7 @@
     pub fn begins_program(&self) -> bool {
         let is_first = self.route.kind == config::Kind::Stream
             && self.call.previous.is_none()
-            && self.call.resume_after.is_none();
+            && self.version.is_none();
         is_first && self.gate.fleet.is_new_program(&self.call.lineage())
     }
 
--- a/fw-gate/tests/gate/version_choice.rs
+++ b/fw-gate/tests/gate/version_choice.rs
@@ -5,10 +5,12 @@
 
 use fw_base::error;
 use fw_gate::process::fleet::{Criteria, Fleet, ListedUpstream};
-use fw_gate::request::call;
+use fw_gate::request::{attempt, call, ingress, send};
+use fw_gate::version::config;
 use fw_replica::streams;
 use googletest::prelude::*;
 
+use crate::startup;
 use crate::upstream_list::{fleet, listed};
 
 /// Calls that fill an upstream of [`listed`]: its two slots, and two calls that queue there.
@@ -110,3 +112,45 @@
     expect_that!(of_team("one"), not(eq(&of_team("two"))));
     expect_that!(of_team("one"), not(eq(&call.resumed_stream)));
 }
+
+// Guards against a caller that evades admission control, and overtakes others, by a header.
+#[gtest]
+#[tokio::test]
+async fn are_those_that_take_up_a_known_stream() {
+    let gate = startup::gate();
+    let call = call::Call {
+        program: Some("p".into()),
+        resume_after: Some("0".into()),
+        ..call::Call::default()
+    };
+    let route = config::Route {
+        kind: config::Kind::Stream,
+        ..config::Route::default()
+    };
+    let out = send::Outbound {
+        method: hyper::Method::POST,
+        uri: hyper::Uri::from_static("/x"),
+        headers: hyper::HeaderMap::new(),
+        body: bytes::Bytes::new(),
+        id: hyper::header::HeaderValue::from_static("id"),
+    };
+    let parts = hyper::Request::new(()).into_parts().0;
+    let version = streams::Version::from("v1");
+    let begins = |version| {
+        let job = attempt::Job {
+            gate: &gate,
+            route: &route,
+            service: &"s".into(),
+            call: &call,
+            out: &out,
+            identity: ingress::identity(&call, "a.example", &parts, &out.body),
+            until: tokio::time::Instant::now(),
+            version,
+            priority: 0,
+            permit: None,
+        };
+        job.begins_program()
+    };
+    expect_true!(begins(None));
+    expect_false!(begins(Some(&version)));
+}
