fw-replica: calls share a replica's connection without queueing for it

What callers saw: entries ended over their memory limit, and the whole answers that they held were cut. Cause: each call took a fair lock on the link to its replica, which was held while the connection was dialled. A fair lock goes to the next in the queue only once that task runs, after all other tasks that are ready. So once two replicas had been killed and calls had queued behind the dials, each link served one call a round of the scheduler. On an entry short of processor time a round takes 30 to 100 ms, more calls came than went, and the queue never ended. Nothing limited the time in it. Without processor time a round takes no time and nothing shows. Ruled out: connections (505 callers', 172 to upstreams at the end), prompts and answers, log lines (1,024 at most), retries of turns that were not stored (80). Change: the state of a link has a lock that is never held across an await. One task dials, all calls that wait for it go on when it ends, and none waits longer than for an answer. Test: lost_links::are_shared_by_all_waiting_calls, 199 rounds for 200 calls before (red 1 of 1), 20 allowed.

--- a/fw-replica/src/links.rs
+++ b/fw-replica/src/links.rs
@@ -11,6 +11,7 @@
 use fw_base::clock;
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 
 use crate::{codec, relay, service};
@@ -45,10 +46,22 @@
     dispatch: AbortHandle,
 }
 
-/// The connection to one replica, kept until it fails.
+/// The connection to one replica. Its lock is never held while something is awaited: calls that queue for a
+/// fair lock get it one at a time, each after all other tasks have run, and an entry that is short of
+/// processor time then takes on more calls than get it.
 #[derive(Debug, Default)]
 struct Link {
+    state: Mutex<State>,
+    /// Notified when a dial has ended.
+    dialed: Notify,
+}
+
+/// State of the connection to one replica, which is kept until it fails.
+#[derive(Debug, Default)]
+struct State {
     connected: Option<Connected>,
+    /// Whether a connection is being made, for which calls wait.
+    is_dialing: bool,
     /// Whether the replica is in another data centre.
     is_remote: bool,
     /// Incremented with each new connection, so that a late failure does not drop a newer one.
@@ -60,7 +73,7 @@
     direct_retried_at: Option<Instant>,
 }
 
-impl Link {
+impl State {
     /// Uses `stream` for calls from now on.
     fn connect(&mut self, stream: TcpStream, route: Route) -> service::ReplicaClient {
         let codec = codec::Caller {
@@ -87,6 +100,16 @@
     }
 }
 
+/// What a call gets from a link.
+enum Lookup {
+    /// The client, and the generation of its connection.
+    Open(service::ReplicaClient, u64),
+    /// A connection is being made.
+    Dialing,
+    /// The replica is down.
+    Down,
+}
+
 /// Latency and last failure of a replica.
 #[derive(Clone, Copy, Debug, Default)]
 struct LinkStats {
@@ -97,7 +120,7 @@
 /// Connections to all replicas.
 #[derive(Debug, Default)]
 pub struct Links {
-    links: Mutex<HashMap<SocketAddr, Arc<tokio::sync::Mutex<Link>>>>,
+    links: Mutex<HashMap<SocketAddr, Arc<Link>>>,
     stats: Mutex<HashMap<SocketAddr, LinkStats>>,
     routes: Arc<Routes>,
     /// When a majority of the members had answered for the first time, since boot.
@@ -266,8 +289,8 @@
         F: Future<Output = Result<T, tarpc::client::RpcError>>,
     {
         let link = Arc::clone(self.links.lock().entry(addr).or_default());
-        let connected = self.connected(&link, addr).await;
-        let Some((client, generation)) = connected else {
+        let connected = tokio::time::timeout(limit, self.connected(&link, addr)).await;
+        let Ok(Some((client, generation))) = connected else {
             self.record_failure(addr, "no connection");
             return None;
         };
@@ -281,45 +304,57 @@
                     _ => format!("no answer within {limit:?}"),
                 };
                 self.record_failure(addr, &why);
-                let mut link = link.lock().await;
-                if link.generation == generation {
-                    link.connected = None;
+                let mut state = link.state.lock();
+                if state.generation == generation {
+                    state.connected = None;
                 }
                 None
             }
         }
     }
 
+    /// Returns the client, once a connection is made if there is none; `None` if the replica is down.
     async fn connected(
         &self,
-        shared: &Arc<tokio::sync::Mutex<Link>>,
+        link: &Arc<Link>,
         addr: SocketAddr,
     ) -> Option<(service::ReplicaClient, u64)> {
-        let mut link = shared.lock().await;
-        if let Some(client) = link.open_client() {
-            if link
+        loop {
+            let mut dialed = pin!(link.dialed.notified());
+            // A dial that ends between the lookup and the wait counts too.
+            dialed.as_mut().enable();
+            match self.look_up(link, addr) {
+                Lookup::Open(client, generation) => return Some((client, generation)),
+                Lookup::Down => return None,
+                Lookup::Dialing => dialed.await,
+            }
+        }
+    }
+
+    /// Looks up the connection; starts to dial if there is none and nobody dials yet.
+    fn look_up(&self, link: &Arc<Link>, addr: SocketAddr) -> Lookup {
+        let mut state = link.state.lock();
+        if let Some(client) = state.open_client() {
+            if state
                 .direct_retried_at
                 .is_some_and(|tried| tried.elapsed() > DIRECT_RETRY_INTERVAL)
             {
-                link.direct_retried_at = Some(Instant::now());
-                tokio::spawn(restore_direct(Arc::clone(shared), addr));
+                state.direct_retried_at = Some(Instant::now());
+                tokio::spawn(restore_direct(Arc::clone(link), addr));
             }
-            return Some((client, link.generation));
+            return Lookup::Open(client, state.generation);
         }
         // Callers do not wait, one after the other, for a replica that is down.
-        if let Some(wanted) = &mut link.last_wanted {
+        if let Some(wanted) = &mut state.last_wanted {
             *wanted = Instant::now();
-            return None;
+            return Lookup::Down;
         }
-        link.is_remote = self.routes.remote.lock().contains(&addr);
-        let Some((stream, route)) = self.routes.dial(addr).await else {
-            link.last_wanted = Some(Instant::now());
-            let routes = Arc::clone(&self.routes);
-            tokio::spawn(reconnect(routes, Arc::clone(shared), addr));
-            return None;
-        };
-        let client = link.connect(stream, route);
-        Some((client, link.generation))
+        if !state.is_dialing {
+            state.is_dialing = true;
+            state.is_remote = self.routes.remote.lock().contains(&addr);
+            tokio::spawn(dial(Arc::clone(&self.routes), Arc::clone(link), addr));
+        }
+        Lookup::Dialing
     }
 
     /// Records a call answered after `took`.
@@ -353,36 +388,50 @@
     }
 }
 
+/// Connects to a replica for the calls that wait for it; keeps trying in the background if that fails.
+async fn dial(routes: Arc<Routes>, link: Arc<Link>, addr: SocketAddr) {
+    let dialed = routes.dial(addr).await;
+    let mut state = link.state.lock();
+    state.is_dialing = false;
+    if let Some((stream, route)) = dialed {
+        state.connect(stream, route);
+    } else {
+        state.last_wanted = Some(Instant::now());
+        tokio::spawn(reconnect(routes, Arc::clone(&link), addr));
+    }
+    drop(state);
+    link.dialed.notify_waiters();
+}
+
 /// Reconnects to a replica, as long as calls to it were made recently.
 ///
 /// *Failure:* after a loss of all power, entries are back some hundred milliseconds before the
 /// replicas. With a pause of 300 ms between two attempts, turns were refused for as long after the
 /// replicas were back.
-async fn reconnect(routes: Arc<Routes>, shared: Arc<tokio::sync::Mutex<Link>>, addr: SocketAddr) {
+async fn reconnect(routes: Arc<Routes>, link: Arc<Link>, addr: SocketAddr) {
     loop {
         tokio::time::sleep(RECONNECT_INTERVAL).await;
         let connected = routes.dial(addr).await;
-        let mut link = shared.lock().await;
+        let mut state = link.state.lock();
         if let Some((stream, route)) = connected {
-            link.connect(stream, route);
+            state.connect(stream, route);
             return;
         }
-        if link
+        if state
             .last_wanted
             .is_none_or(|at| at.elapsed() >= RECONNECT_FOR)
         {
-            link.last_wanted = None;
+            state.last_wanted = None;
             return;
         }
     }
 }
 
 /// Returns to a direct connection if one can be made.
-async fn restore_direct(link: Arc<tokio::sync::Mutex<Link>>, addr: SocketAddr) {
+async fn restore_direct(link: Arc<Link>, addr: SocketAddr) {
     let Some(stream) = relay::dial(addr).await else {
         return;
     };
     tracing::info!(%addr, "a replica is reached directly again");
-    let mut link = link.lock().await;
-    link.connect(stream, Route::Direct);
+    link.state.lock().connect(stream, Route::Direct);
 }
--- a/fw-replica/tests/replica/lost_links.rs
+++ b/fw-replica/tests/replica/lost_links.rs
@@ -1,12 +1,16 @@
-//! Connections to replicas that are down.
+//! Connections to replicas that are down or are being made.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::Poll;
 use std::time::Duration;
 
 use fw_replica::client::Client;
 use fw_replica::links::Links;
 use googletest::prelude::*;
 use tokio::net::TcpListener;
+use tokio::task::JoinSet;
 
 /// Much longer than the pause between two attempts, also on a loaded machine.
 const LONG: Duration = Duration::from_secs(20);
@@ -91,3 +95,44 @@
         () = again => {}
     }
 }
+
+/// Calls that wait for one connection.
+const WAITING_CALLS: usize = 200;
+/// Rounds over all tasks that are ready, in which all of these calls have to go on once it is made.
+const MAX_ROUNDS: usize = 20;
+
+/// Spawns a task that is always ready and counts how often it runs: once in each round over the tasks that are
+/// ready.
+fn count_rounds(tasks: &mut JoinSet<()>) -> Arc<AtomicUsize> {
+    let rounds = Arc::<AtomicUsize>::default();
+    let counted = Arc::clone(&rounds);
+    tasks.spawn(std::future::poll_fn(move |cx| {
+        counted.fetch_add(1, Ordering::Relaxed);
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    }));
+    rounds
+}
+
+// Guards against calls that get a replica's connection one at a time, each after all other tasks have run.
+#[gtest]
+#[tokio::test]
+async fn are_shared_by_all_waiting_calls() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let links = Arc::new(Links::default());
+    let mut busy = JoinSet::new();
+    let rounds = count_rounds(&mut busy);
+    let mut calls = JoinSet::new();
+    for _ in 0..WAITING_CALLS {
+        let (links, rounds) = (Arc::clone(&links), Arc::clone(&rounds));
+        calls.spawn(async move {
+            let call = links.call(addr, async |_, _| Ok(()));
+            call.await.unwrap();
+            rounds.load(Ordering::Relaxed)
+        });
+    }
+    let connected_at = calls.join_all().await;
+    let (first, last) = (connected_at.iter().min(), connected_at.iter().max());
+    expect_that!(last.unwrap() - first.unwrap(), le(MAX_ROUNDS));
+}
