fw-plan, fw-gate, fw-replica: bound what an entry holds, and tell what it is

Cause: nothing bounded the bytes that an entry holds for requests under way, and no metric or log line said which kind had grown: an entry that took on more than it worked off grew until the system ended it. The case that was seen was the queue for a replica's connection; the class is an entry that accepts what it cannot work off. Change: requests under way, their bodies, prompts and answers not stored yet, answers held for callers, and calls to replicas share a quarter of the instance's memory, where the settings state it ([intake]). A request that begins a program is refused from half of that on, any other when it is used up: at once, before its body is read, as not run, with a time to return within a third of its deadline. Calls to one replica, and outcomes sent again, are limited as well. Gauges by kind twice a second, and a log line of all kinds when the process passes 50, 75 and 90 percent of its memory. Weighed: the process's own memory as the measure (the allocator keeps what is freed, so an entry would refuse for good), the number of requests (a long prompt weighs a hundred short ones). Not part of the decision: connections, which no refusal closes, and the entry's own delay, which is measured only.

--- a/foxtailweir/src/command/role.rs
+++ b/foxtailweir/src/command/role.rs
@@ -90,6 +90,9 @@
         hedge_plain: settings.upstream_speed.hedge_plain,
         held_bytes: settings.held_bytes.mode,
         max_held_bytes: settings.held_bytes.max_bytes,
+        intake: settings.intake.mode,
+        max_intake_bytes: settings.intake.max_bytes,
+        intake_begin_share: Some(settings.intake.begin_share),
         locality_limits: features::LocalityLimits {
             cost_per_kib: settings.locality.cost_per_kib,
             confirm_within: settings.locality.confirm_within,
--- a/fw-conf/src/balance.rs
+++ b/fw-conf/src/balance.rs
@@ -45,6 +45,8 @@
         locality: Locality;
         /// Bytes held for callers.
         held_bytes: HeldBytes;
+        /// Bytes held for requests.
+        intake: Intake;
     }
 }
 
@@ -124,6 +126,19 @@
     }
 }
 
+schema::section! {
+    /// Bytes that an entry holds for requests under way: their bodies, tasks and calls to replicas.
+    Intake in "intake" {
+        /// Whether they are bounded. `auto`: if the deployment states the instance's memory.
+        mode: Mode = Mode::Auto, codec::choice(MODES);
+        /// Bytes held for all requests together. A request for which there is no room is refused at once.
+        max_bytes: Option<usize> = None,
+            codec::Optional { codec: codec::size(1 << 20..=1 << 40), absent: "a quarter of the instance's memory" };
+        /// Part of these bytes from which on requests that begin programs are refused.
+        begin_share: f64 = 0.5, codec::number(0.1..=1.0);
+    }
+}
+
 impl Settings {
     fn conflicts(&self) -> Vec<Conflict> {
         let fair = &self.fair_admission;
--- a/fw-gate/src/connection/listen.rs
+++ b/fw-gate/src/connection/listen.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use fw_plan::intake;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -17,7 +18,7 @@
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
-use crate::process::{gate, held_bytes};
+use crate::process::{gate, held_bytes, memory};
 use crate::request::ingress;
 
 /// Backlog of connections that wait to be accepted. A longer backlog costs nothing; when it overflows,
@@ -95,7 +96,10 @@
         .max_buf_size(READ_BUFFER_BYTES.max(limits.header_bytes))
         .serve_connection(TokioIo::new(stream), handler);
     let connection = graceful.watch(connection);
+    let kind = memory::Kind::CallerConnections;
+    let held = gate.memory.hold(kind, intake::CONNECTION_BYTES);
     async move {
+        let _held = held;
         // If the caller broke the connection, its request in flight was cancelled with it.
         let ended = async {
             match &end {
--- a/fw-gate/src/process/features.rs
+++ b/fw-gate/src/process/features.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 pub use fw_conf::balance::Mode;
-use fw_plan::{begin, prefix, speed, spill};
+use fw_plan::{begin, intake, prefix, speed, spill};
 use fw_replica::client;
 
 /// Limits of the reduction of traffic between data centres.
@@ -51,6 +51,12 @@
     pub held_bytes: Mode,
     /// The bound; `None` for a part of the instance's memory.
     pub max_held_bytes: Option<usize>,
+    /// Bound on the bytes held for requests.
+    pub intake: Mode,
+    /// That bound; `None` for a part of the instance's memory.
+    pub max_intake_bytes: Option<usize>,
+    /// Part of that bound from which on requests that begin programs are refused; `None` for the default.
+    pub intake_begin_share: Option<f64>,
     /// Limits of the reduction of traffic between data centres.
     pub locality_limits: LocalityLimits,
     /// Memory of the instance in bytes, if the deployment states it.
@@ -59,6 +65,22 @@
     pub memory_pressure: bool,
 }
 
+impl Options {
+    /// The bound on the bytes held for requests, if they are bounded.
+    pub fn intake(&self) -> Option<intake::Options> {
+        if !self.intake.is_on(self.instance_memory.is_some()) {
+            return None;
+        }
+        let memory = self.instance_memory;
+        let limits = memory.map_or_else(intake::Options::default, intake::Options::for_memory);
+        Some(intake::Options {
+            max_bytes: self.max_intake_bytes.unwrap_or(limits.max_bytes),
+            begin_share: self.intake_begin_share.unwrap_or(limits.begin_share),
+            ..limits
+        })
+    }
+}
+
 /// The parts that are on at present.
 #[derive(Debug, Default)]
 pub struct Features {
--- a/fw-gate/src/process/fleet/mod.rs
+++ b/fw-gate/src/process/fleet/mod.rs
@@ -241,6 +241,16 @@
 }
 
 impl Fleet {
+    /// Number of open connections to upstreams: one for each call under way, and the idle ones.
+    pub fn open_links(&self) -> usize {
+        let services: Vec<_> = self.services.lock().values().cloned().collect();
+        let open_at = |upstream: &Upstream| upstream.idle_links.len() + upstream.own_calls as usize;
+        let open = services
+            .iter()
+            .map(|service| -> usize { service.lock().upstreams.iter().map(open_at).sum() });
+        open.sum()
+    }
+
     /// Creates a fleet without upstreams. `place` is the entry's own data centre, `lapse` configures how
     /// outages of the store are detected, and `confirm` how old the list may be.
     pub fn new(
--- a/fw-gate/src/process/gate.rs
+++ b/fw-gate/src/process/gate.rs
@@ -6,15 +6,15 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use fw_base::{clock, id};
-use fw_plan::{confirm, lapse, quota, retry, staleness, start_order};
+use fw_base::{clock, error, id};
+use fw_plan::{confirm, intake, lapse, quota, retry, staleness, start_order};
 use fw_replica::{client, member, record, service};
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
 use super::{
-    features, first_calls, fleet, held_bytes, quarantine, quotas, read_schedule, shares, snapshot,
-    startup, turn_cache,
+    features, first_calls, fleet, held_bytes, memory, quarantine, quotas, read_schedule, shares,
+    snapshot, startup, turn_cache,
 };
 use crate::names;
 use crate::version::config;
@@ -118,6 +118,8 @@
     first_calls: Arc<first_calls::FirstCalls>,
     /// Bytes held for callers, while they are bounded.
     pub held: Arc<held_bytes::HeldBytes>,
+    /// What the entry holds, and whether it takes on another request.
+    pub memory: Arc<memory::Memory>,
     /// The steps of the entry's start.
     pub startup: startup::Startup,
     /// The teams' fair shares.
@@ -133,6 +135,11 @@
         let key_freshness = staleness::KeyFreshness::new(opts.keys_stale_after);
         let replicas = client::Client::new(opts.faults, opts.seeds.clone());
         replicas.set_place(opts.place.clone());
+        let intake = opts.features.intake();
+        if let Some(intake) = &intake {
+            replicas.set_max_calls(intake.max_replica_calls);
+        }
+        let memory = memory::Memory::new(intake);
         Arc::new(Self {
             read_schedule: read_schedule::ReadSchedule::new(fleet.entry()),
             fleet,
@@ -152,6 +159,7 @@
                 opts.features.max_held_bytes,
                 opts.features.instance_memory,
             )),
+            memory,
             startup: startup::Startup::new(clock::process_start()),
             shares: shares::Shares::default(),
             opts,
@@ -445,6 +453,26 @@
         })
     }
 
+    /// Bytes held for calls to replicas.
+    pub fn replica_call_bytes(&self) -> usize {
+        self.replicas.calls() * intake::CALL_BYTES
+    }
+
+    /// Takes on a request with a body of `body` bytes.
+    ///
+    /// # Errors
+    ///
+    /// `Overloaded` when the entry holds too much to take it on.
+    pub fn admit_request(
+        &self,
+        begins: bool,
+        body: usize,
+        deadline: Option<Duration>,
+    ) -> Result<memory::Request, error::Error> {
+        let others = self.held.held() + self.replica_call_bytes();
+        self.memory.admit(begins, body, others, deadline)
+    }
+
     /// Counts a call that is prepared from now on; `None` if calls are not ordered, or no longer.
     pub fn enter_first_calls(
         &self,
--- a/fw-gate/src/process/mod.rs
+++ b/fw-gate/src/process/mod.rs
@@ -5,6 +5,7 @@
 pub mod fleet;
 pub mod gate;
 pub mod held_bytes;
+pub mod memory;
 pub mod quarantine;
 pub mod quotas;
 pub mod read_schedule;
--- a/fw-gate/src/process/serve.rs
+++ b/fw-gate/src/process/serve.rs
@@ -11,7 +11,7 @@
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
-use super::{gate, startup};
+use super::{gate, memory, startup};
 use crate::connection::listen;
 
 /// Time for load balancers to notice that the entry is not ready: they check its readiness once a second
@@ -62,6 +62,7 @@
     A: fw_follow::Source<Change = gate::Change>,
 {
     let bind = |addr| listen::bind(addr).context(ListenSnafu { addr });
+    let instance_memory = opts.gate.features.instance_memory;
     let gate = gate::Gate::new(opts.gate);
     gate.startup.reach(startup::Step::Runtime);
     let callers = bind(opts.callers)?;
@@ -82,6 +83,7 @@
     ));
     tasks.spawn(Arc::clone(&gate).poll_replicas());
     tasks.spawn(Arc::clone(&gate).report_quotas());
+    tasks.spawn(memory::watch(Arc::clone(&gate), instance_memory));
     tasks.spawn(Arc::clone(&gate.quarantine).follow());
     tasks.spawn(relay::serve(relayed, Arc::clone(&gate.replicas)));
     let ready_gate = Arc::clone(&gate);
--- a/fw-gate/src/process/turn_cache.rs
+++ b/fw-gate/src/process/turn_cache.rs
@@ -55,6 +55,11 @@
         }
     }
 
+    /// Bytes of the cached turns.
+    pub fn bytes(&self) -> usize {
+        self.inner.lock().bytes
+    }
+
     /// Caches `turn`, and evicts the oldest turns if the capacity is exceeded.
     pub fn put(&self, turn: Arc<record::Turn>) {
         let mut inner = self.inner.lock();
--- a/fw-gate/src/request/ingress.rs
+++ b/fw-gate/src/request/ingress.rs
@@ -10,12 +10,13 @@
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
 use hyper::{HeaderMap, Request, Response, Uri};
+use parking_lot::Mutex;
 use rand::RngExt;
 use tokio::time::Instant;
 
 use super::{answer, attempt, auth, body, call, plain, refusal, send, stream};
 use crate::names;
-use crate::process::{first_calls, gate, held_bytes, startup};
+use crate::process::{first_calls, gate, held_bytes, memory, startup};
 use crate::version::{config, team};
 
 /// Answers one request. Dropping the future, as happens when the caller closes its connection, cancels all
@@ -67,6 +68,7 @@
     details: &mut refusal::Details,
 ) -> Result<Response<body::Outgoing>, error::Error> {
     let (head, body) = req.into_parts();
+    let mut held = admit(gate, &head)?;
     let first_call = gate.enter_first_calls(|| start_class(&gate.opts.names, &head.headers));
     let active = active_config(gate, first_call.as_deref()).await;
     let gate::ActiveConfig {
@@ -94,6 +96,7 @@
     let timeout = call.deadline.unwrap_or(route.timeout).min(route.timeout);
     let until = started + timeout;
     let input = read_body(body, config.limits.body_bytes, until).await?;
+    held.set_body(input.len());
     let service = route
         .service(rand::rng().random())
         .ok_or_else(|| error::Error::new(error::Kind::NoUpstream, "the route has no service"))?;
@@ -120,6 +123,7 @@
             permit: None,
             first_call,
             account,
+            held: Arc::new(Mutex::new(held)),
         };
         return stream::run(job, details).await;
     }
@@ -153,14 +157,45 @@
     gate.await_active_config().await
 }
 
-/// The class of a call by its headers alone, since a call is ordered before there is a configuration.
-pub fn start_class(names: &names::HeaderNames, headers: &HeaderMap) -> start_order::Class {
+/// Whether a call begins a program, by its headers alone.
+fn begins_program(names: &names::HeaderNames, headers: &HeaderMap) -> bool {
     let marks = [&names.previous, &names.resume_after, &names.resumed_stream];
     // Only turns state a number of tokens; a program's other calls come between its turns.
     let is_turn = headers.contains_key(&names.tokens);
-    let continues = !is_turn || marks.into_iter().any(|name| headers.contains_key(name));
-    let left = headers.get(&names.program_deadline_ms);
-    let left = left.and_then(|value| value.to_str().ok()?.trim().parse().ok());
+    is_turn && !marks.into_iter().any(|name| headers.contains_key(name))
+}
+
+/// Takes the request on, if the entry has room for what it would hold.
+///
+/// # Errors
+///
+/// `Overloaded` when it has not.
+fn admit(
+    gate: &gate::Gate,
+    head: &hyper::http::request::Parts,
+) -> Result<memory::Request, error::Error> {
+    let names = &gate.opts.names;
+    let body = announced_body(&head.headers, &limits(gate));
+    let deadline = number(&head.headers, &names.deadline_ms).map(Duration::from_millis);
+    gate.admit_request(begins_program(names, &head.headers), body, deadline)
+}
+
+/// Bytes of the body that is announced, as far as it is read: a longer one is refused, and must not use up the
+/// budget until then.
+pub fn announced_body(headers: &HeaderMap, limits: &config::Limits) -> usize {
+    let announced = number(headers, &header::CONTENT_LENGTH).unwrap_or(0);
+    let announced = usize::try_from(announced).unwrap_or(usize::MAX);
+    announced.min(limits.body_bytes)
+}
+
+fn number(headers: &HeaderMap, name: &header::HeaderName) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.trim().parse().ok()
+}
+
+/// The class of a call by its headers alone, since a call is ordered before there is a configuration.
+pub fn start_class(names: &names::HeaderNames, headers: &HeaderMap) -> start_order::Class {
+    let continues = !begins_program(names, headers);
+    let left = number(headers, &names.program_deadline_ms);
     start_order::class(continues, left.map(Duration::from_millis))
 }
 
--- a/fw-gate/src/request/stream.rs
+++ b/fw-gate/src/request/stream.rs
@@ -10,13 +10,14 @@
 use http_body_util::BodyExt;
 use hyper::header::HeaderValue;
 use hyper::{Response, StatusCode};
+use parking_lot::Mutex;
 use smol_str::SmolStr;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use super::ingress::log_ms;
 use super::{attempt, body, call, events, plain, refusal, resume, send, turn};
-use crate::process::{first_calls, fleet, gate, held_bytes, quarantine, quotas, traffic};
+use crate::process::{first_calls, fleet, gate, held_bytes, memory, quarantine, quotas, traffic};
 use crate::version::{config, team};
 
 /// Maximum number of times that a broken stream is resumed.
@@ -57,6 +58,8 @@
     pub first_call: Option<Arc<first_calls::Preparing>>,
     /// Account of the bytes held for the caller, if they are bounded.
     pub account: Option<Arc<held_bytes::Account>>,
+    /// What the entry holds for it.
+    pub held: Arc<Mutex<memory::Request>>,
 }
 
 impl Job {
@@ -139,6 +142,7 @@
     // The replicas' reply has shown whether the program has had a turn through another entry.
     job.admit(details)?;
     job.first_call = None;
+    job.held.lock().set_body(job.input.len() + ready.body.len());
     job.out.body = ready.body;
     times.prepared = times.started_at.elapsed();
     let (response, permit) = job
@@ -406,6 +410,7 @@
             if let Some(data) = &event.data {
                 self.output.put_slice(data);
                 self.output.put_u8(b'\n');
+                self.job.held.lock().add_output(data.len() + 1);
                 self.events += 1;
                 if let Some(turn) = &mut self.turn {
                     turn.add_tokens(self.tokens_per_event);
--- a/fw-gate/tests/gate/main.rs
+++ b/fw-gate/tests/gate/main.rs
@@ -5,6 +5,7 @@
 mod call_headers;
 mod event_split;
 mod hedged_calls;
+mod held_requests;
 mod near_upstreams;
 mod prefix_placement;
 mod program_admission;
--- a/fw-plan/src/lib.rs
+++ b/fw-plan/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod health;
 pub mod hedge;
 pub mod held_bytes;
+pub mod intake;
 pub mod lapse;
 pub mod lookup;
 pub mod pace;
--- a/fw-plan/tests/plan/main.rs
+++ b/fw-plan/tests/plan/main.rs
@@ -16,6 +16,7 @@
 mod fair_burst;
 mod fair_shares;
 mod first_calls;
+mod full_entry;
 mod held_calls;
 mod hot_caller;
 mod hot_key;
--- a/fw-replica/src/client/mod.rs
+++ b/fw-replica/src/client/mod.rs
@@ -141,6 +141,8 @@
     locality: Mutex<Option<Locality>>,
     /// When members were last sent a load report, with locality.
     load_reports: Mutex<load_reports::LoadReports>,
+    /// Outcomes of turns that are sent again in the background.
+    resends: links::Pending,
 }
 
 impl Client {
@@ -157,6 +159,7 @@
             place: OnceLock::new(),
             locality: Mutex::default(),
             load_reports: Mutex::default(),
+            resends: links::Pending::default(),
         })
     }
 
@@ -167,6 +170,17 @@
         tracing::debug!(%place, "data centre of the replicas' client");
     }
 
+    /// Sets the greatest number of calls to one replica that wait, and of outcomes that are sent again in the
+    /// background; later calls have no effect.
+    pub fn set_max_calls(&self, max: usize) {
+        self.links.set_max_calls(max);
+    }
+
+    /// Number of calls that wait, and of outcomes that are sent again.
+    pub fn calls(&self) -> usize {
+        self.links.calls() + self.resends.count()
+    }
+
     /// Sets how messages to other data centres are reduced; `None` if they are not.
     pub fn set_locality(&self, locality: Option<Locality>) {
         *self.locality.lock() = locality;
--- a/fw-replica/src/client/store.rs
+++ b/fw-replica/src/client/store.rs
@@ -144,8 +144,13 @@
         if self.call_finish(addr, req.clone()).await {
             return true;
         }
+        let Some(resend) = self.resends.try_begin(self.links.max_calls()) else {
+            metrics::counter!("fw_replica_unsent_total").increment(1);
+            return false;
+        };
         let client = Arc::clone(self);
         tokio::spawn(async move {
+            let _resend = resend;
             for pause in RETRY_PAUSES {
                 tokio::time::sleep(pause).await;
                 if client.call_finish(addr, req.clone()).await {
--- a/fw-replica/src/links.rs
+++ b/fw-replica/src/links.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::pin::pin;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
@@ -54,6 +55,40 @@
     state: Mutex<State>,
     /// Notified when a dial has ended.
     dialed: Notify,
+    /// Calls that wait for the connection or for a reply.
+    calls: Pending,
+}
+
+/// Greatest number of calls to one replica that wait, unless another is set.
+const DEFAULT_MAX_CALLS: usize = 4_096;
+
+/// A number of things under way.
+#[derive(Clone, Debug, Default)]
+pub struct Pending(Arc<AtomicUsize>);
+
+/// One of the things that [`Pending`] counts, until this is dropped.
+#[derive(Debug)]
+pub struct PendingGuard(Pending);
+
+impl Pending {
+    /// Counts one more, unless there are `max`.
+    pub fn try_begin(&self, max: usize) -> Option<PendingGuard> {
+        let begun = self.0.fetch_add(1, Ordering::Relaxed);
+        // Dropping the guard takes it off again.
+        let guard = PendingGuard(self.clone());
+        (begun < max).then_some(guard)
+    }
+
+    /// The number under way.
+    pub fn count(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for PendingGuard {
+    fn drop(&mut self) {
+        self.0.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 /// State of the connection to one replica, which is kept until it fails.
@@ -125,6 +160,8 @@
     routes: Arc<Routes>,
     /// When a majority of the members had answered for the first time, since boot.
     majority_reached_at: OnceLock<Duration>,
+    /// Greatest number of calls to one replica that wait, if it is set.
+    max_calls: OnceLock<usize>,
 }
 
 /// Latency beyond that of the fastest replica from which a near one is no longer preferred. It includes
@@ -210,6 +247,23 @@
         *self.routes.members.lock() = members;
     }
 
+    /// Sets the greatest number of calls to one replica that wait; later calls have no effect. Beyond it, calls
+    /// fail at once.
+    pub fn set_max_calls(&self, max: usize) {
+        let _ = self.max_calls.set(max);
+    }
+
+    /// Greatest number of calls to one replica that wait.
+    pub fn max_calls(&self) -> usize {
+        self.max_calls.get().copied().unwrap_or(DEFAULT_MAX_CALLS)
+    }
+
+    /// Number of calls to all replicas that wait.
+    pub fn calls(&self) -> usize {
+        let links = self.links.lock();
+        links.values().map(|link| link.calls.count()).sum()
+    }
+
     /// Sets the replicas that are in other data centres.
     pub fn set_remote(&self, remote: HashSet<SocketAddr>) {
         *self.routes.remote.lock() = remote;
@@ -289,6 +343,12 @@
         F: Future<Output = Result<T, tarpc::client::RpcError>>,
     {
         let link = Arc::clone(self.links.lock().entry(addr).or_default());
+        let max_calls = self.max_calls();
+        let Some(_call) = link.calls.try_begin(max_calls) else {
+            metrics::counter!("fw_replica_calls_refused_total").increment(1);
+            self.record_failure(addr, &format!("{max_calls} calls to it are under way"));
+            return None;
+        };
         let connected = tokio::time::timeout(limit, self.connected(&link, addr)).await;
         let Ok(Some((client, generation))) = connected else {
             self.record_failure(addr, "no connection");
--- a/fw-replica/tests/replica/lost_links.rs
+++ b/fw-replica/tests/replica/lost_links.rs
@@ -136,3 +136,26 @@
     let (first, last) = (connected_at.iter().min(), connected_at.iter().max());
     expect_that!(last.unwrap() - first.unwrap(), le(MAX_ROUNDS));
 }
+
+// Guards against calls that pile up behind a replica which accepts connections and does not answer.
+#[gtest]
+#[tokio::test]
+async fn refuse_more_calls_than_may_wait() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let client = Client::new(1, Vec::new());
+    client.set_max_calls(2);
+    let mut calls = JoinSet::new();
+    for _ in 0..2 {
+        let client = Arc::clone(&client);
+        calls.spawn(async move { client.ping(addr, None).await });
+    }
+    tokio::task::yield_now().await;
+    expect_that!(client.calls(), eq(2));
+    expect_that!(
+        futures_util::poll!(Box::pin(client.ping(addr, None))),
+        eq(&Poll::Ready(None))
+    );
+    calls.shutdown().await;
+    expect_that!(client.calls(), eq(0));
+}
