fw-gate: a full table of calls keeps no request out where none is under way

Long polls of replicas count as calls, so what is held was never zero, and a request longer than the budget would have been refused for good, though nothing else was under way. Change: without a request under way the next one is taken on.

--- a/fw-gate/src/process/memory.rs
+++ b/fw-gate/src/process/memory.rs
@@ -117,7 +117,9 @@
         others: usize,
         deadline: Option<Duration>,
     ) -> Result<Request, error::Error> {
-        let held = self.held(Kind::Requests) + self.held(Kind::Bodies) + others;
+        let requests = self.held(Kind::Requests) + self.held(Kind::Bodies);
+        // Without a request under way, the others must not keep one from being taken on for good.
+        let held = if requests == 0 { 0 } else { requests + others };
         let more = intake::REQUEST_BYTES + body;
         if let Some(opts) = &self.opts {
             let draw = rand::rng().random();
--- a/fw-plan/src/intake.rs
+++ b/fw-plan/src/intake.rs
@@ -69,7 +69,7 @@
         let memory = usize::try_from(memory).unwrap_or(usize::MAX);
         Self {
             max_bytes: memory / 4,
-            // All members of a usual list of replicas together take an eighth to a quarter of the memory.
+            // With three to seven replicas, a tenth to a fifth of the memory for all of them.
             max_replica_calls: (memory / 32 / CALL_BYTES).max(1),
             ..Self::default()
         }
