Review, case 3: a turn whose stream was taken up is stored without its beginning

Cause: an entry stores as a turn's output what its own attempt forwarded (Forwarder::complete in fw-gate), also when the attempt began at Last-Event-Id because the entry before was killed in the middle of the stream.

Nothing is fixed.

--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -1,5 +1,6 @@
 //! The scenes.
 
+mod taken_up;
 
 use serde_json::json;
 
@@ -9,6 +10,7 @@
 /// Runs the scene `name`.
 pub async fn run(name: &str, trouble: bool, record: &Record) -> Result<Outcome, Failure> {
     match name {
+        "taken-up" => taken_up::run(trouble, record).await,
         _ => Err(format!("there is no scene {name}").into()),
     }
 }
