Review, case 1: a program older than its turns' retention is answered 404

Cause: each turn is dropped 60 s after its own retention, also when later turns of its chain are kept; an entry that lost its cache then gets a certain absence from the replicas.

Nothing is fixed.

--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -1,5 +1,6 @@
 //! The scenes.
 
+mod chain_age;
 mod taken_up;
 
 use serde_json::json;
@@ -10,6 +11,7 @@
 /// Runs the scene `name`.
 pub async fn run(name: &str, trouble: bool, record: &Record) -> Result<Outcome, Failure> {
     match name {
+        "chain-age" => chain_age::run(trouble, record).await,
         "taken-up" => taken_up::run(trouble, record).await,
         _ => Err(format!("there is no scene {name}").into()),
     }
