Review, case 2: large turns keep a replica that lost its disk from voting again

Cause: turns are copied 64 at a time whatever their size, and a reply over 16 MiB cannot be encoded, so that the same batch fails for good. A second disk loss, long after the first, then leaves one of three members to vote.

Nothing is fixed.

--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -1,6 +1,7 @@
 //! The scenes.
 
 mod chain_age;
+mod large_turns;
 mod taken_up;
 
 use serde_json::json;
@@ -11,6 +12,7 @@
 /// Runs the scene `name`.
 pub async fn run(name: &str, trouble: bool, record: &Record) -> Result<Outcome, Failure> {
     match name {
+        "large-turns" => large_turns::run(trouble, record).await,
         "chain-age" => chain_age::run(trouble, record).await,
         "taken-up" => taken_up::run(trouble, record).await,
         _ => Err(format!("there is no scene {name}").into()),
