--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -2,6 +2,8 @@
 
 mod chain_age;
 mod large_turns;
+mod replaced;
+mod rolled;
 mod taken_up;
 
 use serde_json::json;
@@ -14,6 +16,8 @@
     match name {
         "large-turns" => large_turns::run(trouble, record).await,
         "chain-age" => chain_age::run(trouble, record).await,
+        "replaced" => replaced::run(trouble, record).await,
+        "rolled" => rolled::run(trouble, record).await,
         "taken-up" => taken_up::run(trouble, record).await,
         _ => Err(format!("there is no scene {name}").into()),
     }
