--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -2,6 +2,7 @@
 
 mod chain_age;
 mod large_turns;
+mod lost_in_outage;
 mod replaced;
 mod rolled;
 mod taken_up;
@@ -16,6 +17,7 @@
     match name {
         "large-turns" => large_turns::run(trouble, record).await,
         "chain-age" => chain_age::run(trouble, record).await,
+        "lost-in-outage" => lost_in_outage::run(trouble, record).await,
         "replaced" => replaced::run(trouble, record).await,
         "rolled" => rolled::run(trouble, record).await,
         "taken-up" => taken_up::run(trouble, record).await,
--- a/review/standins/src/deployment.rs
+++ b/review/standins/src/deployment.rs
@@ -381,6 +381,16 @@
         done
     }
 
+    /// Lets the platform's store refuse all calls from now on, or serve them again.
+    pub fn refuse_store_calls(&self, refuse: bool) {
+        self.store.set_fault(match refuse {
+            true => store::Fault::Busy,
+            false => store::Fault::None,
+        });
+        self.record
+            .line(&format!("the platform's store refuses all calls: {refuse}"));
+    }
+
     /// The system's list of members, as the platform's store holds it.
     pub fn member_list(&self) -> String {
         let value = self.store.value("foxtailweir/members").unwrap_or_default();
