fw-replica: log which turn of a chain a replica lacks

An entry that answers a turn with 404 names the missing turn, not the one that the caller continued. Whether that one is unknown, or its chain has a hole, could not be told from the logs of either process.

A replica that is asked for a chain and lacks a part of it now logs the newest turn, how many it found, the missing one, and whether its absence counts.

--- a/fw-replica/src/server/mod.rs
+++ b/fw-replica/src/server/mod.rs
@@ -350,6 +350,11 @@
             let Some(turn) = found else {
                 // A turn that is in the index but cannot be read is not certainly absent.
                 let certain = !self.has(&id) && self.is_voting() && !self.has_newer_view(epoch);
+                if turns.len() < MAX_CHAIN {
+                    let (newest, found) = (turns.first(), turns.len());
+                    let newest = newest.map_or(&id, |turn: &record::Turn| &turn.id);
+                    tracing::info!(%newest, found, missing = %id, certain, "a chain is incomplete here");
+                }
                 return service::Chain {
                     turns,
                     missing: Some(id),
