fw-replica: a chain is kept as long as its newest turn

Callers saw: a program whose first turn had ended longer ago than its retention and 60 s was answered 404 (`unknown_turn`), though it continued a turn that was seconds old. A 404 ends the program. It happened at each entry that did not have the whole chain in its cache: another one, or the same one after a restart.

Nothing tied a turn to those that continue it.

Ruled out: the entry's restart (the case breaks without it), too few replicas (all three answered, certain), and the member list (one epoch).

Change: the index knows which turn each continues, and the retention of a turn extends that of its whole chain, whichever is stored first. A turn that is kept for others is listed again when its own retention is over, and written again when its segment is removed, as charges of a program that goes on are. The new segment is kept as long as the turn, so that it is not written again at each pass.

Cost: 24 bytes a turn in the index, a look-up for each turn of the chain when a turn is stored, and on disk the kept turns once more for each retention and 60 s that their program goes on.

--- a/fw-replica/src/journal/files.rs
+++ b/fw-replica/src/journal/files.rs
@@ -121,7 +121,7 @@
     }
 
     /// Retains `segment` until `until` at least.
-    pub(super) fn extend_retention(&self, segment: SegmentId, until: record::UnixMs) {
+    pub fn extend_retention(&self, segment: SegmentId, until: record::UnixMs) {
         if let Some(segment) = self.segments.lock().get_mut(&segment) {
             segment.until = segment.until.max(until);
         }
--- a/fw-replica/src/server/mod.rs
+++ b/fw-replica/src/server/mod.rs
@@ -24,6 +24,8 @@
 /// Charges rewritten to the newest segment at a time. They take a few syncs, so that other records
 /// find room in the writer's queue.
 const CARRY_BATCH: usize = 512;
+/// Turns rewritten to the newest segment at a time, which are in memory meanwhile.
+const CARRY_TURNS: usize = 16;
 
 /// How long a replica counts as a standby after its last ping. Standbys ping once a second.
 const STANDBY_TTL: Duration = Duration::from_secs(3);
@@ -46,6 +48,13 @@
     pub run: u64,
 }
 
+/// Records of a segment that have to be kept when the segment is removed.
+#[derive(Debug, Default)]
+struct LiveRecords {
+    charges: Vec<record::Charge>,
+    turns: Vec<(record::TurnId, journal::Place)>,
+}
+
 /// State of a replica, shared by its connections, and its access to the disk.
 #[derive(Debug)]
 pub struct Shared {
@@ -275,19 +284,28 @@
         }
     }
 
-    /// Removes a segment after rewriting its live charges to the newest one.
+    /// Removes a segment after rewriting its live records to the newest one.
     async fn remove(&self, segment: journal::SegmentId) {
-        let charges = match self.live_charges(segment) {
-            Ok(charges) => charges,
+        let live = match self.live_records(segment) {
+            Ok(live) => live,
             Err(err) => {
                 metrics::counter!("fw_replica_disk_errors_total").increment(1);
                 tracing::error!(%err, segment, "a journal segment cannot be read");
                 return;
             }
         };
-        let carried = charges.len();
-        if self.carry(charges).await && self.writer.remove(segment).await {
-            tracing::info!(segment, carried, "an expired journal segment was removed");
+        let (carried, turns) = (live.charges.len(), live.turns.len());
+        if self.carry(live.charges).await
+            && self.carry_turns(&live.turns).await
+            && self.writer.remove(segment).await
+        {
+            metrics::counter!("fw_replica_carried_turns_total").increment(turns as u64);
+            tracing::info!(
+                segment,
+                carried,
+                turns,
+                "an expired journal segment was removed"
+            );
         }
     }
 
@@ -304,24 +322,68 @@
         true
     }
 
-    fn live_charges(
-        &self,
-        segment: journal::SegmentId,
-    ) -> Result<Vec<record::Charge>, journal::Error> {
-        let mut charges = Vec::new();
-        self.files.scan(segment, |record, _| {
-            if let record::Record::Charge(charge) = record {
-                charges.push(charge);
+    /// Writes turns again that are retained beyond their own retention; returns whether all are on disk.
+    async fn carry_turns(&self, turns: &[(record::TurnId, journal::Place)]) -> bool {
+        for turns in turns.chunks(CARRY_TURNS) {
+            let stored =
+                join_all(turns.iter().map(|(id, place)| self.carry_turn(id, *place))).await;
+            if !stored.into_iter().all(|ok| ok) {
+                return false;
+            }
+        }
+        true
+    }
+
+    async fn carry_turn(&self, id: &record::TurnId, place: journal::Place) -> bool {
+        let record = match self.files.read(place) {
+            Ok(record) => record,
+            Err(err) => {
+                metrics::counter!("fw_replica_disk_errors_total").increment(1);
+                tracing::error!(turn = %id, %err, "a turn cannot be read");
+                return false;
             }
+        };
+        let Some(new) = self.writer.store(record).await else {
+            return false;
+        };
+        let mut state = self.state.lock();
+        if let Some(until) = state.retained_until(id, place) {
+            // The record itself states a retention that is over, and would be written again at once.
+            self.files.extend_retention(new.segment, until);
+            state.relocate(id, new);
+        }
+        true
+    }
+
+    fn live_records(&self, segment: journal::SegmentId) -> Result<LiveRecords, journal::Error> {
+        let mut live = LiveRecords::default();
+        self.files.scan(segment, |record, place| match record {
+            record::Record::Charge(charge) => live.charges.push(charge),
+            record::Record::Turn(turn) | record::Record::QuorumTurn(turn) => {
+                live.turns.push((turn.id, place));
+            }
+            record::Record::Synced(_)
+            | record::Record::Members(_)
+            | record::Record::Config(_)
+            | record::Record::Upstreams(_)
+            | record::Record::Quarantine(_) => {}
         })?;
         let state = self.state.lock();
-        charges.retain(|charge| state.is_live(charge));
-        Ok(charges)
+        live.charges.retain(|charge| state.is_live(charge));
+        live.turns
+            .retain(|(id, place)| state.retained_until(id, *place).is_some());
+        Ok(live)
     }
 
     fn read(&self, turn: &record::TurnId) -> Option<record::Turn> {
-        let place = self.state.lock().place(turn)?;
-        match self.files.read(place) {
+        let mut place = self.state.lock().place(turn)?;
+        let mut record = self.files.read(place);
+        if let Err(journal::Error::Removed { .. }) = record {
+            // It has just been written again, before its segment was removed.
+            place = self.state.lock().place(turn)?;
+            record = self.files.read(place);
+        }
+        match record {
             Ok(record::Record::Turn(turn) | record::Record::QuorumTurn(turn)) => Some(turn),
             Ok(_) => {
                 tracing::error!(%turn, "the index refers to a record that is not a turn");
--- a/fw-replica/src/state.rs
+++ b/fw-replica/src/state.rs
@@ -10,7 +10,10 @@
 #[derive(Clone, Debug)]
 struct IndexEntry {
     place: journal::Place,
+    /// End of its retention: the latest of its own and those of the turns that continue it.
     until: record::UnixMs,
+    /// The turn that it continues.
+    parent: Option<record::TurnId>,
     /// Whether it is stored on a write quorum only.
     is_quorum: bool,
 }
@@ -29,6 +32,8 @@
 pub struct State {
     run: u64,
     turns: HashMap<record::TurnId, IndexEntry>,
+    /// Turns that are continued here and not stored yet, and the end of the retention that they will have.
+    awaited: HashMap<record::TurnId, record::UnixMs>,
     ledgers: HashMap<record::ProgramId, ledger::Ledger>,
     /// Listed records in the order in which they were stored, starting at number `dropped`, and the
     /// time until which each is listed.
@@ -51,6 +56,7 @@
         Self {
             run,
             turns: HashMap::new(),
+            awaited: HashMap::new(),
             ledgers: HashMap::new(),
             order: VecDeque::new(),
             dropped: 0,
@@ -90,10 +96,13 @@
     }
 
     fn apply_turn(&mut self, turn: &record::Turn, place: journal::Place, is_quorum: bool) {
-        let until = turn.retain_until();
+        let awaited = self.awaited.remove(&turn.id);
+        let known = self.turns.get(&turn.id).map(|entry| entry.until);
+        let until = turn.retain_until().max(awaited.max(known).unwrap_or(0));
         let entry = IndexEntry {
             place,
             until,
+            parent: turn.parent.clone(),
             is_quorum,
         };
         let old = self.turns.insert(turn.id.clone(), entry);
@@ -103,6 +112,27 @@
             let listed = service::ListedRecord::Turn(turn.id.clone());
             self.order.push_back((until, listed));
         }
+        self.retain_chain(turn.parent.as_ref(), until);
+    }
+
+    /// Retains the chain that ends with `newest` until `until` at least.
+    ///
+    /// *Failure:* a program's first turns were dropped by their own age. Its next turn, which continued a
+    /// recent one, was answered 404 by every entry that did not have the whole chain in its cache.
+    fn retain_chain(&mut self, newest: Option<&record::TurnId>, until: record::UnixMs) {
+        let mut next = newest.cloned();
+        while let Some(id) = next.take() {
+            let Some(entry) = self.turns.get_mut(&id) else {
+                let awaited = self.awaited.entry(id).or_default();
+                *awaited = until.max(*awaited);
+                return;
+            };
+            // The rest of its chain is retained as long as it is.
+            if entry.until < until {
+                entry.until = until;
+                next.clone_from(&entry.parent);
+            }
+        }
     }
 
     /// Adds a charge to its ledger, before it is on disk, so that concurrent reservations see it.
@@ -189,6 +219,23 @@
         self.turns.get(turn).map(|entry| entry.place)
     }
 
+    /// Records that a turn was written again at `place`.
+    pub fn relocate(&mut self, turn: &record::TurnId, place: journal::Place) {
+        if let Some(entry) = self.turns.get_mut(turn) {
+            entry.place = place;
+        }
+    }
+
+    /// End of the retention of the turn, if its newest copy is at `place`.
+    pub fn retained_until(
+        &self,
+        turn: &record::TurnId,
+        place: journal::Place,
+    ) -> Option<record::UnixMs> {
+        let entry = self.turns.get(turn)?;
+        (entry.place == place).then_some(entry.until)
+    }
+
     /// Whether `charge` changes its program's ledger or still has to be stored.
     pub fn is_new(&self, charge: &record::Charge) -> bool {
         if self.unstored.contains_key(&charge.id) {
@@ -302,8 +349,9 @@
     /// Drops records whose retention is over.
     ///
     /// A ledger is retained as a whole while its program is charged: a replica that copied only the
-    /// newer charges would see more budget left than there is. When the retention of such a
-    /// program's charge is over, the charge is listed again, at the end.
+    /// newer charges would see more budget left than there is. A chain is retained as a whole for its
+    /// newest turn. A record that is retained for others is listed again, at the end, when its own
+    /// retention is over.
     pub fn expire(&mut self, now: record::UnixMs) {
         let mut expired_quorum_turns = 0;
         self.turns.retain(|_, entry| {
@@ -312,6 +360,7 @@
             keep
         });
         self.quorum_turns -= expired_quorum_turns;
+        self.awaited.retain(|_, until| *until > now);
         let keep = record::CHARGE_RETENTION;
         self.ledgers
             .retain(|_, ledger| record::add(ledger.last_charged(), keep) > now);
@@ -322,10 +371,14 @@
                 break;
             };
             self.dropped += 1;
-            if let service::ListedRecord::Charge(charge) = &listed
-                && self.is_live(charge)
-            {
-                self.order.push_back((record::add(now, keep), listed));
+            let until = match &listed {
+                service::ListedRecord::Charge(charge) => {
+                    self.is_live(charge).then(|| record::add(now, keep))
+                }
+                service::ListedRecord::Turn(id) => self.turns.get(id).map(|entry| entry.until),
+            };
+            if let Some(until) = until {
+                self.order.push_back((until, listed));
             }
         }
     }
--- a/fw-replica/tests/replica/main.rs
+++ b/fw-replica/tests/replica/main.rs
@@ -10,6 +10,7 @@
 mod entry_load;
 mod journal_machine;
 mod journal_segments;
+mod kept_chains;
 mod kept_quarantine;
 mod late_chain;
 mod list_change;
