fw-replica, fw-gate: a turn is stored with the chain that it continues

Callers would have seen, by reading and by the tests: a 404 for a turn that was just answered, when the chain before it was on too few disks or on none.

Cause: a replica stored a turn whether or not it had the turn that is continued. Each of `f + 1` members with the turn `next` could lack `first`: with locality the members are those near the entry, and programs change data centres; a replica that was away lacks what was stored meanwhile; and a run that begins within the retention and ends long after it finds the chain gone everywhere. Only the members that have the newest turn keep the chain.

Change: `finish` answers `LacksChain` instead of storing a turn whose chain is not whole here. The entry, which has the chain as parts of the input that it sent, then sends what lacks, in messages of 1 MiB, and the turn again. So the chain of a stored turn is on the same `f + 1` disks. `Finished` is encoded like the `bool` before it.

Cost while nothing is missing: a look-up for each turn of the chain at the replica, and some 130 bytes for each turn of a chain in the entry while its turn runs; the bytes are those of the input.

Tests: `quorum_turns::are_stored_with_the_chain_that_they_continue` (five members: the chain was on 0 of 3 and 2 of 3 holders of the turn before), `kept_chains::are_stored_before_a_turn_that_continues_them`; both red without the answer.

--- a/fw-gate/src/request/turn.rs
+++ b/fw-gate/src/request/turn.rs
@@ -30,6 +30,8 @@
     parts: Vec<prefix::Part>,
     /// Tokens that were generated for it.
     generated: id::Tokens,
+    /// The chain that it continues, from the oldest turn on. Its bytes are those of the whole input.
+    chain: Arc<[record::Turn]>,
 }
 
 impl Turn {
@@ -81,16 +83,19 @@
 
     /// The result for the replicas, with `record` if later turns may continue it; `None` if there is nothing
     /// to report.
-    fn settle(&mut self, record: Option<record::Turn>) -> Option<service::Finish> {
+    fn settle(&mut self, record: Option<record::Turn>) -> Option<client::Outcome> {
         let charge = self.charge.take().map(|charge| record::Charge {
             made: server::unix_ms(),
             ..charge
         });
         let is_needed = charge.is_some() || record.is_some();
-        is_needed.then(|| service::Finish {
-            turn: record,
-            charge,
-            location: self.location.take(),
+        is_needed.then(|| client::Outcome {
+            finish: service::Finish {
+                turn: record,
+                charge,
+                location: self.location.take(),
+            },
+            chain: std::mem::take(&mut self.chain),
         })
     }
 
@@ -159,13 +164,14 @@
         made: 0,
     });
     // Created before the request: if the caller disconnects meanwhile, dropping it cancels the reservation.
-    let turn = Turn {
+    let mut turn = Turn {
         gate: Arc::clone(gate),
         charge,
         lineage: call.lineage(),
         location: None,
         parts: gate.fleet.placement_parts(&call.parts).to_vec(),
         generated: 0,
+        chain: Arc::default(),
     };
     let rest = if reserve.is_none() && cached.missing.is_none() {
         Vec::new()
@@ -177,10 +183,9 @@
         gate.turns.put(Arc::clone(record));
     }
     let chain: Vec<_> = cached.turns.into_iter().chain(rest).collect();
-    Ok(Ready {
-        body: concatenate(&chain, input),
-        turn,
-    })
+    let body = concatenate(&chain, input);
+    turn.chain = split(&body, &chain);
+    Ok(Ready { body, turn })
 }
 
 async fn request_chain(
@@ -261,3 +266,22 @@
     body.put_slice(input);
     body.freeze()
 }
+
+/// The turns of `chain`, which is sorted newest first, from the oldest on, with the bytes that they have in
+/// `body`, their concatenation: it is held for the whole call, and the cached turns need not be.
+fn split(body: &Bytes, chain: &[Arc<record::Turn>]) -> Arc<[record::Turn]> {
+    let mut at = 0;
+    let mut take = |len| {
+        let part = body.slice(at..at + len);
+        at += len;
+        part
+    };
+    let turns = chain.iter().rev().map(|turn| record::Turn {
+        input: take(turn.input.len()),
+        output: take(turn.output.len()),
+        id: turn.id.clone(),
+        parent: turn.parent.clone(),
+        ..**turn
+    });
+    turns.collect()
+}
--- a/fw-replica/src/client/calls.rs
+++ b/fw-replica/src/client/calls.rs
@@ -26,22 +26,30 @@
             .await
     }
 
-    pub(super) async fn call_finish(&self, addr: SocketAddr, req: service::Finish) -> bool {
-        let stored = self.links.call(
-            addr,
-            |client, cx| async move { client.finish(cx, req).await },
-        );
-        stored.await.unwrap_or(false)
+    /// Stores an outcome at one replica; on `f + 1` members only if `quorum` is the epoch of their list.
+    pub(super) async fn call_finish(
+        &self,
+        addr: SocketAddr,
+        quorum: Option<member::Epoch>,
+        req: service::Finish,
+    ) -> Option<service::Finished> {
+        self.links
+            .call(addr, |client, cx| async move {
+                match quorum {
+                    Some(epoch) => client.finish_quorum(cx, epoch, req).await,
+                    None => client.finish(cx, req).await,
+                }
+            })
+            .await
     }
 
-    pub(super) async fn call_finish_quorum(
+    pub(super) async fn call_store_chain(
         &self,
         addr: SocketAddr,
-        epoch: member::Epoch,
-        req: service::Finish,
+        req: service::StoreChain,
     ) -> bool {
         let stored = self.links.call(addr, |client, cx| async move {
-            client.finish_quorum(cx, epoch, req).await
+            client.store_chain(cx, req).await
         });
         stored.await.unwrap_or(false)
     }
--- a/fw-replica/src/client/mod.rs
+++ b/fw-replica/src/client/mod.rs
@@ -24,6 +24,7 @@
 mod vote;
 
 pub use quarantine::{ClaimOutcome, Decision};
+pub use store::Outcome;
 pub use vote::{CHAIN_TIMEOUT, Wait, wait};
 
 /// Pauses before the retries of a call that a replica did not acknowledge.
--- a/fw-replica/src/client/store.rs
+++ b/fw-replica/src/client/store.rs
@@ -3,6 +3,9 @@
 //! With locality, a turn's record goes to `f + 1` members at first, near ones before others, and its
 //! settlement and location to all. A turn is stored once `f + 1` members have it on disk, so the other
 //! members get the record only if one of the first does not confirm in time.
+//!
+//! A member stores a turn only with the whole chain that the turn continues, and is sent the part that it
+//! lacks. So the chain of a stored turn is on `f + 1` disks as well.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -12,7 +15,48 @@
 use tokio::sync::mpsc;
 
 use super::{Client, Locality, RETRY_PAUSES};
-use crate::{member, service};
+use crate::{member, record, service};
+
+/// Bytes of a chain in one message to a replica, unless one turn has more: a link of 100 Mbit/s takes
+/// 80 ms for them.
+const CHAIN_MESSAGE: usize = 1 << 20;
+/// How often a chain is sent for one turn: another turn of it may expire at the replica meanwhile.
+const CHAIN_ATTEMPTS: usize = 3;
+
+/// The outcome of a turn, as it is sent to replicas.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    /// The outcome.
+    pub finish: service::Finish,
+    /// The whole chain that the turn continues, from the oldest turn on.
+    pub chain: Arc<[record::Turn]>,
+}
+
+impl Outcome {
+    /// The part of the chain up to the turn `missing`.
+    fn chain_until(&self, missing: &record::TurnId) -> Option<&[record::Turn]> {
+        let last = self.chain.iter().position(|turn| turn.id == *missing)?;
+        self.chain.get(..=last)
+    }
+}
+
+/// Divides `turns` into messages.
+fn messages(turns: &[record::Turn]) -> Vec<Vec<record::Turn>> {
+    let mut messages: Vec<Vec<record::Turn>> = Vec::new();
+    let mut bytes = 0;
+    for turn in turns {
+        let size = turn.input.len() + turn.output.len();
+        match messages.last_mut() {
+            Some(last) if bytes + size <= CHAIN_MESSAGE => last.push(turn.clone()),
+            _ => {
+                bytes = 0;
+                messages.push(vec![turn.clone()]);
+            }
+        }
+        bytes += size;
+    }
+    messages
+}
 
 /// The members that store a turn at first, and the others.
 struct Quorum<'a> {
@@ -24,11 +68,12 @@
 impl Client {
     /// Stores the outcome of a turn. Returns `true` once it is on `f + 1` disks, `false` if that
     /// fails. Replicas that did not store it are retried in the background.
-    pub async fn finish(self: &Arc<Self>, req: service::Finish) -> bool {
+    pub async fn finish(self: &Arc<Self>, req: Outcome) -> bool {
         let (epoch, members) = self.members();
         let needed = member::Quorum::of(members.len(), self.faults).write;
         let locality = *self.locality.lock();
-        if let Some(locality) = locality.filter(|_| req.turn.is_some() && members.len() > needed) {
+        let has_turn = req.finish.turn.is_some();
+        if let Some(locality) = locality.filter(|_| has_turn && members.len() > needed) {
             let first = Quorum {
                 epoch,
                 members: &members[..needed],
@@ -60,16 +105,20 @@
     async fn finish_at_quorum(
         self: &Arc<Self>,
         first: &Quorum<'_>,
-        req: service::Finish,
+        req: Outcome,
         locality: Locality,
     ) -> bool {
         let settlement = service::Finish {
             turn: None,
-            ..req.clone()
+            ..req.finish.clone()
         };
         if settlement.charge.is_some() || settlement.location.is_some() {
             for &addr in first.others {
-                let (client, settlement) = (Arc::clone(self), settlement.clone());
+                let settlement = Outcome {
+                    finish: settlement.clone(),
+                    ..Outcome::default()
+                };
+                let client = Arc::clone(self);
                 tokio::spawn(async move { client.finish_at(addr, settlement).await });
             }
         }
@@ -106,10 +155,10 @@
         self: Arc<Self>,
         addr: SocketAddr,
         epoch: member::Epoch,
-        req: service::Finish,
+        req: Outcome,
         tx: mpsc::UnboundedSender<bool>,
     ) {
-        let stored = self.call_finish_quorum(addr, epoch, req.clone()).await;
+        let stored = self.finish_once(addr, Some(epoch), &req).await;
         // A caller that has enough answers is gone.
         let _ = tx.send(stored);
         if !stored {
@@ -121,14 +170,16 @@
     fn widen(
         self: &Arc<Self>,
         others: &[SocketAddr],
-        req: &service::Finish,
+        req: &Outcome,
         tx: &mpsc::UnboundedSender<bool>,
     ) {
         metrics::counter!("fw_replica_widened_total").increment(1);
-        let record = service::Finish {
-            charge: None,
-            location: None,
-            ..req.clone()
+        let record = Outcome {
+            finish: service::Finish {
+                turn: req.finish.turn.clone(),
+                ..service::Finish::default()
+            },
+            chain: Arc::clone(&req.chain),
         };
         for &addr in others {
             let (client, record, tx) = (Arc::clone(self), record.clone(), tx.clone());
@@ -139,9 +190,58 @@
         }
     }
 
+    /// Stores `req` at one replica, with the part of the chain that the replica lacks. Returns whether all
+    /// of it is on disk there.
+    async fn finish_once(
+        &self,
+        addr: SocketAddr,
+        quorum: Option<member::Epoch>,
+        req: &Outcome,
+    ) -> bool {
+        for _ in 0..CHAIN_ATTEMPTS {
+            let finished = self.call_finish(addr, quorum, req.finish.clone()).await;
+            let missing = match finished {
+                Some(service::Finished::Stored) => return true,
+                Some(service::Finished::LacksChain { missing }) => missing,
+                Some(service::Finished::Refused) | None => return false,
+            };
+            if !self.send_chain(addr, quorum, req, &missing).await {
+                return false;
+            }
+        }
+        false
+    }
+
+    /// Sends the chain of the turn of `req` up to the turn `missing`. Returns whether it is on disk there.
+    async fn send_chain(
+        &self,
+        addr: SocketAddr,
+        quorum: Option<member::Epoch>,
+        req: &Outcome,
+        missing: &record::TurnId,
+    ) -> bool {
+        let (Some(turn), Some(chain)) = (&req.finish.turn, req.chain_until(missing)) else {
+            tracing::warn!(%addr, %missing, "a replica lacks a turn that is not in the chain");
+            return false;
+        };
+        metrics::counter!("fw_replica_chains_sent_total").increment(1);
+        tracing::info!(turn = %turn.id, %addr, %missing, turns = chain.len(), "a replica is sent the chain of a turn");
+        for turns in messages(chain) {
+            let part = service::StoreChain {
+                quorum,
+                turns,
+                until: turn.retain_until(),
+            };
+            if !self.call_store_chain(addr, part).await {
+                return false;
+            }
+        }
+        true
+    }
+
     /// Sends `req` to one replica; retries in the background if that fails.
-    async fn finish_at(self: &Arc<Self>, addr: SocketAddr, req: service::Finish) -> bool {
-        if self.call_finish(addr, req.clone()).await {
+    async fn finish_at(self: &Arc<Self>, addr: SocketAddr, req: Outcome) -> bool {
+        if self.finish_once(addr, None, &req).await {
             return true;
         }
         let Some(resend) = self.resends.try_begin(self.links.max_calls()) else {
@@ -153,7 +253,7 @@
             let _resend = resend;
             for pause in RETRY_PAUSES {
                 tokio::time::sleep(pause).await;
-                if client.call_finish(addr, req.clone()).await {
+                if client.finish_once(addr, None, &req).await {
                     return;
                 }
             }
--- a/fw-replica/src/server/mod.rs
+++ b/fw-replica/src/server/mod.rs
@@ -484,16 +484,54 @@
         }
     }
 
-    /// Stores the outcome of a turn. Returns whether all of it is on disk.
+    /// Stores the outcome of a turn, whose record `stored_as` makes, unless a part of the chain that it
+    /// continues is not stored here.
+    ///
+    /// *Failure:* a turn was stored on other members than the one that it continues, or when that one's
+    /// retention was over. The chain was then on fewer than `f + 1` disks, or on none, and the next turn
+    /// was answered 404.
     async fn store_outcome(
         &self,
-        turn: Option<record::Record>,
-        charge: Option<record::Charge>,
-    ) -> bool {
-        let charge = charge.map(record::Record::Charge);
-        let records = turn.into_iter().chain(charge);
+        req: service::Finish,
+        stored_as: fn(record::Turn) -> record::Record,
+    ) -> service::Finished {
+        let parent = req.turn.as_ref().and_then(|turn| turn.parent.as_ref());
+        let missing = self.state.lock().missing(parent);
+        if let Some(missing) = missing {
+            return service::Finished::LacksChain { missing };
+        }
+        let turn = req.turn.map(stored_as);
+        let records = turn
+            .into_iter()
+            .chain(req.charge.map(record::Record::Charge));
         let stored = join_all(records.map(|record| self.store(record))).await;
-        stored.into_iter().all(|ok| ok)
+        match stored.into_iter().all(|ok| ok) {
+            true => service::Finished::Stored,
+            false => service::Finished::Refused,
+        }
+    }
+
+    /// Stores turns that are continued by one that is about to be stored. Returns whether all are on disk.
+    async fn store_chain(&self, req: service::StoreChain) -> bool {
+        let refuses = match req.quorum {
+            Some(epoch) => self.unsure_reason(epoch).is_some(),
+            None => self.is_retiring(),
+        };
+        if refuses {
+            return false;
+        }
+        {
+            let mut state = self.state.lock();
+            for turn in &req.turns {
+                state.retain(&turn.id, req.until);
+            }
+        }
+        let stored_as = match req.quorum {
+            Some(_) => record::Record::QuorumTurn,
+            None => record::Record::Turn,
+        };
+        let stores = req.turns.into_iter().map(|turn| self.store(stored_as(turn)));
+        join_all(stores).await.into_iter().all(|ok| ok)
     }
 
     /// Writes a charge that is already in the ledger. Returns whether it is on disk.
@@ -539,13 +577,12 @@
         }
     }
 
-    async fn finish(self, _: tarpc::context::Context, req: service::Finish) -> bool {
+    async fn finish(self, _: tarpc::context::Context, req: service::Finish) -> service::Finished {
         self.0.record_location(req.location.as_ref());
         if self.0.is_retiring() {
-            return false;
+            return service::Finished::Refused;
         }
-        let turn = req.turn.map(record::Record::Turn);
-        self.0.store_outcome(turn, req.charge).await
+        self.0.store_outcome(req, record::Record::Turn).await
     }
 
     async fn finish_quorum(
@@ -553,13 +590,16 @@
         _: tarpc::context::Context,
         epoch: member::Epoch,
         req: service::Finish,
-    ) -> bool {
+    ) -> service::Finished {
         if self.0.unsure_reason(epoch).is_some() {
-            return false;
+            return service::Finished::Refused;
         }
         self.0.record_location(req.location.as_ref());
-        let turn = req.turn.map(record::Record::QuorumTurn);
-        self.0.store_outcome(turn, req.charge).await
+        self.0.store_outcome(req, record::Record::QuorumTurn).await
+    }
+
+    async fn store_chain(self, _: tarpc::context::Context, req: service::StoreChain) -> bool {
+        self.0.store_chain(req).await
     }
 
     async fn browse(
--- a/fw-replica/src/service.rs
+++ b/fw-replica/src/service.rs
@@ -320,7 +320,7 @@
 }
 
 /// Stores the outcome of a turn.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Finish {
     /// The turn, if later ones may continue it.
     pub turn: Option<record::Turn>,
@@ -330,6 +330,31 @@
     pub location: Option<affinity::Location>,
 }
 
+/// Answer to [`Finish`]. The first two are encoded like `false` and `true`, which earlier versions answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Finished {
+    /// The outcome is not on disk.
+    Refused,
+    /// All of the outcome is on disk.
+    Stored,
+    /// Nothing is stored, as the replica lacks this turn of the chain that the turn continues.
+    LacksChain {
+        /// The newest turn of the chain that it lacks.
+        missing: record::TurnId,
+    },
+}
+
+/// Stores a chain at a replica that lacks a part of it, before a turn that continues it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreChain {
+    /// Epoch of the sender's member list, if the chain is stored on `f + 1` members only.
+    pub quorum: Option<member::Epoch>,
+    /// The turns, from the oldest on.
+    pub turns: Vec<record::Turn>,
+    /// Until when they are retained at least.
+    pub until: record::UnixMs,
+}
+
 /// A reader's position in a replica's list of records.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Position {
@@ -437,8 +462,8 @@
 pub trait Replica {
     /// Reserves tokens and reads a chain.
     async fn begin(req: Begin) -> BeginReply;
-    /// Stores a turn and settles its tokens; `true` once both are on disk.
-    async fn finish(req: Finish) -> bool;
+    /// Stores a turn and settles its tokens, once the replica has the whole chain that it continues.
+    async fn finish(req: Finish) -> Finished;
     /// Reads all charges of a program.
     async fn ledger(program: record::ProgramId) -> Vec<ledger::Line>;
     /// Reads a chain from its newest turn, for a sender that uses the member list of `epoch`.
@@ -473,10 +498,12 @@
     async fn record_stream(req: StreamBegun);
     /// The origin of a stream, if it is on record.
     async fn find_stream(stream: streams::StreamId) -> Option<streams::Origin>;
-    /// Stores a turn that is on `f + 1` members only, and settles its tokens. `true` once both are on
-    /// disk; `false` at once if the replica does not vote or has a newer member list than that of
-    /// `epoch`, as it may then not count as one of the `f + 1`.
-    async fn finish_quorum(epoch: member::Epoch, req: Finish) -> bool;
+    /// Stores a turn that is on `f + 1` members only, and settles its tokens. Refused at once if the
+    /// replica does not vote or has a newer member list than that of `epoch`, as it may then not count as
+    /// one of the `f + 1`.
+    async fn finish_quorum(epoch: member::Epoch, req: Finish) -> Finished;
     /// Reads the list of records for a reader that has not stored all records before `after`.
     async fn browse(after: Position, scope: Scope) -> Page;
+    /// Stores turns that the replica lacks; `true` once all are on disk.
+    async fn store_chain(req: StoreChain) -> bool;
 }
--- a/fw-replica/src/state.rs
+++ b/fw-replica/src/state.rs
@@ -115,6 +115,25 @@
         self.retain_chain(turn.parent.as_ref(), until);
     }
 
+    /// Retains `turn` until `until` at least, also if it is not stored yet.
+    pub fn retain(&mut self, turn: &record::TurnId, until: record::UnixMs) {
+        self.retain_chain(Some(turn), until);
+    }
+
+    /// The newest turn of the chain that ends with `newest` which is not stored here; `None` if all are.
+    pub fn missing(&self, newest: Option<&record::TurnId>) -> Option<record::TurnId> {
+        let mut next = newest;
+        // More steps than turns would mean that the chain leads back to itself.
+        for _ in 0..=self.turns.len() {
+            let id = next?;
+            match self.turns.get(id) {
+                Some(entry) => next = entry.parent.as_ref(),
+                None => return Some(id.clone()),
+            }
+        }
+        None
+    }
+
     /// Retains the chain that ends with `newest` until `until` at least.
     ///
     /// *Failure:* a program's first turns were dropped by their own age. Its next turn, which continued a
--- a/fw-replica/src/traffic.rs
+++ b/fw-replica/src/traffic.rs
@@ -91,7 +91,7 @@
             Some(_) => Kind::TurnRecord,
             None => Kind::Settlement,
         },
-        Request::Chain { .. } => Kind::Chain,
+        Request::Chain { .. } | Request::StoreChain { .. } => Kind::Chain,
         Request::Publish { .. }
         | Request::PollUpdate { .. }
         | Request::AnnounceMembers { .. }
@@ -113,7 +113,7 @@
             return (Kind::Reply, chain);
         }
         Reply::Finish(_) | Reply::FinishQuorum(_) => Kind::Settlement,
-        Reply::Chain(_) => Kind::Chain,
+        Reply::Chain(_) | Reply::StoreChain(_) => Kind::Chain,
         Reply::Publish(_)
         | Reply::PollUpdate(_)
         | Reply::AnnounceMembers(_)
--- a/fw-replica/tests/replica/kept_chains.rs
+++ b/fw-replica/tests/replica/kept_chains.rs
@@ -191,6 +191,44 @@
     expect_that!(found(&replica, "first").await, eq(0));
 }
 
+async fn finish(replica: &Arc<server::Shared>, turn: record::Turn) -> service::Finished {
+    let req = service::Finish {
+        turn: Some(turn),
+        ..service::Finish::default()
+    };
+    let server = server::Server(Arc::clone(replica));
+    server.finish(context::current(), req).await
+}
+
+// Guards against a turn that is stored after a long run, when the retention of its chain is over.
+#[gtest]
+#[tokio::test]
+async fn are_stored_before_a_turn_that_continues_them() {
+    let dir = tempfile::tempdir().unwrap();
+    let replica = open(dir.path());
+    let now = server::unix_ms();
+    let chain = [
+        turn("first", None, now - 1_000_000),
+        turn("second", Some("first"), now - 900_000),
+    ];
+    let third = turn("third", Some("second"), now);
+    let finished = finish(&replica, third.clone()).await;
+    let missing = "second".into();
+    expect_that!(finished, eq(&service::Finished::LacksChain { missing }));
+    let req = service::StoreChain {
+        quorum: None,
+        turns: chain.into(),
+        until: third.retain_until(),
+    };
+    let server = server::Server(Arc::clone(&replica));
+    expect_true!(server.store_chain(context::current(), req).await);
+    replica.expire(now).await;
+    let finished = finish(&replica, third).await;
+    expect_that!(finished, eq(&service::Finished::Stored));
+    replica.expire(now + 1_000).await;
+    expect_that!(found(&replica, "third").await, eq(3));
+}
+
 // Guards against a chain of which the newest turn was copied first: the others are kept as long as it is.
 #[gtest]
 #[tokio::test]
--- a/fw-replica/tests/replica/quorum_turns.rs
+++ b/fw-replica/tests/replica/quorum_turns.rs
@@ -196,10 +196,13 @@
     }
 
     async fn finish(&self, id: &str) -> bool {
-        let req = service::Finish {
-            turn: Some(turn(id)),
-            charge: Some(charge(id)),
-            location: None,
+        let req = client::Outcome {
+            finish: service::Finish {
+                turn: Some(turn(id)),
+                charge: Some(charge(id)),
+                location: None,
+            },
+            ..client::Outcome::default()
         };
         self.client.finish(req).await
     }
@@ -411,9 +414,38 @@
         location: None,
     };
     let server = server::Server(Arc::clone(shared));
-    server
-        .finish_quorum(tarpc::context::current(), epoch, req)
-        .await
+    let finished = server.finish_quorum(tarpc::context::current(), epoch, req);
+    finished.await == service::Finished::Stored
+}
+
+// Guards against a chain with a copy too few: the turn that continues it is stored on other members, or when
+// the retention of the chain is over everywhere.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn are_stored_with_the_chain_that_they_continue() {
+    let mut cluster = Cluster::start().await;
+    expect_true!(cluster.finish("first").await);
+    let (first, expired) = (turn("first"), turn("expired"));
+    cluster.client = cluster.connect_from("c");
+    for (id, parent) in [("next", first), ("late", expired)] {
+        let req = client::Outcome {
+            finish: service::Finish {
+                turn: Some(record::Turn {
+                    parent: Some(parent.id.clone()),
+                    ..turn(id)
+                }),
+                ..service::Finish::default()
+            },
+            chain: [parent.clone()].into(),
+        };
+        expect_true!(cluster.client.finish(req).await);
+        let holders = cluster.holders(id).await;
+        expect_that!(holders.len(), ge(NEEDED));
+        let parents = cluster.holders(&parent.id).await;
+        for holder in holders {
+            expect_that!(parents, contains(eq(&holder)), "{id}");
+        }
+    }
 }
 
 // Guards against a copy that counts though it may not last: a member that is still copying is not
