fw-replica: a copied turn brings the chain that it continues

Callers would have seen, by reading and by the test, the same as before: a chain with a copy too few, after the loss of a disk a 404.

Cause: copying goes by the list, turn by turn. A member that votes leaves out turns that are stored on `f + 1` members only, also where it copies one that continues them; and a replica that reads a list in two passes could drop the first turns by their own age before it had the one for which they are kept.

Change: turns are fetched with those that they continue and that are not stored here.

Test: `quorum_turns::are_copied_with_a_turn_that_continues_them`, red without (no copy within 30 s).

--- a/fw-replica/src/server/mod.rs
+++ b/fw-replica/src/server/mod.rs
@@ -530,7 +530,10 @@
             Some(_) => record::Record::QuorumTurn,
             None => record::Record::Turn,
         };
-        let stores = req.turns.into_iter().map(|turn| self.store(stored_as(turn)));
+        let stores = req
+            .turns
+            .into_iter()
+            .map(|turn| self.store(stored_as(turn)));
         join_all(stores).await.into_iter().all(|ok| ok)
     }
 
--- a/fw-replica/src/sync.rs
+++ b/fw-replica/src/sync.rs
@@ -8,7 +8,7 @@
 //! outlast the loss of `f` disks, and whoever replaces a lost disk copies all records before it votes,
 //! which restores the number. [`cursor::Reading`] names the cases in which such turns are copied as well.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -594,8 +594,8 @@
             missing.quorum_turns.clear();
         }
         store_all(shared, missing.charges).await?;
-        fetch_all(client, shared, addr, &missing.turns, record::Record::Turn).await?;
-        let kept = &missing.quorum_turns;
+        fetch_all(client, shared, addr, missing.turns, record::Record::Turn).await?;
+        let kept = missing.quorum_turns;
         fetch_all(client, shared, addr, kept, record::Record::QuorumTurn).await?;
         source.cursor.advance(page.next);
         if !page.more {
@@ -604,18 +604,33 @@
     }
 }
 
-/// Fetches turns from a member and stores each as the kind of record that `stored_as` makes of it.
+/// Fetches turns from a member, with the chains that they continue, and stores each as the kind of record
+/// that `stored_as` makes of it.
+///
+/// *Failure:* a copied turn was without its chain, of which the list had been read before: it had been left
+/// out as one that is stored on a write quorum only, or had expired here before the turn was copied.
 async fn fetch_all(
     client: &client::Client,
     shared: &server::Shared,
     addr: SocketAddr,
-    wanted: &[record::TurnId],
+    wanted: Vec<record::TurnId>,
     stored_as: fn(record::Turn) -> record::Record,
 ) -> Option<()> {
-    for ids in wanted.chunks(FETCH_BATCH) {
-        let turns = client.fetch(addr, ids.to_vec()).await?;
+    let mut wanted = VecDeque::from(wanted);
+    while !wanted.is_empty() {
+        let ids = wanted.drain(..wanted.len().min(FETCH_BATCH)).collect();
+        let turns = client.fetch(addr, ids).await?;
         metrics::counter!("fw_replica_copied_total").increment(turns.len() as u64);
+        let parents: Vec<_> = turns
+            .iter()
+            .filter_map(|turn| turn.parent.clone())
+            .collect();
         store_all(shared, turns.into_iter().map(stored_as).collect()).await?;
+        for id in parents {
+            if !shared.has(&id) && !wanted.contains(&id) {
+                wanted.push_front(id);
+            }
+        }
     }
     Some(())
 }
--- a/fw-replica/tests/replica/quorum_turns.rs
+++ b/fw-replica/tests/replica/quorum_turns.rs
@@ -448,6 +448,38 @@
     }
 }
 
+// Guards against a copied turn without the chain that it continues, which members leave out otherwise.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn are_copied_with_a_turn_that_continues_them() {
+    let mut cluster = Cluster::start().await;
+    drop(cluster.kill(0).await);
+    let dir = cluster.nodes[0].dir.path();
+    let shared = server::Shared::open(dir, server::Options::default()).unwrap();
+    let next = record::Turn {
+        parent: Some("second".into()),
+        ..turn("next")
+    };
+    let second = record::Turn {
+        parent: Some("first".into()),
+        ..turn("second")
+    };
+    for record in [
+        record::Record::QuorumTurn(turn("first")),
+        record::Record::QuorumTurn(second),
+        record::Record::Turn(next),
+    ] {
+        assert!(shared.store(record).await);
+    }
+    drop(shared);
+    cluster.run(0);
+    for id in ["next", "second", "first"] {
+        cluster
+            .wait(async || cluster.holders(id).await.len() == PLACES.len())
+            .await;
+    }
+}
+
 // Guards against a copy that counts though it may not last: a member that is still copying is not
 // read, and one of a newer list knows that the sender's `f + 1` may include a removed member.
 #[gtest]
