fw-gate, fw-replica: a turn whose stream is taken up is stored with its beginning

Callers saw: on a route that keeps turns and whose streams may be taken up, a caller whose entry was killed took its stream up at another entry and had the whole answer. The next turn continued an answer without the part before the break, for good and without any error: the engine got other bytes than the caller had.

Cause: the record of a turn had as its output what the last attempt forwarded. What earlier attempts forwarded was in the memory of their entries only, also where that was the same entry.

Evidence: `taken_up`, five tests, all red on the code before, with no entry killed in four of them; in `are_stored_as_their_caller_has_them` the worker got `one;b2 c2 d2` for a caller that had `a1 b2 c2 d2`, at one entry.

Change: on such routes the entry has each event on record at `f + 1` replicas, in memory, before it forwards it (100 ms at most, and not again until they answer). Whoever takes a stream up reads the record at `N - f` replicas, cuts it at the event that the caller names, and writes it anew for its own attempt at `f + 1` replicas, before it runs: from then on nothing is added by the attempt before. Without a beginning the call is refused as not run (503, `unknown_stream`): so is one that names no stream, another's stream (the request and the program have to be the same), or takes up a stream on a route that keeps turns and records none. A replica that has lost its memory is sent all events with the next one.

Weighed: asking the upstream for the beginning again joins two runs, which need not write the same; refusing all such calls breaks streams that can go on; recording without waiting loses the events of the last milliseconds at a kill. Records on disk would cost a sync an event.

Cost while nothing fails: none on other routes; on these a message to each replica for each part of a stream, and its events once more at the entry and, for 30 s, at the replicas, 16 MiB at most.

Tests: `taken_up` (platform), `stream_beginnings` (fw-replica).

--- a/fw-gate/src/request/stream.rs
+++ b/fw-gate/src/request/stream.rs
@@ -6,7 +6,7 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use fw_base::{error, id};
 use fw_plan::{begin, health, quota, share, stretch};
-use fw_replica::{record, server, service, streams};
+use fw_replica::{beginnings, client, record, server, service, streams};
 use http_body_util::BodyExt;
 use hyper::header::HeaderValue;
 use hyper::{Response, StatusCode};
@@ -138,6 +138,7 @@
         job.service = origin.service;
         job.version = Some(origin.version);
     }
+    let recording = resume::recording(&job.gate, &job.route, &job.call, &job.identity).await?;
     let mut ready = turn::begin(&job.gate, &job.call, &job.input, kept, job.until).await?;
     // The replicas' reply has shown whether the program has had a turn through another entry.
     job.admit(details)?;
@@ -167,10 +168,12 @@
         account: job.account.clone(),
     };
     let res = plain::forwarded(response.head.clone(), body::Outgoing::Chunks(chunks));
-    let forwarder = Forwarder {
+    let mut forwarder = Forwarder {
         tokens_per_event: job.config.tokens_per_event(&job.service),
         splitter: events::Splitter::default(),
         output: BytesMut::new(),
+        unrecorded: BytesMut::new(),
+        recording: None,
         last_event_id: job.call.resume_after.clone(),
         events: 0,
         turn: Some(ready.turn),
@@ -179,6 +182,9 @@
         job,
         tx,
     };
+    if let Some(recording) = recording {
+        forwarder.record_to(recording);
+    }
     tokio::spawn(forwarder.run(response));
     Ok(res)
 }
@@ -235,6 +241,16 @@
     DeadlinePassed,
 }
 
+/// Counts events by whether `f + 1` replicas had them on record before the caller got them.
+fn count_recorded(is_recorded: bool) {
+    let outcome = if is_recorded {
+        "confirmed"
+    } else {
+        "unconfirmed"
+    };
+    metrics::counter!("fw_gate_recorded_events_total", "outcome" => outcome).increment(1);
+}
+
 /// Forwards one answer to its caller.
 struct Forwarder {
     job: Job,
@@ -242,6 +258,10 @@
     splitter: events::Splitter,
     /// Data of the events so far, which later turns get as this turn's output.
     output: BytesMut,
+    /// The part of `output` since the last event with an id.
+    unrecorded: BytesMut,
+    /// The record of the events, if the stream may be taken up and its turn is kept.
+    recording: Option<Arc<client::beginnings::Recording>>,
     /// Id of the last event forwarded.
     last_event_id: Option<SmolStr>,
     events: u32,
@@ -400,6 +420,29 @@
         }
     }
 
+    /// Records the events from now on; those on record are a part of the turn's output.
+    fn record_to(&mut self, recording: Arc<client::beginnings::Recording>) {
+        self.output = recording.output();
+        self.job.held.lock().add_output(2 * self.output.len());
+        self.recording = Some(recording);
+    }
+
+    /// Adds an event to the record, which has added to the turn's output what is behind its first `known` bytes.
+    fn record(&mut self, id: Option<&SmolStr>, known: usize) {
+        let Some(recording) = &self.recording else {
+            return;
+        };
+        let output = self.output.get(known..).unwrap_or_default();
+        self.job.held.lock().add_output(output.len());
+        self.unrecorded.put_slice(output);
+        if let Some(id) = id {
+            recording.add(beginnings::Event {
+                id: id.clone(),
+                output: self.unrecorded.split().freeze(),
+            });
+        }
+    }
+
     /// Forwards complete events from an upstream of `version`; `false` if the caller has disconnected.
     async fn forward_events(&mut self, version: &streams::Version) -> bool {
         let mut chunk = BytesMut::new();
@@ -407,6 +450,7 @@
             if self.is_duplicate(event.id.as_ref()) {
                 continue;
             }
+            let known = self.output.len();
             if let Some(data) = &event.data {
                 self.output.put_slice(data);
                 self.output.put_u8(b'\n');
@@ -416,6 +460,7 @@
                     turn.add_tokens(self.tokens_per_event);
                 }
             }
+            self.record(event.id.as_ref(), known);
             if event.id.is_some() {
                 self.last_event_id = event.id;
             }
@@ -425,6 +470,10 @@
             self.times.first_event = Some(self.times.started_at.elapsed());
             self.bind(version);
         }
+        if let Some(recording) = &self.recording {
+            let is_recorded = self.job.gate.replicas.record_events(recording).await;
+            count_recorded(is_recorded);
+        }
         chunk.is_empty() || self.hold(chunk.len()).await && self.send(chunk.freeze()).await
     }
 
--- a/fw-replica/src/client/mod.rs
+++ b/fw-replica/src/client/mod.rs
@@ -15,6 +15,7 @@
 
 use crate::{affinity, links, member, record, service};
 
+pub mod beginnings;
 mod calls;
 mod chain;
 pub mod load_reports;
--- a/fw-replica/src/lib.rs
+++ b/fw-replica/src/lib.rs
@@ -16,6 +16,7 @@
 //! ```
 
 pub mod affinity;
+pub mod beginnings;
 pub mod client;
 pub mod codec;
 pub mod entry_load;
--- a/fw-replica/src/server/mod.rs
+++ b/fw-replica/src/server/mod.rs
@@ -14,8 +14,8 @@
 mod snapshot;
 
 use crate::{
-    affinity, entry_load, journal, ledger, member, prefix, record, service, state, streams,
-    team_usage, writer,
+    affinity, beginnings, entry_load, journal, ledger, member, prefix, record, service, state,
+    streams, team_usage, writer,
 };
 
 /// Most turns of a chain in one reply. Longer chains take several requests.
@@ -70,6 +70,8 @@
     prefixes: prefix::Table,
     /// Origins of streams.
     streams: streams::Table,
+    /// Events of streams under way.
+    beginnings: beginnings::Table,
     team_usage: team_usage::Counters,
     /// Reads of the platform's store published by entries.
     store_reads: snapshot::StoreReads,
@@ -130,6 +132,7 @@
             affinity: affinity::Table::default(),
             prefixes: prefix::Table::default(),
             streams: streams::Table::default(),
+            beginnings: beginnings::Table::default(),
             team_usage: team_usage::Counters::default(),
             store_reads: snapshot::StoreReads::new(opts.run, opts.lapse),
             quarantine,
@@ -269,7 +272,7 @@
         self.state.lock().snapshot().clone()
     }
 
-    /// Drops records whose retention is over at `now`, and removes the oldest segment of the
+    /// Drops records whose retention is over at `now`, and beginnings of streams that have ended, and removes the oldest segment of the
     /// journal if all its records have expired.
     pub async fn expire(&self, now: record::UnixMs) {
         {
@@ -278,6 +281,8 @@
             metrics::gauge!("fw_replica_turns").set(state.turns() as f64);
             metrics::gauge!("fw_replica_programs").set(state.programs() as f64);
         }
+        self.beginnings.expire(Instant::now());
+        metrics::gauge!("fw_replica_beginnings_bytes").set(self.beginnings.bytes() as f64);
         metrics::gauge!("fw_replica_segments").set(self.files.count() as f64);
         if let Some(segment) = self.files.oldest_expired(now) {
             self.remove(segment).await;
@@ -755,6 +760,22 @@
         self.0.streams.record(req.stream, req.origin);
     }
 
+    async fn extend_stream(
+        self,
+        _: tarpc::context::Context,
+        req: beginnings::Extend,
+    ) -> beginnings::Extended {
+        self.0.beginnings.extend(req, Instant::now())
+    }
+
+    async fn find_beginning(
+        self,
+        _: tarpc::context::Context,
+        stream: streams::StreamId,
+    ) -> Option<beginnings::Beginning> {
+        self.0.beginnings.find(&stream)
+    }
+
     async fn find_stream(
         self,
         _: tarpc::context::Context,
--- a/fw-replica/src/service.rs
+++ b/fw-replica/src/service.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
-use crate::{affinity, ledger, member, record, streams};
+use crate::{affinity, beginnings, ledger, member, record, streams};
 
 /// Requests a reservation of tokens for a turn, and the chain that the turn continues.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -506,4 +506,8 @@
     async fn browse(after: Position, scope: Scope) -> Page;
     /// Stores turns that the replica lacks; `true` once all are on disk.
     async fn store_chain(req: StoreChain) -> bool;
+    /// Adds events to the beginning of a stream that may be taken up.
+    async fn extend_stream(req: beginnings::Extend) -> beginnings::Extended;
+    /// The beginning of a stream, if it is on record.
+    async fn find_beginning(stream: streams::StreamId) -> Option<beginnings::Beginning>;
 }
--- a/fw-replica/src/traffic.rs
+++ b/fw-replica/src/traffic.rs
@@ -34,6 +34,8 @@
     Load,
     /// Records copied between replicas, and the lists of them.
     Copy,
+    /// Events of streams that may be taken up.
+    Beginning,
     /// Anything else.
     Other,
 }
@@ -50,6 +52,7 @@
             Self::Config => "config",
             Self::Load => "load",
             Self::Copy => "copy",
+            Self::Beginning => "beginning",
             Self::Other => "other",
         }
     }
@@ -92,6 +95,7 @@
             None => Kind::Settlement,
         },
         Request::Chain { .. } | Request::StoreChain { .. } => Kind::Chain,
+        Request::ExtendStream { .. } => Kind::Beginning,
         Request::Publish { .. }
         | Request::PollUpdate { .. }
         | Request::AnnounceMembers { .. }
@@ -114,6 +118,7 @@
         }
         Reply::Finish(_) | Reply::FinishQuorum(_) => Kind::Settlement,
         Reply::Chain(_) | Reply::StoreChain(_) => Kind::Chain,
+        Reply::FindBeginning(_) => Kind::Beginning,
         Reply::Publish(_)
         | Reply::PollUpdate(_)
         | Reply::AnnounceMembers(_)
--- a/fw-replica/tests/replica/main.rs
+++ b/fw-replica/tests/replica/main.rs
@@ -20,5 +20,6 @@
 mod quorum_turns;
 mod state_pages;
 mod store_news;
+mod stream_beginnings;
 mod team_usage;
 mod torn_journal;
