fw-replica: replies with turns are bounded in bytes

Callers saw: with inputs of some hundred kilobytes, no turn was served any more after two replicas had lost their disks one after the other, each with time to catch up: every turn was answered 503 (`replicas_unsure`), for good.

Cause: a replica with an empty disk asks for 64 turns at a time, and gets all of them in one message, whatever their size. One over 16 MiB cannot be encoded: the connection closes, the batch counts as failed, and the next pass asks for the same batch. The replica never has all records and never votes; with the second loss no majority is left. The same bound stands on the reply with a chain: one over 16 MiB was never read, and the connection, which all calls share, closed each time.

Change: a reply has the first turns that fit into 2 MiB, and one turn at least. Whoever copies asks again for those behind the last one; a chain goes on with the turn that is named as missing, as it did after 256 turns.

A single turn over 16 MiB is still not stored.

Test: `quorum_turns::are_read_whatever_their_size` (nine turns of 4 MiB), red before: the chain was `Unsure`, and with only that mended the replica did not vote within 30 s.

--- a/fw-replica/src/server/mod.rs
+++ b/fw-replica/src/server/mod.rs
@@ -20,6 +20,9 @@
 
 /// Most turns of a chain in one reply. Longer chains take several requests.
 const MAX_CHAIN: usize = 256;
+/// Bytes of turns in one reply, unless one turn has more: a link of 100 Mbit/s takes 170 ms for them. A
+/// longer message than [`MAX_FRAME`](crate::codec::MAX_FRAME) cannot be sent at all.
+const REPLY_BYTES: usize = 2 << 20;
 
 /// Charges rewritten to the newest segment at a time. They take a few syncs, so that other records
 /// find room in the writer's queue.
@@ -55,6 +58,25 @@
     turns: Vec<(record::TurnId, journal::Place)>,
 }
 
+/// Turns for one reply.
+#[derive(Debug, Default)]
+struct Reply {
+    turns: Vec<record::Turn>,
+    bytes: usize,
+}
+
+impl Reply {
+    /// Adds `turn`; `false` if there is no room for it.
+    fn add(&mut self, turn: record::Turn) -> bool {
+        self.bytes += turn.input.len() + turn.output.len();
+        let fits = self.turns.is_empty() || self.bytes <= REPLY_BYTES;
+        if fits {
+            self.turns.push(turn);
+        }
+        fits
+    }
+}
+
 /// State of a replica, shared by its connections, and its access to the disk.
 #[derive(Debug)]
 pub struct Shared {
@@ -410,33 +432,50 @@
     /// for unknown. So absence is never certain for a sender whose list is older than this
     /// replica's.
     fn read_chain(&self, epoch: member::Epoch, newest: record::TurnId) -> service::Chain {
-        let mut turns = Vec::new();
+        let mut reply = Reply::default();
         let mut wanted = Some(newest);
         while let Some(id) = wanted.take() {
-            let found = (turns.len() < MAX_CHAIN).then(|| self.read(&id)).flatten();
-            let Some(turn) = found else {
+            let Some(turn) = self.read(&id) else {
                 // A turn that is in the index but cannot be read is not certainly absent.
                 let certain = !self.has(&id) && self.is_voting() && !self.has_newer_view(epoch);
-                if turns.len() < MAX_CHAIN {
-                    let (newest, found) = (turns.first(), turns.len());
-                    let newest = newest.map_or(&id, |turn: &record::Turn| &turn.id);
-                    tracing::info!(%newest, found, missing = %id, certain, "a chain is incomplete here");
-                }
+                let (newest, found) = (reply.turns.first(), reply.turns.len());
+                let newest = newest.map_or(&id, |turn| &turn.id);
+                tracing::info!(%newest, found, missing = %id, certain, "a chain is incomplete here");
                 return service::Chain {
-                    turns,
+                    turns: reply.turns,
                     missing: Some(id),
                     certain,
                 };
             };
-            wanted = turn.parent.clone();
-            turns.push(turn);
+            let parent = turn.parent.clone();
+            if reply.turns.len() == MAX_CHAIN || !reply.add(turn) {
+                return service::Chain {
+                    turns: reply.turns,
+                    missing: Some(id),
+                    certain: false,
+                };
+            }
+            wanted = parent;
         }
         service::Chain {
-            turns,
+            turns: reply.turns,
             ..service::Chain::default()
         }
     }
 
+    /// The first of these turns, as many as one reply has room for, without those that are not stored here.
+    fn read_all(&self, ids: &[record::TurnId]) -> Vec<record::Turn> {
+        let mut reply = Reply::default();
+        for id in ids {
+            if let Some(turn) = self.read(id)
+                && !reply.add(turn)
+            {
+                break;
+            }
+        }
+        reply.turns
+    }
+
     /// Whether this replica has a newer member list than that of `epoch`.
     fn has_newer_view(&self, epoch: member::Epoch) -> bool {
         epoch < self.view.borrow().epoch
@@ -732,7 +771,7 @@
         _: tarpc::context::Context,
         ids: Vec<record::TurnId>,
     ) -> Vec<record::Turn> {
-        ids.iter().filter_map(|id| self.0.read(id)).collect()
+        self.0.read_all(&ids)
     }
 
     async fn claim_attempt(
--- a/fw-replica/src/service.rs
+++ b/fw-replica/src/service.rs
@@ -485,7 +485,8 @@
     async fn read_clock() -> ClockReading;
     /// Reports the replica's state; `standby` is the requester's name if it is a standby replica.
     async fn ping(standby: Option<record::ReplicaId>) -> PingReply;
-    /// Reads turns by their ids; those not stored here are left out.
+    /// Reads turns by their ids; those not stored here are left out, and the last ones if the reply has no
+    /// room for them.
     async fn fetch(ids: Vec<record::TurnId>) -> Vec<record::Turn>;
     /// Claims the single attempt of a request that has crashed upstreams.
     async fn claim_attempt(req: ClaimAttempt) -> ClaimReply;
--- a/fw-replica/src/sync.rs
+++ b/fw-replica/src/sync.rs
@@ -33,7 +33,7 @@
 /// quorum only. Such a turn may have counted this replica's lost disk, and be stored on the others
 /// only after their lists were read: an entry takes up to two call time-outs to store a turn.
 const COPY_ALL_FOR: Duration = Duration::from_secs(3);
-/// Turns fetched at a time: some hundred kilobytes.
+/// Turns requested at a time. The reply has as many of them as it has room for.
 const FETCH_BATCH: usize = 64;
 /// Pause after a failed change of the member list. Each replica uses a different multiple, so that
 /// many starting together do not keep refusing each other.
@@ -618,8 +618,15 @@
 ) -> Option<()> {
     let mut wanted = VecDeque::from(wanted);
     while !wanted.is_empty() {
-        let ids = wanted.drain(..wanted.len().min(FETCH_BATCH)).collect();
-        let turns = client.fetch(addr, ids).await?;
+        let ids: Vec<_> = wanted.drain(..wanted.len().min(FETCH_BATCH)).collect();
+        let turns = client.fetch(addr, ids.clone()).await?;
+        // The reply may have had no room for those behind the last one.
+        let last = turns.last();
+        let last = last.and_then(|last| ids.iter().rposition(|id| *id == last.id));
+        let rest = last.map_or(&[][..], |last| &ids[last + 1..]);
+        rest.iter()
+            .rev()
+            .for_each(|id| wanted.push_front(id.clone()));
         metrics::counter!("fw_replica_copied_total").increment(turns.len() as u64);
         let parents: Vec<_> = turns
             .iter()
--- a/fw-replica/tests/replica/quorum_turns.rs
+++ b/fw-replica/tests/replica/quorum_turns.rs
@@ -10,7 +10,7 @@
 use fw_plan::lapse;
 use fw_replica::service::Replica;
 use fw_replica::sync::cursor;
-use fw_replica::{client, member, record, serve, server, service, sync};
+use fw_replica::{client, codec, member, record, serve, server, service, sync};
 use googletest::prelude::*;
 use parking_lot::Mutex;
 use tokio::net::TcpListener;
@@ -448,6 +448,41 @@
     }
 }
 
+// Guards against a replica with an empty disk that never votes, and a chain that is never read, as a reply with
+// all of the turns is too long for a message.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn are_read_whatever_their_size() {
+    let mut cluster = Cluster::start().await;
+    let mut parent = None;
+    for number in 0..9 {
+        let next = record::Turn {
+            parent,
+            input: vec![b'i'; codec::MAX_FRAME / 4].into(),
+            ..turn(&number.to_string())
+        };
+        parent = Some(next.id.clone());
+        let finish = service::Finish {
+            turn: Some(next),
+            ..service::Finish::default()
+        };
+        let req = client::Outcome {
+            finish,
+            ..client::Outcome::default()
+        };
+        assert!(cluster.client.finish(req).await);
+    }
+    let params = client::BeginParams {
+        newest: parent,
+        ..client::BeginParams::default()
+    };
+    let chain = cluster.client.begin(params, |_| {}).await;
+    expect_that!(chain.unwrap().len(), eq(9));
+    cluster.lose_disk(0).await;
+    cluster.wait_synced(cluster.nodes[0].member.addr).await;
+    expect_that!(cluster.holders("0").await, contains(eq(&0)));
+}
+
 // Guards against a copied turn without the chain that it continues, which members leave out otherwise.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
