--- a/fw-gate/src/request/resume.rs
+++ b/fw-gate/src/request/resume.rs
@@ -66,10 +66,7 @@
 }
 
 /// The record of the stream's events, if a later turn may continue it. It begins with the events that the caller
-/// has. `None` if no caller may take the stream up.
-///
-/// *Failure:* an entry was killed in the middle of a stream that its caller took up through another. That one
-/// stored the turn with the rest of the events only, and the next turn continued an answer without its beginning.
+/// has, without which the next turn would continue a part of the answer. `None` if no caller may take the stream up.
 ///
 /// # Errors
 ///
--- a/fw-replica/src/server/mod.rs
+++ b/fw-replica/src/server/mod.rs
@@ -529,11 +529,7 @@
     }
 
     /// Stores the outcome of a turn, whose record `stored_as` makes, unless a part of the chain that it
-    /// continues is not stored here.
-    ///
-    /// *Failure:* a turn was stored on other members than the one that it continues, or when that one's
-    /// retention was over. The chain was then on fewer than `f + 1` disks, or on none, and the next turn
-    /// was answered 404.
+    /// continues is not stored here. So the chain is on as many disks as the turn.
     async fn store_outcome(
         &self,
         req: service::Finish,
--- a/fw-replica/src/state.rs
+++ b/fw-replica/src/state.rs
@@ -134,10 +134,8 @@
         None
     }
 
-    /// Retains the chain that ends with `newest` until `until` at least.
-    ///
-    /// *Failure:* a program's first turns were dropped by their own age. Its next turn, which continued a
-    /// recent one, was answered 404 by every entry that did not have the whole chain in its cache.
+    /// Retains the chain that ends with `newest` until `until` at least: a turn can be continued only with
+    /// its whole chain.
     fn retain_chain(&mut self, newest: Option<&record::TurnId>, until: record::UnixMs) {
         let mut next = newest.cloned();
         while let Some(id) = next.take() {
--- a/fw-replica/src/sync.rs
+++ b/fw-replica/src/sync.rs
@@ -605,10 +605,8 @@
 }
 
 /// Fetches turns from a member, with the chains that they continue, and stores each as the kind of record
-/// that `stored_as` makes of it.
-///
-/// *Failure:* a copied turn was without its chain, of which the list had been read before: it had been left
-/// out as one that is stored on a write quorum only, or had expired here before the turn was copied.
+/// that `stored_as` makes of it. A chain may have been left out where the list was read, or have expired here
+/// before the turn that continues it was copied.
 async fn fetch_all(
     client: &client::Client,
     shared: &server::Shared,
