--- a/fw-gate/src/request/resume.rs
+++ b/fw-gate/src/request/resume.rs
@@ -105,6 +105,13 @@
         generation: generation.saturating_add(1),
         ..author
     };
+    tracing::info!(
+        request = %call.id,
+        %stream,
+        events = events.len(),
+        taken_up = author.generation,
+        "the turn begins with the events of earlier attempts"
+    );
     let recording = client::beginnings::Recording::new(stream.clone(), author, events);
     if !gate.replicas.record_events(&recording).await {
         let message = "too few replicas know that this attempt goes on with the stream";
--- a/fw-gate/src/request/stream.rs
+++ b/fw-gate/src/request/stream.rs
@@ -427,7 +427,7 @@
         self.recording = Some(recording);
     }
 
-    /// Adds an event to the record, which has added to the turn's output what is behind its first `known` bytes.
+    /// Adds an event to the record. The turn's output had `known` bytes before it.
     fn record(&mut self, id: Option<&SmolStr>, known: usize) {
         let Some(recording) = &self.recording else {
             return;
--- a/fw-replica/src/server/mod.rs
+++ b/fw-replica/src/server/mod.rs
@@ -294,8 +294,8 @@
         self.state.lock().snapshot().clone()
     }
 
-    /// Drops records whose retention is over at `now`, and beginnings of streams that have ended, and removes the oldest segment of the
-    /// journal if all its records have expired.
+    /// Drops records whose retention is over at `now`, and beginnings of streams that have ended. Removes
+    /// the oldest segment of the journal if all its records have expired.
     pub async fn expire(&self, now: record::UnixMs) {
         {
             let mut state = self.state.lock();
