fw-replica: a chain is sent only where it would expire before its turn

Why it holds: a turn names its chain's members no longer than its retention; until then each turn of the chain is kept by its own age where it lies, on `f + 1` disks. A turn that is stored later, also after a long run, asks again.

Tests: `quorum_turns::are_stored_without_a_chain_that_lasts`, red before. In `are_stored_with_the_chain_that_they_continue` the first turn is 50 s old now, so that its chain is needed; it checks the same.

--- a/fw-replica/src/client/calls.rs
+++ b/fw-replica/src/client/calls.rs
@@ -32,13 +32,26 @@
         addr: SocketAddr,
         quorum: Option<member::Epoch>,
         req: service::Finish,
+    ) -> bool {
+        let stored = self.links.call(addr, |client, cx| async move {
+            match quorum {
+                Some(epoch) => client.finish_quorum(cx, epoch, req).await,
+                None => client.finish(cx, req).await,
+            }
+        });
+        stored.await.unwrap_or(false)
+    }
+
+    /// Stores an outcome at one replica, if it has the chain.
+    pub(super) async fn call_finish_with_chain(
+        &self,
+        addr: SocketAddr,
+        quorum: Option<member::Epoch>,
+        req: service::Finish,
     ) -> Option<service::Finished> {
         self.links
             .call(addr, |client, cx| async move {
-                match quorum {
-                    Some(epoch) => client.finish_quorum(cx, epoch, req).await,
-                    None => client.finish(cx, req).await,
-                }
+                client.finish_with_chain(cx, quorum, req).await
             })
             .await
     }
--- a/fw-replica/src/client/store.rs
+++ b/fw-replica/src/client/store.rs
@@ -4,11 +4,14 @@
 //! settlement and location to all. A turn is stored once `f + 1` members have it on disk, so the other
 //! members get the record only if one of the first does not confirm in time.
 //!
-//! A member stores a turn only with the whole chain that the turn continues, and is sent the part that it
-//! lacks. So the chain of a stored turn is on `f + 1` disks as well.
+//! A turn is stored only at members that have the whole chain which it continues, once a turn of the chain would
+//! expire before it does: they are sent the part that they lack. So the chain of a stored turn lasts on `f + 1`
+//! disks as long as the turn can be continued. Until then a chain may lie on other members than the turn, as
+//! sending it to each data centre that a program passes through costs more than most programs last.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -20,6 +23,9 @@
 /// Bytes of a chain in one message to a replica, unless one turn has more: a link of 100 Mbit/s takes
 /// 80 ms for them.
 const CHAIN_MESSAGE: usize = 1 << 20;
+/// How much longer than the turn each turn of its chain has to be retained if it may lie on other members. Clocks
+/// differ, and a turn that continues the chain may take as long to be stored.
+const CHAIN_MARGIN: Duration = record::RETENTION_SLACK.checked_div(2).expect("not zero");
 /// How often a chain is sent for one turn: another turn of it may expire at the replica meanwhile.
 const CHAIN_ATTEMPTS: usize = 3;
 
@@ -33,6 +39,16 @@
 }
 
 impl Outcome {
+    /// Whether a turn of the chain, by its own retention, may expire before the turn does.
+    fn needs_chain(&self) -> bool {
+        let Some(turn) = &self.finish.turn else {
+            return false;
+        };
+        let needed_until = record::add(turn.ended, turn.retention + CHAIN_MARGIN);
+        let mut chain = self.chain.iter();
+        chain.any(|turn| turn.retain_until() < needed_until)
+    }
+
     /// The part of the chain up to the turn `missing`.
     fn chain_until(&self, missing: &record::TurnId) -> Option<&[record::Turn]> {
         let last = self.chain.iter().position(|turn| turn.id == *missing)?;
@@ -198,8 +214,12 @@
         quorum: Option<member::Epoch>,
         req: &Outcome,
     ) -> bool {
+        if !req.needs_chain() {
+            return self.call_finish(addr, quorum, req.finish.clone()).await;
+        }
         for _ in 0..CHAIN_ATTEMPTS {
-            let finished = self.call_finish(addr, quorum, req.finish.clone()).await;
+            let finish = req.finish.clone();
+            let finished = self.call_finish_with_chain(addr, quorum, finish).await;
             let missing = match finished {
                 Some(service::Finished::Stored) => return true,
                 Some(service::Finished::LacksChain { missing }) => missing,
--- a/fw-replica/src/server/mod.rs
+++ b/fw-replica/src/server/mod.rs
@@ -58,6 +58,14 @@
     turns: Vec<(record::TurnId, journal::Place)>,
 }
 
+/// The kind of record of a turn; `quorum` is set if it is stored on `f + 1` members only.
+fn record_kind(quorum: Option<member::Epoch>) -> fn(record::Turn) -> record::Record {
+    match quorum {
+        Some(_) => record::Record::QuorumTurn,
+        None => record::Record::Turn,
+    }
+}
+
 /// Turns for one reply.
 #[derive(Debug, Default)]
 struct Reply {
@@ -528,24 +536,41 @@
         }
     }
 
-    /// Stores the outcome of a turn, whose record `stored_as` makes, unless a part of the chain that it
-    /// continues is not stored here. So the chain is on as many disks as the turn.
-    async fn store_outcome(
+    /// Stores the outcome of a turn; on `f + 1` members only if `quorum` is the epoch of the sender's member
+    /// list. Returns whether all of it is on disk.
+    async fn store_outcome(&self, quorum: Option<member::Epoch>, req: service::Finish) -> bool {
+        if self.refuses(quorum) {
+            return false;
+        }
+        let stored_as = record_kind(quorum);
+        let turn = req.turn.map(stored_as);
+        let records = turn
+            .into_iter()
+            .chain(req.charge.map(record::Record::Charge));
+        let stored = join_all(records.map(|record| self.store(record))).await;
+        stored.into_iter().all(|ok| ok)
+    }
+
+    /// Whether no turns are stored; on `f + 1` members only if `quorum` is the epoch of the sender's list.
+    fn refuses(&self, quorum: Option<member::Epoch>) -> bool {
+        match quorum {
+            Some(epoch) => self.unsure_reason(epoch).is_some(),
+            None => self.is_retiring(),
+        }
+    }
+
+    /// Stores the outcome of a turn, unless a part of the chain that it continues is not stored here.
+    async fn finish_with_chain(
         &self,
+        quorum: Option<member::Epoch>,
         req: service::Finish,
-        stored_as: fn(record::Turn) -> record::Record,
     ) -> service::Finished {
         let parent = req.turn.as_ref().and_then(|turn| turn.parent.as_ref());
         let missing = self.state.lock().missing(parent);
         if let Some(missing) = missing {
             return service::Finished::LacksChain { missing };
         }
-        let turn = req.turn.map(stored_as);
-        let records = turn
-            .into_iter()
-            .chain(req.charge.map(record::Record::Charge));
-        let stored = join_all(records.map(|record| self.store(record))).await;
-        match stored.into_iter().all(|ok| ok) {
+        match self.store_outcome(quorum, req).await {
             true => service::Finished::Stored,
             false => service::Finished::Refused,
         }
@@ -553,11 +578,7 @@
 
     /// Stores turns that are continued by one that is about to be stored. Returns whether all are on disk.
     async fn store_chain(&self, req: service::StoreChain) -> bool {
-        let refuses = match req.quorum {
-            Some(epoch) => self.unsure_reason(epoch).is_some(),
-            None => self.is_retiring(),
-        };
-        if refuses {
+        if self.refuses(req.quorum) {
             return false;
         }
         {
@@ -566,10 +587,7 @@
                 state.retain(&turn.id, req.until);
             }
         }
-        let stored_as = match req.quorum {
-            Some(_) => record::Record::QuorumTurn,
-            None => record::Record::Turn,
-        };
+        let stored_as = record_kind(req.quorum);
         let stores = req
             .turns
             .into_iter()
@@ -620,12 +638,9 @@
         }
     }
 
-    async fn finish(self, _: tarpc::context::Context, req: service::Finish) -> service::Finished {
+    async fn finish(self, _: tarpc::context::Context, req: service::Finish) -> bool {
         self.0.record_location(req.location.as_ref());
-        if self.0.is_retiring() {
-            return service::Finished::Refused;
-        }
-        self.0.store_outcome(req, record::Record::Turn).await
+        self.0.store_outcome(None, req).await
     }
 
     async fn finish_quorum(
@@ -633,12 +648,22 @@
         _: tarpc::context::Context,
         epoch: member::Epoch,
         req: service::Finish,
-    ) -> service::Finished {
-        if self.0.unsure_reason(epoch).is_some() {
-            return service::Finished::Refused;
+    ) -> bool {
+        if self.0.refuses(Some(epoch)) {
+            return false;
         }
         self.0.record_location(req.location.as_ref());
-        self.0.store_outcome(req, record::Record::QuorumTurn).await
+        self.0.store_outcome(Some(epoch), req).await
+    }
+
+    async fn finish_with_chain(
+        self,
+        _: tarpc::context::Context,
+        quorum: Option<member::Epoch>,
+        req: service::Finish,
+    ) -> service::Finished {
+        self.0.record_location(req.location.as_ref());
+        self.0.finish_with_chain(quorum, req).await
     }
 
     async fn store_chain(self, _: tarpc::context::Context, req: service::StoreChain) -> bool {
--- a/fw-replica/src/service.rs
+++ b/fw-replica/src/service.rs
@@ -330,7 +330,7 @@
     pub location: Option<affinity::Location>,
 }
 
-/// Answer to [`Finish`]. The first two are encoded like `false` and `true`, which earlier versions answer.
+/// Answer to a [`Finish`] that needs the chain.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Finished {
     /// The outcome is not on disk.
@@ -462,8 +462,8 @@
 pub trait Replica {
     /// Reserves tokens and reads a chain.
     async fn begin(req: Begin) -> BeginReply;
-    /// Stores a turn and settles its tokens, once the replica has the whole chain that it continues.
-    async fn finish(req: Finish) -> Finished;
+    /// Stores a turn and settles its tokens; `true` once both are on disk.
+    async fn finish(req: Finish) -> bool;
     /// Reads all charges of a program.
     async fn ledger(program: record::ProgramId) -> Vec<ledger::Line>;
     /// Reads a chain from its newest turn, for a sender that uses the member list of `epoch`.
@@ -499,12 +499,15 @@
     async fn record_stream(req: StreamBegun);
     /// The origin of a stream, if it is on record.
     async fn find_stream(stream: streams::StreamId) -> Option<streams::Origin>;
-    /// Stores a turn that is on `f + 1` members only, and settles its tokens. Refused at once if the
-    /// replica does not vote or has a newer member list than that of `epoch`, as it may then not count as
-    /// one of the `f + 1`.
-    async fn finish_quorum(epoch: member::Epoch, req: Finish) -> Finished;
+    /// Stores a turn that is on `f + 1` members only, and settles its tokens. `true` once both are on
+    /// disk; `false` at once if the replica does not vote or has a newer member list than that of
+    /// `epoch`, as it may then not count as one of the `f + 1`.
+    async fn finish_quorum(epoch: member::Epoch, req: Finish) -> bool;
     /// Reads the list of records for a reader that has not stored all records before `after`.
     async fn browse(after: Position, scope: Scope) -> Page;
+    /// Stores a turn and settles its tokens, if the replica has the whole chain that it continues. On `f + 1`
+    /// members only if `quorum` is the epoch of the sender's member list.
+    async fn finish_with_chain(quorum: Option<member::Epoch>, req: Finish) -> Finished;
     /// Stores turns that the replica lacks; `true` once all are on disk.
     async fn store_chain(req: StoreChain) -> bool;
     /// Adds events to the beginning of a stream that may be taken up.
--- a/fw-replica/src/traffic.rs
+++ b/fw-replica/src/traffic.rs
@@ -90,7 +90,9 @@
     use service::ReplicaRequest as Request;
     let kind = match req {
         Request::Begin { req } => return (Kind::Reservation, req.load.calls.len() * CALLS_LEN),
-        Request::Finish { req } | Request::FinishQuorum { req, .. } => match req.turn {
+        Request::Finish { req }
+        | Request::FinishQuorum { req, .. }
+        | Request::FinishWithChain { req, .. } => match req.turn {
             Some(_) => Kind::TurnRecord,
             None => Kind::Settlement,
         },
@@ -116,7 +118,7 @@
             let chain = turns.map(|turn| turn.input.len() + turn.output.len()).sum();
             return (Kind::Reply, chain);
         }
-        Reply::Finish(_) | Reply::FinishQuorum(_) => Kind::Settlement,
+        Reply::Finish(_) | Reply::FinishQuorum(_) | Reply::FinishWithChain(_) => Kind::Settlement,
         Reply::Chain(_) | Reply::StoreChain(_) => Kind::Chain,
         Reply::FindBeginning(_) => Kind::Beginning,
         Reply::Publish(_)
