--- a/review/rig-2/src/endless.rs
+++ b/review/rig-2/src/endless.rs
@@ -15,6 +15,9 @@
 const WORKERS: usize = 4;
 const ENTRIES: usize = 2;
 const MEMORY_MB: u64 = 96;
+/// How long workers are in trouble at a time, and how long they are sound then.
+const TROUBLE_SPAN: Duration = Duration::from_secs(5);
+const TROUBLE_PAUSE: Duration = Duration::from_millis(500);
 
 struct Sent {
     id: String,
@@ -24,13 +27,22 @@
 }
 
 pub async fn run(trouble: bool, path: &Path) -> Option<bool> {
-    let env = |name: &str, default: u64| std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default);
-    let (chunk, one_in) = (env("CHUNK", 1) as usize, env("ONE_IN", 3));
-    let spoiled = Trouble::EndlessBody { status: 200, chunk: vec![b'x'; chunk] };
+    let env = |name: &str, default: u64| {
+        std::env::var(name)
+            .ok()
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(default)
+    };
+    let (chunk, one_in) = (env("CHUNK", 1) as usize, env("ONE_IN", 34));
+    let spoiled = Trouble::EndlessBody {
+        status: 200,
+        chunk: vec![b'x'; chunk],
+    };
     let mut workers = Vec::new();
     for index in 0..WORKERS {
         let name = format!("w{index}");
-        workers.push(Worker::start(&name, Duration::from_millis(30), spoiled.clone(), one_in).await);
+        workers
+            .push(Worker::start(&name, Duration::from_millis(30), spoiled.clone(), one_in).await);
     }
     let config = json!({
         "version": 3,
@@ -41,7 +53,10 @@
         "services": [{"name": "portal", "health_path": "/healthz", "max_conns": 96}],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
     });
-    let listed: BTreeMap<_, _> = workers.iter().map(|worker| (worker.name.clone(), worker.entry("portal"))).collect();
+    let listed: BTreeMap<_, _> = workers
+        .iter()
+        .map(|worker| (worker.name.clone(), worker.entry("portal")))
+        .collect();
     let mut system = System::start(ENTRIES, MEMORY_MB, &config, &listed).await;
     let record = system.record.clone();
     let sent: Arc<Mutex<Vec<Sent>>> = Arc::default();
@@ -49,19 +64,30 @@
     let stop = Arc::new(std::sync::atomic::AtomicBool::new(false));
     let callers = spawn_callers(&fronts, &sent, &stop, env("PAUSE_MS", 100));
     system.run_for(Duration::from_secs(3)).await;
-    if sent.lock().unwrap().iter().filter(|sent| sent.answer.status == 200).count() < 20 {
+    if sent
+        .lock()
+        .unwrap()
+        .iter()
+        .filter(|sent| sent.answer.status == 200)
+        .count()
+        < 20
+    {
         record.add("the system doesn't serve");
         record.write(path);
         return None;
     }
-    let sick = env("SICK", 1) as usize;
-    for worker in &workers[..sick] {
-        worker.in_trouble.store(trouble, Ordering::Relaxed);
-    }
-    record.add(format!("{sick} of {WORKERS} workers in trouble: {trouble}"));
-    system.run_for(Duration::from_secs(env("TROUBLE_S", 60))).await;
-    for worker in &workers {
-        worker.in_trouble.store(false, Ordering::Relaxed);
+    let sick = env("SICK", 2) as usize;
+    let until = Instant::now() + Duration::from_secs(env("TROUBLE_S", 88));
+    while Instant::now() < until {
+        record.add(format!("{sick} of {WORKERS} workers in trouble: {trouble}"));
+        for worker in &workers[..sick] {
+            worker.in_trouble.store(trouble, Ordering::Relaxed);
+        }
+        system.run_for(TROUBLE_SPAN).await;
+        for worker in &workers {
+            worker.in_trouble.store(false, Ordering::Relaxed);
+        }
+        system.run_for(TROUBLE_PAUSE).await;
     }
     record.add("all workers are sound again");
     system.run_for(Duration::from_secs(4)).await;
@@ -70,8 +96,17 @@
         let _ = caller.await;
     }
     for worker in &workers {
-        for run in worker.runs.lock().unwrap().values().filter(|run| run.endless_bytes > 0) {
-            record.add(format!("{}: {} got {} bytes without end", worker.name, run.id, run.endless_bytes));
+        for run in worker
+            .runs
+            .lock()
+            .unwrap()
+            .values()
+            .filter(|run| run.endless_bytes > 0)
+        {
+            record.add(format!(
+                "{}: {} got {} bytes without end",
+                worker.name, run.id, run.endless_bytes
+            ));
         }
     }
     let mut often = 0;
@@ -86,22 +121,43 @@
         ));
         often += usize::from(entry.ends.len() >= 3);
     }
-    let replicas: usize = system.replicas.iter().map(|replica| replica.ends.len()).sum();
-    let memory: usize = system.entries.iter().flat_map(|entry| &entry.ends).filter(|end| **end == End::Memory).count();
+    let replicas: usize = system
+        .replicas
+        .iter()
+        .map(|replica| replica.ends.len())
+        .sum();
+    let memory: usize = system
+        .entries
+        .iter()
+        .flat_map(|entry| &entry.ends)
+        .filter(|end| **end == End::Memory)
+        .count();
     record.add(format!("entries that ended by themselves three times or more: {often}; ends for memory: {memory}; ends of replicas: {replicas}"));
     let held = often < 2;
-    record.add(if held { "the rule held" } else { "the rule was broken" });
+    record.add(if held {
+        "the rule held"
+    } else {
+        "the rule was broken"
+    });
     let mut ran = BTreeMap::<String, Vec<String>>::new();
     for worker in &workers {
         for run in worker.runs.lock().unwrap().values() {
-            ran.entry(run.id.clone()).or_default().push(worker.name.clone());
+            ran.entry(run.id.clone())
+                .or_default()
+                .push(worker.name.clone());
         }
     }
     for sent in sent.lock().unwrap().iter() {
-        let by = ran.get(&sent.id).map_or("no worker".to_owned(), |by| by.join(" "));
+        let by = ran
+            .get(&sent.id)
+            .map_or("no worker".to_owned(), |by| by.join(" "));
         let at = record.since_start(sent.at);
         let (status, error) = (sent.answer.status, &sent.answer.error);
-        record.add(format!("sent at {at:.3} s: {} to front-{}; answered {status} {error}; run by {by}", sent.id, sent.entry + 1));
+        record.add(format!(
+            "sent at {at:.3} s: {} to front-{}; answered {status} {error}; run by {by}",
+            sent.id,
+            sent.entry + 1
+        ));
     }
     record.write(path);
     Some(held)
--- a/review/rig-2/src/http.rs
+++ b/review/rig-2/src/http.rs
@@ -11,7 +11,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct Answer {
     pub status: u16,
-    pub head: String,
     pub body: Vec<u8>,
     /// What ended it, if it isn't whole.
     pub error: String,
@@ -21,8 +20,14 @@
 pub async fn exchange(to: SocketAddr, request: &[u8], wait: Duration) -> Answer {
     match tokio::time::timeout(wait, try_exchange(to, request)).await {
         Ok(Ok(answer)) => answer,
-        Ok(Err(err)) => Answer { error: format!("the connection broke: {err}"), ..Answer::default() },
-        Err(_) => Answer { error: "no whole answer in time".to_owned(), ..Answer::default() },
+        Ok(Err(err)) => Answer {
+            error: format!("the connection broke: {err}"),
+            ..Answer::default()
+        },
+        Err(_) => Answer {
+            error: "no whole answer in time".to_owned(),
+            ..Answer::default()
+        },
     }
 }
 
@@ -45,7 +50,11 @@
         }
     };
     let head = String::from_utf8_lossy(&buf[..end]).into_owned();
-    let status = head.split(' ').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0);
+    let status = head
+        .split(' ')
+        .nth(1)
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0);
     let length = header(&head, "content-length").and_then(|text| text.parse::<usize>().ok());
     let mut rest = buf.split_off(end);
     let body = match length {
@@ -60,7 +69,11 @@
         None if header(&head, "transfer-encoding").is_some() => read_chunks(stream, rest).await?,
         None => Vec::new(),
     };
-    Ok(Answer { status, head, body, error: String::new() })
+    Ok(Answer {
+        status,
+        body,
+        error: String::new(),
+    })
 }
 
 async fn read_chunks(stream: &mut TcpStream, mut buf: Vec<u8>) -> io::Result<Vec<u8>> {
--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -18,7 +18,10 @@
 #[tokio::main]
 async fn main() {
     let mut args = std::env::args().skip(1);
-    let (case, record) = (args.next().unwrap_or_default(), args.next().unwrap_or_default());
+    let (case, record) = (
+        args.next().unwrap_or_default(),
+        args.next().unwrap_or_default(),
+    );
     let record = PathBuf::from(record);
     let mut term = unix::signal(SignalKind::terminate()).expect("signals can be handled");
     // Whatever ends the case drops it, and with it the processes that it started.
--- a/review/rig-2/src/replaced.rs
+++ b/review/rig-2/src/replaced.rs
@@ -57,7 +57,14 @@
     let turns: Arc<Mutex<Vec<Turn>>> = Arc::default();
     let fronts = system.entries.iter().map(|entry| entry.front).enumerate();
     let callers: Vec<_> = fronts
-        .map(|(number, front)| tokio::spawn(programs(number, front, Arc::clone(&turns), Arc::clone(&stop))))
+        .map(|(number, front)| {
+            tokio::spawn(programs(
+                number,
+                front,
+                Arc::clone(&turns),
+                Arc::clone(&stop),
+            ))
+        })
         .collect();
     system.run_for(Duration::from_secs(3)).await;
     record.add(format!("members: {}", system.members()));
@@ -83,7 +90,12 @@
     }
     system.run_for(Duration::from_secs(25)).await;
     record.add(format!("members: {}", system.members()));
-    let before = count(&turns, Instant::now() - Duration::from_secs(8), &record, "the 8 s before the final fault");
+    let before = count(
+        &turns,
+        Instant::now() - Duration::from_secs(8),
+        &record,
+        "the 8 s before the final fault",
+    );
     if trouble != "0" {
         record.add("final fault: store-1 loses its disk");
         system.kill_replica(0, Some(Duration::from_millis(1_000)), true);
@@ -101,9 +113,18 @@
     record.add(format!("members: {}", system.members()));
     let after = count(&turns, judged, &record, "the 8 s after it");
     let held = after >= 0.25 || before < 0.25;
-    let ends: usize = system.replicas.iter().chain(&system.entries).map(|process| process.ends.len()).sum();
+    let ends: usize = system
+        .replicas
+        .iter()
+        .chain(&system.entries)
+        .map(|process| process.ends.len())
+        .sum();
     record.add(format!("ends that nobody asked for: {ends}"));
-    record.add(if held { "the rule held" } else { "the rule was broken" });
+    record.add(if held {
+        "the rule held"
+    } else {
+        "the rule was broken"
+    });
     record.turns(&turns.lock().unwrap(), &workers);
     record.write(path);
     if before < 0.25 {
@@ -118,15 +139,28 @@
         let mut ran = BTreeMap::<String, Vec<String>>::new();
         for (index, worker) in workers.iter().enumerate() {
             for request in worker.requests() {
-                let id = request.headers.get("x-request-id").cloned().unwrap_or_default();
+                let id = request
+                    .headers
+                    .get("x-request-id")
+                    .cloned()
+                    .unwrap_or_default();
                 ran.entry(id).or_default().push(format!("w{index}"));
             }
         }
         for turn in turns {
-            let by = ran.get(&turn.id).map_or("no worker".to_owned(), |by| by.join(" "));
-            let note = if turn.status == 200 { "whole" } else { &turn.note };
+            let by = ran
+                .get(&turn.id)
+                .map_or("no worker".to_owned(), |by| by.join(" "));
+            let note = if turn.status == 200 {
+                "whole"
+            } else {
+                &turn.note
+            };
             let at = self.since_start(turn.at);
-            self.add(format!("sent at {at:.3} s: {}; answered {} {note}; run by {by}", turn.id, turn.status));
+            self.add(format!(
+                "sent at {at:.3} s: {}; answered {} {note}; run by {by}",
+                turn.id, turn.status
+            ));
         }
     }
 }
@@ -147,7 +181,10 @@
         tokio::spawn(async move {
             tokio::time::sleep(HEARTBEAT * index as u32 / workers_len).await;
             for seq in 2.. {
-                store.put(&format!("servers/w{index}"), entry(&worker, index, seq).to_string().as_bytes());
+                store.put(
+                    &format!("servers/w{index}"),
+                    entry(&worker, index, seq).to_string().as_bytes(),
+                );
                 tokio::time::sleep(HEARTBEAT).await;
             }
         });
@@ -155,7 +192,12 @@
 }
 
 /// Share of the turns sent since `since` that were served.
-fn count(turns: &Mutex<Vec<Turn>>, since: Instant, record: &crate::system::Record, what: &str) -> f64 {
+fn count(
+    turns: &Mutex<Vec<Turn>>,
+    since: Instant,
+    record: &crate::system::Record,
+    what: &str,
+) -> f64 {
     let turns = turns.lock().unwrap();
     let sent: Vec<_> = turns.iter().filter(|turn| turn.at >= since).collect();
     let served = sent.iter().filter(|turn| turn.status == 200).count();
@@ -163,17 +205,29 @@
     for turn in &sent {
         *by_status.entry(turn.status).or_default() += 1;
     }
-    record.add(format!("turns sent in {what}: {} , served {served}, by status {by_status:?}", sent.len()));
+    record.add(format!(
+        "turns sent in {what}: {} , served {served}, by status {by_status:?}",
+        sent.len()
+    ));
     served as f64 / sent.len().max(1) as f64
 }
 
 /// Programs begin at one entry independently of each other, one in [`PROGRAM_EVERY`].
-async fn programs(front_number: usize, front: SocketAddr, turns: Arc<Mutex<Vec<Turn>>>, stop: Arc<AtomicBool>) {
+async fn programs(
+    front_number: usize,
+    front: SocketAddr,
+    turns: Arc<Mutex<Vec<Turn>>>,
+    stop: Arc<AtomicBool>,
+) {
     let mut running = tokio::task::JoinSet::new();
     let mut number = 0;
     while !stop.load(Ordering::Relaxed) {
         number += 1;
-        running.spawn(program(format!("{front_number}-{number}"), front, Arc::clone(&turns)));
+        running.spawn(program(
+            format!("{front_number}-{number}"),
+            front,
+            Arc::clone(&turns),
+        ));
         while running.try_join_next().is_some() {}
         tokio::time::sleep(PROGRAM_EVERY).await;
     }
@@ -185,7 +239,9 @@
     let mut previous = None::<String>;
     for turn in 0..3 {
         let id = format!("t{name}-{turn}");
-        let line = previous.as_ref().map_or(String::new(), |id| format!("X-Previous-Turn: {id}\r\n"));
+        let line = previous
+            .as_ref()
+            .map_or(String::new(), |id| format!("X-Previous-Turn: {id}\r\n"));
         let body = format!("input of {id};");
         let request = format!(
             "POST /draft/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: {id}\r\nX-Request-Deadline-Ms: 3000\r\nX-Program-Id: p{name}\r\nX-Session-Id: s{name}\r\nX-Program-Deadline-Ms: 9000\r\nX-Token-Budget: 400\r\nX-Token-Count: 60,44\r\n{line}Content-Length: {}\r\n\r\n{body}",
@@ -194,9 +250,18 @@
         let at = Instant::now();
         let answer = http::exchange(front, request.as_bytes(), Duration::from_millis(3_500)).await;
         let body = String::from_utf8_lossy(&answer.body);
-        let note = if answer.error.is_empty() { body.chars().take(120).collect() } else { answer.error.clone() };
+        let note = if answer.error.is_empty() {
+            body.chars().take(120).collect()
+        } else {
+            answer.error.clone()
+        };
         let status = answer.status;
-        turns.lock().unwrap().push(Turn { at, id: id.clone(), status, note });
+        turns.lock().unwrap().push(Turn {
+            at,
+            id: id.clone(),
+            status,
+            note,
+        });
         if status != 200 {
             return;
         }
--- a/review/rig-2/src/worker.rs
+++ b/review/rig-2/src/worker.rs
@@ -82,23 +82,35 @@
         stream.set_nodelay(true)?;
         let mut buf = Vec::new();
         while let Some((head, _)) = read_request(&mut stream, &mut buf).await? {
-            let id = http::header(&head, "x-request-id").unwrap_or_default().to_owned();
+            let id = http::header(&head, "x-request-id")
+                .unwrap_or_default()
+                .to_owned();
             let expected = http::header(&head, "x-expect-instance");
             if expected.is_some_and(|expected| expected != self.name) {
-                let text = format!("HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: {id}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+                let text = format!(
+                    "HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: {id}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                );
                 stream.write_all(text.as_bytes()).await?;
                 continue;
             }
             let number = self.arrivals.fetch_add(1, Ordering::Relaxed);
-            let run = Run { id: id.clone(), whole: false, endless_bytes: 0 };
+            let run = Run {
+                id: id.clone(),
+                whole: false,
+                endless_bytes: 0,
+            };
             self.runs.lock().unwrap().insert(number, run);
             let active = self.active.fetch_add(1, Ordering::Relaxed) + 1;
             tokio::time::sleep(self.work).await;
             self.active.fetch_sub(1, Ordering::Relaxed);
-            let common = format!("X-Request-Id: {id}\r\nX-Response-Signature: {}.{number}\r\nX-Server-Load: {active},0,6\r\nKeep-Alive: timeout=5\r\n", self.name);
+            let common = format!(
+                "X-Request-Id: {id}\r\nX-Response-Signature: {}.{number}\r\nX-Server-Load: {active},0,6\r\nKeep-Alive: timeout=5\r\n",
+                self.name
+            );
             if self.in_trouble.load(Ordering::Relaxed) && number % self.one_in == 0 {
                 let Trouble::EndlessBody { status, chunk } = &self.trouble;
-                let head = format!("HTTP/1.1 {status} Told\r\n{common}Transfer-Encoding: chunked\r\n\r\n");
+                let head =
+                    format!("HTTP/1.1 {status} Told\r\n{common}Transfer-Encoding: chunked\r\n\r\n");
                 stream.write_all(head.as_bytes()).await?;
                 let mut frame = format!("{:x}\r\n", chunk.len()).into_bytes();
                 frame.extend_from_slice(chunk);
@@ -112,7 +124,10 @@
                 }
             }
             let body = format!("answer of {} to {id}", self.name);
-            let text = format!("HTTP/1.1 200 OK\r\n{common}Content-Length: {}\r\n\r\n{body}", body.len());
+            let text = format!(
+                "HTTP/1.1 200 OK\r\n{common}Content-Length: {}\r\n\r\n{body}",
+                body.len()
+            );
             stream.write_all(text.as_bytes()).await?;
             if let Some(run) = self.runs.lock().unwrap().get_mut(&number) {
                 run.whole = true;
@@ -123,7 +138,10 @@
 }
 
 /// Reads one request with a length; `None` if the caller has closed the connection.
-async fn read_request(stream: &mut TcpStream, buf: &mut Vec<u8>) -> io::Result<Option<(String, Vec<u8>)>> {
+async fn read_request(
+    stream: &mut TcpStream,
+    buf: &mut Vec<u8>,
+) -> io::Result<Option<(String, Vec<u8>)>> {
     let end = loop {
         if let Some(at) = buf.windows(4).position(|part| part == b"\r\n\r\n") {
             break at + 4;
@@ -133,7 +151,9 @@
         }
     };
     let head = String::from_utf8_lossy(&buf[..end]).into_owned();
-    let length = http::header(&head, "content-length").and_then(|text| text.parse().ok()).unwrap_or(0_usize);
+    let length = http::header(&head, "content-length")
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0_usize);
     while buf.len() < end + length {
         if stream.read_buf(buf).await? == 0 {
             return Ok(None);
