fw-gate: crash lines name the upstream's start and what was known before

Cause: a line of a crash named its upstream and the weights after it. Whether the crash had added anything, and whether two lines of one upstream id were of two of its starts, could not be told from the logs, so none of the hypotheses could be told from the others. Change: lines of crashes and of broken connections have started_at and the weights known when the attempt was sent; the counter has the event uncounted; a stream that goes on names the upstream at which it broke; lines of the list have started_at. No decision changes.

--- a/fw-gate/src/process/fleet/lease.rs
+++ b/fw-gate/src/process/fleet/lease.rs
@@ -5,12 +5,12 @@
 use std::time::{Duration, Instant};
 
 use fw_base::id;
-use fw_plan::{assign, health, prefix, stretch, wait_queue};
+use fw_plan::{assign, health, prefix, quarantine, stretch, wait_queue};
 use fw_replica::{affinity, streams};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
-use super::{Fleet, ListState, Service, Upstream};
+use super::{Fleet, ListState, Service, StartTime, Upstream};
 use crate::connection::link;
 use crate::process::traffic;
 
@@ -46,6 +46,8 @@
     pub id: id::UpstreamId,
     /// Run of the upstream. Nothing that is observed of it applies to a later one.
     run: u64,
+    /// When the upstream started, by the list from which it was chosen.
+    upstream_started_at: StartTime,
     /// Short hash of the upstream's id and start time.
     pub hash: affinity::Upstream,
     /// The upstream's address.
@@ -95,6 +97,7 @@
             service: Arc::clone(service),
             id: upstream.listed.id.clone(),
             run: upstream.run,
+            upstream_started_at: upstream.listed.started_at,
             hash: upstream.hash,
             addr: upstream.listed.addr,
             version: upstream.listed.version.clone(),
@@ -109,6 +112,14 @@
         }
     }
 
+    /// The upstream and its start, by the list from which it was chosen.
+    pub fn incarnation(&self) -> quarantine::Incarnation {
+        quarantine::Incarnation {
+            upstream: self.id.clone(),
+            started_at: self.upstream_started_at,
+        }
+    }
+
     /// Counts bytes to or from the upstream if it is in another data centre.
     pub fn count_bytes(&self, kind: traffic::Kind, len: usize) {
         if self.is_remote {
--- a/fw-gate/src/process/fleet/list.rs
+++ b/fw-gate/src/process/fleet/list.rs
@@ -206,7 +206,7 @@
         let now = self.now();
         let id = listed.id.clone();
         let Some(upstream) = service.find(&id) else {
-            tracing::info!(upstream = %id, service = %listed.service, addr = %listed.addr, version = %listed.version, takes_work = listed.takes_work, "upstream listed");
+            tracing::info!(upstream = %id, service = %listed.service, addr = %listed.addr, version = %listed.version, started_at = listed.started_at, takes_work = listed.takes_work, "upstream listed");
             let run = service.next_run();
             service.upstreams.push(Upstream::new(listed, run));
             drop(service);
@@ -236,7 +236,7 @@
         };
         if upstream.listed.takes_work != listed.takes_work || restarted {
             let as_of = self.list_state().as_of;
-            tracing::info!(upstream = %id, takes_work = listed.takes_work, restarted, as_of, "upstream changed");
+            tracing::info!(upstream = %id, takes_work = listed.takes_work, restarted, started_at, as_of, "upstream changed");
         }
         upstream.missing = None;
         upstream.run_listed_at = Instant::now();
--- a/fw-gate/src/process/fleet/mod.rs
+++ b/fw-gate/src/process/fleet/mod.rs
@@ -28,6 +28,7 @@
 
 pub use admission::Refused;
 pub use confirmation::Confirmation;
+pub use fw_plan::quarantine::StartTime;
 pub use hedges::CallTimer;
 use lease::Waiter;
 pub use lease::{Lease, Load};
@@ -38,9 +39,6 @@
 /// the cached prompt of some of them may have become free.
 const MAX_WOKEN: usize = 8;
 
-/// Start time of an upstream, in milliseconds since the Unix epoch.
-pub type StartTime = u64;
-
 /// One upstream, as the platform's store lists it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListedUpstream {
--- a/fw-gate/src/process/quarantine.rs
+++ b/fw-gate/src/process/quarantine.rs
@@ -11,7 +11,7 @@
 use futures_util::StreamExt;
 use futures_util::future;
 use futures_util::stream::FuturesUnordered;
-use fw_base::{error, id};
+use fw_base::error;
 use fw_plan::quarantine;
 use fw_replica::{client, member, service};
 use hyper::StatusCode;
@@ -367,19 +367,21 @@
 }
 
 impl Permit {
-    /// Records that `upstream` crashed under the attempt. Returns once a majority of the replicas knows, or
+    /// Records that an upstream crashed under the attempt. Returns once a majority of the replicas knows, or
     /// does not answer in time: whoever sends the request again then meets the record.
-    pub async fn record_crash(mut self, upstream: &id::UpstreamId) {
+    pub async fn record_crash(mut self, at: &quarantine::Incarnation) {
         count("crash");
-        let reports = self.record_failure(upstream, quarantine::Failure::crash);
+        let reports = self.record_failure(at, quarantine::Failure::crash);
         tracing::warn!(
             request = %self.subject.request,
-            %upstream,
+            upstream = %at.upstream,
+            started_at = at.started_at,
             fingerprint = %self.subject.identity.request,
             body_fingerprint = %self.subject.identity.body,
             path_fingerprint = %self.subject.identity.path,
             path = %self.subject.path,
             previous = self.subject.previous.as_deref(),
+            known = ?self.known,
             weights = ?weights(&reports),
             "upstream crashed while it ran the request"
         );
@@ -388,14 +390,16 @@
         future::join_all(reports).await;
     }
 
-    /// Records that `upstream` broke the connection but accepts another.
-    pub fn record_broken(mut self, upstream: &id::UpstreamId) {
+    /// Records that an upstream broke the connection but accepts another.
+    pub fn record_broken(mut self, at: &quarantine::Incarnation) {
         count("broken");
-        let reports = self.record_failure(upstream, quarantine::Failure::broken_connection);
+        let reports = self.record_failure(at, quarantine::Failure::broken_connection);
         tracing::info!(
             request = %self.subject.request,
-            %upstream,
+            upstream = %at.upstream,
+            started_at = at.started_at,
             fingerprint = %self.subject.identity.request,
+            known = ?self.known,
             weights = ?weights(&reports),
             "connection broke, but the upstream accepts another"
         );
@@ -408,18 +412,24 @@
     /// coarsest to the finest level.
     fn record_failure(
         &mut self,
-        upstream: &id::UpstreamId,
+        at: &quarantine::Incarnation,
         failure: impl Fn(quarantine::Weight) -> quarantine::Failure,
     ) -> [service::ReportAttempt; quarantine::LEVELS] {
         let now = self.quarantine.now();
         let subject = &self.subject;
-        let suspects = self.quarantine.table.lock().record_failure_at(
+        let mut table = self.quarantine.table.lock();
+        let before = table.weights(now, &subject.identity);
+        let suspects = table.record_failure_at(
             now,
             &subject.identity,
             subject.owner,
-            upstream,
+            &at.upstream,
             self.known.map(failure),
         );
+        if table.weights(now, &subject.identity) == before {
+            count("uncounted");
+        }
+        drop(table);
         suspects.map(|suspect| {
             let release = self.release_locally(&suspect.fingerprint);
             service::ReportAttempt { suspect, release }
--- a/fw-gate/src/request/attempt.rs
+++ b/fw-gate/src/request/attempt.rs
@@ -321,15 +321,15 @@
     }
 }
 
-/// Checks whether `upstream` crashed under the attempt of `permit`, and if so records it.
+/// Checks whether the upstream at `addr` crashed under the attempt of `permit`, and if so records it.
 pub async fn check_crash(
     permit: quarantine::Permit,
-    upstream: &id::UpstreamId,
+    at: &fw_plan::quarantine::Incarnation,
     addr: std::net::SocketAddr,
 ) {
     if send::has_crashed(addr).await {
-        permit.record_crash(upstream).await;
+        permit.record_crash(at).await;
     } else {
-        permit.record_broken(upstream);
+        permit.record_broken(at);
     }
 }
--- a/fw-gate/src/request/hedged.rs
+++ b/fw-gate/src/request/hedged.rs
@@ -109,7 +109,7 @@
 where
     F: Future<Output = Result<T, send::Failure>>,
 {
-    let (upstream, addr, list_state) = (lease.id.clone(), lease.addr, lease.list_state);
+    let (at, addr, list_state) = (lease.incarnation(), lease.addr, lease.list_state);
     let finished = match job.send(lease).await {
         Ok(response) => finish(response).await,
         Err(failure) => Err(failure),
@@ -119,11 +119,11 @@
         Err(failure) => failure,
     };
     if failure.connection_broke {
-        attempt::check_crash(permit, &upstream, addr).await;
+        attempt::check_crash(permit, &at, addr).await;
     }
     Err(Failed {
         failure,
-        upstream,
+        upstream: at.upstream,
         list_state,
     })
 }
--- a/fw-gate/src/request/stream.rs
+++ b/fw-gate/src/request/stream.rs
@@ -284,8 +284,8 @@
         let mut sent_after;
         let mut stated_factor;
         let outcome = loop {
-            let (upstream, addr) = (response.lease.id.clone(), response.lease.addr);
-            last_upstream.clone_from(&upstream);
+            let (at, addr) = (response.lease.incarnation(), response.lease.addr);
+            last_upstream.clone_from(&at.upstream);
             version = response.lease.version.clone();
             candidate = response.lease.candidate;
             list_state = response.lease.list_state;
@@ -324,9 +324,9 @@
                     response.lease.record_health(health::Observation::Failed);
                     drop(response);
                     if let Some(permit) = self.permit.take() {
-                        attempt::check_crash(permit, &upstream, addr).await;
+                        attempt::check_crash(permit, &at, addr).await;
                     }
-                    let next = self.resume(&upstream, &mut resumes).await;
+                    let next = self.resume(&at.upstream, &mut resumes).await;
                     let Some(next) = next else {
                         if let Some(turn) = &mut self.turn {
                             turn.mark_broken();
@@ -563,22 +563,22 @@
                     self.job.attempt().choose(&attempts).await.ok()?
                 }
             };
-            let (id, addr) = (lease.id.clone(), lease.addr);
+            let (at, addr) = (lease.incarnation(), lease.addr);
             let version = lease.version.clone();
-            tracing::info!(request = %self.job.call.id, upstream = %id, %version, after = ?self.last_event_id, "resuming the stream");
+            tracing::info!(request = %self.job.call.id, broke_at = %upstream, upstream = %at.upstream, started_at = at.started_at, %version, after = ?self.last_event_id, "resuming the stream");
             let attempt = self.job.attempt();
             match attempt.send(lease).await {
                 Ok(response) if response.head.status.is_success() => {
                     self.permit = Some(permit);
                     return Some(response);
                 }
-                Ok(_) => avoid.push(id),
+                Ok(_) => avoid.push(at.upstream),
                 Err(failed) => {
                     if failed.connection_broke {
-                        attempt::check_crash(permit, &id, addr).await;
+                        attempt::check_crash(permit, &at, addr).await;
                     }
                     tracing::info!(request = %self.job.call.id, err = %failed.err, "the stream cannot be resumed at this upstream");
-                    avoid.push(id);
+                    avoid.push(at.upstream);
                 }
             }
         }
--- a/fw-plan/src/quarantine.rs
+++ b/fw-plan/src/quarantine.rs
@@ -47,6 +47,17 @@
 pub type HolderId = u64;
 /// Number of a change of a [`Table`].
 pub type Version = u64;
+/// Start time of an upstream, in milliseconds since the Unix epoch; 0 if it is not known.
+pub type StartTime = u64;
+
+/// An upstream between one of its starts and its end. It may start again under its id.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Incarnation {
+    /// The upstream.
+    pub upstream: id::UpstreamId,
+    /// When it started.
+    pub started_at: StartTime,
+}
 
 /// Most failures kept of one request, disproved or not.
 const MAX_FAILURES: usize = 16;
