fw-plan: a crash at an incarnation known to have crashed is another one

What callers would see: as before, where the list does not state the start that followed a crash: it was listed late, the upstream crashed again before it was listed, its clock was set back (such an item is taken for a late one for 4 s), or it states no start. The list's start stands for the incarnation, but an entry may hold the record of an earlier one. Change: a crash at an incarnation of which a crash was known when the attempt was sent is recorded as one of a further start, with the weight of a broken connection: a link that breaks again and again looks the same, and an innocent request must not be refused for that soon. Copies in flight together stay one failure, and a crash that was disproved stays so.

--- a/fw-plan/src/quarantine.rs
+++ b/fw-plan/src/quarantine.rs
@@ -17,7 +17,8 @@
 //! *Grounds:* a request that is not the cause completes soon, unless other faults meet it by chance
 //! several times in succession; the loss of a rack under three copies of a popular request is one
 //! failure. A broken connection alone weighs less: the upstream may have crashed and restarted
-//! before it was looked at, or have lost one answer. Evidence only grows and merges in any order, so
+//! before it was looked at, or have lost one answer. So does a crash at an incarnation that is known to have
+//! crashed: the upstream may have started again unlisted, or its link may break again and again. Evidence only grows and merges in any order, so
 //! that processes need no common clock and no common order.
 //!
 //! Memory is bounded by [`Options::capacity`]; the owner with the most records loses one first.
@@ -137,6 +138,11 @@
             weight: BREAK_WEIGHT,
         }
     }
+
+    /// Weight of the evidence that was known when the attempt was sent.
+    const fn known(self) -> Weight {
+        self.total - self.weight
+    }
 }
 
 /// Failures under one request. Merging is commutative, associative and idempotent.
@@ -179,6 +185,14 @@
         self.shrink();
     }
 
+    /// The failure at the incarnation of `id` that is not disproved, under whichever variant.
+    fn at_incarnation(&self, id: FailureId) -> Option<Failure> {
+        let incarnation = identity::incarnation_of(id);
+        let mut failures = self.failures.iter();
+        let known = failures.find(|(known, _)| identity::incarnation_of(**known) == incarnation);
+        known.map(|(_, failure)| *failure)
+    }
+
     /// Whether the failures at the incarnation of `id` are disproved, under whichever variant.
     fn is_disproved(&self, id: FailureId) -> bool {
         let incarnation = identity::incarnation_of(id);
--- a/fw-plan/src/quarantine/identity.rs
+++ b/fw-plan/src/quarantine/identity.rs
@@ -21,8 +21,8 @@
 use xxhash_rust::xxh3;
 
 use super::{
-    Evidence, Failure, FailureId, Fingerprint, Incarnation, Outcome, OwnerId, Suspect, Table,
-    Weight,
+    CRASH_WEIGHT, Evidence, Failure, FailureId, Fingerprint, Incarnation, MAX_FAILURES, Outcome,
+    OwnerId, Suspect, Table, Weight,
 };
 
 /// Level of likeness, from the coarsest to the finest.
@@ -93,15 +93,17 @@
         ]
     }
 
-    /// Id of a failure `at` an incarnation in the record of `level`.
-    fn failure_id(&self, level: Level, at: &Incarnation) -> FailureId {
+    /// Id of a failure `at` an incarnation in the record of `level`, after the upstream has started `unlisted` times
+    /// more.
+    fn failure_id(&self, level: Level, at: &Incarnation, unlisted: usize) -> FailureId {
         let variant = match level {
             Level::Path => &self.body,
             Level::Body | Level::Request => &self.request,
         };
         let id = at.upstream.as_bytes();
         let upstream = xxh3::xxh3_64(id) & 0xffff;
-        let start = xxh3::xxh3_64_with_seed(id, at.started_at) & 0xffff;
+        let start = xxh3::xxh3_64_with_seed(id, at.started_at).wrapping_add(unlisted as u64);
+        let start = start & 0xffff;
         (xxh3::xxh3_64(variant.as_bytes()) << 32) | (upstream << 16) | start
     }
 }
@@ -179,11 +181,39 @@
         let levels = identity.levels();
         std::array::from_fn(|index| {
             let (level, fingerprint) = levels[index];
-            let id = identity.failure_id(level, at);
-            self.record_failure(now, fingerprint, owner, id, failures[index])
+            let (id, failure) = self.locate(identity, (level, fingerprint), at, failures[index]);
+            self.record_failure(now, fingerprint, owner, id, failure)
         })
     }
 
+    /// The id of a failure at one level, and its weight. A crash at an incarnation that was known to have crashed
+    /// when the attempt was sent is one of a start that the list does not state.
+    fn locate(
+        &self,
+        identity: &Identity,
+        (level, fingerprint): (Level, Fingerprint),
+        at: &Incarnation,
+        failure: Failure,
+    ) -> (FailureId, Failure) {
+        let listed = identity.failure_id(level, at, 0);
+        let entry = self.entries.get(&fingerprint);
+        let Some(entry) = entry.filter(|_| failure.weight == CRASH_WEIGHT) else {
+            return (listed, failure);
+        };
+        let is_known = |id| {
+            let before = entry.evidence.at_incarnation(id);
+            before.is_some_and(|before| before.total <= failure.known())
+        };
+        let before = entry.evidence.at_incarnation(listed);
+        if before.is_none_or(|before| before.weight < CRASH_WEIGHT) || !is_known(listed) {
+            return (listed, failure);
+        }
+        let ids = (1..=MAX_FAILURES).map(|unlisted| identity.failure_id(level, at, unlisted));
+        let unlisted = ids.into_iter().find(|id| !is_known(*id));
+        let failure = Failure::broken_connection(failure.known());
+        (unlisted.unwrap_or(listed), failure)
+    }
+
     /// Records that a run of the request completed. Returns the records in which that disproves a failure.
     pub fn record_success_at(&mut self, now: Duration, identity: &Identity) -> Vec<Lifted> {
         let mut lifted = Vec::new();
--- a/fw-plan/tests/plan/quarantine_model.rs
+++ b/fw-plan/tests/plan/quarantine_model.rs
@@ -64,6 +64,8 @@
     rack_loss: Option<Duration>,
     /// Number of upstreams, each of which starts again under its id; 0 if each attempt meets another one.
     upstreams: usize,
+    /// Whether the list states more than the first start of each.
+    lists_starts: bool,
     ablation: Ablation,
 }
 
@@ -148,6 +150,8 @@
 #[derive(Debug)]
 struct Run {
     upstream: u64,
+    /// The upstream and the start that its entry knew.
+    incarnation: quarantine::Incarnation,
     /// The returning upstream that it runs at, and the number of the start that it meets.
     returning: Option<(usize, usize)>,
     known: u32,
@@ -210,6 +214,30 @@
     digest::Digest::of_bytes(b"request")
 }
 
+/// Records a crash under `run`, which was sent in knowledge of evidence of weight `known`.
+fn record_crash(
+    table: &mut quarantine::Table,
+    now: Duration,
+    run: &Run,
+    known: u32,
+    ablation: Ablation,
+) -> quarantine::Suspect {
+    let failure = quarantine::Failure::crash(known);
+    let at = &run.incarnation;
+    if ablation == Ablation::Incarnations {
+        let index = at.upstream.parse().unwrap();
+        return table.record_failure(now, fingerprint(), 0, index, failure);
+    }
+    let identity = quarantine::Identity {
+        path: digest::Digest::of_bytes(b"path"),
+        body: digest::Digest::of_bytes(b"body"),
+        request: fingerprint(),
+    };
+    let failures = [failure; quarantine::LEVELS];
+    let [.., suspect] = table.record_failure_at(now, &identity, 0, at, failures);
+    suspect
+}
+
 fn new_replica() -> (quarantine::Table, quarantine::Claims) {
     let table = quarantine::Table::new(quarantine::Options::default());
     (table, quarantine::Claims::default())
@@ -478,13 +506,16 @@
         (!up.is_empty()).then(|| up[self.rng.random_range(0..up.len())])
     }
 
-    /// The id that `entry` gives to a failure at the returning upstream `index`.
-    fn failure_at(&self, index: usize, entry: usize) -> u64 {
-        let start = match self.scenario.ablation {
-            Ablation::Incarnations => 0,
-            _ => self.returning[index].known_start(entry, self.now),
+    /// The incarnation of the returning upstream `index` by the list of `entry`.
+    fn incarnation(&self, index: usize, entry: usize) -> quarantine::Incarnation {
+        let start = match self.scenario.lists_starts {
+            true => self.returning[index].known_start(entry, self.now),
+            false => 0,
         };
-        (index << 16 | start) as u64
+        quarantine::Incarnation {
+            upstream: index.to_string().into(),
+            started_at: start as u64 + 1,
+        }
     }
 
     /// Crashes the returning upstream `index`.
@@ -521,13 +552,20 @@
             self.counts.attempts_after_power_loss += 1;
         }
         let run = self.id();
-        let upstream = match (returning, self.scenario.is_poison) {
-            (Some(index), _) => self.failure_at(index, at.entry),
-            (None, true) => run,
-            (None, false) => self.rng.random_range(0..9),
+        let upstream = match self.scenario.is_poison {
+            true => run,
+            false => self.rng.random_range(0..9),
+        };
+        let incarnation = match returning {
+            Some(index) => self.incarnation(index, at.entry),
+            None => quarantine::Incarnation {
+                upstream: upstream.to_string().into(),
+                started_at: 1,
+            },
         };
         let state = Run {
             upstream,
+            incarnation,
             returning: returning.map(|index| (index, self.returning[index].starts.len())),
             known: self.entries[at.entry].table.weight(now, &fingerprint()),
             holder,
@@ -542,7 +580,8 @@
     fn run_ends(&mut self, at: Process, run: u64) {
         let now = self.now;
         let is_poison = self.scenario.is_poison;
-        let counts_each = self.scenario.ablation == Ablation::KnownWeight;
+        let ablation = self.scenario.ablation;
+        let counts_each = ablation == Ablation::KnownWeight;
         let returning = self.entries[at.entry].runs.get(&run);
         let returning = returning.and_then(|run| run.returning);
         // Another copy may have crashed it meanwhile.
@@ -568,9 +607,7 @@
                 true => entry.table.weight(now, &fingerprint()),
                 false => run.known,
             };
-            let failure = quarantine::Failure::crash(known);
-            let table = &mut entry.table;
-            Some(table.record_failure(now, fingerprint(), 0, run.upstream, failure))
+            Some(record_crash(&mut entry.table, now, &run, known, ablation))
         } else {
             self.counts.served += 1;
             self.entries[at.entry]
@@ -741,6 +778,7 @@
     interval: Duration::from_millis(700),
     rack_loss: None,
     upstreams: 0,
+    lists_starts: true,
     ablation: Ablation::None,
 };
 
@@ -749,6 +787,7 @@
     interval: Duration::from_millis(5),
     rack_loss: Some(Duration::from_secs(5)),
     upstreams: 0,
+    lists_starts: true,
     ablation: Ablation::None,
 };
 
@@ -822,12 +861,11 @@
 }
 
 /// The late attempts of each seed where one to three upstreams start again under their ids.
-fn late_attempts_at_returning(ablation: Ablation) -> impl Iterator<Item = (usize, u64, usize)> {
+fn late_attempts_at_returning(scenario: Scenario) -> impl Iterator<Item = (usize, u64, usize)> {
     (1..=3).flat_map(move |upstreams| {
         let counts = play(Scenario {
             upstreams,
-            ablation,
-            ..POISON
+            ..scenario
         });
         counts.map(move |(seed, counts)| (upstreams, seed, counts.late_attempts))
     })
@@ -836,7 +874,23 @@
 // Guards against crashes that are not counted because their upstreams have started again under the ids that they had.
 #[gtest]
 fn late_attempts_are_bounded_where_upstreams_return() {
-    for (upstreams, seed, late) in late_attempts_at_returning(Ablation::None) {
+    for (upstreams, seed, late) in late_attempts_at_returning(POISON) {
+        expect_that!(
+            late,
+            le(MAX_LATE_ATTEMPTS),
+            "{upstreams} upstreams, seed {seed}"
+        );
+    }
+}
+
+// Guards against crashes that are not counted because no item of the list has stated the starts after them.
+#[gtest]
+fn late_attempts_are_bounded_where_starts_are_not_listed() {
+    let lists_starts = false;
+    for (upstreams, seed, late) in late_attempts_at_returning(Scenario {
+        lists_starts,
+        ..POISON
+    }) {
         expect_that!(
             late,
             le(MAX_LATE_ATTEMPTS),
@@ -847,6 +901,7 @@
 
 #[gtest]
 fn late_attempts_exceed_the_bound_without_incarnations() {
-    let mut late = late_attempts_at_returning(Ablation::Incarnations);
+    let ablation = Ablation::Incarnations;
+    let mut late = late_attempts_at_returning(Scenario { ablation, ..POISON });
     expect_true!(late.any(|(_, _, late)| late > MAX_LATE_ATTEMPTS));
 }
--- a/fw-plan/tests/plan/request_levels.rs
+++ b/fw-plan/tests/plan/request_levels.rs
@@ -254,3 +254,37 @@
     records.fail_under(&bad, &start_of("u", 2), Failure::crash);
     expect_that!(records.exclusive(&bad), gt(0));
 }
+
+/// Crashes of an upstream behind a link that breaks again and again which do not lead to a refusal.
+const MAX_BROKEN_LINKS: usize = 4;
+
+// Guards against crashes that are not counted because no item of the list has stated the starts after them.
+#[gtest]
+fn crashes_without_a_listed_start_weigh_less() {
+    let bad = identity("/bad", "bad", "");
+    let mut records = Records::new();
+    for _ in 0..MAX_BROKEN_LINKS {
+        records.fail_at(&bad, "u", Failure::crash);
+        expect_false!(records.is_refused(&bad));
+    }
+    records.fail_at(&bad, "u", Failure::crash);
+    expect_true!(records.is_refused(&bad));
+}
+
+// Guards against a crash that counts as often as there were copies under way.
+#[gtest]
+fn copies_at_one_incarnation_are_one_failure() {
+    let popular = identity("/popular", "", "");
+    let mut records = Records::new();
+    for _ in 0..COPIES {
+        let failures = [Failure::crash(0); LEVELS];
+        let at = start_of("u", 1);
+        records
+            .table
+            .record_failure_at(NOW, &popular, 0, &at, failures);
+    }
+    expect_that!(
+        records.table.weights(NOW, &popular),
+        eq([quarantine::CRASH_WEIGHT; LEVELS])
+    );
+}
