fw-gate: a stream that goes on runs at no more upstreams than its route allows

Cause: a stream that broke went on at up to three further upstreams, and neither the route's bound nor whether the upstream before still lives was asked. Change: the upstreams at which a stream has run are counted, but for those that crashed. Another one is chosen only within the route's bound; otherwise the stream is tried again where it broke, and then broken off, so that its caller takes it up with an attempt of its own.

--- a/fw-gate/src/request/attempt.rs
+++ b/fw-gate/src/request/attempt.rs
@@ -38,6 +38,17 @@
     pub permit: Option<&'a quotas::Permit>,
 }
 
+/// A request that an upstream has answered.
+#[derive(Debug)]
+pub struct Answered<T> {
+    /// The answer, as far as it was read.
+    pub answer: T,
+    /// Permit of the attempt that was answered.
+    pub permit: quarantine::Permit,
+    /// Number of earlier attempts that have run or may have run.
+    pub ran_before: u32,
+}
+
 /// The attempts made so far.
 #[derive(Debug, Default)]
 pub struct Attempts {
@@ -102,7 +113,7 @@
 
 impl Job<'_> {
     /// Sends the request to upstreams until one begins an answer that `finish` accepts, and returns the result
-    /// of `finish` with the permit of that attempt.
+    /// of `finish`.
     ///
     /// # Errors
     ///
@@ -110,7 +121,7 @@
     pub async fn run<T, F>(
         &self,
         finish: impl Fn(send::OpenResponse) -> F,
-    ) -> Result<(T, quarantine::Permit), error::Error>
+    ) -> Result<Answered<T>, error::Error>
     where
         F: Future<Output = Result<T, send::Failure>>,
     {
@@ -123,7 +134,13 @@
             };
             let finished = hedged::run(self, &mut attempts, permit, lease, &finish).await;
             let failed = match finished {
-                Ok(done) => return Ok(done),
+                Ok((answer, permit)) => {
+                    return Ok(Answered {
+                        answer,
+                        permit,
+                        ran_before: attempts.may_have_run,
+                    });
+                }
                 Err(failed) => failed,
             };
             attempts.avoid.push(failed.upstream);
@@ -321,15 +338,17 @@
     }
 }
 
-/// Checks whether the upstream at `addr` crashed under the attempt of `permit`, and if so records it.
+/// Checks whether the upstream at `addr` crashed under the attempt of `permit`, and records what it finds.
 pub async fn check_crash(
     permit: quarantine::Permit,
     at: &fw_plan::quarantine::Incarnation,
     addr: std::net::SocketAddr,
-) {
-    if send::has_crashed(addr).await {
+) -> bool {
+    let has_crashed = send::has_crashed(addr).await;
+    if has_crashed {
         permit.record_crash(at).await;
     } else {
         permit.record_broken(at);
     }
+    has_crashed
 }
--- a/fw-gate/src/request/plain.rs
+++ b/fw-gate/src/request/plain.rs
@@ -32,8 +32,9 @@
     account: Option<Arc<held_bytes::Account>>,
 ) -> Result<Response<body::Outgoing>, error::Error> {
     let finish = |response| collect_and_log(job, account.as_deref(), response);
-    let ((head, whole), permit) = job.run(finish).await?;
-    permit.record_answer(head.status);
+    let answered = job.run(finish).await?;
+    let (head, whole) = answered.answer;
+    answered.permit.record_answer(head.status);
     let whole = match account {
         Some(account) if !whole.is_empty() => held_bytes::until_written(whole, account),
         _ => whole,
--- a/fw-gate/src/request/stream.rs
+++ b/fw-gate/src/request/stream.rs
@@ -1,11 +1,12 @@
 //! Requests whose answer is a stream of events, which are forwarded as they arrive.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{BufMut, Bytes, BytesMut};
 use fw_base::{error, id};
-use fw_plan::{begin, health, quota, share, stretch};
+use fw_plan::{begin, health, quota, retry, share, stretch};
 use fw_replica::{beginnings, client, record, server, service, streams};
 use http_body_util::BodyExt;
 use hyper::header::HeaderValue;
@@ -146,7 +147,7 @@
     job.held.lock().set_body(job.input.len() + ready.body.len());
     job.out.body = ready.body;
     times.prepared = times.started_at.elapsed();
-    let (response, permit) = job
+    let answered = job
         .attempt()
         .run(|response| std::future::ready(Ok(response)))
         .await
@@ -155,6 +156,7 @@
                 ready.turn.mark_broken();
             }
         })?;
+    let (response, permit) = (answered.answer, answered.permit);
     times.head = times.started_at.elapsed();
     if !response.head.status.is_success() {
         let whole = plain::collect(response, job.until).await;
@@ -178,6 +180,8 @@
         events: 0,
         turn: Some(ready.turn),
         permit: Some(permit),
+        ran_before: answered.ran_before,
+        ran_at: vec![response.lease.id.clone()],
         times,
         job,
         tx,
@@ -269,6 +273,10 @@
     turn: Option<turn::Turn>,
     /// Permit of the attempt that is being forwarded.
     permit: Option<quarantine::Permit>,
+    /// Number of attempts before the answer began that have run or may have run.
+    ran_before: u32,
+    /// Upstreams at which the stream has run since, but for those that have crashed.
+    ran_at: Vec<id::UpstreamId>,
     times: Times,
     tx: mpsc::Sender<Result<Bytes, body::Interrupted>>,
 }
@@ -324,7 +332,7 @@
                     response.lease.record_health(health::Observation::Failed);
                     drop(response);
                     if let Some(permit) = self.permit.take() {
-                        attempt::check_crash(permit, &at, addr).await;
+                        self.check_crash(permit, &at, addr).await;
                     }
                     let next = self.resume(&at.upstream, &mut resumes).await;
                     let Some(next) = next else {
@@ -528,6 +536,56 @@
         }
     }
 
+    /// Checks whether the upstream at which an attempt broke has crashed.
+    async fn check_crash(
+        &mut self,
+        permit: quarantine::Permit,
+        at: &fw_plan::quarantine::Incarnation,
+        addr: SocketAddr,
+    ) {
+        if attempt::check_crash(permit, at, addr).await {
+            self.ran_at.retain(|ran| *ran != at.upstream);
+        }
+    }
+
+    /// Records that the stream has run at an upstream.
+    fn note_ran(&mut self, upstream: &id::UpstreamId) {
+        if !self.ran_at.contains(upstream) {
+            self.ran_at.push(upstream.clone());
+        }
+    }
+
+    /// Whether the stream may run at one more upstream. Those that have crashed do not count.
+    fn may_run_elsewhere(&self) -> bool {
+        let ran_at = u32::try_from(self.ran_at.len()).unwrap_or(u32::MAX);
+        self.ran_before.saturating_add(ran_at) < self.job.route.attempts
+    }
+
+    /// Leases the upstream at which a stream that broke at `upstream` goes on, but at those in `avoid` only if it
+    /// may run nowhere else.
+    async fn lease_next(
+        &self,
+        upstream: &id::UpstreamId,
+        avoid: &[id::UpstreamId],
+    ) -> Option<fleet::Lease> {
+        let again = self.ran_at.contains(upstream);
+        let again = again.then(|| self.job.lease_again(upstream)).flatten();
+        let is_refused = avoid.contains(upstream);
+        if again.is_some() && (!is_refused || !self.may_run_elsewhere()) {
+            return again;
+        }
+        if !self.may_run_elsewhere() {
+            metrics::counter!("fw_gate_given_up_total", "reason" => retry::Reason::Attempts.label())
+                .increment(1);
+            return None;
+        }
+        let attempts = attempt::Attempts {
+            avoid: avoid.to_vec(),
+            ..attempt::Attempts::default()
+        };
+        self.job.attempt().choose(&attempts).await.ok()
+    }
+
     /// Resumes a broken stream: at the same upstream if it still answers, since it may have the prompt in its
     /// KV cache, or else at another.
     async fn resume(
@@ -552,35 +610,31 @@
             *resumes += 1;
             tokio::time::sleep(RESUME_PAUSE).await;
             let permit = self.job.attempt().permit().await.ok()?;
-            let again = self.job.lease_again(upstream);
-            let lease = match again.filter(|lease| !avoid.contains(&lease.id)) {
-                Some(lease) => lease,
-                None => {
-                    let attempts = attempt::Attempts {
-                        avoid: avoid.clone(),
-                        ..attempt::Attempts::default()
-                    };
-                    self.job.attempt().choose(&attempts).await.ok()?
-                }
-            };
+            let lease = self.lease_next(upstream, &avoid).await?;
             let (at, addr) = (lease.incarnation(), lease.addr);
             let version = lease.version.clone();
             tracing::info!(request = %self.job.call.id, broke_at = %upstream, upstream = %at.upstream, started_at = at.started_at, %version, after = ?self.last_event_id, "resuming the stream");
-            let attempt = self.job.attempt();
-            match attempt.send(lease).await {
+            let sent = self.job.attempt().send(lease).await;
+            let has_run = sent
+                .as_ref()
+                .map_or_else(|failed| failed.err.ran() != error::Ran::No, |_| true);
+            if has_run {
+                self.note_ran(&at.upstream);
+            }
+            match sent {
                 Ok(response) if response.head.status.is_success() => {
                     self.permit = Some(permit);
                     return Some(response);
                 }
-                Ok(_) => avoid.push(at.upstream),
+                Ok(_) => {}
                 Err(failed) => {
                     if failed.connection_broke {
-                        attempt::check_crash(permit, &at, addr).await;
+                        self.check_crash(permit, &at, addr).await;
                     }
                     tracing::info!(request = %self.job.call.id, err = %failed.err, "the stream cannot be resumed at this upstream");
-                    avoid.push(at.upstream);
                 }
             }
+            avoid.push(at.upstream);
         }
         None
     }
