fw-gate: a suspect's next attempt is made at another upstream if there is one

What callers would see: an innocent request that goes to one upstream, as its object was handled there, and meets crashes of that upstream's own, is refused from the third on, for a minute and longer. Cause: each start of an upstream counts against a request now, and nothing told a faulty upstream from a faulty request while the next copy went to the same one. A restart resets the upstream's health, so that it is preferred again. Change: the record of a suspect names the upstreams at which it failed; its next attempt is made elsewhere if another one takes work. An innocent request completes there, which lifts the suspicion; the other kind fails there too.

--- a/fw-gate/src/process/fleet/choose.rs
+++ b/fw-gate/src/process/fleet/choose.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use fw_base::{error, id};
-use fw_plan::{assign, prefix, spill, wait_queue};
+use fw_plan::{assign, prefix, quarantine, spill, wait_queue};
 use fw_replica::{affinity, streams};
 use parking_lot::Mutex;
 use smol_str::SmolStr;
@@ -218,6 +218,7 @@
         if usable.is_empty() {
             return Err(no_upstream(service_id, criteria));
         }
+        let usable = prefer_others(&locked, usable, criteria.avoid_if_possible);
         let places = usable.iter().map(|at| (&locked.upstreams[*at]).into());
         let outlook = criteria
             .prompt
@@ -431,6 +432,23 @@
     }
 }
 
+/// The upstreams of `usable` that are not in `avoid`, or all if there are none.
+fn prefer_others(
+    service: &Service,
+    usable: Vec<usize>,
+    avoid: &[quarantine::UpstreamHash],
+) -> Vec<usize> {
+    let is_other = |at: &&usize| {
+        let id = &service.upstreams[**at].listed.id;
+        !avoid.contains(&quarantine::upstream_hash(id))
+    };
+    let others: Vec<_> = usable.iter().filter(is_other).copied().collect();
+    match others.is_empty() {
+        true => usable,
+        false => others,
+    }
+}
+
 /// The additional duration of a call at an upstream that has nothing of it cached; `mean_secs` is the mean
 /// duration of the service's calls, in seconds.
 fn miss_cost(affinity: &Affinity<'_>, mean_secs: f64) -> Duration {
--- a/fw-gate/src/process/fleet/mod.rs
+++ b/fw-gate/src/process/fleet/mod.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use fw_base::id;
-use fw_plan::{assign, begin, confirm, health, lapse, pace, speed, wait_queue};
+use fw_plan::{assign, begin, confirm, health, lapse, pace, quarantine, speed, wait_queue};
 use fw_replica::{affinity, service, stated_speed, streams};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
@@ -28,12 +28,12 @@
 
 pub use admission::Refused;
 pub use confirmation::Confirmation;
-pub use fw_plan::quarantine::StartTime;
 pub use hedges::CallTimer;
 use lease::Waiter;
 pub use lease::{Lease, Load};
 pub use list::{Change, ListState, ListUpdate, StoreRead};
 pub use prefix::Prompt;
+pub use quarantine::StartTime;
 
 /// Maximum number of waiting calls that are woken when other entries' calls are updated: the upstream with
 /// the cached prompt of some of them may have become free.
@@ -86,6 +86,8 @@
     pub prompt: Option<Prompt<'a>>,
     /// Upstreams that failed this call.
     pub avoid: &'a [id::UpstreamId],
+    /// Upstreams that failed earlier copies of this call, used only if there is no other.
+    pub avoid_if_possible: &'a [quarantine::UpstreamHash],
     /// The only software version at which the call may run; `None` if it may run at any.
     pub version: Option<&'a streams::Version>,
     /// What ranks the call among those that wait for an upstream.
--- a/fw-gate/src/process/quarantine.rs
+++ b/fw-gate/src/process/quarantine.rs
@@ -156,6 +156,7 @@
             return Err(Denial::Busy);
         }
         permit.known = self.weights(subject);
+        permit.failed_at = self.failed_upstreams(subject);
         let decision = client::Decision::all(outcomes.iter().map(|outcome| outcome.decision));
         tracing::info!(
             request = %subject.request,
@@ -240,9 +241,15 @@
             subject: subject.clone(),
             holder: rand::random(),
             claimed: Vec::new(),
+            failed_at: Vec::new(),
         }
     }
 
+    fn failed_upstreams(&self, subject: &Subject) -> Vec<quarantine::UpstreamHash> {
+        let now = self.now();
+        self.table.lock().failed_upstreams(now, &subject.identity)
+    }
+
     fn weights(&self, subject: &Subject) -> quarantine::Weights {
         let now = self.now();
         self.table.lock().weights(now, &subject.identity)
@@ -364,9 +371,16 @@
     holder: quarantine::HolderId,
     /// Records whose single attempt this is.
     claimed: Vec<quarantine::Fingerprint>,
+    /// Upstreams at which earlier attempts failed, if the request is a suspect.
+    failed_at: Vec<quarantine::UpstreamHash>,
 }
 
 impl Permit {
+    /// Upstreams at which the attempt should not be made if there is another.
+    pub fn failed_at(&self) -> &[quarantine::UpstreamHash] {
+        &self.failed_at
+    }
+
     /// Records that an upstream crashed under the attempt. Returns once a majority of the replicas knows, or
     /// does not answer in time: whoever sends the request again then meets the record.
     pub async fn record_crash(mut self, at: &quarantine::Incarnation) {
--- a/fw-gate/src/request/attempt.rs
+++ b/fw-gate/src/request/attempt.rs
@@ -159,7 +159,7 @@
         attempts: &Attempts,
     ) -> Result<(quarantine::Permit, fleet::Lease), error::Error> {
         let permit = self.permit().await?;
-        let lease = self.choose(attempts).await?;
+        let lease = self.choose(attempts, &permit).await?;
         Ok((permit, lease))
     }
 
@@ -227,12 +227,16 @@
         sent
     }
 
-    /// Chooses the upstream for the next attempt; a stream waits for a free slot.
+    /// Chooses the upstream for the attempt that `permit` allows; a stream waits for a free slot.
     ///
     /// # Errors
     ///
     /// `NoUpstream` when there is none.
-    pub async fn choose(&self, attempts: &Attempts) -> Result<fleet::Lease, error::Error> {
+    pub async fn choose(
+        &self,
+        attempts: &Attempts,
+        permit: &quarantine::Permit,
+    ) -> Result<fleet::Lease, error::Error> {
         let is_stream = self.route.kind == config::Kind::Stream;
         let lineage = self.call.lineage();
         let begins = self.begins_program();
@@ -250,6 +254,7 @@
             affinity,
             prompt,
             avoid: &attempts.avoid,
+            avoid_if_possible: permit.failed_at(),
             version: self.version,
             queue_call: wait_queue::Call {
                 priority: self.priority,
--- a/fw-gate/src/request/hedged.rs
+++ b/fw-gate/src/request/hedged.rs
@@ -156,7 +156,7 @@
     F: Future<Output = Result<T, send::Failure>>,
 {
     let permit = job.permit().await.ok()?;
-    let lease = job.choose(others).await.ok()?;
+    let lease = job.choose(others, &permit).await.ok()?;
     count("sent");
     Some(run_timed(job, permit, lease, finish).await)
 }
--- a/fw-gate/src/request/stream.rs
+++ b/fw-gate/src/request/stream.rs
@@ -567,6 +567,7 @@
         &self,
         upstream: &id::UpstreamId,
         avoid: &[id::UpstreamId],
+        permit: &quarantine::Permit,
     ) -> Option<fleet::Lease> {
         let again = self.ran_at.contains(upstream);
         let again = again.then(|| self.job.lease_again(upstream)).flatten();
@@ -583,7 +584,8 @@
             avoid: avoid.to_vec(),
             ..attempt::Attempts::default()
         };
-        self.job.attempt().choose(&attempts).await.ok()
+        let attempt = self.job.attempt();
+        attempt.choose(&attempts, permit).await.ok()
     }
 
     /// Resumes a broken stream: at the same upstream if it still answers, since it may have the prompt in its
@@ -610,7 +612,7 @@
             *resumes += 1;
             tokio::time::sleep(RESUME_PAUSE).await;
             let permit = self.job.attempt().permit().await.ok()?;
-            let lease = self.lease_next(upstream, &avoid).await?;
+            let lease = self.lease_next(upstream, &avoid, &permit).await?;
             let (at, addr) = (lease.incarnation(), lease.addr);
             let version = lease.version.clone();
             tracing::info!(request = %self.job.call.id, broke_at = %upstream, upstream = %at.upstream, started_at = at.started_at, %version, after = ?self.last_event_id, "resuming the stream");
--- a/fw-gate/tests/gate/upstream_list.rs
+++ b/fw-gate/tests/gate/upstream_list.rs
@@ -8,7 +8,7 @@
     self, Affinity, Change, Criteria, Fleet, ListUpdate, ListedUpstream, Load,
 };
 use fw_plan::health::Observation;
-use fw_plan::{confirm, lapse};
+use fw_plan::{confirm, lapse, quarantine};
 use fw_replica::affinity;
 use googletest::prelude::*;
 
@@ -140,6 +140,23 @@
     expect_that!(fleet.choose(&"s".into(), &criteria), err(anything()));
 }
 
+// Guards against a suspect that is sent where it failed before, and against its refusal where there is no other upstream.
+#[gtest]
+fn sends_a_suspect_elsewhere_if_there_is_another() {
+    let fleet = fleet();
+    fleet.put(listed("x"));
+    let avoid = [quarantine::upstream_hash(&"x".into())];
+    let criteria = Criteria {
+        avoid_if_possible: &avoid,
+        ..Criteria::default()
+    };
+    expect_that!(fleet.choose(&"s".into(), &criteria).unwrap().id, eq("x"));
+    fleet.put(listed("y"));
+    for _ in 0..20 {
+        expect_that!(fleet.choose(&"s".into(), &criteria).unwrap().id, eq("y"));
+    }
+}
+
 // A call fails at the only upstream in use; the others are ejected, but may have recovered. Guards against
 // refusing it for want of an upstream while a first attempt would be sent to an ejected one.
 #[gtest]
--- a/fw-plan/src/quarantine.rs
+++ b/fw-plan/src/quarantine.rs
@@ -31,7 +31,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
-pub use identity::{Identity, LEVELS, Level, Lifted, Permission, Weights};
+pub use identity::{Identity, LEVELS, Level, Lifted, Permission, Weights, upstream_hash};
 
 mod identity;
 
@@ -48,6 +48,8 @@
 pub type HolderId = u64;
 /// Number of a change of a [`Table`].
 pub type Version = u64;
+/// Short hash of an upstream's id.
+pub type UpstreamHash = u16;
 /// Start time of an upstream, in milliseconds since the Unix epoch; 0 if it is not known.
 pub type StartTime = u64;
 
--- a/fw-plan/src/quarantine/identity.rs
+++ b/fw-plan/src/quarantine/identity.rs
@@ -18,11 +18,12 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use fw_base::id;
 use xxhash_rust::xxh3;
 
 use super::{
     CRASH_WEIGHT, Evidence, Failure, FailureId, Fingerprint, Incarnation, MAX_FAILURES, Outcome,
-    OwnerId, Suspect, Table, Weight,
+    OwnerId, Suspect, Table, UpstreamHash, Weight,
 };
 
 /// Level of likeness, from the coarsest to the finest.
@@ -100,21 +101,25 @@
             Level::Path => &self.body,
             Level::Body | Level::Request => &self.request,
         };
-        let id = at.upstream.as_bytes();
-        let upstream = xxh3::xxh3_64(id) & 0xffff;
-        let start = xxh3::xxh3_64_with_seed(id, at.started_at).wrapping_add(unlisted as u64);
-        let start = start & 0xffff;
+        let upstream = FailureId::from(upstream_hash(&at.upstream));
+        let start = xxh3::xxh3_64_with_seed(at.upstream.as_bytes(), at.started_at);
+        let start = start.wrapping_add(unlisted as u64) & 0xffff;
         (xxh3::xxh3_64(variant.as_bytes()) << 32) | (upstream << 16) | start
     }
 }
 
+/// Short hash of an upstream's id. Two upstreams may share it; failures at them then count as failures at one.
+pub fn upstream_hash(id: &id::UpstreamId) -> UpstreamHash {
+    (xxh3::xxh3_64(id.as_bytes()) & 0xffff) as UpstreamHash
+}
+
 /// The incarnation that a failure id names.
 pub(super) fn incarnation_of(id: FailureId) -> u32 {
     id as u32
 }
 
-fn upstream_of(id: FailureId) -> u32 {
-    incarnation_of(id) >> 16
+fn upstream_of(id: FailureId) -> UpstreamHash {
+    (incarnation_of(id) >> 16) as UpstreamHash
 }
 
 fn variant_of(id: FailureId) -> u32 {
@@ -122,9 +127,9 @@
 }
 
 /// Whether the failures of a group differ in what `part` takes from their ids.
-fn is_spread(evidence: &Evidence, part: impl Fn(FailureId) -> u32) -> bool {
+fn is_spread<T: Ord>(evidence: &Evidence, part: impl Fn(FailureId) -> T) -> bool {
     let parts = evidence.failures.keys().map(|id| part(*id));
-    let parts: BTreeSet<u32> = parts.collect();
+    let parts: BTreeSet<T> = parts.collect();
     parts.len() > 1
 }
 
@@ -168,6 +173,17 @@
             .map(|fingerprint| self.weight(now, &fingerprint))
     }
 
+    /// Upstreams at which the request failed, if it runs one attempt at a time by its own record. Its next attempt
+    /// should be made elsewhere, so that a failure speaks against the request and not against one upstream.
+    pub fn failed_upstreams(&self, now: Duration, identity: &Identity) -> Vec<UpstreamHash> {
+        let is_suspect = self.decide(now, &identity.request) != Outcome::Normal;
+        let entry = self.entries.get(&identity.request);
+        let entry = entry.filter(|_| is_suspect);
+        let failures = entry.map(|entry| entry.evidence.failures.keys());
+        let failures = failures.into_iter().flatten();
+        failures.map(|id| upstream_of(*id)).collect()
+    }
+
     /// Records `failures` of one attempt `at` an upstream, one for each level. Returns what is known of the request,
     /// from the coarsest to the finest level.
     pub fn record_failure_at(
