fw-gate: a stream goes on at no upstream that crashed before it is listed anew

What callers would see: events of two software versions in one stream (ORDER). A worker that crashed may be back under its id with another version while the entry still holds the record of its earlier start; X-Expect-Instance names the id alone, and an answer states no start. A caller that took its stream up in that time had it go on there. Found by asking what else is kept by an upstream's id. Change: an entry that saw an upstream crash gives it no call that is bound to a version until the list states a new start, for 4 s at most. Not covered: an entry that did not see the crash and has not read the list since.

--- a/fw-gate/src/process/fleet/choose.rs
+++ b/fw-gate/src/process/fleet/choose.rs
@@ -314,9 +314,8 @@
             let replaced_until = upstream.replaced_until;
             upstream.listed.takes_work && replaced_until.is_none_or(|until| Instant::now() >= until)
         };
-        let has_version = |at: &usize| {
-            version.is_none_or(|version| service.upstreams[*at].listed.version == *version)
-        };
+        let has_version =
+            |at: &usize| version.is_none_or(|version| service.upstreams[*at].has_version(version));
         let listed = (0..service.upstreams.len()).filter(takes_work);
         let listed = listed.filter(has_version);
         let is_untried = |at: &usize| !avoid.contains(&service.upstreams[*at].listed.id);
--- a/fw-gate/src/process/fleet/list.rs
+++ b/fw-gate/src/process/fleet/list.rs
@@ -6,6 +6,7 @@
 
 use fw_base::{clock, id};
 use fw_plan::{lapse, pace, speed};
+use fw_replica::streams;
 use parking_lot::Mutex;
 
 use super::{Fleet, ListedUpstream, Service, StartTime, Upstream, prefix, short_hash};
@@ -22,7 +23,7 @@
 /// How long the list must not have stated a run of an upstream for an earlier start time to count as a later run,
 /// of a machine whose clock was set back. Longer than a late heartbeat is under way, and about as long as an
 /// upstream without heartbeats stays on the list.
-const RUN_MEMORY: Duration = Duration::from_secs(4);
+pub(super) const RUN_MEMORY: Duration = Duration::from_secs(4);
 
 impl StoreRead {
     /// A read that this entry has just completed.
@@ -411,6 +412,7 @@
             run_listed_at: Instant::now(),
             missing: None,
             replaced_until: None,
+            ended_until: None,
             own_calls: 0,
             other_calls: 0,
             load_updated_at: Instant::now(),
@@ -421,6 +423,13 @@
         }
     }
 
+    /// Whether it runs `version`. After a crash it may be back with another one that is not listed yet, and neither
+    /// its id nor its answers would tell.
+    pub(super) fn has_version(&self, version: &streams::Version) -> bool {
+        let has_ended = self.ended_until.is_some_and(|until| Instant::now() < until);
+        self.listed.version == *version && !has_ended
+    }
+
     /// Whether `listed` is a late item of a run before this one.
     fn is_earlier_run(&self, listed: &ListedUpstream) -> bool {
         let is_before = |start: StartTime| start > 0 && start < self.listed.started_at;
--- a/fw-gate/src/process/fleet/mod.rs
+++ b/fw-gate/src/process/fleet/mod.rs
@@ -105,6 +105,8 @@
     missing: Option<list::Missing>,
     /// Until when it gets no calls because another upstream has its address.
     replaced_until: Option<Instant>,
+    /// Until when it counts as ended because it crashed under a call.
+    ended_until: Option<Instant>,
     /// Short hash of its id and start time, by which entries refer to it among themselves.
     hash: affinity::Upstream,
     /// Short hash of its start time.
@@ -305,14 +307,28 @@
         let service = self.service(service_id)?;
         let mut locked = service.lock();
         let upstream = locked.find(id)?;
-        let is_other_version = version.is_some_and(|version| upstream.listed.version != *version);
-        if !upstream.listed.takes_work || is_other_version {
+        let has_version = version.is_none_or(|version| upstream.has_version(version));
+        if !upstream.listed.takes_work || !has_version {
             return None;
         }
         let candidate = assign::Candidate::default();
         Some(Lease::take(self, &service, upstream, candidate))
     }
 
+    /// Records that the incarnation `at` of an upstream of `service_id` crashed under a call.
+    pub fn mark_ended(&self, service_id: &id::ServiceId, at: &quarantine::Incarnation) {
+        let Some(service) = self.service(service_id) else {
+            return;
+        };
+        let mut service = service.lock();
+        let upstream = service.find(&at.upstream);
+        let upstream = upstream.filter(|upstream| upstream.listed.started_at == at.started_at);
+        if let Some(upstream) = upstream {
+            upstream.ended_until = Some(Instant::now() + list::RUN_MEMORY);
+            upstream.idle_links.clear();
+        }
+    }
+
     /// Whether upstreams of several software versions are listed for a service.
     pub fn has_several_versions(&self, service_id: &id::ServiceId) -> bool {
         let Some(service) = self.service(service_id) else {
--- a/fw-gate/src/request/attempt.rs
+++ b/fw-gate/src/request/attempt.rs
@@ -341,19 +341,21 @@
             }
         }
     }
-}
 
-/// Checks whether the upstream at `addr` crashed under the attempt of `permit`, and records what it finds.
-pub async fn check_crash(
-    permit: quarantine::Permit,
-    at: &fw_plan::quarantine::Incarnation,
-    addr: std::net::SocketAddr,
-) -> bool {
-    let has_crashed = send::has_crashed(addr).await;
-    if has_crashed {
-        permit.record_crash(at).await;
-    } else {
-        permit.record_broken(at);
+    /// Checks whether the upstream at `addr` crashed under the attempt of `permit`, and records what it finds.
+    pub async fn check_crash(
+        &self,
+        permit: quarantine::Permit,
+        at: &fw_plan::quarantine::Incarnation,
+        addr: std::net::SocketAddr,
+    ) -> bool {
+        let has_crashed = send::has_crashed(addr).await;
+        if has_crashed {
+            self.gate.fleet.mark_ended(self.service, at);
+            permit.record_crash(at).await;
+        } else {
+            permit.record_broken(at);
+        }
+        has_crashed
     }
-    has_crashed
 }
--- a/fw-gate/src/request/hedged.rs
+++ b/fw-gate/src/request/hedged.rs
@@ -119,7 +119,7 @@
         Err(failure) => failure,
     };
     if failure.connection_broke {
-        attempt::check_crash(permit, &at, addr).await;
+        job.check_crash(permit, &at, addr).await;
     }
     Err(Failed {
         failure,
--- a/fw-gate/src/request/stream.rs
+++ b/fw-gate/src/request/stream.rs
@@ -543,7 +543,7 @@
         at: &fw_plan::quarantine::Incarnation,
         addr: SocketAddr,
     ) {
-        if attempt::check_crash(permit, at, addr).await {
+        if self.job.attempt().check_crash(permit, at, addr).await {
             self.ran_at.retain(|ran| *ran != at.upstream);
         }
     }
--- a/fw-gate/tests/gate/version_choice.rs
+++ b/fw-gate/tests/gate/version_choice.rs
@@ -48,6 +48,28 @@
     expect_that!(ids, each(eq("x")));
 }
 
+// Guards against a stream that goes on at an upstream which has crashed, and may be back at another version.
+#[gtest]
+fn avoid_a_crashed_upstream_until_it_is_listed_anew() {
+    let fleet = fleet();
+    fleet.put(versioned("x", "v1"));
+    let version = "v1".into();
+    let lease = fleet.choose(&"s".into(), &bound(&version)).unwrap();
+    fleet.mark_ended(&"s".into(), &lease.incarnation());
+    let refused = fleet.choose(&"s".into(), &bound(&version)).unwrap_err();
+    expect_that!(refused.kind, eq(error::Kind::VersionGone));
+    let again = fleet.lease_again(&"s".into(), &"x".into(), Some(&version));
+    expect_that!(again, none());
+    let any_version = fleet.choose(&"s".into(), &Criteria::default());
+    expect_that!(any_version, ok(anything()));
+    fleet.put(ListedUpstream {
+        started_at: 2,
+        ..versioned("x", "v1")
+    });
+    let lease = fleet.choose(&"s".into(), &bound(&version));
+    expect_that!(lease, ok(anything()));
+}
+
 // Guards against a stream that waits, or goes on elsewhere, when its version has gone.
 #[gtest]
 #[tokio::test(start_paused = true)]
