fw-gate: a broken connection and a new start are a crash

Cause: whether an upstream crashed was judged by one look at one moment, a new connection right after the broken one. If that was accepted, the failure had half the weight and stayed at its entry, so that each entry had one of its own. Change: the entry also looks at the list for 2 s; if that states another start of the upstream, the failure is recorded as a crash, and told to all. Ruled out: asking the upstream for its start, a priced probe that plain services do not answer.

--- a/fw-gate/src/process/fleet/mod.rs
+++ b/fw-gate/src/process/fleet/mod.rs
@@ -39,6 +39,12 @@
 /// the cached prompt of some of them may have become free.
 const MAX_WOKEN: usize = 8;
 
+/// How long after a broken connection a newly listed start shows that the upstream has crashed: an entry learns of
+/// a change of the list within 1.4 s, and the upstream has to start first.
+const RESTART_NOTICE: Duration = Duration::from_secs(2);
+/// Interval at which the list is checked meanwhile.
+const RESTART_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// One upstream, as the platform's store lists it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListedUpstream {
@@ -329,6 +335,28 @@
         }
     }
 
+    /// Whether the list states another start of an upstream of `service_id` than `at` within [`RESTART_NOTICE`].
+    pub async fn restarts_soon(
+        &self,
+        service_id: &id::ServiceId,
+        at: &quarantine::Incarnation,
+    ) -> bool {
+        let has_restarted = || {
+            let service = self.service(service_id)?;
+            let mut service = service.lock();
+            let upstream = service.find(&at.upstream)?;
+            Some(upstream.listed.started_at != at.started_at)
+        };
+        let until = Instant::now() + RESTART_NOTICE;
+        while Instant::now() < until {
+            tokio::time::sleep(RESTART_CHECK_INTERVAL).await;
+            if has_restarted() == Some(true) {
+                return true;
+            }
+        }
+        false
+    }
+
     /// Whether upstreams of several software versions are listed for a service.
     pub fn has_several_versions(&self, service_id: &id::ServiceId) -> bool {
         let Some(service) = self.service(service_id) else {
--- a/fw-gate/src/process/quarantine.rs
+++ b/fw-gate/src/process/quarantine.rs
@@ -381,7 +381,7 @@
         &self.failed_at
     }
 
-    /// Records that an upstream crashed under the attempt. Returns once a majority of the replicas knows, or
+    /// Records that an upstream crashed under the attempt, in place of a broken connection. Returns once a majority of the replicas knows, or
     /// does not answer in time: whoever sends the request again then meets the record.
     pub async fn record_crash(mut self, at: &quarantine::Incarnation) {
         count("crash");
@@ -405,7 +405,7 @@
     }
 
     /// Records that an upstream broke the connection but accepts another.
-    pub fn record_broken(mut self, at: &quarantine::Incarnation) {
+    pub fn record_broken(&mut self, at: &quarantine::Incarnation) {
         count("broken");
         let reports = self.record_failure(at, quarantine::Failure::broken_connection);
         tracing::info!(
--- a/fw-gate/src/request/attempt.rs
+++ b/fw-gate/src/request/attempt.rs
@@ -1,6 +1,7 @@
 //! Attempts to have one request answered by an upstream: the choice of the upstream for each, and whether
 //! a failed one is followed by another.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use fw_base::{error, id};
@@ -17,7 +18,7 @@
 #[derive(Debug)]
 pub struct Job<'a> {
     /// Shared state.
-    pub gate: &'a std::sync::Arc<gate::Gate>,
+    pub gate: &'a Arc<gate::Gate>,
     /// The route.
     pub route: &'a config::Route,
     /// The service that was chosen among the route's.
@@ -345,17 +346,25 @@
     /// Checks whether the upstream at `addr` crashed under the attempt of `permit`, and records what it finds.
     pub async fn check_crash(
         &self,
-        permit: quarantine::Permit,
+        mut permit: quarantine::Permit,
         at: &fw_plan::quarantine::Incarnation,
         addr: std::net::SocketAddr,
     ) -> bool {
+        let fleet = &self.gate.fleet;
         let has_crashed = send::has_crashed(addr).await;
         if has_crashed {
-            self.gate.fleet.mark_ended(self.service, at);
+            fleet.mark_ended(self.service, at);
             permit.record_crash(at).await;
-        } else {
-            permit.record_broken(at);
+            return true;
         }
-        has_crashed
+        permit.record_broken(at);
+        let (fleet, service, at) = (Arc::clone(fleet), self.service.clone(), at.clone());
+        tokio::spawn(async move {
+            // Another process may hold its socket open, or it was back at once.
+            if fleet.restarts_soon(&service, &at).await {
+                permit.record_crash(&at).await;
+            }
+        });
+        false
     }
 }
