fw-plan: the newest disproofs are kept, not those with the highest ids

What callers would see: a request that completes runs one copy at a time, again and again, after its upstreams have crashed seventeen times within ten minutes. Cause: a record keeps sixteen disproofs and dropped the lowest ids, which are hashes. One that had just been made could go before it was told to others, which counted the failure on and told it back. Change: of the disproofs, older ones make room for those that are made.

--- a/fw-gate/src/process/quarantine.rs
+++ b/fw-gate/src/process/quarantine.rs
@@ -381,8 +381,9 @@
         &self.failed_at
     }
 
-    /// Records that an upstream crashed under the attempt, in place of a broken connection. Returns once a majority of the replicas knows, or
-    /// does not answer in time: whoever sends the request again then meets the record.
+    /// Records that an upstream crashed under the attempt, in place of a broken connection if that is recorded.
+    /// Returns once a majority of the replicas knows, or does not answer in time: whoever sends the request again
+    /// then meets the record.
     pub async fn record_crash(mut self, at: &quarantine::Incarnation) {
         count("crash");
         let reports = self.record_failure(at, quarantine::Failure::crash);
--- a/fw-plan/src/quarantine.rs
+++ b/fw-plan/src/quarantine.rs
@@ -17,9 +17,10 @@
 //! *Grounds:* a request that is not the cause completes soon, unless other faults meet it by chance
 //! several times in succession; the loss of a rack under three copies of a popular request is one
 //! failure. A broken connection alone weighs less: the upstream may have crashed and restarted
-//! before it was looked at, or have lost one answer. So does a crash at an incarnation that is known to have
-//! crashed: the upstream may have started again unlisted, or its link may break again and again. Evidence only grows and merges in any order, so
-//! that processes need no common clock and no common order.
+//! before it was looked at, or have lost one answer. So does a crash at an incarnation that is known
+//! to have crashed: the upstream may have started again unlisted, or its link may break again and
+//! again. Evidence only grows and merges in any order, so that processes need no common clock and no
+//! common order.
 //!
 //! Memory is bounded by [`Options::capacity`]; the owner with the most records loses one first.
 
@@ -206,8 +207,11 @@
     pub fn disprove(&mut self) -> bool {
         let had_any = !self.failures.is_empty();
         let failed = std::mem::take(&mut self.failures);
+        // Others still count the failures that are disproved now, unlike those of before.
+        while self.disproved.len() + failed.len() > MAX_FAILURES {
+            self.disproved.pop_first();
+        }
         self.disproved.extend(failed.into_keys());
-        self.shrink();
         had_any
     }
 
--- a/fw-plan/src/quarantine/identity.rs
+++ b/fw-plan/src/quarantine/identity.rs
@@ -12,7 +12,7 @@
 //!
 //! *Grounds:* where others of a group complete, the group is not the cause, and its finer levels go on to count. Where
 //! one variant alone fails, its own record restricts it. So a group is refused only while variants of it fail
-//! one after the other and none completes. Requests of all kinds share a path, so that an upstream which crashes by itself
+//! one after the other and none completes. Requests of all kinds share a path: an upstream that crashes by itself
 //! at each start meets many of them.
 
 use std::collections::BTreeSet;
@@ -224,8 +224,8 @@
         if before.is_none_or(|before| before.weight < CRASH_WEIGHT) || !is_known(listed) {
             return (listed, failure);
         }
-        let ids = (1..=MAX_FAILURES).map(|unlisted| identity.failure_id(level, at, unlisted));
-        let unlisted = ids.into_iter().find(|id| !is_known(*id));
+        let mut ids = (1..=MAX_FAILURES).map(|unlisted| identity.failure_id(level, at, unlisted));
+        let unlisted = ids.find(|id| !is_known(*id));
         let failure = Failure::broken_connection(failure.known());
         (unlisted.unwrap_or(listed), failure)
     }
--- a/fw-plan/tests/plan/crash_evidence.rs
+++ b/fw-plan/tests/plan/crash_evidence.rs
@@ -114,6 +114,20 @@
     expect_that!(table.decide(NOW, &request("bad")), eq(Outcome::Normal));
 }
 
+// Guards against a disproof that is dropped before others hear of it, as many others are kept.
+#[gtest]
+fn each_disproof_reaches_others() {
+    let (mut first, mut second) = (table(), table());
+    for id in 1..=40 {
+        // Ids are hashes, so that the newest may be the lowest.
+        let crash = crash_at(&mut first, NOW, 1_000 - id);
+        second.merge(NOW, &crash);
+        let lifted = first.record_success(NOW, &request("bad")).unwrap();
+        second.merge(NOW, &lifted);
+        expect_that!(second.decide(NOW, &request("bad")), eq(Outcome::Normal));
+    }
+}
+
 // Guards against a refusal for good, and against one that ends all at once.
 #[gtest]
 fn probation_is_rarer_with_each_crash() {
