--- a/fw-gate/src/process/fleet/mod.rs
+++ b/fw-gate/src/process/fleet/mod.rs
@@ -321,7 +321,8 @@
         Some(Lease::take(self, &service, upstream, candidate))
     }
 
-    /// Records that the incarnation `at` of an upstream of `service_id` crashed under a call.
+    /// Records that the incarnation `at` of an upstream of `service_id` crashed under a call. It gets no call that is
+    /// bound to a version until it is listed anew, or for [`list::RUN_MEMORY`].
     pub fn mark_ended(&self, service_id: &id::ServiceId, at: &quarantine::Incarnation) {
         let Some(service) = self.service(service_id) else {
             return;
--- a/fw-gate/src/request/attempt.rs
+++ b/fw-gate/src/request/attempt.rs
@@ -343,7 +343,8 @@
         }
     }
 
-    /// Checks whether the upstream at `addr` crashed under the attempt of `permit`, and records what it finds.
+    /// Checks whether the upstream at `addr` crashed under the attempt of `permit`, records what it finds, and
+    /// returns whether it has crashed.
     pub async fn check_crash(
         &self,
         mut permit: quarantine::Permit,
