fw-plan: the model of quarantine waits as the entry does, and plays alike each time

With its events logged: an entry has just restarted, and requests wait for the record of the replicas; as that arrives, a rack is lost. The requests are suspects then and wait for another copy. The model lets both waits share 400 ms. The entry does not: `Quarantine::permit` begins the second wait when the first is over. So those refused had waited 320 ms and more before they became suspects. That only one run in some hundred was red came of hash maps, whose order differs from process to process, in `lose_rack` and `resend`.

No bound has moved.

All ten tests of the model green, those without a part of the rule among them.

Conclusion: a fault of the model, not of the rule.

--- a/fw-plan/tests/plan/quarantine_model.rs
+++ b/fw-plan/tests/plan/quarantine_model.rs
@@ -6,7 +6,7 @@
 //! replica keeps only requests in quarantine over a restart, an entry nothing.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use fw_base::digest;
@@ -31,6 +31,7 @@
 const MAJORITY_TIMEOUT: Duration = Duration::from_millis(150);
 /// Longest wait of a request until its entry has read the replicas.
 const STARTUP_WAIT: Duration = Duration::from_millis(600);
+const STARTUP_PAUSE: Duration = Duration::from_millis(5);
 const BUSY_PAUSE: Duration = Duration::from_millis(30);
 const BUSY_WAIT: Duration = Duration::from_millis(400);
 const CLAIM_TTL: Duration = Duration::from_secs(2);
@@ -166,9 +167,9 @@
     claims: quarantine::Claims,
     /// Replicas whose record was read since the start.
     read: Vec<usize>,
-    runs: HashMap<u64, Run>,
+    runs: BTreeMap<u64, Run>,
     /// Answers to each pending claim: granted and denied.
-    pending: HashMap<u64, (usize, usize)>,
+    pending: BTreeMap<u64, (usize, usize)>,
 }
 
 impl Entry {
@@ -179,8 +180,8 @@
             table: quarantine::Table::new(quarantine::Options::default()),
             claims: quarantine::Claims::default(),
             read: Vec::new(),
-            runs: HashMap::new(),
-            pending: HashMap::new(),
+            runs: BTreeMap::new(),
+            pending: BTreeMap::new(),
         }
     }
 }
@@ -388,7 +389,9 @@
         let Some(entry) = self.entry(at) else { return };
         let is_starting = now < entry.started_at + STARTUP_WAIT;
         if entry.read.len() < MAJORITY && is_starting {
-            return self.schedule(Duration::from_millis(5), Event::Try { at, since });
+            // The wait for another copy begins only when this one has ended.
+            let since = now + STARTUP_PAUSE;
+            return self.schedule(STARTUP_PAUSE, Event::Try { at, since });
         }
         match entry.table.decide(now, &fingerprint()) {
             Outcome::Normal => self.start_run(at, None),
@@ -738,7 +741,9 @@
             return;
         }
         for entry in 0..ENTRIES {
-            for suspect in self.entries[entry].table.changed_since(self.now, 0) {
+            let mut known = self.entries[entry].table.changed_since(self.now, 0);
+            known.sort_by_key(|suspect| suspect.fingerprint);
+            for suspect in known {
                 let delay = self.delay() + self.delay();
                 let release = None;
                 let event = Event::ReportArrives {
