fw-gate: a new id at the address of a broken connection is a restart too

Cause: after a broken connection at an upstream that accepts another, an entry waited for a new start of that id alone. Of an id that never comes back it learns nothing, so each crash counted half, at each entry for itself.

Change: a later start at the same address, under whichever id, shows that the upstream has ended. An address that another service uses next, or a start that is not stated, shows nothing, as before.

--- a/fw-gate/src/process/fleet/restarts.rs
+++ b/fw-gate/src/process/fleet/restarts.rs
@@ -1,5 +1,6 @@
 //! Notice of restarts of upstreams whose connections broke while their addresses accepted others.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use fw_base::id;
@@ -7,7 +8,7 @@
 use tokio::sync::{Semaphore, watch};
 use tokio::time;
 
-use super::Fleet;
+use super::{Fleet, Upstream};
 
 /// How long after a broken connection a newly listed start shows that the upstream has crashed: a supervisor starts
 /// it again within some seconds, and an entry learns of that within 1.4 s.
@@ -39,12 +40,13 @@
 }
 
 impl Fleet {
-    /// Whether the list states another start of an upstream of `service_id` than `at` within [`NOTICE`]. Returns at once
-    /// if [`MAX_WAITS`] calls wait already.
+    /// Whether the list states within [`NOTICE`] that an upstream of `service_id` has started since the incarnation `at`,
+    /// under its id or, at its address `addr`, under another. Returns at once if [`MAX_WAITS`] calls wait already.
     pub async fn restarts_soon(
         &self,
         service_id: &id::ServiceId,
         at: &quarantine::Incarnation,
+        addr: SocketAddr,
     ) -> bool {
         let Ok(_wait) = self.restarts.waits.try_acquire() else {
             metrics::counter!("fw_gate_quarantine_total", "event" => "unwatched").increment(1);
@@ -52,7 +54,7 @@
         };
         let mut list_changed = self.restarts.list_changed.subscribe();
         let restart = async {
-            while !self.has_restarted(service_id, at) {
+            while !self.has_restarted(service_id, at, addr) {
                 if list_changed.changed().await.is_err() {
                     return false;
                 }
@@ -62,12 +64,22 @@
         time::timeout(NOTICE, restart).await.unwrap_or(false)
     }
 
-    fn has_restarted(&self, service_id: &id::ServiceId, at: &quarantine::Incarnation) -> bool {
+    fn has_restarted(
+        &self,
+        service_id: &id::ServiceId,
+        at: &quarantine::Incarnation,
+        addr: SocketAddr,
+    ) -> bool {
         let Some(service) = self.service(service_id) else {
             return false;
         };
-        let mut service = service.lock();
-        let upstream = service.find(&at.upstream);
-        upstream.is_some_and(|upstream| upstream.listed.started_at != at.started_at)
+        let is_later = |upstream: &Upstream| {
+            if upstream.listed.id == at.upstream {
+                upstream.listed.started_at != at.started_at
+            } else {
+                upstream.listed.addr == addr && upstream.listed.started_at > at.started_at
+            }
+        };
+        service.lock().upstreams.iter().any(is_later)
     }
 }
--- a/fw-gate/src/request/attempt.rs
+++ b/fw-gate/src/request/attempt.rs
@@ -362,7 +362,7 @@
         let (fleet, service, at) = (Arc::clone(fleet), self.service.clone(), at.clone());
         tokio::spawn(async move {
             // Another process may hold its socket open, or it was back at once.
-            if fleet.restarts_soon(&service, &at).await {
+            if fleet.restarts_soon(&service, &at, addr).await {
                 permit.record_crash(&at).await;
             }
         });
