fw-replica: a member retires only if enough others stay to keep copies and vote

Cause: `Sync::leave` asked for `f + 1` copies or as many as there are others, whichever is less. With two members of three left, one copy was enough, and the retirement was reported as completed with one machine left, at which neither a vote nor a stored turn can reach `f + 1`.

Change: `member::may_retire`: `f + 1` others have to stay. Until they do, the replica does not begin to retire, so that it goes on voting and storing; an operator sees the retirement running until a replica is added. Two that begin at once do not know of each other, so of those the one with the lower name goes on and the other accepts records again.

--- a/fw-replica/src/member.rs
+++ b/fw-replica/src/member.rs
@@ -48,6 +48,22 @@
     list.members.len() >= target_members(faults) || retiring_for >= SUCCESSOR_TIMEOUT
 }
 
+/// Whether `name` may retire from `list` while the members in `leaving` retire too: `faults + 1` others have to stay
+/// to keep copies, and each vote needs as many. Of several that retire together, those with the lower names go first.
+///
+/// *Failure:* two of three members retired in succession. The second one left a single member, no vote and no turn could
+/// reach `faults + 1` of them any more, and the next lost disk took the last copy.
+pub fn may_retire(
+    list: &List,
+    name: &record::ReplicaId,
+    leaving: &[record::ReplicaId],
+    faults: usize,
+) -> bool {
+    let goes_first = |other: &record::ReplicaId| leaving.contains(other) && other < name;
+    let others = list.members.keys().filter(|other| *other != name);
+    others.filter(|other| !goes_first(other)).count() > faults
+}
+
 /// How long each standby waits for the one before it.
 ///
 /// *Failure:* a network partition took a third of the machines, so that nearly all of thirty
--- a/fw-replica/src/server/mod.rs
+++ b/fw-replica/src/server/mod.rs
@@ -229,9 +229,9 @@
         self.retire_requests.subscribe()
     }
 
-    /// Accepts no new records from now on.
-    pub fn retire(&self) {
-        self.retiring.store(true, Ordering::Relaxed);
+    /// Accepts no new records from now on, or accepts them again.
+    pub fn set_retiring(&self, retiring: bool) {
+        self.retiring.store(retiring, Ordering::Relaxed);
     }
 
     /// Whether the replica accepts no new records.
--- a/fw-replica/src/sync.rs
+++ b/fw-replica/src/sync.rs
@@ -159,10 +159,8 @@
         self.apply_loaded(loaded).await;
         self.vote_if_synced();
         loop {
-            if retire.borrow_and_update().contains(&self.opts.name) && !self.shared.is_retiring() {
-                tracing::info!("this replica is being retired; no new records are accepted");
-                self.retiring_since = Some(Instant::now());
-                self.shared.retire();
+            if retire.borrow_and_update().contains(&self.opts.name) {
+                self.update_retirement();
             }
             self.sync_members().await;
             if let Err(err) = self.update_list().await {
@@ -176,6 +174,33 @@
         }
     }
 
+    /// Begins to retire once enough members stay, and stops while they do not.
+    fn update_retirement(&mut self) {
+        let may_retire = {
+            let view = self.shared.view().borrow();
+            let leaving = self.leaving();
+            member::may_retire(&view.list, &self.opts.name, &leaving, self.opts.faults)
+        };
+        let retires = may_retire || !self.is_listed();
+        if retires == self.shared.is_retiring() {
+            return;
+        }
+        match retires {
+            true => tracing::info!("this replica is being retired; no new records are accepted"),
+            false => tracing::warn!(
+                "this replica cannot retire: too few others stay; it accepts records again"
+            ),
+        }
+        self.retiring_since = retires.then(Instant::now);
+        self.shared.set_retiring(retires);
+    }
+
+    /// Other members that are retiring.
+    fn leaving(&self) -> Vec<record::ReplicaId> {
+        let leaving = self.sources.iter().filter(|(_, source)| source.retiring);
+        leaving.map(|(name, _)| name.clone()).collect()
+    }
+
     /// Votes if the replica is a member and its disk has all records.
     fn vote_if_synced(&mut self) {
         if self.is_listed() && self.shared.is_synced() && !self.shared.is_voting() {
@@ -304,8 +329,7 @@
             (name.clone(), source.last_seen.elapsed())
         };
         let last_seen_ago: BTreeMap<_, _> = self.sources.iter().map(last_seen_ago).collect();
-        let leaving = self.sources.iter().filter(|(_, source)| source.retiring);
-        let leaving: Vec<_> = leaving.map(|(name, _)| name.clone()).collect();
+        let leaving = self.leaving();
         with(&member::Situation {
             list: &view.list,
             own_name: &self.opts.name,
@@ -461,13 +485,13 @@
 
     /// Leaves the list once enough others have all of this replica's records.
     async fn leave(&mut self, list: member::List) -> Result<(), member::Error> {
-        let needed = (self.opts.faults + 1).min(list.members.len());
+        let needed = self.opts.faults + 1;
         let copied = self.shared.copied_by(&list);
         let retiring_for = self
             .retiring_since
             .map_or(Duration::ZERO, |at| at.elapsed());
         let is_replaced = member::may_leave(&list, retiring_for, self.opts.faults);
-        if copied < needed || list.members.is_empty() || !is_replaced {
+        if copied < needed || !is_replaced {
             tracing::info!(
                 copied,
                 needed,
--- a/fw-replica/tests/replica/list_change.rs
+++ b/fw-replica/tests/replica/list_change.rs
@@ -5,7 +5,7 @@
 
 use fw_replica::member::{
     Action, List, Member, REMOVE_AFTER, STANDBY_STAGGER, SUCCESSOR_TIMEOUT, Situation,
-    improves_spread, may_leave, needed_sources,
+    improves_spread, may_leave, may_retire, needed_sources,
 };
 use fw_replica::record::ReplicaId;
 use googletest::prelude::*;
@@ -177,3 +177,14 @@
     expect_true!(may_leave(&list(&["a", "b", "d"]), Duration::ZERO, 1));
     expect_true!(may_leave(&list(&["a", "b"]), SUCCESSOR_TIMEOUT, 1));
 }
+
+// Guards against retirements that leave fewer members than keep copies and vote.
+#[gtest]
+fn retires_only_if_enough_stay() {
+    let (three, two) = (list(&["a", "b", "c"]), list(&["a", "b"]));
+    expect_true!(may_retire(&three, &"b".into(), &[], 1));
+    expect_false!(may_retire(&two, &"b".into(), &[], 1));
+    // Of two that retire at once, one stays.
+    expect_false!(may_retire(&three, &"b".into(), &["a".into()], 1));
+    expect_true!(may_retire(&three, &"a".into(), &["b".into()], 1));
+}
--- a/fw-replica/tests/replica/quorum_turns.rs
+++ b/fw-replica/tests/replica/quorum_turns.rs
@@ -565,7 +565,7 @@
     shared.set_voting(true);
     expect_false!(stored_by(&shared, 1, "outdated").await);
     expect_true!(stored_by(&shared, 2, "t").await);
-    shared.retire();
+    shared.set_retiring(true);
     expect_false!(stored_by(&shared, 2, "retiring").await);
 }
 
