fw-replica: a list with too few members is announced and that recorded before a member is gone

No turn of any program is served again (503 `replicas_unsure`, 402).

Cause: a list may be changed once a majority of its members refuse older ones, and whoever changes it asks for that at that moment. A majority of two is both, and one is gone: its successor can never join.

Change: the replica that retires announces the list without itself to a majority of it, and records in the store, in the list's own item (`announced`), that it did, before it reports that it may be removed. A list of which the store says so can be changed without asking: older ones are refused at a majority already, on disk, and the record's epoch has the same members. One more call to the store for a retirement that leaves fewer than `2f + 1`, none otherwise.

--- a/fw-replica/src/member.rs
+++ b/fw-replica/src/member.rs
@@ -115,6 +115,18 @@
     pub list: List,
 }
 
+/// The list as it is in the platform's store.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Stored {
+    /// The list and its epoch.
+    pub view: View,
+    /// Whether a majority of its members refuses older lists, so that it may be changed without asking them.
+    ///
+    /// *Failure:* one of three members retired, then one of the two that were left was gone for good. A majority of two
+    /// is both, so its successor could not join, and no turn began any more.
+    pub is_announced: bool,
+}
+
 /// Number of members that must agree.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Quorum {
@@ -286,9 +298,14 @@
 /// The member list in the platform's store.
 pub trait Registry: Send + Sync + 'static {
     /// Reads the list.
-    fn load(&self) -> BoxFuture<'_, Result<View, Error>>;
-    /// Replaces the list of epoch `from`; returns the new epoch.
-    fn replace(&self, from: Epoch, list: List) -> BoxFuture<'_, Result<Epoch, Error>>;
+    fn load(&self) -> BoxFuture<'_, Result<Stored, Error>>;
+    /// Replaces the list of epoch `from`; returns the new epoch. `is_announced` is what [`Stored`] says.
+    fn replace(
+        &self,
+        from: Epoch,
+        list: List,
+        is_announced: bool,
+    ) -> BoxFuture<'_, Result<Epoch, Error>>;
     /// Reports to the operator that `replica` may be removed.
     fn report_retired(&self, replica: record::ReplicaId) -> BoxFuture<'_, Result<(), Error>>;
 }
--- a/fw-replica/src/sync.rs
+++ b/fw-replica/src/sync.rs
@@ -102,6 +102,8 @@
     unanswered: Option<member::View>,
     /// Last epoch announced to a majority, and the time of that.
     announced: Option<(member::Epoch, Instant)>,
+    /// Epoch of the newest list of which the store says that it was announced.
+    recorded: Option<member::Epoch>,
     /// Whether the list has just changed or been announced, so that the next step is due at once.
     immediate: bool,
     /// Time since which too few members are usable.
@@ -136,6 +138,7 @@
             sources: HashMap::new(),
             started: Instant::now(),
             announced: None,
+            recorded: None,
             immediate: false,
             short_since: None,
             retiring_since: None,
@@ -390,7 +393,10 @@
                 self.change_list(list).await
             }
             member::Action::Leave(list) => self.leave(list).await,
-            member::Action::Left => self.registry.report_retired(self.opts.name.clone()).await,
+            member::Action::Left => {
+                self.record_announcement().await?;
+                self.registry.report_retired(self.opts.name.clone()).await
+            }
         }
     }
 
@@ -439,7 +445,8 @@
             .count();
         let accepted = accepted + usize::from(self.is_listed());
         let members = view.list.members.len();
-        if members > 0 && accepted * 2 <= members {
+        let is_recorded = self.recorded == Some(view.epoch);
+        if members > 0 && accepted * 2 <= members && !is_recorded {
             return Err(member::Error::Unavailable {
                 message: format!(
                     "only {accepted} members refuse lists older than epoch {}",
@@ -452,6 +459,26 @@
         Ok(())
     }
 
+    /// Announces a list with fewer members than it should have, and records that in the store. Of so few, the loss of
+    /// `f` may leave no majority that could accept the next announcement.
+    async fn record_announcement(&mut self) -> Result<(), member::Error> {
+        let view = self.shared.view().borrow().clone();
+        let is_small = view.list.members.len() < member::target_members(self.opts.faults);
+        if !is_small || self.recorded == Some(view.epoch) {
+            return Ok(());
+        }
+        self.announce().await?;
+        let list = view.list;
+        let epoch = self
+            .registry
+            .replace(view.epoch, list.clone(), true)
+            .await?;
+        tracing::info!(epoch, "recorded that a majority refuses older member lists");
+        self.recorded = Some(epoch);
+        self.shared.update_view(member::View { epoch, list }).await;
+        Ok(())
+    }
+
     async fn change_list(&mut self, list: member::List) -> Result<(), member::Error> {
         self.announce().await?;
         let epoch = self.shared.view().borrow().epoch;
@@ -464,7 +491,7 @@
         list: member::List,
     ) -> Result<(), member::Error> {
         let joins = !self.is_listed() && list.members.contains_key(&self.opts.name);
-        let replaced = self.registry.replace(from, list.clone()).await;
+        let replaced = self.registry.replace(from, list.clone(), false).await;
         // The list was read at this epoch or before, so only this process can have added the
         // replica.
         let is_ours = self.read_epoch.is_some_and(|read| read <= from);
@@ -508,10 +535,11 @@
         self.apply_loaded(loaded).await;
     }
 
-    async fn apply_loaded(&mut self, loaded: Result<member::View, member::Error>) {
+    async fn apply_loaded(&mut self, loaded: Result<member::Stored, member::Error>) {
         match loaded {
-            Ok(view) => {
+            Ok(member::Stored { view, is_announced }) => {
                 self.read_epoch = Some(view.epoch);
+                self.recorded = is_announced.then_some(view.epoch);
                 if let Some(startup) = &mut self.startup {
                     startup.list_read();
                 }
--- a/fw-replica/tests/replica/quorum_turns.rs
+++ b/fw-replica/tests/replica/quorum_turns.rs
@@ -30,10 +30,10 @@
 
 /// Registry in memory.
 #[derive(Debug, Default)]
-struct Registry(Mutex<member::View>);
+struct Registry(Mutex<member::Stored>);
 
 impl member::Registry for Registry {
-    fn load(&self) -> BoxFuture<'_, Result<member::View, member::Error>> {
+    fn load(&self) -> BoxFuture<'_, Result<member::Stored, member::Error>> {
         future::ready(Ok(self.0.lock().clone())).boxed()
     }
 
@@ -41,13 +41,17 @@
         &self,
         from: member::Epoch,
         list: member::List,
+        is_announced: bool,
     ) -> BoxFuture<'_, Result<member::Epoch, member::Error>> {
-        let mut view = self.0.lock();
-        if view.epoch != from {
+        let mut stored = self.0.lock();
+        if stored.view.epoch != from {
             return future::ready(Err(member::Error::Conflict)).boxed();
         }
         let epoch = from + 1;
-        *view = member::View { epoch, list };
+        *stored = member::Stored {
+            view: member::View { epoch, list },
+            is_announced,
+        };
         future::ready(Ok(epoch)).boxed()
     }
 
@@ -86,7 +90,7 @@
             members: members.collect(),
         };
         let view = member::View { epoch: 1, list };
-        *cluster.registry.0.lock() = view.clone();
+        cluster.registry.0.lock().view = view.clone();
         for index in 0..PLACES.len() {
             let dir = cluster.nodes[index].dir.path();
             let shared = server::Shared::open(dir, server::Options::default()).unwrap();
@@ -113,7 +117,7 @@
         client.set_locality(Some(client::Locality {
             confirm_within: Duration::from_millis(300),
         }));
-        client.update_view(self.registry.0.lock().clone());
+        client.update_view(self.registry.0.lock().view.clone());
         client
     }
 
@@ -214,7 +218,7 @@
 
     /// Indexes of the members that have the turn.
     async fn holders(&self, id: &str) -> Vec<usize> {
-        let listed = self.registry.0.lock().list.clone();
+        let listed = self.registry.0.lock().view.list.clone();
         let mut holders = Vec::new();
         for (index, node) in self.nodes.iter().enumerate() {
             if node.task.is_none() || !listed.members.contains_key(&node.name) {
@@ -361,7 +365,7 @@
     tokio::time::sleep(PASSES).await;
     cluster.client.announce_retire("r0".into());
     cluster
-        .wait(async || cluster.registry.0.lock().list.members.len() == 4)
+        .wait(async || cluster.registry.0.lock().view.list.members.len() == 4)
         .await;
     expect_that!(cluster.holders("t").await.len(), ge(NEEDED));
 }
@@ -378,7 +382,7 @@
     cluster.run(5);
     cluster
         .wait(async || {
-            let list = cluster.registry.0.lock().list.clone();
+            let list = cluster.registry.0.lock().view.list.clone();
             list.members.len() == 5 && list.members.contains_key("r5")
         })
         .await;
