fw-replica: a member that does not vote yet learns of a new list from those that vote

Cause: whoever changes the member list tells nobody; members learn of it from entries, and these tell them only if they hear of it from the platform's store first. The successor, with an empty disk and on the list, wants the records of a member that has been removed since, and waits for it for ever. The next lost disk then waits for the successor.

Change: a member that copies without voting asks for the list with each pass (a ping that does not count as one of a standby), and takes it over.

--- a/fw-replica/src/sync.rs
+++ b/fw-replica/src/sync.rs
@@ -296,7 +296,7 @@
                     source.cursor.begin_pass(copies_all, epoch, Instant::now());
                     copy(client, shared, own_name, addr, &mut source).await;
                 } else {
-                    ping_member(client, shared, own_name, addr, &mut source).await;
+                    ping_member(client, shared, Some(own_name.clone()), addr, &mut source).await;
                 }
                 (name, source)
             });
@@ -574,18 +574,21 @@
     }
 }
 
-/// Pings a member and records its state.
+/// Pings a member and records its state; `standby` is the replica's own name if it is a standby.
 async fn ping_member(
     client: &client::Client,
     shared: &server::Shared,
-    own_name: &record::ReplicaId,
+    standby: Option<record::ReplicaId>,
     addr: SocketAddr,
     source: &mut Source,
 ) {
-    let Some(reply) = client.ping(addr, Some(own_name.clone())).await else {
+    let is_standby = standby.is_some();
+    let Some(reply) = client.ping(addr, standby).await else {
         return;
     };
-    source.standbys_ahead = reply.standbys_ahead;
+    if is_standby {
+        source.standbys_ahead = reply.standbys_ahead;
+    }
     source.last_seen = Instant::now();
     source.retiring = reply.retiring;
     shared.add_retire_requests(reply.retire);
@@ -601,6 +604,10 @@
     source: &mut Source,
 ) {
     let started = Instant::now();
+    if !shared.is_voting() {
+        // It may wait for a member that has left the list, and entries need not tell it.
+        ping_member(client, shared, None, addr, source).await;
+    }
     if !shared.is_voting()
         && let Some(update) = client
             .poll_update(addr, shared.known_version(), Duration::ZERO)
--- a/fw-replica/tests/replica/quorum_turns.rs
+++ b/fw-replica/tests/replica/quorum_turns.rs
@@ -355,6 +355,29 @@
     expect_that!(cluster.holders("t").await, contains(eq(&3)));
 }
 
+// Guards against a member with an empty disk that waits for one that has left the list, as it votes only by the list that
+// it read when it started.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_list_reaches_a_member_that_does_not_vote() {
+    let mut cluster = Cluster::start().await;
+    for index in [2, 3, 4] {
+        drop(cluster.kill(index).await);
+    }
+    cluster.nodes[4].dir = tempfile::tempdir().unwrap();
+    cluster.run(4);
+    // Three whole disks of the others are needed, and two are there.
+    tokio::time::sleep(PASSES).await;
+    let mut view = cluster.registry.0.lock().view.clone();
+    view.epoch += 1;
+    view.list.members.remove("r2");
+    view.list.members.remove("r3");
+    cluster.registry.0.lock().view = view.clone();
+    let first = cluster.nodes[0].member.addr;
+    expect_true!(cluster.client.announce_members_to(first, view).await);
+    cluster.wait_synced(cluster.nodes[4].member.addr).await;
+}
+
 // Guards against a retired member that takes one of the `f + 1` copies with it: the others have to
 // store its turns before it leaves, also those that they had left out.
 #[gtest]
