fw-http, fw-gate, fw-entry: a body is read into one buffer, whatever its chunks

Cause: a collected body keeps each frame, some tens of bytes for one byte of the body, so that the bound of 8 MiB on its length bounds no memory.

Change: `fw_http::read_whole` copies frames into one buffer; a body of one frame, as most are, is not copied. Used for plain answers, and for requests, whose callers may send small chunks as well, answers of the platform's store and the project's own surface. An answer without end still costs up to 8 MiB, and while its buffer grows half as much again.

--- a/fw-entry/src/request/once.rs
+++ b/fw-entry/src/request/once.rs
@@ -11,8 +11,6 @@
 use fw_base::error;
 use fw_base::id;
 use fw_wire::peer;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::http;
@@ -127,16 +125,13 @@
 
 async fn collect(answer: http::Response<Incoming>) -> Result<Collected, error::Error> {
     let (head, body) = answer.into_parts();
-    let collected = Limited::new(body, MAX_ANSWER).collect().await;
-    let collected = collected.map_err(|err| {
+    let body = fw_http::read_whole(body, MAX_ANSWER).await;
+    let body = body.map_err(|err| {
         // The head was received, so the call ran; only the answer is incomplete.
         let message = format!("the upstream's answer ended prematurely: {err}");
         error::Error::new(error::Kind::UpstreamError, message)
     })?;
-    Ok(Collected {
-        head,
-        body: collected.to_bytes(),
-    })
+    Ok(Collected { head, body })
 }
 
 fn to_stored(answer: &Collected) -> peer::StoredAnswer {
--- a/fw-gate/src/request/ingress.rs
+++ b/fw-gate/src/request/ingress.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use fw_base::{digest, error};
 use fw_plan::{quarantine, quota, staleness, start_order, wait_queue};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::LengthLimitError;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
 use hyper::{HeaderMap, Request, Response, Uri};
@@ -245,9 +245,9 @@
     max_bytes: usize,
     until: Instant,
 ) -> Result<Bytes, error::Error> {
-    let whole = Limited::new(body, max_bytes).collect();
+    let whole = fw_http::read_whole(body, max_bytes);
     match tokio::time::timeout_at(until, whole).await {
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Ok(whole)) => Ok(whole),
         Ok(Err(err)) if err.is::<LengthLimitError>() => {
             let message = format!("the body is longer than {max_bytes} bytes");
             Err(error::Error::new(error::Kind::BodyTooLarge, message))
--- a/fw-gate/src/request/plain.rs
+++ b/fw-gate/src/request/plain.rs
@@ -8,7 +8,6 @@
 use bytes::Bytes;
 use fw_base::error;
 use fw_plan::health;
-use http_body_util::{BodyExt, Limited};
 use hyper::Response;
 use hyper::body::Body;
 use tokio::time::Instant;
@@ -124,12 +123,11 @@
         head,
         body,
     } = response;
-    let whole = Limited::new(body, MAX_ANSWER_BYTES).collect();
+    let whole = fw_http::read_whole(body, MAX_ANSWER_BYTES);
     match tokio::time::timeout_at(until, whole).await {
         Ok(Ok(whole)) => {
             lease.complete(Some(lease.age()));
             lease.keep_link(link);
-            let whole = whole.to_bytes();
             lease.count_bytes(traffic::Kind::PlainAnswer, whole.len());
             Ok((head, whole))
         }
--- a/fw-http/src/lib.rs
+++ b/fw-http/src/lib.rs
@@ -6,11 +6,11 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::http;
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -18,6 +18,40 @@
 use snafu::ResultExt;
 use snafu::Snafu;
 
+/// Reads a body of at most `max` bytes whole. Frames are copied: a sender may send one for each byte, and a frame that is
+/// kept takes tens of bytes.
+///
+/// # Errors
+///
+/// The body's own, and [`http_body_util::LengthLimitError`] when it is longer.
+pub async fn read_whole<B>(body: B, max: usize) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<BodyError>,
+{
+    let mut body = std::pin::pin!(Limited::new(body, max));
+    let mut first = Bytes::new();
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        if first.is_empty() && whole.is_empty() {
+            first = data;
+            continue;
+        }
+        whole.extend_from_slice(&std::mem::take(&mut first));
+        whole.extend_from_slice(&data);
+    }
+    match whole.is_empty() {
+        true => Ok(first),
+        false => Ok(whole.freeze()),
+    }
+}
+
+/// Why a body could not be read.
+pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
+
 /// Time-outs and limits of a client.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -168,9 +202,9 @@
         let uri = req.uri().to_string();
         let (head, body) = self.stream(req).await?.into_parts();
         let after = self.opts.body_timeout;
-        let whole = Limited::new(body, self.opts.max_body).collect();
+        let whole = read_whole(body, self.opts.max_body);
         let body = match tokio::time::timeout(after, whole).await {
-            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Ok(body)) => body,
             Ok(Err(source)) => return Err(Error::Body { source }),
             Err(_) => return Err(Error::Timeout { uri, after }),
         };
--- /dev/null
+++ b/fw-http/tests/http/main.rs
@@ -0,0 +1,3 @@
+//! Tests of `fw-http`.
+
+mod whole_bodies;
