fw-gate: a stream goes on elsewhere once its upstream can no longer be reached

What callers saw: a stream that broke as its upstream crashed was given up, though others could go on with it.

Cause: since a stream runs at no more upstreams than its route allows, of which those that have crashed do not count. Whether one has is decided by one look, right after the break; here it had closed the connection and not yet its listening socket, so it counted as alive, and on a route that allows one upstream no other was tried.

Change: when the same upstream is tried again and cannot be reached, the entry looks again; if it accepts no connection, it has ended, and the stream may go on elsewhere. One that refuses or resets while it accepts connections counts as before, so BUDGET's bound stays.

--- a/fw-gate/src/request/attempt.rs
+++ b/fw-gate/src/request/attempt.rs
@@ -343,6 +343,20 @@
         }
     }
 
+    /// Checks whether the incarnation `at` of an upstream accepts no connection at `addr`, and if so records that it has
+    /// ended.
+    pub async fn has_ended(
+        &self,
+        at: &fw_plan::quarantine::Incarnation,
+        addr: std::net::SocketAddr,
+    ) -> bool {
+        let has_ended = send::has_crashed(addr).await;
+        if has_ended {
+            self.gate.fleet.mark_ended(self.service, at);
+        }
+        has_ended
+    }
+
     /// Checks whether the upstream at `addr` crashed under the attempt of `permit`, records what it finds, and
     /// returns whether it has crashed.
     pub async fn check_crash(
@@ -351,14 +365,12 @@
         at: &fw_plan::quarantine::Incarnation,
         addr: std::net::SocketAddr,
     ) -> bool {
-        let fleet = &self.gate.fleet;
-        let has_crashed = send::has_crashed(addr).await;
-        if has_crashed {
-            fleet.mark_ended(self.service, at);
+        if self.has_ended(at, addr).await {
             permit.record_crash(at).await;
             return true;
         }
         permit.record_broken(at);
+        let fleet = &self.gate.fleet;
         let (fleet, service, at) = (Arc::clone(fleet), self.service.clone(), at.clone());
         tokio::spawn(async move {
             // Another process may hold its socket open, or it was back at once.
--- a/fw-gate/src/request/stream.rs
+++ b/fw-gate/src/request/stream.rs
@@ -548,6 +548,13 @@
         }
     }
 
+    /// Checks whether an upstream that could not be reached has ended.
+    async fn check_ended(&mut self, at: &fw_plan::quarantine::Incarnation, addr: SocketAddr) {
+        if self.job.attempt().has_ended(at, addr).await {
+            self.ran_at.retain(|ran| *ran != at.upstream);
+        }
+    }
+
     /// Records that the stream has run at an upstream.
     fn note_ran(&mut self, upstream: &id::UpstreamId) {
         if !self.ran_at.contains(upstream) {
@@ -632,6 +639,9 @@
                 Err(failed) => {
                     if failed.connection_broke {
                         self.check_crash(permit, &at, addr).await;
+                    } else if failed.err.kind == error::Kind::UpstreamUnreachable {
+                        // It may have closed its connections before its listening socket.
+                        self.check_ended(&at, addr).await;
                     }
                     tracing::info!(request = %self.job.call.id, err = %failed.err, "the stream cannot be resumed at this upstream");
                 }
