fw-replica: a member that waits reads the list from the store again

After the next lost disk no turn is served again.

Cause: a member reads the store's list once, when it starts, and asks only the members on its own list for a newer one. The member that made the change is gone, and entries announce a list only if they hear of it from the store first.

With the new list in the store and at no member, the member does not vote in 30 s.

Change: a member that does not vote reads the list from the store each second, in the background, as the store may take long to answer. One read a second for as long as it copies.

--- a/fw-replica/src/sync.rs
+++ b/fw-replica/src/sync.rs
@@ -16,6 +16,7 @@
 use futures_util::future::join_all;
 
 pub mod cursor;
+mod list_reads;
 
 use crate::{client, member, record, server, service, startup};
 
@@ -95,6 +96,8 @@
     /// Whether this process added the replica to a list that lacked it. A replica that is listed
     /// otherwise, and has no data, has lost its disk.
     joined: bool,
+    /// Reads of the store's list while this member does not vote.
+    list_reads: list_reads::ListReads,
     /// Epoch of the store's list when this process last read it.
     read_epoch: Option<member::Epoch>,
     /// The list that was to add this replica, if the store did not answer the change, with the
@@ -130,6 +133,7 @@
             client,
             founding: opts.first_start && shared.view().borrow().epoch == 0,
             joined: false,
+            list_reads: list_reads::ListReads::new(),
             read_epoch: None,
             unanswered: None,
             opts,
@@ -165,6 +169,7 @@
             if retire.borrow_and_update().contains(&self.opts.name) {
                 self.update_retirement();
             }
+            self.reread_list().await;
             self.sync_members().await;
             if let Err(err) = self.update_list().await {
                 tracing::info!(%err, "the member list could not be changed");
@@ -535,11 +540,23 @@
         self.apply_loaded(loaded).await;
     }
 
+    /// Reads the list again while this replica is a member that does not vote: it may wait for one that has left.
+    async fn reread_list(&mut self) {
+        if !self.is_listed() || self.shared.is_voting() || self.is_founding() {
+            return;
+        }
+        if let Some(loaded) = self.list_reads.poll(&self.registry) {
+            self.apply_loaded(loaded).await;
+        }
+    }
+
     async fn apply_loaded(&mut self, loaded: Result<member::Stored, member::Error>) {
         match loaded {
             Ok(member::Stored { view, is_announced }) => {
                 self.read_epoch = Some(view.epoch);
-                self.recorded = is_announced.then_some(view.epoch);
+                if view.epoch >= self.shared.view().borrow().epoch {
+                    self.recorded = is_announced.then_some(view.epoch);
+                }
                 if let Some(startup) = &mut self.startup {
                     startup.list_read();
                 }
--- a/fw-replica/tests/replica/quorum_turns.rs
+++ b/fw-replica/tests/replica/quorum_turns.rs
@@ -378,6 +378,26 @@
     cluster.wait_synced(cluster.nodes[4].member.addr).await;
 }
 
+// Guards against a member that waits for the records of one that has left, where only the platform's store has the list.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_list_in_the_store_reaches_a_member_that_does_not_vote() {
+    let mut cluster = Cluster::start().await;
+    for index in [2, 3, 4] {
+        drop(cluster.kill(index).await);
+    }
+    cluster.nodes[4].dir = tempfile::tempdir().unwrap();
+    cluster.run(4);
+    tokio::time::sleep(PASSES).await;
+    {
+        let mut stored = cluster.registry.0.lock();
+        stored.view.epoch += 1;
+        stored.view.list.members.remove("r2");
+        stored.view.list.members.remove("r3");
+    }
+    cluster.wait_synced(cluster.nodes[4].member.addr).await;
+}
+
 // Guards against a retired member that takes one of the `f + 1` copies with it: the others have to
 // store its turns before it leaves, also those that they had left out.
 #[gtest]
