fw-replica: a majority knows the list of a member that has retired before it is reported

The others vote by a list with the machine that is gone; a member that copies waits for its records.

Cause: a member that retires changes the list itself and tells nobody. Entries tell the others only if they hear of the list from the store before a vote or a poll. Where fewer than `2f + 1` members stay it has been announced since, not otherwise.

Change: the replica announces the list to a majority of it before it reports that it may be removed.

The test's registry keeps the reports of retired replicas for it.

--- a/fw-replica/src/sync.rs
+++ b/fw-replica/src/sync.rs
@@ -399,6 +399,8 @@
             }
             member::Action::Leave(list) => self.leave(list).await,
             member::Action::Left => {
+                // Its machine may be removed next, and nobody else has to know the list.
+                self.announce().await?;
                 self.record_announcement().await?;
                 self.registry.report_retired(self.opts.name.clone()).await
             }
--- a/fw-replica/tests/replica/quorum_turns.rs
+++ b/fw-replica/tests/replica/quorum_turns.rs
@@ -30,11 +30,15 @@
 
 /// Registry in memory.
 #[derive(Debug, Default)]
-struct Registry(Mutex<member::Stored>);
+struct Registry {
+    stored: Mutex<member::Stored>,
+    /// Replicas that were reported as retired.
+    retired: Mutex<Vec<record::ReplicaId>>,
+}
 
 impl member::Registry for Registry {
     fn load(&self) -> BoxFuture<'_, Result<member::Stored, member::Error>> {
-        future::ready(Ok(self.0.lock().clone())).boxed()
+        future::ready(Ok(self.stored.lock().clone())).boxed()
     }
 
     fn replace(
@@ -43,7 +47,7 @@
         list: member::List,
         is_announced: bool,
     ) -> BoxFuture<'_, Result<member::Epoch, member::Error>> {
-        let mut stored = self.0.lock();
+        let mut stored = self.stored.lock();
         if stored.view.epoch != from {
             return future::ready(Err(member::Error::Conflict)).boxed();
         }
@@ -55,7 +59,11 @@
         future::ready(Ok(epoch)).boxed()
     }
 
-    fn report_retired(&self, _: record::ReplicaId) -> BoxFuture<'_, Result<(), member::Error>> {
+    fn report_retired(
+        &self,
+        replica: record::ReplicaId,
+    ) -> BoxFuture<'_, Result<(), member::Error>> {
+        self.retired.lock().push(replica);
         future::ready(Ok(())).boxed()
     }
 }
@@ -90,7 +98,7 @@
             members: members.collect(),
         };
         let view = member::View { epoch: 1, list };
-        cluster.registry.0.lock().view = view.clone();
+        cluster.registry.stored.lock().view = view.clone();
         for index in 0..PLACES.len() {
             let dir = cluster.nodes[index].dir.path();
             let shared = server::Shared::open(dir, server::Options::default()).unwrap();
@@ -117,7 +125,7 @@
         client.set_locality(Some(client::Locality {
             confirm_within: Duration::from_millis(300),
         }));
-        client.update_view(self.registry.0.lock().view.clone());
+        client.update_view(self.registry.stored.lock().view.clone());
         client
     }
 
@@ -199,6 +207,14 @@
         tokio::time::timeout(LONG, polls).await.unwrap();
     }
 
+    /// Number of replicas whose member list `is_new`.
+    async fn informed(&self, is_new: impl Fn(&member::View) -> bool) -> usize {
+        let running = self.nodes.iter().filter(|node| node.task.is_some());
+        let asked = running.map(|node| self.client.ping(node.member.addr, None));
+        let replies = future::join_all(asked).await.into_iter().flatten();
+        replies.filter(|reply| is_new(&reply.view)).count()
+    }
+
     async fn finish(&self, id: &str) -> bool {
         self.finish_turn(turn(id)).await
     }
@@ -218,7 +234,7 @@
 
     /// Indexes of the members that have the turn.
     async fn holders(&self, id: &str) -> Vec<usize> {
-        let listed = self.registry.0.lock().view.list.clone();
+        let listed = self.registry.stored.lock().view.list.clone();
         let mut holders = Vec::new();
         for (index, node) in self.nodes.iter().enumerate() {
             if node.task.is_none() || !listed.members.contains_key(&node.name) {
@@ -368,11 +384,11 @@
     cluster.run(4);
     // Three whole disks of the others are needed, and two are there.
     tokio::time::sleep(PASSES).await;
-    let mut view = cluster.registry.0.lock().view.clone();
+    let mut view = cluster.registry.stored.lock().view.clone();
     view.epoch += 1;
     view.list.members.remove("r2");
     view.list.members.remove("r3");
-    cluster.registry.0.lock().view = view.clone();
+    cluster.registry.stored.lock().view = view.clone();
     let first = cluster.nodes[0].member.addr;
     expect_true!(cluster.client.announce_members_to(first, view).await);
     cluster.wait_synced(cluster.nodes[4].member.addr).await;
@@ -390,7 +406,7 @@
     cluster.run(4);
     tokio::time::sleep(PASSES).await;
     {
-        let mut stored = cluster.registry.0.lock();
+        let mut stored = cluster.registry.stored.lock();
         stored.view.epoch += 1;
         stored.view.list.members.remove("r2");
         stored.view.list.members.remove("r3");
@@ -398,6 +414,23 @@
     cluster.wait_synced(cluster.nodes[4].member.addr).await;
 }
 
+// Guards against a retired member whose machine is removed while it alone knows the list without it.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_majority_knows_the_list_of_a_member_that_has_retired() {
+    let mut cluster = Cluster::start().await;
+    // Its successor: of a list with fewer members a majority is told by other code.
+    cluster.add_node("b").await;
+    cluster.run(PLACES.len());
+    cluster.client.announce_retire("r0".into());
+    cluster
+        .wait(async || !cluster.registry.retired.lock().is_empty())
+        .await;
+    drop(cluster.kill(0).await);
+    let informed = cluster.informed(|view| !view.list.members.contains_key("r0"));
+    expect_that!(informed.await, ge(3));
+}
+
 // Guards against a retired member that takes one of the `f + 1` copies with it: the others have to
 // store its turns before it leaves, also those that they had left out.
 #[gtest]
@@ -408,7 +441,7 @@
     tokio::time::sleep(PASSES).await;
     cluster.client.announce_retire("r0".into());
     cluster
-        .wait(async || cluster.registry.0.lock().view.list.members.len() == 4)
+        .wait(async || cluster.registry.stored.lock().view.list.members.len() == 4)
         .await;
     expect_that!(cluster.holders("t").await.len(), ge(NEEDED));
 }
@@ -425,7 +458,7 @@
     cluster.run(5);
     cluster
         .wait(async || {
-            let list = cluster.registry.0.lock().view.list.clone();
+            let list = cluster.registry.stored.lock().view.list.clone();
             list.members.len() == 5 && list.members.contains_key("r5")
         })
         .await;
