fw-replica: each member asks the others for a newer list

A member that waits for one that has left learns nothing from them.

Cause: since a member that does not vote asks for the list with each pass; one that votes never did. That the others know a new list within a second, as `cursor::CHANGE_SPAN` assumes for turns that are stored on a write quorum, hung on entries.

Change: each member asks with each pass, once a second. A member that does not answer is not read from either, so a pass takes one time-out for it where it took up to three (beside load, of 700 ms each).

--- a/fw-replica/src/sync.rs
+++ b/fw-replica/src/sync.rs
@@ -593,17 +593,18 @@
     }
 }
 
-/// Pings a member and records its state; `standby` is the replica's own name if it is a standby.
+/// Pings a member and records its state; returns whether it answered. `standby` is the replica's own name if it is a
+/// standby.
 async fn ping_member(
     client: &client::Client,
     shared: &server::Shared,
     standby: Option<record::ReplicaId>,
     addr: SocketAddr,
     source: &mut Source,
-) {
+) -> bool {
     let is_standby = standby.is_some();
     let Some(reply) = client.ping(addr, standby).await else {
-        return;
+        return false;
     };
     if is_standby {
         source.standbys_ahead = reply.standbys_ahead;
@@ -612,6 +613,7 @@
     source.retiring = reply.retiring;
     shared.add_retire_requests(reply.retire);
     shared.update_view(reply.view).await;
+    true
 }
 
 /// Copies the records of a member that this replica lacks.
@@ -623,9 +625,9 @@
     source: &mut Source,
 ) {
     let started = Instant::now();
-    if !shared.is_voting() {
-        // It may wait for a member that has left the list, and entries need not tell it.
-        ping_member(client, shared, None, addr, source).await;
+    // Asked in each pass, as nobody has to tell a member that the list was changed.
+    if !ping_member(client, shared, None, addr, source).await {
+        return;
     }
     if !shared.is_voting()
         && let Some(update) = client
--- a/fw-replica/tests/replica/quorum_turns.rs
+++ b/fw-replica/tests/replica/quorum_turns.rs
@@ -414,6 +414,23 @@
     cluster.wait_synced(cluster.nodes[4].member.addr).await;
 }
 
+// Guards against members that vote by a list that was replaced, as neither an entry nor a change of theirs tells them.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_list_reaches_members_that_vote() {
+    let cluster = Cluster::start().await;
+    let view = {
+        let mut stored = cluster.registry.stored.lock();
+        stored.view.epoch += 1;
+        stored.view.clone()
+    };
+    let first = cluster.nodes[0].member.addr;
+    expect_true!(cluster.client.announce_members_to(first, view).await);
+    cluster
+        .wait(async || cluster.informed(|view| view.epoch == 2).await == PLACES.len())
+        .await;
+}
+
 // Guards against a retired member whose machine is removed while it alone knows the list without it.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
