fw-replica: a dead member is removed by the first member that votes

No turn begins any more, without a further fault.

Cause: only the first responsive member, by name, removes a dead one. The successor is first, and does not vote as it waits for the dead member's records; a member that does not vote removes nobody. Each waits for the other.

Change: a member that lacks records is passed over. A member knows that from the lists that it reads for copying.

--- a/fw-replica/src/member.rs
+++ b/fw-replica/src/member.rs
@@ -186,6 +186,8 @@
     pub last_seen_ago: &'a BTreeMap<record::ReplicaId, Duration>,
     /// Other members that are retiring.
     pub leaving: &'a [record::ReplicaId],
+    /// Other members that lack records, so that they do not vote.
+    pub unsynced: &'a [record::ReplicaId],
     /// Standby replicas that take precedence, as reported by members.
     pub standbys_ahead: usize,
     /// How long there have been too few usable members.
@@ -253,7 +255,10 @@
     }
 
     /// The first member that has been unresponsive for [`REMOVE_AFTER`], as long as enough members
-    /// remain. Only the first of the responsive members removes it, so that they do not all try.
+    /// remain. Only the first of the responsive members that vote removes it, so that they do not all try.
+    ///
+    /// *Failure:* a successor was killed between joining and voting. It waited for the records of the dead member, whose
+    /// removal was left to the successor, as it was the first of those that responded.
     fn to_remove(&self) -> Option<&record::ReplicaId> {
         if !self.votes || self.list.members.len() <= target_members(self.faults) {
             return None;
@@ -261,8 +266,10 @@
         let dead = |name: &&record::ReplicaId| {
             *name != self.own_name && self.last_seen_ago(name) >= REMOVE_AFTER
         };
-        let mut responsive = self.list.members.keys().filter(|name| !dead(name));
-        if responsive.next() != Some(self.own_name) {
+        let goes_first = |name: &&record::ReplicaId| {
+            *name < self.own_name && !dead(name) && !self.unsynced.contains(name)
+        };
+        if self.list.members.keys().any(|name| goes_first(&name)) {
             return None;
         }
         self.list.members.keys().find(dead)
--- a/fw-replica/src/sync.rs
+++ b/fw-replica/src/sync.rs
@@ -205,8 +205,13 @@
 
     /// Other members that are retiring.
     fn leaving(&self) -> Vec<record::ReplicaId> {
-        let leaving = self.sources.iter().filter(|(_, source)| source.retiring);
-        leaving.map(|(name, _)| name.clone()).collect()
+        self.others_where(|source| source.retiring)
+    }
+
+    /// Names of the other members of which `holds` is true.
+    fn others_where(&self, holds: impl Fn(&Source) -> bool) -> Vec<record::ReplicaId> {
+        let sources = self.sources.iter().filter(|(_, source)| holds(source));
+        sources.map(|(name, _)| name.clone()).collect()
     }
 
     /// Votes if the replica is a member and its disk has all records.
@@ -338,6 +343,7 @@
         };
         let last_seen_ago: BTreeMap<_, _> = self.sources.iter().map(last_seen_ago).collect();
         let leaving = self.leaving();
+        let unsynced = self.others_where(|source| !source.synced);
         with(&member::Situation {
             list: &view.list,
             own_name: &self.opts.name,
@@ -348,6 +354,7 @@
             copied: self.has_copied(),
             last_seen_ago: &last_seen_ago,
             leaving: &leaving,
+            unsynced: &unsynced,
             standbys_ahead: self
                 .sources
                 .values()
--- a/fw-replica/tests/replica/list_change.rs
+++ b/fw-replica/tests/replica/list_change.rs
@@ -35,6 +35,7 @@
     copied: bool,
     last_seen_ago: BTreeMap<ReplicaId, Duration>,
     leaving: Vec<ReplicaId>,
+    unsynced: Vec<ReplicaId>,
     standbys_ahead: usize,
     short_for: Duration,
 }
@@ -52,6 +53,7 @@
             copied: true,
             last_seen_ago: BTreeMap::new(),
             leaving: Vec::new(),
+            unsynced: Vec::new(),
             standbys_ahead: 0,
             short_for: Duration::ZERO,
         }
@@ -68,6 +70,7 @@
             copied: self.copied,
             last_seen_ago: &self.last_seen_ago,
             leaving: &self.leaving,
+            unsynced: &self.unsynced,
             standbys_ahead: self.standbys_ahead,
             short_for: self.short_for,
         };
@@ -114,6 +117,22 @@
     expect_that!(case.decide(), eq(&Action::Stay));
 }
 
+// Guards against a dead member whose removal is left to one that does not vote before it is removed.
+#[gtest]
+fn a_member_that_votes_removes_a_dead_one() {
+    let mut case = Case::new(&["a", "b", "c", "d"], "b");
+    case.last_seen_ago.insert("d".into(), REMOVE_AFTER);
+    expect_that!(case.decide(), eq(&Action::Stay));
+    case.unsynced = vec!["a".into()];
+    expect_that!(case.decide(), eq(&Action::Change(case.without("d"))));
+    // The first one does not vote itself.
+    let mut case = Case::new(&["a", "b", "c", "d"], "a");
+    case.votes = false;
+    case.copied = false;
+    case.last_seen_ago.insert("d".into(), REMOVE_AFTER);
+    expect_that!(case.decide(), eq(&Action::Stay));
+}
+
 impl Case {
     fn without(&self, name: &str) -> List {
         let mut list = self.list.clone();
