fw-replica: a member knows that it has joined though another one joined before it read the list

Cause: whether an unanswered change took effect was told by comparing whole lists, so that a second change hid the first; the replica then takes itself for one that lost its disk and waits for one source more.

Change: it has joined if the newer list has it at its own address: it was not on the list that it had read, and nobody else adds it.

--- a/fw-replica/src/sync.rs
+++ b/fw-replica/src/sync.rs
@@ -100,9 +100,8 @@
     list_reads: list_reads::ListReads,
     /// Epoch of the store's list when this process last read it.
     read_epoch: Option<member::Epoch>,
-    /// The list that was to add this replica, if the store did not answer the change, with the
-    /// epoch that it was to replace.
-    unanswered: Option<member::View>,
+    /// Epoch of the list that was to be replaced by one with this replica, if the store did not answer the change.
+    unanswered: Option<member::Epoch>,
     /// Last epoch announced to a majority, and the time of that.
     announced: Option<(member::Epoch, Instant)>,
     /// Epoch of the newest list of which the store says that it was announced.
@@ -510,8 +509,7 @@
         // replica.
         let is_ours = self.read_epoch.is_some_and(|read| read <= from);
         if matches!(replaced, Err(member::Error::Unavailable { .. })) && joins && is_ours {
-            let list = list.clone();
-            self.unanswered = Some(member::View { epoch: from, list });
+            self.unanswered = Some(from);
         }
         let epoch = replaced?;
         // *Failure:* a machine was replaced by an empty one of the same name at another address.
@@ -581,16 +579,14 @@
     /// *Failure:* a replica took a dead one's place and the reply was lost. On the list without, as
     /// far as it could tell, having added itself, it took itself for a member that had lost its
     /// disk, and would not vote before it had read the dead one's list: no reservation passed until
-    /// that member was removed.
+    /// that member was removed. The same when another one had joined before it read the list.
     fn resolve_unanswered(&mut self) {
         let view = self.shared.view().borrow().clone();
-        let Some(pending) = self
-            .unanswered
-            .take_if(|pending| view.epoch > pending.epoch)
-        else {
+        if self.unanswered.take_if(|from| view.epoch > *from).is_none() {
             return;
-        };
-        let took_effect = view.list == pending.list;
+        }
+        // Others may have changed the list since; nobody else adds this replica.
+        let took_effect = view.list.members.get(&self.opts.name) == Some(&self.opts.own);
         tracing::info!(
             epoch = view.epoch,
             took_effect,
--- a/fw-replica/tests/replica/quorum_turns.rs
+++ b/fw-replica/tests/replica/quorum_turns.rs
@@ -2,7 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use futures_util::FutureExt;
@@ -34,6 +34,10 @@
     stored: Mutex<member::Stored>,
     /// Replicas that were reported as retired.
     retired: Mutex<Vec<record::ReplicaId>>,
+    /// One that joins right after the next change, which gets no answer, like all changes after it.
+    joins_next: Mutex<Option<(record::ReplicaId, member::Member)>>,
+    /// Whether changes are refused without an answer.
+    is_away: AtomicBool,
 }
 
 impl member::Registry for Registry {
@@ -47,6 +51,11 @@
         list: member::List,
         is_announced: bool,
     ) -> BoxFuture<'_, Result<member::Epoch, member::Error>> {
+        let message = "no answer".to_owned();
+        let no_answer = future::ready(Err(member::Error::Unavailable { message })).boxed();
+        if self.is_away.load(Ordering::Relaxed) {
+            return no_answer;
+        }
         let mut stored = self.stored.lock();
         if stored.view.epoch != from {
             return future::ready(Err(member::Error::Conflict)).boxed();
@@ -56,6 +65,12 @@
             view: member::View { epoch, list },
             is_announced,
         };
+        if let Some((name, joined)) = self.joins_next.lock().take() {
+            stored.view.epoch += 1;
+            stored.view.list.members.insert(name, joined);
+            self.is_away.store(true, Ordering::Relaxed);
+            return no_answer;
+        }
         future::ready(Ok(epoch)).boxed()
     }
 
@@ -448,6 +463,22 @@
     expect_that!(informed.await, ge(3));
 }
 
+// Guards against a member that waits for a dead one, as if it had lost its disk, since another one joined before it knew
+// that it had joined itself.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_member_knows_that_it_has_joined_after_another_change() {
+    let mut cluster = Cluster::start().await;
+    let _silent = cluster.kill(4).await;
+    cluster.add_node("b").await;
+    cluster.add_node("c").await;
+    let next = &cluster.nodes[6];
+    let next = (next.name.clone(), next.member.clone());
+    *cluster.registry.joins_next.lock() = Some(next);
+    cluster.run(5);
+    cluster.wait_synced(cluster.nodes[5].member.addr).await;
+}
+
 // Guards against a retired member that takes one of the `f + 1` copies with it: the others have to
 // store its turns before it leaves, also those that they had left out.
 #[gtest]
