fw-gate, fw-plan, fw-http: all answers under way share a bound on memory

Cause: since the bound of 8 MiB holds for the memory of one answer, and nothing bounds the sum. The budget of memory counts requests, and where it counts answers it assumes 64 KiB for one that states no length.

Change: `fw_plan::body_room`: an answer of up to 16 KiB takes what it needs, a longer one at most what the others leave of the budget (a dynamic threshold, as switches share their buffers), a single one always. The budget is half of that for requests, an eighth of the instance's memory. An answer counts from its first bytes until it is written to the caller; one that finds no room is given up (502, may have run) with `fw_gate_bodies_refused_total`. `fw_http::read_whole` asks before its buffer grows.

Ruled out: a fixed part for each body, which refuses a single long one or bounds nothing.

--- a/fw-entry/src/request/once.rs
+++ b/fw-entry/src/request/once.rs
@@ -125,7 +125,7 @@
 
 async fn collect(answer: http::Response<Incoming>) -> Result<Collected, error::Error> {
     let (head, body) = answer.into_parts();
-    let body = fw_http::read_whole(body, MAX_ANSWER).await;
+    let body = fw_http::read_whole(body, MAX_ANSWER, &mut fw_http::Unlimited).await;
     let body = body.map_err(|err| {
         // The head was received, so the call ran; only the answer is incomplete.
         let message = format!("the upstream's answer ended prematurely: {err}");
--- a/fw-gate/src/process/held_bytes.rs
+++ b/fw-gate/src/process/held_bytes.rs
@@ -236,22 +236,19 @@
     }
 }
 
-/// A whole answer, held until it is written to the caller's connection.
-struct Whole {
+/// A whole answer, and what is kept until it is written to the caller's connection.
+struct Whole<T> {
     bytes: Bytes,
-    _account: Arc<Account>,
+    _kept: T,
 }
 
-impl AsRef<[u8]> for Whole {
+impl<T> AsRef<[u8]> for Whole<T> {
     fn as_ref(&self) -> &[u8] {
         &self.bytes
     }
 }
 
-/// `bytes`, which keep `account` open until they are written.
-pub fn until_written(bytes: Bytes, account: Arc<Account>) -> Bytes {
-    Bytes::from_owner(Whole {
-        bytes,
-        _account: account,
-    })
+/// `bytes`, with `kept` until they are written.
+pub fn until_written<T: Send + 'static>(bytes: Bytes, kept: T) -> Bytes {
+    Bytes::from_owner(Whole { bytes, _kept: kept })
 }
--- a/fw-gate/src/process/memory.rs
+++ b/fw-gate/src/process/memory.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use fw_base::error;
-use fw_plan::intake;
+use fw_plan::{body_room, intake};
 use rand::RngExt;
 use tokio::time::Instant;
 
@@ -23,18 +23,22 @@
     Requests,
     /// Bodies of requests, prompts assembled from the turns before, and answers that are not stored yet.
     Bodies,
+    /// Answers, and incomplete events of streams, from their first bytes until they are written to the caller.
+    Answers,
     /// Callers' connections.
     CallerConnections,
 }
 
 /// Number of kinds that are counted here.
-const KINDS: usize = 3;
+const KINDS: usize = 4;
 
 /// The bytes that this entry holds.
 #[derive(Debug)]
 pub struct Memory {
     /// `None` if requests are not bounded.
     opts: Option<intake::Options>,
+    /// Bounds on answers.
+    answer_room: body_room::Options,
     held: [AtomicUsize; KINDS],
 }
 
@@ -53,6 +57,28 @@
     body: Held,
 }
 
+/// What the entry holds for an answer until this is dropped.
+#[derive(Debug)]
+pub struct Answer(Held);
+
+impl fw_http::Room for Answer {
+    fn resize(&mut self, bytes: usize) -> bool {
+        let opts = self.0.memory.answer_room;
+        let fits = self.0.may_take(&opts, self.0.bytes, bytes);
+        if fits {
+            self.0.set(bytes);
+        } else {
+            count_refused("answer");
+        }
+        fits
+    }
+}
+
+/// Counts a body for which there was no room.
+fn count_refused(body: &'static str) {
+    metrics::counter!("fw_gate_bodies_refused_total", "body" => body).increment(1);
+}
+
 impl Request {
     /// Sets the bytes of its body and its prompt.
     pub fn set_body(&mut self, bytes: usize) {
@@ -66,6 +92,12 @@
 }
 
 impl Held {
+    /// Whether a body may take `new` of these bytes in place of `old`.
+    fn may_take(&self, opts: &body_room::Options, old: usize, new: usize) -> bool {
+        let others = self.memory.held(self.kind).saturating_sub(old);
+        opts.may_hold(new, others)
+    }
+
     fn set(&mut self, bytes: usize) {
         let held = &self.memory.held[self.kind as usize];
         held.fetch_add(bytes, Ordering::Relaxed);
@@ -83,8 +115,12 @@
 impl Memory {
     /// Nothing is held yet. Requests are bounded by `opts`, if there are any.
     pub fn new(opts: Option<intake::Options>) -> Arc<Self> {
+        let room = |max_bytes| body_room::Options { max_bytes };
+        let answer_room = opts.map(|opts| room(opts.max_bytes / 2));
+        let answer_room = answer_room.unwrap_or_default();
         Arc::new(Self {
             opts,
+            answer_room,
             held: Default::default(),
         })
     }
@@ -131,6 +167,11 @@
             body: self.hold(Kind::Bodies, body),
         })
     }
+
+    /// Room for an answer, of which nothing is held yet.
+    pub fn answer(self: &Arc<Self>) -> Answer {
+        Answer(self.hold(Kind::Answers, 0))
+    }
 }
 
 fn refused(refusal: &intake::Refusal, begins: bool) -> error::Error {
@@ -193,7 +234,7 @@
             resident: resident_bytes(),
             requests: memory.held(Kind::Requests),
             bodies: memory.held(Kind::Bodies),
-            answers: gate.held.held(),
+            answers: gate.held.held() + memory.held(Kind::Answers),
             replica_calls: gate.replica_call_bytes(),
             cached_turns: gate.turns.bytes(),
             caller_connections: memory.held(Kind::CallerConnections),
--- a/fw-gate/src/request/ingress.rs
+++ b/fw-gate/src/request/ingress.rs
@@ -245,7 +245,8 @@
     max_bytes: usize,
     until: Instant,
 ) -> Result<Bytes, error::Error> {
-    let whole = fw_http::read_whole(body, max_bytes);
+    let mut room = fw_http::Unlimited;
+    let whole = fw_http::read_whole(body, max_bytes, &mut room);
     match tokio::time::timeout_at(until, whole).await {
         Ok(Ok(whole)) => Ok(whole),
         Ok(Err(err)) if err.is::<LengthLimitError>() => {
--- a/fw-gate/src/request/plain.rs
+++ b/fw-gate/src/request/plain.rs
@@ -14,7 +14,7 @@
 
 use super::ingress::log_ms;
 use super::{attempt, body, call, send};
-use crate::process::{held_bytes, traffic};
+use crate::process::{held_bytes, memory, traffic};
 
 /// Maximum length of an answer that is collected; plain services send a few kilobytes.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
@@ -32,13 +32,17 @@
 ) -> Result<Response<body::Outgoing>, error::Error> {
     let finish = |response| collect_and_log(job, account.as_deref(), response);
     let answered = job.run(finish).await?;
-    let (head, whole) = answered.answer;
+    let (head, whole, room) = answered.answer;
     answered.permit.record_answer(head.status);
-    let whole = match account {
-        Some(account) if !whole.is_empty() => held_bytes::until_written(whole, account),
-        _ => whole,
-    };
-    Ok(forwarded(head, body::Outgoing::from(whole)))
+    Ok(forwarded(head, outgoing(whole, (room, account))))
+}
+
+/// A whole answer, with `kept` until it is written.
+pub fn outgoing<T: Send + 'static>(whole: Bytes, kept: T) -> body::Outgoing {
+    match whole.is_empty() {
+        true => body::Outgoing::from(whole),
+        false => body::Outgoing::from(held_bytes::until_written(whole, kept)),
+    }
 }
 
 /// Reads the rest of the answer to a request, and logs the upstream that served it.
@@ -46,7 +50,7 @@
     job: &attempt::Job<'_>,
     account: Option<&held_bytes::Account>,
     response: send::OpenResponse,
-) -> Result<(hyper::http::response::Parts, Bytes), send::Failure> {
+) -> Result<Collected, send::Failure> {
     let (upstream, list_state) = (response.lease.id.clone(), response.lease.list_state);
     let sent_after = response.lease.sent_after;
     let remote = response.lease.is_remote;
@@ -55,14 +59,14 @@
     if let Some(account) = account {
         wait_room(account, &response, job.until).await?;
     }
-    let collected = collect(response, job.until).await;
+    let collected = collect(&job.gate.memory, response, job.until).await;
     if let Some(account) = account {
         match &collected {
-            Ok((_, whole)) => account.offered(whole.len()),
+            Ok((_, whole, _)) => account.offered(whole.len()),
             Err(_) => account.discard(),
         }
     }
-    let (head, whole) = collected?;
+    let (head, whole, room) = collected?;
     tracing::info!(
         request = %job.call.id,
         program = job.call.program.as_deref(),
@@ -80,7 +84,7 @@
         ms = (head_after + started_at.elapsed()).as_millis() as u64,
         "request served"
     );
-    Ok((head, whole))
+    Ok((head, whole, room))
 }
 
 /// Waits until the rest of an answer may be held.
@@ -108,28 +112,41 @@
     })
 }
 
+/// The head of an answer, its whole body, and what is held for that.
+pub type Collected = (hyper::http::response::Parts, Bytes, memory::Answer);
+
 /// Reads the rest of an answer.
 ///
 /// # Errors
 ///
-/// When the answer breaks or is late: the call has run or may have run.
+/// When the answer breaks, is late or too long: the call has run or may have run.
 pub async fn collect(
+    memory: &Arc<memory::Memory>,
     response: send::OpenResponse,
     until: Instant,
-) -> Result<(hyper::http::response::Parts, Bytes), send::Failure> {
+) -> Result<Collected, send::Failure> {
     let send::OpenResponse {
         lease,
         link,
         head,
         body,
     } = response;
-    let whole = fw_http::read_whole(body, MAX_ANSWER_BYTES);
+    let mut room = memory.answer();
+    let whole = fw_http::read_whole(body, MAX_ANSWER_BYTES, &mut room);
     match tokio::time::timeout_at(until, whole).await {
         Ok(Ok(whole)) => {
             lease.complete(Some(lease.age()));
             lease.keep_link(link);
             lease.count_bytes(traffic::Kind::PlainAnswer, whole.len());
-            Ok((head, whole))
+            Ok((head, whole, room))
+        }
+        Ok(Err(err)) if err.is::<fw_http::NoRoom>() => {
+            // Whether the answer is too long or the entry short of memory, the upstream has not ended.
+            let message = format!("the answer of upstream `{}` is not held: {err}", lease.id);
+            Err(send::Failure {
+                err: error::Error::new(error::Kind::SpoiledAnswer, message),
+                connection_broke: false,
+            })
         }
         Ok(Err(err)) => {
             lease.record_health(health::Observation::Failed);
--- a/fw-gate/src/request/stream.rs
+++ b/fw-gate/src/request/stream.rs
@@ -159,10 +159,10 @@
     let (response, permit) = (answered.answer, answered.permit);
     times.head = times.started_at.elapsed();
     if !response.head.status.is_success() {
-        let whole = plain::collect(response, job.until).await;
-        let (head, whole) = whole.map_err(|failed| failed.err)?;
+        let collected = plain::collect(&job.gate.memory, response, job.until).await;
+        let (head, whole, room) = collected.map_err(|failed| failed.err)?;
         permit.record_answer(head.status);
-        return Ok(plain::forwarded(head, body::Outgoing::from(whole)));
+        return Ok(plain::forwarded(head, plain::outgoing(whole, room)));
     }
     let (tx, rx) = mpsc::channel(body::MAX_BUFFERED_CHUNKS);
     let chunks = body::Chunks {
--- a/fw-http/src/lib.rs
+++ b/fw-http/src/lib.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
@@ -18,34 +18,72 @@
 use snafu::ResultExt;
 use snafu::Snafu;
 
-/// Reads a body of at most `max` bytes whole. Frames are copied: a sender may send one for each byte, and a frame that is
-/// kept takes tens of bytes.
+/// Memory for one body that is being read.
+pub trait Room {
+    /// Holds `bytes` for the body in place of what it held before; `false` if there is no room for them.
+    fn resize(&mut self, bytes: usize) -> bool;
+}
+
+/// As much memory as the body takes.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Unlimited;
+
+impl Room for Unlimited {
+    fn resize(&mut self, _: usize) -> bool {
+        true
+    }
+}
+
+/// There is no memory for the rest of a body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("no memory is left for a body of {bytes} bytes"))]
+pub struct NoRoom {
+    /// Bytes that were to be held for the body.
+    pub bytes: usize,
+}
+
+/// Reads a body of at most `max` bytes whole, into memory that `room` grants. Frames are copied: a sender may send one
+/// for each byte, and a frame that is kept takes tens of bytes.
 ///
 /// # Errors
 ///
-/// The body's own, and [`http_body_util::LengthLimitError`] when it is longer.
-pub async fn read_whole<B>(body: B, max: usize) -> Result<Bytes, BodyError>
+/// The body's own, [`http_body_util::LengthLimitError`] when it is longer, and [`NoRoom`].
+pub async fn read_whole<B>(body: B, max: usize, room: &mut impl Room) -> Result<Bytes, BodyError>
 where
     B: Body<Data = Bytes>,
     B::Error: Into<BodyError>,
 {
     let mut body = std::pin::pin!(Limited::new(body, max));
     let mut first = Bytes::new();
-    let mut whole = BytesMut::new();
+    let mut whole = Vec::new();
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame?.into_data() else {
             continue;
         };
-        if first.is_empty() && whole.is_empty() {
-            first = data;
-            continue;
+        let bytes = first.len() + whole.len() + data.len();
+        if bytes > whole.capacity() {
+            // Twice as much at a time, so that a byte is copied a few times only.
+            let single = first.is_empty() && whole.is_empty();
+            let capacity = if single {
+                bytes
+            } else {
+                bytes.max(2 * whole.capacity()).min(max)
+            };
+            if !room.resize(capacity) {
+                return Err(NoRoom { bytes: capacity }.into());
+            }
+            if single {
+                first = data;
+                continue;
+            }
+            whole.reserve_exact(capacity - whole.len());
         }
         whole.extend_from_slice(&std::mem::take(&mut first));
         whole.extend_from_slice(&data);
     }
     match whole.is_empty() {
         true => Ok(first),
-        false => Ok(whole.freeze()),
+        false => Ok(Bytes::from(whole)),
     }
 }
 
@@ -202,7 +240,8 @@
         let uri = req.uri().to_string();
         let (head, body) = self.stream(req).await?.into_parts();
         let after = self.opts.body_timeout;
-        let whole = read_whole(body, self.opts.max_body);
+        let mut room = Unlimited;
+        let whole = read_whole(body, self.opts.max_body, &mut room);
         let body = match tokio::time::timeout(after, whole).await {
             Ok(Ok(body)) => body,
             Ok(Err(source)) => return Err(Error::Body { source }),
--- a/fw-http/tests/http/whole_bodies.rs
+++ b/fw-http/tests/http/whole_bodies.rs
@@ -8,6 +8,7 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
+use fw_http::{NoRoom, Room};
 use googletest::prelude::*;
 use http_body_util::LengthLimitError;
 use hyper::body::{Body, Frame};
@@ -68,7 +69,9 @@
 async fn hold_no_frames() {
     let frames = Frames::new(10_000);
     let most_held = Arc::clone(&frames.most_held);
-    let whole = fw_http::read_whole(frames, 10_000).await.unwrap();
+    let whole = fw_http::read_whole(frames, 10_000, &mut fw_http::Unlimited)
+        .await
+        .unwrap();
     expect_that!(whole.len(), eq(10_000));
     expect_that!(most_held.load(Ordering::Relaxed), le(2));
 }
@@ -76,6 +79,38 @@
 #[gtest]
 #[tokio::test]
 async fn are_refused_beyond_their_limit() {
-    let err = fw_http::read_whole(Frames::new(11), 10).await.unwrap_err();
+    let err = fw_http::read_whole(Frames::new(11), 10, &mut fw_http::Unlimited)
+        .await
+        .unwrap_err();
     expect_true!(err.is::<LengthLimitError>());
 }
+
+/// Grants up to this many bytes, and keeps the number that are held.
+struct Granted {
+    max: usize,
+    held: usize,
+}
+
+impl Room for Granted {
+    fn resize(&mut self, bytes: usize) -> bool {
+        let fits = bytes <= self.max;
+        if fits {
+            self.held = bytes;
+        }
+        fits
+    }
+}
+
+// Guards against a body that takes more memory than it was granted.
+#[gtest]
+#[tokio::test]
+async fn hold_what_they_were_granted() {
+    let mut room = Granted { max: 64, held: 0 };
+    let read = fw_http::read_whole(Frames::new(1_000), 1_000, &mut room);
+    let err = read.await.unwrap_err();
+    expect_true!(err.is::<NoRoom>());
+    expect_that!(room.held, eq(64));
+    let whole = fw_http::read_whole(Frames::new(50), 1_000, &mut room).await;
+    expect_that!(whole.unwrap().len(), eq(50));
+    expect_that!(room.held, ge(50));
+}
--- a/fw-plan/src/lib.rs
+++ b/fw-plan/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod admit;
 pub mod assign;
 pub mod begin;
+pub mod body_room;
 pub mod budget;
 pub mod cache_retention;
 pub mod commit_window;
--- a/fw-plan/tests/plan/main.rs
+++ b/fw-plan/tests/plan/main.rs
@@ -7,6 +7,7 @@
 mod admission;
 mod assign_upstream;
 mod begin_limit;
+mod body_room;
 mod budget_bounds;
 mod burst;
 mod cache_keeping;
