fw-gate: bodies of requests count as they arrive

Cause: a request is admitted with the length that its head states. One in chunks states none, and counts nothing until it is read whole, so that any number of them are read at once.

Change: what is read beyond the announced length takes room like an answer of unknown length, up to the part of the budget that requests which begin programs have. An upload that finds no room is refused as `overloaded`, not run, with a time to return.

--- a/fw-gate/src/process/memory.rs
+++ b/fw-gate/src/process/memory.rs
@@ -37,6 +37,8 @@
 pub struct Memory {
     /// `None` if requests are not bounded.
     opts: Option<intake::Options>,
+    /// Bounds on the bodies of requests, and the outputs of turns, whose length was not announced.
+    body_room: body_room::Options,
     /// Bounds on answers.
     answer_room: body_room::Options,
     held: [AtomicUsize; KINDS],
@@ -55,6 +57,8 @@
 pub struct Request {
     _fixed: Held,
     body: Held,
+    /// The part of the body's bytes that is the output of a turn.
+    output: usize,
 }
 
 /// What the entry holds for an answer until this is dropped.
@@ -74,6 +78,24 @@
     }
 }
 
+/// The body of a request that is being read.
+impl fw_http::Room for Request {
+    fn resize(&mut self, bytes: usize) -> bool {
+        if bytes <= self.body.bytes {
+            // It was announced.
+            return true;
+        }
+        let opts = self.body.memory.body_room;
+        let fits = self.body.may_take(&opts, self.body.bytes, bytes);
+        if fits {
+            self.body.set(bytes);
+        } else {
+            count_refused("request");
+        }
+        fits
+    }
+}
+
 /// Counts a body for which there was no room.
 fn count_refused(body: &'static str) {
     metrics::counter!("fw_gate_bodies_refused_total", "body" => body).increment(1);
@@ -85,9 +107,19 @@
         self.body.set(bytes);
     }
 
-    /// Adds the bytes of a part of its answer that is kept until the turn is stored.
-    pub fn add_output(&mut self, bytes: usize) {
-        self.body.set(self.body.bytes + bytes);
+    /// Adds the bytes of a part of its answer that is kept until the turn is stored; `false` if there is no room for
+    /// them.
+    pub fn add_output(&mut self, bytes: usize) -> bool {
+        let opts = self.body.memory.body_room;
+        let output = self.output + bytes;
+        let fits = self.body.may_take(&opts, self.output, output);
+        if fits {
+            self.body.set(self.body.bytes + bytes);
+            self.output = output;
+        } else {
+            count_refused("output");
+        }
+        fits
     }
 }
 
@@ -116,10 +148,11 @@
     /// Nothing is held yet. Requests are bounded by `opts`, if there are any.
     pub fn new(opts: Option<intake::Options>) -> Arc<Self> {
         let room = |max_bytes| body_room::Options { max_bytes };
-        let answer_room = opts.map(|opts| room(opts.max_bytes / 2));
-        let answer_room = answer_room.unwrap_or_default();
+        let rooms = opts.map(|opts| [opts.limit(true), opts.max_bytes / 2].map(room));
+        let [body_room, answer_room] = rooms.unwrap_or_default();
         Arc::new(Self {
             opts,
+            body_room,
             answer_room,
             held: Default::default(),
         })
@@ -165,6 +198,7 @@
         Ok(Request {
             _fixed: self.hold(Kind::Requests, intake::REQUEST_BYTES),
             body: self.hold(Kind::Bodies, body),
+            output: 0,
         })
     }
 
--- a/fw-gate/src/request/ingress.rs
+++ b/fw-gate/src/request/ingress.rs
@@ -19,6 +19,9 @@
 use crate::process::{first_calls, gate, held_bytes, memory, startup};
 use crate::version::{config, team};
 
+/// When a caller may return whose body of unknown length found no room: bodies arrive within a second.
+const BODY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Answers one request. Dropping the future, as happens when the caller closes its connection, cancels all
 /// work for it.
 pub async fn handle(gate: Arc<gate::Gate>, req: Request<Incoming>) -> Response<body::Outgoing> {
@@ -95,7 +98,7 @@
     let limit = team.and_then(|team| team.quota);
     let timeout = call.deadline.unwrap_or(route.timeout).min(route.timeout);
     let until = started + timeout;
-    let input = read_body(body, config.limits.body_bytes, until).await?;
+    let input = read_body(body, config.limits.body_bytes, until, &mut held).await?;
     held.set_body(input.len());
     let service = route
         .service(rand::rng().random())
@@ -244,15 +247,20 @@
     body: Incoming,
     max_bytes: usize,
     until: Instant,
+    held: &mut memory::Request,
 ) -> Result<Bytes, error::Error> {
-    let mut room = fw_http::Unlimited;
-    let whole = fw_http::read_whole(body, max_bytes, &mut room);
+    let whole = fw_http::read_whole(body, max_bytes, held);
     match tokio::time::timeout_at(until, whole).await {
         Ok(Ok(whole)) => Ok(whole),
         Ok(Err(err)) if err.is::<LengthLimitError>() => {
             let message = format!("the body is longer than {max_bytes} bytes");
             Err(error::Error::new(error::Kind::BodyTooLarge, message))
         }
+        Ok(Err(err)) if err.is::<fw_http::NoRoom>() => {
+            let message = format!("the body is not taken on: {err}");
+            let err = error::Error::new(error::Kind::Overloaded, message);
+            Err(err.with_retry_after(BODY_RETRY_AFTER))
+        }
         Ok(Err(err)) => {
             let message = format!("the body cannot be read: {err}");
             Err(error::Error::new(error::Kind::BadRequest, message))
