fw-gate: what is kept of streams shares a bound on memory

Cause: the data of all events are kept until the turn is stored, also on routes that keep no turns, and nothing bounds them; an incomplete event may take 1 MiB at each stream and counts nothing.

Change: data are kept only where the turn will be stored. A turn's output takes room like a body of unknown length and is at most as long as a collected answer; a stream that finds none is broken off ("too long" in `fw_gate_streams_total`), as a turn that is not kept whole must not look complete. The incomplete event counts with the answers.

--- a/fw-gate/src/process/memory.rs
+++ b/fw-gate/src/process/memory.rs
@@ -107,20 +107,21 @@
         self.body.set(bytes);
     }
 
-    /// Adds the bytes of a part of its answer that is kept until the turn is stored; `false` if there is no room for
-    /// them.
-    pub fn add_output(&mut self, bytes: usize) -> bool {
+    /// Whether there is room for `bytes` more of its answer.
+    pub fn has_room(&self, bytes: usize) -> bool {
         let opts = self.body.memory.body_room;
-        let output = self.output + bytes;
-        let fits = self.body.may_take(&opts, self.output, output);
-        if fits {
-            self.body.set(self.body.bytes + bytes);
-            self.output = output;
-        } else {
+        let fits = self.body.may_take(&opts, self.output, self.output + bytes);
+        if !fits {
             count_refused("output");
         }
         fits
     }
+
+    /// Adds the bytes of a part of its answer that is kept until the turn is stored.
+    pub fn add_output(&mut self, bytes: usize) {
+        self.body.set(self.body.bytes + bytes);
+        self.output += bytes;
+    }
 }
 
 impl Held {
--- a/fw-gate/src/request/events.rs
+++ b/fw-gate/src/request/events.rs
@@ -47,6 +47,16 @@
         self.buf.has_remaining()
     }
 
+    /// Length of what is not yet returned as events.
+    pub fn len(&self) -> usize {
+        self.buf.len()
+    }
+
+    /// Whether all of it is returned.
+    pub fn is_empty(&self) -> bool {
+        self.buf.is_empty()
+    }
+
     /// Whether the incomplete event exceeds the maximum length.
     pub fn is_too_long(&self) -> bool {
         self.buf.len() > MAX_EVENT_BYTES
--- a/fw-gate/src/request/plain.rs
+++ b/fw-gate/src/request/plain.rs
@@ -16,8 +16,8 @@
 use super::{attempt, body, call, send};
 use crate::process::{held_bytes, memory, traffic};
 
-/// Maximum length of an answer that is collected; plain services send a few kilobytes.
-const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// Maximum length of an answer that is collected, and of the output of a turn; plain services send a few kilobytes.
+pub const MAX_ANSWER_BYTES: usize = 8 << 20;
 /// Assumed length of an answer that states none.
 const UNKNOWN_ANSWER_BYTES: usize = 64 << 10;
 
--- a/fw-gate/src/request/stream.rs
+++ b/fw-gate/src/request/stream.rs
@@ -6,6 +6,7 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 use fw_base::{error, id};
+use fw_http::Room;
 use fw_plan::{begin, health, quota, retry, share, stretch};
 use fw_replica::{beginnings, client, record, server, service, streams};
 use http_body_util::BodyExt;
@@ -173,6 +174,7 @@
     let mut forwarder = Forwarder {
         tokens_per_event: job.config.tokens_per_event(&job.service),
         splitter: events::Splitter::default(),
+        partial: job.gate.memory.answer(),
         output: BytesMut::new(),
         unrecorded: BytesMut::new(),
         recording: None,
@@ -233,6 +235,17 @@
     }
 }
 
+/// How forwarding the events that have arrived ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Forwarded {
+    /// They are with the caller's connection.
+    Done,
+    /// The caller has disconnected.
+    CallerGone,
+    /// The turn's output is longer than the entry can hold until the turn is stored.
+    TooLong,
+}
+
 /// How reading from one upstream ended.
 enum Ended {
     /// The stream is complete.
@@ -243,6 +256,8 @@
     CallerGone,
     /// The deadline has passed.
     DeadlinePassed,
+    /// The turn's output is longer than the entry can hold until the turn is stored.
+    TooLong,
 }
 
 /// Counts events by whether `f + 1` replicas had them on record before the caller got them.
@@ -260,7 +275,9 @@
     job: Job,
     tokens_per_event: id::Tokens,
     splitter: events::Splitter,
-    /// Data of the events so far, which later turns get as this turn's output.
+    /// What the entry holds for an incomplete event.
+    partial: memory::Answer,
+    /// Data of the events so far, which later turns get as this turn's output; empty if turns are not kept.
     output: BytesMut,
     /// The part of `output` since the last event with an id.
     unrecorded: BytesMut,
@@ -328,6 +345,13 @@
                     self.abort().await;
                     break "deadline passed";
                 }
+                Ended::TooLong => {
+                    if let Some(turn) = &mut self.turn {
+                        turn.mark_broken();
+                    }
+                    self.abort().await;
+                    break "too long";
+                }
                 Ended::Broken => {
                     response.lease.record_health(health::Observation::Failed);
                     drop(response);
@@ -418,8 +442,13 @@
                     if self.splitter.is_too_long() {
                         return Ended::Broken;
                     }
-                    if !self.forward_events(&response.lease.version).await {
-                        return Ended::CallerGone;
+                    match self.forward_events(&response.lease.version).await {
+                        Forwarded::Done => {}
+                        Forwarded::CallerGone => return Ended::CallerGone,
+                        Forwarded::TooLong => return Ended::TooLong,
+                    }
+                    if !self.partial.resize(self.splitter.len()) {
+                        return Ended::Broken;
                     }
                 }
                 None if !self.splitter.has_partial() => return Ended::Complete,
@@ -435,13 +464,31 @@
         self.recording = Some(recording);
     }
 
+    /// Adds the data of an event to the turn's output, if that is kept; `false` if there is no room for them.
+    fn keep_output(&mut self, data: &[u8]) -> bool {
+        if self.job.route.keep_turns.is_none() {
+            return true;
+        }
+        let copies = if self.recording.is_some() { 2 } else { 1 };
+        let bytes = copies * (data.len() + 1);
+        let is_short = self.output.len() + data.len() < plain::MAX_ANSWER_BYTES;
+        let mut held = self.job.held.lock();
+        if !is_short || !held.has_room(bytes) {
+            return false;
+        }
+        held.add_output(bytes);
+        drop(held);
+        self.output.put_slice(data);
+        self.output.put_u8(b'\n');
+        true
+    }
+
     /// Adds an event to the record. The turn's output had `known` bytes before it.
     fn record(&mut self, id: Option<&SmolStr>, known: usize) {
         let Some(recording) = &self.recording else {
             return;
         };
         let output = self.output.get(known..).unwrap_or_default();
-        self.job.held.lock().add_output(output.len());
         self.unrecorded.put_slice(output);
         if let Some(id) = id {
             recording.add(beginnings::Event {
@@ -451,8 +498,8 @@
         }
     }
 
-    /// Forwards complete events from an upstream of `version`; `false` if the caller has disconnected.
-    async fn forward_events(&mut self, version: &streams::Version) -> bool {
+    /// Forwards complete events from an upstream of `version`.
+    async fn forward_events(&mut self, version: &streams::Version) -> Forwarded {
         let mut chunk = BytesMut::new();
         while let Some(event) = self.splitter.next_event() {
             if self.is_duplicate(event.id.as_ref()) {
@@ -460,9 +507,9 @@
             }
             let known = self.output.len();
             if let Some(data) = &event.data {
-                self.output.put_slice(data);
-                self.output.put_u8(b'\n');
-                self.job.held.lock().add_output(data.len() + 1);
+                if !self.keep_output(data) {
+                    return Forwarded::TooLong;
+                }
                 self.events += 1;
                 if let Some(turn) = &mut self.turn {
                     turn.add_tokens(self.tokens_per_event);
@@ -482,7 +529,12 @@
             let is_recorded = self.job.gate.replicas.record_events(recording).await;
             count_recorded(is_recorded);
         }
-        chunk.is_empty() || self.hold(chunk.len()).await && self.send(chunk.freeze()).await
+        let forwarded =
+            chunk.is_empty() || self.hold(chunk.len()).await && self.send(chunk.freeze()).await;
+        match forwarded {
+            true => Forwarded::Done,
+            false => Forwarded::CallerGone,
+        }
     }
 
     /// Waits until `bytes` more may be held for the caller; `false` if it has disconnected meanwhile.
