fw-gate: cached turns keep no read buffers

Cause: a body of one frame is not copied, and is a part of the read buffer that it came in, 8 KiB or more. The cache of 1 MiB counts the turn's length and keeps the buffer.

Measured: `turn_cache::keep_no_read_buffers` red before (1 of 1: the buffer is still in use), green now. How much of an entry's memory this was is not measured.

--- a/fw-gate/src/process/turn_cache.rs
+++ b/fw-gate/src/process/turn_cache.rs
@@ -5,6 +5,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
+use bytes::Bytes;
 use fw_replica::record;
 use parking_lot::Mutex;
 
@@ -67,6 +68,12 @@
         if inner.turns.contains_key(&turn.id) || size > MAX_BYTES / 4 {
             return;
         }
+        // A part of a read buffer keeps all of it in memory, which would not be counted.
+        let turn = Arc::new(record::Turn {
+            input: Bytes::copy_from_slice(&turn.input),
+            output: Bytes::copy_from_slice(&turn.output),
+            ..record::Turn::clone(&turn)
+        });
         inner.bytes += size;
         inner.order.push_back(turn.id.clone());
         inner.turns.insert(turn.id.clone(), turn);
--- a/fw-gate/tests/gate/turn_cache.rs
+++ b/fw-gate/tests/gate/turn_cache.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use fw_gate::process::turn_cache::TurnCache;
 use fw_replica::record::Turn;
 use googletest::prelude::*;
@@ -38,3 +39,15 @@
     let chain = turns.chain(Some(&"99".into()));
     expect_that!(chain.turns.len(), all!(ge(10), le(25)));
 }
+
+// Guards against cached turns that keep the whole read buffers that they came in.
+#[gtest]
+fn keep_no_read_buffers() {
+    let turns = TurnCache::default();
+    let read_buffer = Bytes::from(vec![b'x'; 32 << 10]);
+    let mut read = Turn::clone(&turn(1, 0));
+    read.input = read_buffer.slice(..10);
+    turns.put(Arc::new(read));
+    expect_that!(turns.chain(Some(&"1".into())).turns.len(), eq(1));
+    expect_true!(read_buffer.is_unique());
+}
