fw-gate: outputs of turns may take the whole budget for requests

Found in reading the change: prompts count with the outputs, so that a busy entry whose prompts take the part for new programs would have broken off streams of usual length. Uploads keep to that part, as they are refused before they run.

--- a/fw-gate/src/process/memory.rs
+++ b/fw-gate/src/process/memory.rs
@@ -32,15 +32,35 @@
 /// Number of kinds that are counted here.
 const KINDS: usize = 4;
 
+/// Bounds on bodies whose length was not announced.
+#[derive(Clone, Copy, Debug, Default)]
+struct Rooms {
+    /// Bodies of requests. They leave room for requests that continue programs.
+    request: body_room::Options,
+    /// Outputs of turns, which count with the bodies of requests.
+    output: body_room::Options,
+    /// Answers.
+    answer: body_room::Options,
+}
+
+impl Rooms {
+    /// The bounds beside those of `intake` on requests.
+    fn of(intake: &intake::Options) -> Self {
+        let room = |max_bytes| body_room::Options { max_bytes };
+        Self {
+            request: room(intake.limit(true)),
+            output: room(intake.max_bytes),
+            answer: room(intake.max_bytes / 2),
+        }
+    }
+}
+
 /// The bytes that this entry holds.
 #[derive(Debug)]
 pub struct Memory {
     /// `None` if requests are not bounded.
     opts: Option<intake::Options>,
-    /// Bounds on the bodies of requests, and the outputs of turns, whose length was not announced.
-    body_room: body_room::Options,
-    /// Bounds on answers.
-    answer_room: body_room::Options,
+    rooms: Rooms,
     held: [AtomicUsize; KINDS],
 }
 
@@ -67,7 +87,7 @@
 
 impl fw_http::Room for Answer {
     fn resize(&mut self, bytes: usize) -> bool {
-        let opts = self.0.memory.answer_room;
+        let opts = self.0.memory.rooms.answer;
         let fits = self.0.may_take(&opts, self.0.bytes, bytes);
         if fits {
             self.0.set(bytes);
@@ -85,7 +105,7 @@
             // It was announced.
             return true;
         }
-        let opts = self.body.memory.body_room;
+        let opts = self.body.memory.rooms.request;
         let fits = self.body.may_take(&opts, self.body.bytes, bytes);
         if fits {
             self.body.set(bytes);
@@ -109,7 +129,7 @@
 
     /// Whether there is room for `bytes` more of its answer.
     pub fn has_room(&self, bytes: usize) -> bool {
-        let opts = self.body.memory.body_room;
+        let opts = self.body.memory.rooms.output;
         let fits = self.body.may_take(&opts, self.output, self.output + bytes);
         if !fits {
             count_refused("output");
@@ -148,13 +168,9 @@
 impl Memory {
     /// Nothing is held yet. Requests are bounded by `opts`, if there are any.
     pub fn new(opts: Option<intake::Options>) -> Arc<Self> {
-        let room = |max_bytes| body_room::Options { max_bytes };
-        let rooms = opts.map(|opts| [opts.limit(true), opts.max_bytes / 2].map(room));
-        let [body_room, answer_room] = rooms.unwrap_or_default();
         Arc::new(Self {
+            rooms: opts.as_ref().map(Rooms::of).unwrap_or_default(),
             opts,
-            body_room,
-            answer_room,
             held: Default::default(),
         })
     }
