--- a/fw-replica/tests/replica/quorum_turns.rs
+++ b/fw-replica/tests/replica/quorum_turns.rs
@@ -129,6 +129,28 @@
         cluster
     }
 
+    /// Starts five members, of which `r2` and `r3` are dead and `r4` has lost its disk: it needs three whole disks of
+    /// the others, and two are there.
+    async fn with_waiting_member() -> Self {
+        let mut cluster = Self::start().await;
+        for index in [2, 3, 4] {
+            drop(cluster.kill(index).await);
+        }
+        cluster.nodes[4].dir = tempfile::tempdir().unwrap();
+        cluster.run(4);
+        tokio::time::sleep(PASSES).await;
+        cluster
+    }
+
+    /// The next member list, without `r2` and `r3`.
+    fn view_without_the_dead(&self) -> member::View {
+        let mut view = self.registry.stored.lock().view.clone();
+        view.epoch += 1;
+        view.list.members.remove("r2");
+        view.list.members.remove("r3");
+        view
+    }
+
     /// Returns a new client in data centre `a`.
     fn connect(&self) -> Arc<client::Client> {
         self.connect_from("a")
@@ -391,19 +413,9 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_new_list_reaches_a_member_that_does_not_vote() {
-    let mut cluster = Cluster::start().await;
-    for index in [2, 3, 4] {
-        drop(cluster.kill(index).await);
-    }
-    cluster.nodes[4].dir = tempfile::tempdir().unwrap();
-    cluster.run(4);
-    // Three whole disks of the others are needed, and two are there.
-    tokio::time::sleep(PASSES).await;
-    let mut view = cluster.registry.stored.lock().view.clone();
-    view.epoch += 1;
-    view.list.members.remove("r2");
-    view.list.members.remove("r3");
-    cluster.registry.stored.lock().view = view.clone();
+    let cluster = Cluster::with_waiting_member().await;
+    // The store does not have it, from which the member would read it.
+    let view = cluster.view_without_the_dead();
     let first = cluster.nodes[0].member.addr;
     expect_true!(cluster.client.announce_members_to(first, view).await);
     cluster.wait_synced(cluster.nodes[4].member.addr).await;
@@ -413,19 +425,9 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_new_list_in_the_store_reaches_a_member_that_does_not_vote() {
-    let mut cluster = Cluster::start().await;
-    for index in [2, 3, 4] {
-        drop(cluster.kill(index).await);
-    }
-    cluster.nodes[4].dir = tempfile::tempdir().unwrap();
-    cluster.run(4);
-    tokio::time::sleep(PASSES).await;
-    {
-        let mut stored = cluster.registry.stored.lock();
-        stored.view.epoch += 1;
-        stored.view.list.members.remove("r2");
-        stored.view.list.members.remove("r3");
-    }
+    let cluster = Cluster::with_waiting_member().await;
+    let view = cluster.view_without_the_dead();
+    cluster.registry.stored.lock().view = view;
     cluster.wait_synced(cluster.nodes[4].member.addr).await;
 }
 
