--- a/fw-follow/src/lib.rs
+++ b/fw-follow/src/lib.rs
@@ -141,6 +141,8 @@
     pub last_urgent_timeout: Duration,
     /// Time from the start of one read to the start of the next while a caller waits for one.
     pub urgent_interval: Duration,
+    /// How often a read that goes on is logged and counted.
+    pub overdue_interval: Duration,
 }
 
 impl Default for Options {
@@ -154,6 +156,7 @@
             urgent_timeout: Duration::from_millis(250),
             last_urgent_timeout: Duration::from_millis(1_500),
             urgent_interval: Duration::from_millis(50),
+            overdue_interval: Duration::from_secs(3),
         }
     }
 }
@@ -174,6 +177,7 @@
             biased;
             read = follower.read(&source, due) => Some(read),
             () = follower.wait_late(&schedule) => None,
+            () = follower.report_overdue() => None,
         };
         let event = match outcome {
             Some(Ok(read)) => Some(follower.record_success(read)),
@@ -262,6 +266,17 @@
         }
     }
 
+    /// Logs and counts the read in flight for as long as it goes on; never returns.
+    async fn report_overdue(&self) {
+        loop {
+            tokio::time::sleep(self.opts.overdue_interval).await;
+            metrics::counter!("fw_follow_overdue_total").increment(1);
+            let ms = self.started_at.elapsed().as_millis() as u64;
+            let snapshot = self.revision.is_none();
+            tracing::warn!(ms, snapshot, "a read of the platform's store goes on");
+        }
+    }
+
     /// Counts a late read, which is dropped together with its connection.
     fn record_late(&mut self) {
         self.late_reads += 1;
@@ -277,7 +292,12 @@
         self.late_reads = 0;
         let Read { changes, as_of } = read;
         match self.revision.replace(as_of) {
-            None => Event::Snapshot { changes, as_of },
+            None => {
+                let ms = self.started_at.elapsed().as_millis() as u64;
+                let items = changes.len();
+                tracing::info!(as_of, items, ms, "snapshot of the platform's store read");
+                Event::Snapshot { changes, as_of }
+            }
             Some(_) => Event::Update { changes, as_of },
         }
     }
--- a/fw-gate/src/process/fleet/confirmation.rs
+++ b/fw-gate/src/process/fleet/confirmation.rs
@@ -33,6 +33,11 @@
         });
     }
 
+    /// Time since the request of the last read that confirmed the list; `None` if there was none yet.
+    pub fn age(&self) -> Option<Duration> {
+        self.freshness.borrow().age(clock::since_boot())
+    }
+
     /// Records that a read of the store requested at `requested_at` has failed.
     pub fn record_failure(&self, requested_at: Duration) {
         let now = clock::since_boot();
--- a/fw-gate/src/process/gate.rs
+++ b/fw-gate/src/process/gate.rs
@@ -423,6 +423,12 @@
         self.config.borrow().clone()
     }
 
+    /// Time since the request of the last read by which the configuration is known to be complete; `None` if
+    /// there was none yet.
+    pub fn config_age(&self) -> Option<Duration> {
+        self.fleet.confirmation.age()
+    }
+
     /// Returns the configuration in force; waits for it on an entry that has just started. An entry has one
     /// some ten milliseconds after its start, or some hundred if it has to wait for a replica to deliver it.
     ///
--- a/fw-gate/src/process/memory.rs
+++ b/fw-gate/src/process/memory.rs
@@ -9,7 +9,7 @@
 use rand::RngExt;
 use tokio::time::Instant;
 
-use super::gate;
+use super::{config_age, gate};
 
 /// Interval at which the memory is measured.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(500);
@@ -236,14 +236,16 @@
 }
 
 /// Measures what the entry of `gate` holds, and logs all kinds when the process passes a part of `limit`, the
-/// memory of the instance; never returns.
+/// memory of the instance; measures the age of its configuration as often. Never returns.
 pub async fn watch(gate: Arc<gate::Gate>, limit: Option<u64>) {
     let mut passed = 0;
+    let mut config_age = config_age::Monitor::default();
     loop {
         let begun = Instant::now();
         tokio::time::sleep(SAMPLE_INTERVAL).await;
         let sample = Sample::take(&gate, begun.elapsed().saturating_sub(SAMPLE_INTERVAL));
         sample.publish();
+        config_age.sample(&gate);
         let (Some(limit), Some(resident)) = (limit, sample.resident) else {
             continue;
         };
--- a/fw-gate/src/process/mod.rs
+++ b/fw-gate/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! State and tasks with the lifetime of the process.
 
+pub mod config_age;
 pub mod features;
 pub mod first_calls;
 pub mod fleet;
--- a/fw-gate/src/request/ingress.rs
+++ b/fw-gate/src/request/ingress.rs
@@ -79,6 +79,8 @@
         key_freshness,
     } = active
         .ok_or_else(|| error::Error::new(error::Kind::NotReady, "no configuration received yet"))?;
+    details.config_version = Some(config.version);
+    details.config_age = gate.config_age();
     let host = host(&head.headers, &head.uri);
     let route = config.route(host, head.uri.path()).ok_or_else(|| {
         let message = format!(
--- a/fw-gate/src/request/refusal.rs
+++ b/fw-gate/src/request/refusal.rs
@@ -8,12 +8,17 @@
 
 use super::ingress::log_ms;
 use crate::process::fleet;
+use crate::version::config;
 
 /// Facts about a request, as far as they were known when it was refused.
 #[derive(Clone, Debug, Default)]
 pub struct Details {
     /// Its team.
     pub team: Option<id::TeamId>,
+    /// The version of the configuration by which it was routed.
+    pub config_version: Option<config::Version>,
+    /// Time since the request of the last read by which that configuration was known to be complete.
+    pub config_age: Option<Duration>,
     /// Its route.
     pub route: Option<SmolStr>,
     /// Its place in its program: `begins`, `continues`, or `plain` for a request without a program.
@@ -46,6 +51,8 @@
             deadline_ms,
             program_left_ms,
             team = self.team.as_deref(),
+            config_version = self.config_version,
+            config_age_ms = self.config_age.map(|age| age.as_millis() as u64),
             route = self.route.as_deref(),
             stage = self.stage,
             priority = self.priority,
--- a/fw-gate/tests/gate/main.rs
+++ b/fw-gate/tests/gate/main.rs
@@ -3,6 +3,7 @@
 
 mod api_keys;
 mod call_headers;
+mod config_age;
 mod event_split;
 mod hedged_calls;
 mod held_requests;
