--- a/fw-follow/src/lib.rs
+++ b/fw-follow/src/lib.rs
@@ -9,9 +9,14 @@
 //! call that fails or times out, the next one is made on a fresh connection after an exponential
 //! back-off, and the first that succeeds reads a full snapshot. While a caller waits for a read
 //! ([`Schedule::wait_urgent`]), reads follow each other after [`Options::urgent_interval`], and one that
-//! exceeds [`Options::urgent_timeout`] is dropped with its connection and repeated.
+//! exceeds [`Options::urgent_timeout`] is dropped with its connection and repeated. How long a snapshot may
+//! become, see [`snapshot`].
+
+pub mod snapshot;
 
 use std::cmp::Ordering;
+use std::fmt;
+use std::hash::Hash;
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
@@ -36,6 +41,14 @@
         /// The revision after which changes were requested.
         after: Revision,
     },
+    /// The snapshot was given up.
+    #[snafu(display("the snapshot is given up after {pages} pages: {reason}"))]
+    GivenUp {
+        /// Why.
+        reason: snapshot::Reason,
+        /// Number of pages read.
+        pages: usize,
+    },
 }
 
 /// The result of a read, and the revision that it reflects.
@@ -51,9 +64,11 @@
 pub trait Source: Send + Sync + 'static {
     /// One change.
     type Change: Send;
+    /// Where a page of a snapshot begins; the default is the first one.
+    type Cursor: Clone + Default + Eq + Hash + fmt::Debug + Send + Sync;
 
-    /// Reads a snapshot of all items.
-    fn read_all(&self) -> BoxFuture<'_, Result<Read<Self::Change>, Error>>;
+    /// Reads the page of a snapshot that begins at `from`.
+    fn read_page(&self, from: Self::Cursor) -> PageRead<'_, Self>;
     /// Waits up to `wait` for changes after `after`.
     fn read_changes(
         &self,
@@ -62,6 +77,10 @@
     ) -> BoxFuture<'_, Result<Read<Self::Change>, Error>>;
 }
 
+/// A read of one page of a snapshot of `A`.
+pub type PageRead<'a, A> =
+    BoxFuture<'a, Result<snapshot::Page<<A as Source>::Change, <A as Source>::Cursor>, Error>>;
+
 /// How to make the read that is due.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Due {
@@ -143,6 +162,8 @@
     pub urgent_interval: Duration,
     /// How often a read that goes on is logged and counted.
     pub overdue_interval: Duration,
+    /// Limits of a snapshot.
+    pub snapshot: snapshot::Options,
 }
 
 impl Default for Options {
@@ -157,6 +178,7 @@
             last_urgent_timeout: Duration::from_millis(1_500),
             urgent_interval: Duration::from_millis(50),
             overdue_interval: Duration::from_secs(3),
+            snapshot: snapshot::Options::default(),
         }
     }
 }
@@ -172,13 +194,7 @@
     loop {
         let due = schedule.wait_due().await;
         follower.start_read(due);
-        let outcome = tokio::select! {
-            // After the process was suspended both may be ready; the read takes precedence.
-            biased;
-            read = follower.read(&source, due) => Some(read),
-            () = follower.wait_late(&schedule) => None,
-            () = follower.report_overdue() => None,
-        };
+        let outcome = follower.read(&source, &schedule, due).await;
         let event = match outcome {
             Some(Ok(read)) => Some(follower.record_success(read)),
             Some(Err(Error::HistoryGone { after })) => {
@@ -239,14 +255,97 @@
             .map(|revision| revision.max(due.received_revision));
     }
 
-    async fn read<A: Source>(&self, source: &A, due: Due) -> Result<Read<A::Change>, Error> {
+    /// Makes the read that is due; `None` if it is late and has to be repeated.
+    async fn read<A: Source>(
+        &self,
+        source: &A,
+        schedule: &impl Schedule,
+        due: Due,
+    ) -> Option<Result<Read<A::Change>, Error>> {
+        let Some(after) = self.revision else {
+            return self.unless_late(self.read_snapshot(source), schedule).await;
+        };
         let wait = match due.is_urgent {
             true => Duration::ZERO,
             false => self.opts.long_poll,
         };
-        match self.revision {
-            None => source.read_all().await,
-            Some(after) => source.read_changes(after, wait).await,
+        self.unless_late(source.read_changes(after, wait), schedule)
+            .await
+    }
+
+    /// Reads all pages of a snapshot.
+    async fn read_snapshot<A: Source>(&self, source: &A) -> Result<Read<A::Change>, Error> {
+        let mut assembly = snapshot::Assembly::<A::Change, A::Cursor>::new(&self.opts.snapshot);
+        let deadline = self.started_at + self.opts.snapshot.timeout;
+        loop {
+            let page = source.read_page(assembly.cursor().clone());
+            let added = match tokio::time::timeout_at(deadline, page).await {
+                Err(_) => Err(snapshot::Reason::TooLong),
+                Ok(Err(err)) => return Err(err),
+                Ok(Ok(page)) => assembly.add(page),
+            };
+            return match added {
+                Ok(false) => continue,
+                Ok(true) => Ok(self.complete_snapshot(assembly)),
+                Err(reason) => Err(self.give_up_snapshot(reason, &assembly)),
+            };
+        }
+    }
+
+    fn complete_snapshot<C, P>(&self, assembly: snapshot::Assembly<C, P>) -> Read<C>
+    where
+        P: Clone + Default + Eq + Hash,
+    {
+        let ms = self.started_at.elapsed().as_millis() as u64;
+        let pages = assembly.pages();
+        let read = assembly.into_read();
+        let (as_of, changes) = (read.as_of, read.changes.len());
+        tracing::info!(
+            as_of,
+            pages,
+            changes,
+            ms,
+            "snapshot of the platform's store read"
+        );
+        read
+    }
+
+    fn give_up_snapshot<C, P>(
+        &self,
+        reason: snapshot::Reason,
+        assembly: &snapshot::Assembly<C, P>,
+    ) -> Error
+    where
+        P: Clone + Default + Eq + Hash + fmt::Debug,
+    {
+        let ms = self.started_at.elapsed().as_millis() as u64;
+        let (pages, changes) = (assembly.pages(), assembly.changes());
+        let cursor = assembly.cursor();
+        let label = reason.label();
+        metrics::counter!("fw_follow_snapshots_given_up_total", "reason" => label).increment(1);
+        tracing::warn!(
+            reason = label,
+            pages,
+            changes,
+            ms,
+            ?cursor,
+            "snapshot of the platform's store given up; what is known stays in force"
+        );
+        Error::GivenUp { reason, pages }
+    }
+
+    /// The result of `read`, or `None` once it is late.
+    async fn unless_late<T>(
+        &self,
+        read: impl Future<Output = T>,
+        schedule: &impl Schedule,
+    ) -> Option<T> {
+        tokio::select! {
+            // After the process was suspended both may be ready; the read takes precedence.
+            biased;
+            read = read => Some(read),
+            () = self.wait_late(schedule) => None,
+            () = self.report_overdue() => None,
         }
     }
 
@@ -268,8 +367,10 @@
 
     /// Logs and counts the read in flight for as long as it goes on; never returns.
     async fn report_overdue(&self) {
+        let interval = self.opts.overdue_interval;
         loop {
-            tokio::time::sleep(self.opts.overdue_interval).await;
+            let intervals = self.started_at.elapsed().div_duration_f64(interval) as u32;
+            tokio::time::sleep_until(self.started_at + interval * (intervals + 1)).await;
             metrics::counter!("fw_follow_overdue_total").increment(1);
             let ms = self.started_at.elapsed().as_millis() as u64;
             let snapshot = self.revision.is_none();
@@ -292,12 +393,7 @@
         self.late_reads = 0;
         let Read { changes, as_of } = read;
         match self.revision.replace(as_of) {
-            None => {
-                let ms = self.started_at.elapsed().as_millis() as u64;
-                let items = changes.len();
-                tracing::info!(as_of, items, ms, "snapshot of the platform's store read");
-                Event::Snapshot { changes, as_of }
-            }
+            None => Event::Snapshot { changes, as_of },
             Some(_) => Event::Update { changes, as_of },
         }
     }
--- a/fw-follow/tests/follow/main.rs
+++ b/fw-follow/tests/follow/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the follower of the store.
 
+mod paged_snapshots;
 mod store_outage;
 mod urgent_reads;
--- a/fw-follow/tests/follow/store_outage.rs
+++ b/fw-follow/tests/follow/store_outage.rs
@@ -5,7 +5,7 @@
 
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
-use fw_follow::{Error, Event, Options, Read, Revision, Source};
+use fw_follow::{Error, Event, Options, PageRead, Read, Revision, Source, snapshot};
 use googletest::prelude::*;
 use parking_lot::Mutex;
 use tokio::time::Instant;
@@ -33,9 +33,17 @@
 
 impl Source for FakeSource {
     type Change = &'static str;
+    type Cursor = ();
 
-    fn read_all(&self) -> BoxFuture<'_, std::result::Result<Read<&'static str>, Error>> {
-        async { self.read("all") }.boxed()
+    fn read_page(&self, (): ()) -> PageRead<'_, Self> {
+        async {
+            self.read("all").map(|read| snapshot::Page {
+                changes: read.changes,
+                as_of: read.as_of,
+                next: None,
+            })
+        }
+        .boxed()
     }
 
     fn read_changes(
--- a/fw-follow/tests/follow/urgent_reads.rs
+++ b/fw-follow/tests/follow/urgent_reads.rs
@@ -6,7 +6,7 @@
 
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
-use fw_follow::{Due, Error, Options, Read, Revision, Schedule, Source};
+use fw_follow::{Due, Error, Options, PageRead, Read, Revision, Schedule, Source, snapshot};
 use googletest::prelude::*;
 use tokio::sync::watch;
 
@@ -31,9 +31,17 @@
 
 impl Source for FakeSource {
     type Change = ();
-
-    fn read_all(&self) -> BoxFuture<'_, Answer> {
-        async { self.answer() }.boxed()
+    type Cursor = ();
+
+    fn read_page(&self, (): ()) -> PageRead<'_, Self> {
+        async {
+            self.answer().map(|read| snapshot::Page {
+                changes: read.changes,
+                as_of: read.as_of,
+                next: None,
+            })
+        }
+        .boxed()
     }
 
     fn read_changes(&self, _: Revision, wait: Duration) -> BoxFuture<'_, Answer> {
