--- a/fw-follow/src/lib.rs
+++ b/fw-follow/src/lib.rs
@@ -9,8 +9,9 @@
 //! call that fails or times out, the next one is made on a fresh connection after an exponential
 //! back-off, and the first that succeeds reads a full snapshot. While a caller waits for a read
 //! ([`Schedule::wait_urgent`]), reads follow each other after [`Options::urgent_interval`], and one that
-//! exceeds [`Options::urgent_timeout`] is dropped with its connection and repeated. How long a snapshot may
-//! become, see [`snapshot`].
+//! exceeds [`Options::urgent_timeout`] is dropped with its connection and repeated. Of a snapshot, only the
+//! page in flight is: a large one would otherwise begin again each time. How long a snapshot may become, see
+//! [`snapshot`].
 
 pub mod snapshot;
 
@@ -257,13 +258,13 @@
 
     /// Makes the read that is due; `None` if it is late and has to be repeated.
     async fn read<A: Source>(
-        &self,
+        &mut self,
         source: &A,
         schedule: &impl Schedule,
         due: Due,
     ) -> Option<Result<Read<A::Change>, Error>> {
         let Some(after) = self.revision else {
-            return self.unless_late(self.read_snapshot(source), schedule).await;
+            return self.read_snapshot(source, schedule).await;
         };
         let wait = match due.is_urgent {
             true => Duration::ZERO,
@@ -273,22 +274,36 @@
             .await
     }
 
-    /// Reads all pages of a snapshot.
-    async fn read_snapshot<A: Source>(&self, source: &A) -> Result<Read<A::Change>, Error> {
+    /// Reads all pages of a snapshot. A page that is late is repeated here, unless it is the first one: its
+    /// repetition is another read, by which more is confirmed.
+    async fn read_snapshot<A: Source>(
+        &mut self,
+        source: &A,
+        schedule: &impl Schedule,
+    ) -> Option<Result<Read<A::Change>, Error>> {
         let mut assembly = snapshot::Assembly::<A::Change, A::Cursor>::new(&self.opts.snapshot);
         let deadline = self.started_at + self.opts.snapshot.timeout;
         loop {
-            let page = source.read_page(assembly.cursor().clone());
+            let page = self.unless_late(source.read_page(assembly.cursor().clone()), schedule);
             let added = match tokio::time::timeout_at(deadline, page).await {
                 Err(_) => Err(snapshot::Reason::TooLong),
-                Ok(Err(err)) => return Err(err),
-                Ok(Ok(page)) => assembly.add(page),
+                Ok(None) if assembly.pages() == 0 => return None,
+                Ok(None) => {
+                    schedule.read_unanswered();
+                    self.record_late();
+                    continue;
+                }
+                Ok(Some(Err(err))) => return Some(Err(err)),
+                Ok(Some(Ok(page))) => {
+                    self.late_reads = 0;
+                    assembly.add(page)
+                }
             };
-            return match added {
+            return Some(match added {
                 Ok(false) => continue,
                 Ok(true) => Ok(self.complete_snapshot(assembly)),
                 Err(reason) => Err(self.give_up_snapshot(reason, &assembly)),
-            };
+            });
         }
     }
 
--- a/fw-follow/tests/follow/paged_snapshots.rs
+++ b/fw-follow/tests/follow/paged_snapshots.rs
@@ -5,7 +5,7 @@
 
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
-use fw_follow::{Error, Event, Options, PageRead, Read, Revision, Schedule, Source, snapshot};
+use fw_follow::{Due, Error, Event, Options, PageRead, Read, Revision, Schedule, Source, snapshot};
 use googletest::prelude::*;
 use parking_lot::Mutex;
 use tokio::time::Instant;
@@ -79,6 +79,20 @@
     }
 }
 
+/// A caller waits for each read.
+struct Urgent;
+
+impl Schedule for Urgent {
+    async fn wait_due(&self) -> Due {
+        Due {
+            received_revision: 0,
+            is_urgent: true,
+        }
+    }
+
+    async fn wait_urgent(&self) {}
+}
+
 type Events = Arc<Mutex<Vec<(Duration, Event<u32>)>>>;
 
 fn start(
@@ -102,6 +116,14 @@
     events
 }
 
+/// The time of the first snapshot, if there was one.
+fn completed_at(events: &Events) -> Option<Duration> {
+    let events = events.lock();
+    let mut events = events.iter();
+    let snapshot = events.find(|(_, event)| matches!(event, Event::Snapshot { .. }));
+    snapshot.map(|(at, _)| *at)
+}
+
 // Guards against changes made while later pages are read that no watch reports.
 #[gtest]
 #[tokio::test(start_paused = true)]
@@ -168,3 +190,31 @@
     );
     expect_that!(source.reads.lock().iter().max(), some(eq(&20)));
 }
+
+// Guards against a snapshot of many pages, each in time, that begins again whenever a caller waits for it.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn are_read_once_though_they_take_long() {
+    let mut source = PagedSource::new(|page| (page < 9).then_some(page + 1));
+    source.delay = Duration::from_millis(200);
+    let events = start(&source, snapshot::Options::default(), Urgent);
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    expect_that!(source.reads_of(0), eq(1));
+    expect_that!(
+        completed_at(&events),
+        some(le(Duration::from_millis(2_010)))
+    );
+}
+
+// Guards against a snapshot that begins again because one of its pages is not answered.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn go_on_after_a_page_without_an_answer() {
+    let source = PagedSource::new(|page| (page < 9).then_some(page + 1));
+    *source.hangs_at.lock() = Some(5);
+    let events = start(&source, snapshot::Options::default(), Urgent);
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let reads = [0, 5].map(|page| source.reads_of(page));
+    expect_that!(reads, eq([1, 2]));
+    expect_that!(completed_at(&events), some(le(Duration::from_millis(300))));
+}
