fw-gate, platform: no call goes to an upstream that no header can name

What callers saw: nothing that was reported; by the rule on routes, a request could be run by another service's upstream.

Cause: the id of an upstream is the rest of its key in the store, which any writer chooses. An id with a control character cannot stand in X-Expect-Instance, and the header was then left out without a word: whoever has the address by then runs the call. Ids in UTF-8 were left out as well, though a header can hold them. The class of this incident: text of another party in a place whose rules it does not keep to.

Ids in UTF-8 are named.

--- a/fw-gate/src/request/send.rs
+++ b/fw-gate/src/request/send.rs
@@ -56,12 +56,23 @@
 
 impl Outbound {
     /// The HTTP request for `lease`, whose deadline is `until`.
+    ///
+    /// # Errors
+    ///
+    /// `NoUpstream` when no header can name the upstream: another one at its address would run the call.
     fn request(
         &self,
         names: &names::HeaderNames,
         lease: &fleet::Lease,
         until: Instant,
-    ) -> Request<Full<Bytes>> {
+    ) -> Result<Request<Full<Bytes>>, Failure> {
+        let expected = HeaderValue::from_bytes(lease.id.as_bytes()).map_err(|err| {
+            let message = format!("upstream `{}` cannot be named: {err}", lease.id);
+            Failure {
+                err: error::Error::new(error::Kind::NoUpstream, message),
+                connection_broke: false,
+            }
+        })?;
         let left = until.saturating_duration_since(Instant::now());
         let mut req = Request::new(Full::new(self.body.clone()));
         *req.method_mut() = self.method.clone();
@@ -73,10 +84,8 @@
             names.deadline_ms.clone(),
             call::number_value(left.as_millis() as u64),
         );
-        if let Ok(id) = HeaderValue::from_str(&lease.id) {
-            headers.insert(names.expect_upstream.clone(), id);
-        }
-        req
+        headers.insert(names.expect_upstream.clone(), expected);
+        Ok(req)
     }
 }
 
@@ -145,7 +154,7 @@
 ) -> Result<(link::Link, hyper::Response<Incoming>), Failure> {
     if let Some(mut link) = lease.idle_link() {
         confirm_upstream(lease).await?;
-        match link.send(out.request(names, lease, until)).await {
+        match link.send(out.request(names, lease, until)?).await {
             Ok(res) => return Ok((link, res)),
             Err(failed) if !failed.unsent => return Err(connection_failure(lease, &failed)),
             Err(_) => {}
@@ -161,7 +170,7 @@
         }
     })?;
     confirm_upstream(lease).await?;
-    match link.send(out.request(names, lease, until)).await {
+    match link.send(out.request(names, lease, until)?).await {
         Ok(res) => Ok((link, res)),
         Err(failed) => Err(connection_failure(lease, &failed)),
     }
--- a/fw-gate/tests/gate/sent_calls.rs
+++ b/fw-gate/tests/gate/sent_calls.rs
@@ -57,3 +57,20 @@
         }
     }
 }
+
+// Guards against a call without the id of the upstream that it is meant for, since no header can hold it.
+#[gtest]
+#[tokio::test]
+async fn are_not_sent_to_an_upstream_without_a_name() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let upstream = ListedUpstream {
+        addr: listener.local_addr().unwrap(),
+        ..listed("x\ny")
+    };
+    let fleet = fleet();
+    fleet.apply(Some(StoreRead::own(1)), ListUpdate::Full(vec![upstream]));
+    let lease = fleet.choose(&"s".into(), &Criteria::default()).unwrap();
+    let until = Instant::now() + Duration::from_secs(1);
+    let sent = send::call_upstream(&names(), &outbound(), lease, until).await;
+    expect_that!(sent.unwrap_err().err.ran(), eq(error::Ran::No));
+}
