fw-gate: an answer whose status no protocol allows is not passed on

What callers saw: an answer with status 600, 999 or 101 from an upstream in trouble, as if it were one.

Cause: the HTTP library reads any three digits from 100 on, and gives 101 to whoever sent the call, which never asks for an upgrade. The entry looked at the signature of successes only. 000, 099, 20, 2000, -20 and letters are no status to the library: such an answer ended as 502 already.

Change: a status below 200 or from 600 on is a spoiled answer, on routes of all kinds: 502, or another attempt where the route may be repeated.

Measured: are_not_passed_on, 9 status lines on 6 routes, red before for 600, 999 and 101 on all 6, green now. are_retried_elsewhere is green before and now.

--- a/fw-gate/src/request/send.rs
+++ b/fw-gate/src/request/send.rs
@@ -231,6 +231,13 @@
         // A late or second answer to an earlier call.
         return fail(error::Kind::SpoiledAnswer, "answered another call");
     }
+    // The HTTP library reads any three digits, and 101 as the answer to an upgrade, which no call asks for.
+    if !(200..600).contains(&head.status.as_u16()) {
+        return fail(
+            error::Kind::SpoiledAnswer,
+            "sent a status that no answer may have",
+        );
+    }
     // Checked before the next one: such a refusal may also state that the call has not run.
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         return fail(error::Kind::Misdirected, "is no longer at its address");
