fw-gate: an answer that cannot be read is no crash of its upstream

What callers saw: a request refused for a minute (503, crash_quarantine) since six upstreams, all alive, had answered it with a status line like 000; from the second on its copies waited for each other.

Cause: bytes that are no head of an answer end the call with an error of the connection, and each of these was taken for a broken connection under the request: half the weight of a crash for each upstream, as it still accepts connections.

Change: what the HTTP library cannot parse is a spoiled answer (spoiled_answer in place of upstream_crashed, 502 as before), and no evidence against the request. It counts against the upstream's health, as before.

--- a/fw-gate/src/connection/link.rs
+++ b/fw-gate/src/connection/link.rs
@@ -108,6 +108,7 @@
         let res = answer.map_err(|mut err| SendError {
             unsent: err.take_message().is_some(),
             reused: !first,
+            unreadable: err.error().is_parse(),
             message: err.error().to_string(),
         })?;
         self.keep_alive = keep_alive(&res);
@@ -127,6 +128,8 @@
     pub unsent: bool,
     /// Whether the connection had served a call before.
     pub reused: bool,
+    /// Whether the upstream sent bytes that are no head of an answer.
+    pub unreadable: bool,
     /// The connection's error.
     pub message: String,
 }
--- a/fw-gate/src/request/send.rs
+++ b/fw-gate/src/request/send.rs
@@ -197,18 +197,20 @@
 
 fn connection_failure(lease: &fleet::Lease, failed: &link::SendError) -> Failure {
     lease.record_health(health::Observation::Failed);
-    let message = format!(
-        "the connection to upstream `{}` broke: {}",
-        lease.id, failed.message
-    );
-    let kind = if failed.unsent {
-        error::Kind::UpstreamUnreachable
-    } else {
-        error::Kind::UpstreamCrashed
+    let (kind, what) = match failed {
+        link::SendError { unsent: true, .. } => {
+            (error::Kind::UpstreamUnreachable, "the connection broke")
+        }
+        link::SendError {
+            unreadable: true, ..
+        } => (error::Kind::SpoiledAnswer, "the answer cannot be read"),
+        _ => (error::Kind::UpstreamCrashed, "the connection broke"),
     };
+    let message = format!("upstream `{}`: {what}: {}", lease.id, failed.message);
     Failure {
         err: error::Error::new(kind, message),
-        connection_broke: !failed.unsent,
+        // An upstream that answers, whatever it sends, has not crashed.
+        connection_broke: kind == error::Kind::UpstreamCrashed,
     }
 }
 
