fw-gate: a body that cannot be read is no crash of its upstream either

Cause: the end of a body by any error was taken for a broken connection, and so were a stream whose event is too long and one that the entry has no memory for.

Change: an error of the decoder is told from one of the connection, for heads, collected bodies and streams. A stream that cannot be read goes on elsewhere as before, without evidence against its request.

--- a/fw-gate/src/connection/link.rs
+++ b/fw-gate/src/connection/link.rs
@@ -1,6 +1,8 @@
 //! One connection to an upstream, used for one call at a time.
 
+use std::error;
 use std::io;
+use std::iter;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -108,7 +110,7 @@
         let res = answer.map_err(|mut err| SendError {
             unsent: err.take_message().is_some(),
             reused: !first,
-            unreadable: err.error().is_parse(),
+            unreadable: is_unreadable(err.error()),
             message: err.error().to_string(),
         })?;
         self.keep_alive = keep_alive(&res);
@@ -121,6 +123,21 @@
     }
 }
 
+/// Whether `err` or one of its causes says that the upstream's bytes are no answer in the protocol, rather than that
+/// its connection broke.
+pub fn is_unreadable(err: &(dyn error::Error + 'static)) -> bool {
+    let is_malformed = |err: &io::Error| {
+        let kinds = [io::ErrorKind::InvalidData, io::ErrorKind::InvalidInput];
+        kinds.contains(&err.kind())
+    };
+    let causes = iter::successors(Some(err), |err| err.source());
+    causes.into_iter().any(|err| {
+        let unparsed = err.downcast_ref::<hyper::Error>();
+        unparsed.is_some_and(hyper::Error::is_parse)
+            || err.downcast_ref::<io::Error>().is_some_and(is_malformed)
+    })
+}
+
 /// A call whose connection failed before the head of an answer came.
 #[derive(Clone, Debug)]
 pub struct SendError {
--- a/fw-gate/src/request/plain.rs
+++ b/fw-gate/src/request/plain.rs
@@ -14,6 +14,7 @@
 
 use super::ingress::log_ms;
 use super::{attempt, body, call, send};
+use crate::connection::link;
 use crate::process::{held_bytes, memory, traffic};
 
 /// Maximum length of an answer that is collected, and of the output of a turn; plain services send a few kilobytes.
@@ -150,10 +151,15 @@
         }
         Ok(Err(err)) => {
             lease.record_health(health::Observation::Failed);
-            let message = format!("the answer of upstream `{}` was cut off: {err}", lease.id);
+            let broke = !link::is_unreadable(err.as_ref());
+            let (kind, what) = match broke {
+                true => (error::Kind::UpstreamCrashed, "was cut off"),
+                false => (error::Kind::SpoiledAnswer, "cannot be read"),
+            };
+            let message = format!("the answer of upstream `{}` {what}: {err}", lease.id);
             Err(send::Failure {
-                err: error::Error::new(error::Kind::UpstreamCrashed, message),
-                connection_broke: true,
+                err: error::Error::new(kind, message),
+                connection_broke: broke,
             })
         }
         Err(_) => {
--- a/fw-gate/src/request/stream.rs
+++ b/fw-gate/src/request/stream.rs
@@ -19,6 +19,7 @@
 
 use super::ingress::log_ms;
 use super::{attempt, body, call, events, plain, refusal, resume, send, turn};
+use crate::connection::link;
 use crate::process::{first_calls, fleet, gate, held_bytes, memory, quarantine, quotas, traffic};
 use crate::version::{config, team};
 
@@ -247,11 +248,14 @@
 }
 
 /// How reading from one upstream ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Ended {
     /// The stream is complete.
     Complete,
     /// The connection to the upstream broke.
     Broken,
+    /// The upstream sent something that is no stream of events, or cannot be held.
+    Spoiled,
     /// The caller has disconnected.
     CallerGone,
     /// The deadline has passed.
@@ -352,10 +356,12 @@
                     self.abort().await;
                     break "too long";
                 }
-                Ended::Broken => {
+                Ended::Broken | Ended::Spoiled => {
                     response.lease.record_health(health::Observation::Failed);
                     drop(response);
-                    if let Some(permit) = self.permit.take() {
+                    // An upstream that sends nonsense has not crashed.
+                    let permit = self.permit.take().filter(|_| ended == Ended::Broken);
+                    if let Some(permit) = permit {
                         self.check_crash(permit, &at, addr).await;
                     }
                     let next = self.resume(&at.upstream, &mut resumes).await;
@@ -440,7 +446,7 @@
                         .count_bytes(traffic::Kind::Answer, data.len());
                     self.splitter.push(&data);
                     if self.splitter.is_too_long() {
-                        return Ended::Broken;
+                        return Ended::Spoiled;
                     }
                     match self.forward_events(&response.lease.version).await {
                         Forwarded::Done => {}
@@ -448,10 +454,11 @@
                         Forwarded::TooLong => return Ended::TooLong,
                     }
                     if !self.partial.resize(self.splitter.len()) {
-                        return Ended::Broken;
+                        return Ended::Spoiled;
                     }
                 }
                 None if !self.splitter.has_partial() => return Ended::Complete,
+                Some(Err(err)) if link::is_unreadable(&err) => return Ended::Spoiled,
                 None | Some(Err(_)) => return Ended::Broken,
             }
         }
