fw-side: an answer whose status no protocol allows is not forwarded

What callers saw, on the project's own surface: status 600, 999 or 101 of a plain service in trouble, as its answer.

Measured: a_status_of_no_answer_is_not_forwarded, red before (600 and 999 forwarded).

--- a/fw-entry/src/request/send.rs
+++ b/fw-entry/src/request/send.rs
@@ -132,7 +132,9 @@
         Ok(_) => return,
         Err(err) => match err.kind {
             error::Kind::UpstreamLeaving => health::Observation::Leaving,
-            error::Kind::NoUpstream | error::Kind::UpstreamCrashed => health::Observation::Failed,
+            error::Kind::NoUpstream | error::Kind::UpstreamCrashed | error::Kind::SpoiledAnswer => {
+                health::Observation::Failed
+            }
             _ => return,
         },
     };
--- a/fw-side/src/request/plain.rs
+++ b/fw-side/src/request/plain.rs
@@ -248,6 +248,14 @@
 ) -> Result<http::Response<hyper::body::Incoming>, SendError> {
     rewrite_request(client, &mut req).map_err(SendError::Unsent)?;
     match tokio::time::timeout(timeout, client.pool.request(req)).await {
+        // The HTTP library reads any three digits, and 101 as the answer to an upgrade, which no call asks for.
+        Ok(Ok(answer)) if !(200..600).contains(&answer.status().as_u16()) => {
+            let status = answer.status().as_u16();
+            Err(SendError::Sent(errors::counted(
+                error::Kind::SpoiledAnswer,
+                format!("the upstream answered with status {status}, which no answer may have"),
+            )))
+        }
         Ok(Ok(answer)) => Ok(answer),
         Ok(Err(err)) if is_unsent(&err) => {
             let why = "could not connect to the upstream; nothing was sent";
--- a/fw-side/tests/side/plain_lane.rs
+++ b/fw-side/tests/side/plain_lane.rs
@@ -255,3 +255,17 @@
         expect_that!(text, contains_substring(series));
     }
 }
+
+// Guards against an answer of an upstream in trouble that its caller takes for one.
+#[gtest]
+#[tokio::test]
+async fn a_status_of_no_answer_is_not_forwarded() {
+    let rig = PlainRig::new(rig::options()).await;
+    for (attempt, status) in [("1f", 600), ("2f", 999)] {
+        rig.service.fault(plain::Fault::Status(status));
+        let answer = rig.call_once(attempt, "page").await;
+        expect_that!(answer.status.as_u16(), eq(502));
+        expect_that!(error_header(&answer), some(eq("spoiled_answer")));
+        expect_that!(ran_header(&answer), some(eq("maybe")));
+    }
+}
