fw-gate: the tests of hedged calls begin with a budget for second calls

Cause, in the tests: a second call needs the budget of one call in twenty, with a burst of three. On a busy machine the calls by which the tests learn the usual time are late and use it up: in both traced runs three second calls had been sent before the check began (123 requests for 120 calls). No second call is then sent, and the checks wait for the slow upstream.

Change: the calls before the check go on until 25 in a row were not sent twice, which earns a second call whatever was left. The checks and bounds are as they were.

--- a/fw-gate/tests/gate/hedged_calls.rs
+++ b/fw-gate/tests/gate/hedged_calls.rs
@@ -76,7 +76,11 @@
     }
 }
 
-/// An entry with two upstreams that has sent more calls than are needed to know the usual time.
+/// Calls in a row, none of them sent twice, after which the budget allows a second call whatever it was before.
+const CALLS_FOR_BUDGET: usize = 25;
+
+/// An entry with two upstreams that has sent more calls than are needed to know the usual time, and may send another
+/// one twice: on a busy machine the first calls use up the budget for that.
 async fn entry(route: &config::Route, hedge_plain: bool) -> (Arc<gate::Gate>, [Arc<Upstream>; 2]) {
     let gate = gate::Gate::new(gate::Options {
         features: features::Options {
@@ -92,6 +96,16 @@
     for _ in 0..120 {
         send_call(&gate, route).await;
     }
+    let received = || one.received() + other.received();
+    let mut single_calls = 0;
+    while single_calls < CALLS_FOR_BUDGET {
+        let before = received();
+        send_call(&gate, route).await;
+        single_calls = match received() == before + 1 {
+            true => single_calls + 1,
+            false => 0,
+        };
+    }
     (gate, [one, other])
 }
 
